--- /dev/null
+++ b/packages/membership/src/NodeEntry.cpp
@@ -0,0 +1,28 @@
+#include "carobpath/membership/NodeEntry.h"
+
+#include "carobpath/foundation/EnumTable.h"
+
+namespace carobpath::membership {
+
+namespace {
+
+    constexpr std::array<EnumRow<UpstreamState>, 4> upstreamStates { {
+        { UpstreamState::Cold, "cold" },
+        { UpstreamState::Ready, "ready" },
+        { UpstreamState::Draining, "draining" },
+        { UpstreamState::Down, "down" },
+    } };
+
+    constexpr std::array<EnumRow<Liveness>, 3> livenesses { {
+        { Liveness::Alive, "alive" },
+        { Liveness::Suspect, "suspect" },
+        { Liveness::Dead, "dead" },
+    } };
+
+}
+
+std::string_view toString(UpstreamState it) { return enumText(upstreamStates, it); }
+std::optional<UpstreamState> upstreamStateFromString(std::string_view text) { return enumValue(upstreamStates, text); }
+std::string_view toString(Liveness it) { return enumText(livenesses, it); }
+
+}
--- /dev/null
+++ b/packages/moves/include/carobpath/moves/Evidence.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "carobpath/foundation/Identifier.h"
+#include "carobpath/foundation/Incarnation.h"
+#include "carobpath/publication/ConfigurationSet.h"
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+namespace carobpath::moves {
+
+/// Upper bounds of the latency classes that evidence is kept in; the last class is without bound.
+inline constexpr std::size_t latencyClasses = 16;
+
+/// Upper bound of one latency class: 1 ms doubled for each class after the first.
+constexpr std::chrono::microseconds latencyClassBound(std::size_t index)
+{
+    return std::chrono::microseconds { 1000 } * (1LL << index);
+}
+
+/// Counts of one route on one version. They only grow within an incarnation of the node that made them.
+struct EvidenceCounts {
+    std::uint64_t succeeded = 0;
+    /// Errors of the backend server: 5xx, connections lost or refused, time-outs.
+    std::uint64_t failed = 0;
+    /// Overload refusals of the backend server; they speak of load, not of badness.
+    std::uint64_t refused = 0;
+    std::array<std::uint64_t, latencyClasses> latency {};
+
+    friend bool operator==(const EvidenceCounts&, const EvidenceCounts&) = default;
+};
+
+/// Evidence of one admitting node on one route and version of a move, as spread among nodes.
+struct EvidenceEntry {
+    NodeName observer;
+    Revision revision;
+    MoveName move;
+    /// Tells the move from an earlier one of the same name.
+    publication::Offset movePublishedAt = 0;
+    RouteName route;
+    VersionName version;
+    EvidenceCounts counts;
+
+    friend bool operator==(const EvidenceEntry&, const EvidenceEntry&) = default;
+};
+
+/// A node's finding that a move is to be taken back; spread at once, and monotone: never withdrawn.
+struct TakeBackNotice {
+    MoveName move;
+    publication::Offset movePublishedAt = 0;
+    NodeName observer;
+    publication::MoveVerdict verdict;
+
+    friend bool operator==(const TakeBackNotice&, const TakeBackNotice&) = default;
+};
+
+/// Evidence and findings in one message of the exchange.
+struct EvidenceUpdate {
+    std::vector<EvidenceEntry> entries;
+    std::vector<TakeBackNotice> notices;
+};
+
+/// \returns the index of the latency class that holds the duration.
+std::size_t latencyClassOf(std::chrono::nanoseconds latency);
+
+}
--- /dev/null
+++ b/packages/moves/include/carobpath/moves/VersionShare.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "carobpath/foundation/Identifier.h"
+
+#include <optional>
+
+namespace carobpath::moves {
+
+/// How the calls of one service are split at this moment. Without a move all go to \c current.
+struct VersionShare {
+    VersionName current;
+    std::optional<VersionName> next;
+    /// Part of the calls that go to \c next, from 0 to 1.
+    double nextShare = 0;
+
+    friend bool operator==(const VersionShare&, const VersionShare&) = default;
+};
+
+}
--- /dev/null
+++ b/packages/publication/tests/EnumTextTests.cpp
@@ -0,0 +1,26 @@
+#include "carobpath/publication/EnumText.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace carobpath::publication {
+
+BOOST_AUTO_TEST_SUITE(EnumTexts)
+
+BOOST_AUTO_TEST_CASE(Texts_survive_the_way_there_and_back)
+{
+    BOOST_TEST((repeatabilityFromString(toString(Repeatability::Repeatable)) == Repeatability::Repeatable));
+    BOOST_TEST((trafficClassFromString(toString(TrafficClass::Download)) == TrafficClass::Download));
+    BOOST_TEST((thinEvidencePolicyFromString(toString(ThinEvidencePolicy::Finish)) == ThinEvidencePolicy::Finish));
+    BOOST_TEST((moveOutcomeFromString(toString(MoveOutcome::TakenBack)) == MoveOutcome::TakenBack));
+    BOOST_TEST((moveReasonFromString(toString(MoveReason::Latency)) == MoveReason::Latency));
+}
+
+BOOST_AUTO_TEST_CASE(Text_of_no_value_gives_nothing)
+{
+    BOOST_TEST(!repeatabilityFromString("twice"));
+    BOOST_TEST(!moveOutcomeFromString(""));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
--- /dev/null
+++ b/packages/routing/include/carobpath/routing/Admission.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "carobpath/foundation/Identifier.h"
+#include "carobpath/foundation/Time.h"
+#include "carobpath/publication/Objects.h"
+#include "carobpath/routing/Outcome.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// The vocabulary of the admitting node: the one beside the upstream, which alone lets calls into its slots.
+namespace carobpath::routing {
+
+/// A call that another node forwarded to this one.
+struct AdmissionRequest {
+    RequestId id;
+    RouteName route;
+    VersionName version;
+    publication::Repeatability repeatability = publication::Repeatability::NotRepeatable;
+    publication::TrafficClass trafficClass = publication::TrafficClass::Short;
+    MonotonicTime deadline;
+    std::uint64_t fingerprint = 0;
+    /// Number of connections that the whole call needs at the upstream, 1 for a plain call.
+    std::uint32_t width = 1;
+};
+
+/// Send the call to the backend server now; it holds one slot until \c onFinished.
+struct Dispatch {
+    RequestId id;
+};
+
+/// Answer the call at once; it never reached the backend server.
+struct Reject {
+    RequestId id;
+    Refusal refusal;
+};
+
+using AdmissionCommand = std::variant<Dispatch, Reject>;
+using AdmissionCommands = std::vector<AdmissionCommand>;
+
+/// How the backend server dealt with a dispatched call.
+enum class BackendResult : std::uint8_t {
+    /// A whole answer that is not an error of the server.
+    Answered,
+    /// A whole answer with status 5xx.
+    ServerError,
+    /// Its own typed refusal: shed or draining; the call did not run.
+    Refused,
+    /// The connection could not be made; no byte was sent.
+    ConnectFailed,
+    /// The connection ended or broke after a byte was sent.
+    ConnectionLost,
+    TimedOut,
+    /// The caller went away.
+    Cancelled,
+};
+
+/// The end of a dispatched call.
+struct AdmissionResult {
+    RequestId id;
+    BackendResult result = BackendResult::Answered;
+    std::chrono::nanoseconds serviceTime {};
+};
+
+}
