--- /dev/null
+++ b/packages/foundation/include/carobpath/foundation/NodeSettings.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "carobpath/foundation/Endpoint.h"
+#include "carobpath/foundation/Identifier.h"
+#include "carobpath/foundation/Log.h"
+#include "carobpath/foundation/MemberSettings.h"
+#include "carobpath/foundation/Result.h"
+#include "carobpath/foundation/SettingDescription.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace carobpath {
+
+/// Settings of one node.
+struct NodeSettings {
+    NodeName name;
+    RegionName region;
+    FailureDomainName failureDomain;
+
+    /// Addresses that the node binds; port 0 takes any free port.
+    struct Listen {
+        Endpoint callers;
+        Endpoint calls;
+        Endpoint peer;
+        Endpoint admin;
+    } listen;
+
+    /// The platform's log.
+    struct Log {
+        std::vector<Endpoint> endpoints;
+        std::string stream;
+        std::chrono::microseconds retention {};
+    } log;
+
+    /// Peer addresses of nodes to join by.
+    std::vector<Endpoint> seeds;
+
+    /// Shared secret of the fleet that peer connections are authenticated with.
+    HexKey fleetKey;
+    std::string fleetKeyFile;
+
+    std::vector<MemberSettings> members;
+
+    /// Bounds of what the node holds at one time.
+    struct Limits {
+        std::int64_t queue = 0;
+        std::uint64_t headerBytes = 0;
+        std::uint64_t bodyBytes = 0;
+        std::uint64_t replayBytes = 0;
+        std::int64_t retryBudgetPercent = 0;
+        std::int64_t callerConnections = 0;
+        std::int64_t peerConnections = 0;
+    } limits;
+
+    struct Timeouts {
+        std::chrono::microseconds callerIdle {};
+        std::chrono::microseconds callerHeader {};
+        std::chrono::microseconds call {};
+        std::chrono::microseconds connect {};
+        std::chrono::microseconds progress {};
+        std::chrono::microseconds log {};
+        std::chrono::microseconds logWait {};
+        std::chrono::microseconds peer {};
+    } timeouts;
+
+    struct Drain {
+        std::chrono::microseconds grace {};
+    } drain;
+
+    LogLevel logLevel = LogLevel::Info;
+};
+
+/// \returns the settings, or SettingsFaults with every fault of the text. Files that it names are read.
+Result<NodeSettings> readNodeSettings(std::string_view yaml, const std::string& file);
+
+/// Reads the file and its settings, or SettingsFaults.
+Result<NodeSettings> loadNodeSettings(const std::string& file);
+
+const std::vector<SettingDescription>& nodeSettingDescriptions();
+
+}
--- /dev/null
+++ b/packages/foundation/src/NodeSettings.cpp
@@ -0,0 +1,172 @@
+#include "carobpath/foundation/NodeSettings.h"
+
+#include "internal/NamedSetting.h"
+
+namespace carobpath {
+
+namespace {
+
+    using namespace std::chrono_literals;
+    using Reader = SettingsReader<NodeSettings>;
+
+    constexpr Bounds<std::size_t> oneToEight { 1, 8 };
+    constexpr Bounds<std::size_t> anySeeds { 0, 64 };
+    constexpr std::uint64_t kibibyte = 1 << 10;
+    constexpr std::uint64_t mebibyte = 1 << 20;
+
+    void declareIdentity(Reader& it)
+    {
+        it.required(
+            "node.name", Detail::identifierSetting<NodeName>(), [](auto& s) -> auto& { return s.name; },
+            "Name of the node, unique in the fleet.");
+        it.required(
+            "node.region", Detail::identifierSetting<RegionName>(), [](auto& s) -> auto& { return s.region; },
+            "Region that the instance runs in.");
+        it.required(
+            "node.failure-domain", Detail::identifierSetting<FailureDomainName>(), [](auto& s) -> auto& { return s.failureDomain; },
+            "Failure domain that the instance runs in.");
+    }
+
+    void declareListeners(Reader& it)
+    {
+        it.withDefault(
+            "listen.callers", endpointSetting(), "0.0.0.0:8000", [](auto& s) -> auto& { return s.listen.callers; },
+            "Address for callers. Port 0 takes any free port.");
+        it.withDefault(
+            "listen.calls", endpointSetting(), "0.0.0.0:8001", [](auto& s) -> auto& { return s.listen.calls; },
+            "Address for calls that other nodes forward.");
+        it.withDefault(
+            "listen.peer", endpointSetting(), "0.0.0.0:8002", [](auto& s) -> auto& { return s.listen.peer; },
+            "Address for the exchange between nodes.");
+        it.withDefault(
+            "listen.admin", endpointSetting(), "127.0.0.1:8003", [](auto& s) -> auto& { return s.listen.admin; },
+            "Address for operators, metrics and the backend server beside the node.");
+    }
+
+    void declareLog(Reader& it)
+    {
+        it.list(
+            "log.endpoints", endpointSetting(), oneToEight, [](auto& s) -> auto& { return s.log.endpoints; },
+            "Addresses of the platform's log, tried in turn.");
+        it.withDefault(
+            "log.stream", nameSetting(), "configuration", [](auto& s) -> auto& { return s.log.stream; },
+            "Stream of published records.");
+        it.withDefault(
+            "log.retention", durationSetting(10s, 8760h), "24h", [](auto& s) -> auto& { return s.log.retention; },
+            "How long the log keeps a record; checkpoints are written well inside it.");
+    }
+
+    void declareTrust(Reader& it)
+    {
+        it.list(
+            "seeds", endpointSetting(), anySeeds, [](auto& s) -> auto& { return s.seeds; },
+            "Peer addresses of nodes to join by.");
+        it.optional(
+            "fleet-key", hexKeySetting(), [](auto& s) -> auto& { return s.fleetKey; },
+            "Secret of the fleet; peers without it are refused. Either this or fleet-key-file is required.");
+        it.optional(
+            "fleet-key-file", pathSetting(), [](auto& s) -> auto& { return s.fleetKeyFile; },
+            "File that holds the secret of the fleet. A relative path starts at the settings file.");
+        it.list(
+            "members", memberSettingsReader(), { 1, maximumMembers }, [](auto& s) -> auto& { return s.members; },
+            "The members of the consortium.");
+    }
+
+    void declareLimits(Reader& it)
+    {
+        it.withDefault(
+            "limits.queue", integerSetting(0, 10'000), "256", [](auto& s) -> auto& { return s.limits.queue; },
+            "Calls that wait for a slot of the upstream.");
+        it.withDefault(
+            "limits.header-bytes", sizeSetting(kibibyte, mebibyte), "16KiB", [](auto& s) -> auto& { return s.limits.headerBytes; },
+            "Size of a request's header.");
+        it.withDefault(
+            "limits.body-bytes", sizeSetting(0, 64 * mebibyte), "1MiB", [](auto& s) -> auto& { return s.limits.bodyBytes; },
+            "Size of a request's body.");
+        it.withDefault(
+            "limits.replay-bytes", sizeSetting(0, mebibyte), "64KiB", [](auto& s) -> auto& { return s.limits.replayBytes; },
+            "Size of the request body that is kept for a retry.");
+        it.withDefault(
+            "limits.retry-budget-percent", integerSetting(0, 100), "10", [](auto& s) -> auto& { return s.limits.retryBudgetPercent; },
+            "Retries as a share of calls.");
+        it.withDefault(
+            "limits.caller-connections", integerSetting(1, 100'000), "2000", [](auto& s) -> auto& { return s.limits.callerConnections; },
+            "Open connections from callers.");
+        it.withDefault(
+            "limits.peer-connections", integerSetting(1, 10'000), "256", [](auto& s) -> auto& { return s.limits.peerConnections; },
+            "Open connections from other nodes.");
+    }
+
+    void declareTimeouts(Reader& it)
+    {
+        it.withDefault(
+            "timeouts.caller-idle", durationSetting(100ms, 1h), "60s", [](auto& s) -> auto& { return s.timeouts.callerIdle; },
+            "A caller's connection without a request is closed after it.");
+        it.withDefault(
+            "timeouts.caller-header", durationSetting(100ms, 10min), "10s", [](auto& s) -> auto& { return s.timeouts.callerHeader; },
+            "A request's header and each further part of its body must arrive within it.");
+        it.withDefault(
+            "timeouts.call", durationSetting(10ms, 1h), "30s", [](auto& s) -> auto& { return s.timeouts.call; },
+            "Deadline of a call whose caller names none.");
+        it.withDefault(
+            "timeouts.connect", durationSetting(1ms, 1min), "1s", [](auto& s) -> auto& { return s.timeouts.connect; },
+            "Opening a connection to a node or the backend server.");
+        it.withDefault(
+            "timeouts.progress", durationSetting(100ms, 10min), "10s", [](auto& s) -> auto& { return s.timeouts.progress; },
+            "A connection that moves no byte within it is taken for silent.");
+        it.withDefault(
+            "timeouts.log", durationSetting(100ms, 5min), "5s", [](auto& s) -> auto& { return s.timeouts.log; },
+            "An append to the log or a read from it, less the wait that the read asks for.");
+        it.withDefault(
+            "timeouts.log-wait", durationSetting(10ms, 1min), "2s", [](auto& s) -> auto& { return s.timeouts.logWait; },
+            "Wait that a read asks the log for.");
+        it.withDefault(
+            "timeouts.peer", durationSetting(10ms, 1min), "2s", [](auto& s) -> auto& { return s.timeouts.peer; },
+            "A request to another node's peer address.");
+    }
+
+    const Reader& reader()
+    {
+        static const auto it = [] {
+            Reader made;
+            declareIdentity(made);
+            declareListeners(made);
+            declareLog(made);
+            declareTrust(made);
+            declareLimits(made);
+            declareTimeouts(made);
+            made.withDefault(
+                "drain.grace", durationSetting(0s, 1h), "30s", [](auto& s) -> auto& { return s.drain.grace; },
+                "What is in flight may end within it after SIGTERM.");
+            made.withDefault(
+                "log-level", logLevelSetting(), "info", [](auto& s) -> auto& { return s.logLevel; },
+                "Lowest level of the log lines on standard error.");
+            return made;
+        }();
+        return it;
+    }
+
+}
+
+Result<NodeSettings> readNodeSettings(std::string_view yaml, const std::string& file)
+{
+    SettingsDocument document(yaml, file);
+    NodeSettings settings = reader().read(document);
+    Detail::resolveKeyFile(document, "fleet-key", "fleet-key-file", settings.fleetKey, settings.fleetKeyFile);
+    if (document.isMapping() && !document.find("fleet-key") && !document.find("fleet-key-file"))
+        document.addFault("fleet-key", {}, SettingsFaultKind::MissingKey, "is required, or fleet-key-file");
+    reportRepeatedMembers(document, settings.members);
+    if (document.hasFaults())
+        return boost::leaf::new_error(document.faults());
+    return settings;
+}
+
+Result<NodeSettings> loadNodeSettings(const std::string& file)
+{
+    BOOST_LEAF_AUTO(yaml, readSettingsFile(file));
+    return readNodeSettings(yaml, file);
+}
+
+const std::vector<SettingDescription>& nodeSettingDescriptions() { return reader().descriptions(); }
+
+}
