--- /dev/null
+++ b/tests/process/standins/log/LogService.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "LogStore.h"
+#include "LogSwitches.h"
+
+#include "common/HttpSession.h"
+#include "common/StandinProcess.h"
+
+#include <list>
+#include <memory>
+
+namespace carobpath::standins {
+
+/// The platform's log over HTTP, with switches for its faults.
+class LogService {
+public:
+    LogService(StandinProcess&, const tcp::endpoint&, std::chrono::milliseconds retention);
+
+    tcp::endpoint endpoint() const { return m_server.endpoint(); }
+
+private:
+    using Session = std::shared_ptr<HttpSession>;
+
+    /// A read that waits for a record.
+    struct Waiter {
+        Session session;
+        std::string stream;
+        std::uint64_t from = 0;
+        std::size_t limit = 0;
+        std::shared_ptr<boost::asio::steady_timer> timer;
+    };
+
+    void handle(const Session&);
+    void handleControl(const Session&, std::string_view path);
+    void handleStream(const Session&, const std::string& stream);
+    void append(const Session&, const std::string& stream);
+    void read(const Session&, const std::string& stream);
+    void answerRead(const Session&, const std::string& stream, std::uint64_t from, std::size_t limit);
+    void wake(const std::string& stream);
+    void releaseAllWaiters();
+    bool isDown(const Session&) const;
+    void answer(const Session&, Response);
+    std::chrono::milliseconds appendDelay();
+    void after(std::chrono::milliseconds, std::function<void()>);
+
+    StandinProcess& m_process;
+    LogStore m_store;
+    LogSwitches m_switches;
+    std::list<Waiter> m_waiters;
+    MonotonicTime m_nextAppendAt {};
+    std::uint64_t m_reads = 0;
+    std::uint64_t m_appends = 0;
+    std::uint64_t m_bytesRead = 0;
+    HttpServer m_server;
+};
+
+}
