Routing: the entry decision of a call

Route table, upstream picker on what calls show, retry budget and one decision object for each call. A call that may not be repeated goes to a second place only after the first said not run; the outcome told to the caller is the strongest of all attempts.

--- /dev/null
+++ b/packages/routing/include/carobpath/routing/CallDecision.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "carobpath/publication/Objects.h"
+#include "carobpath/routing/Call.h"
+#include "carobpath/routing/LedgerVerdict.h"
+#include "carobpath/routing/RouteTable.h"
+#include "carobpath/routing/UpstreamStatistics.h"
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace carobpath::routing {
+
+class EntryState;
+
+/// Decides one call at its entry node: where it is sent, whether it is sent again, and what its caller is told.
+///
+/// A call that may not be repeated goes to a second place only after the first said \c NotRun; after any other end of
+/// an attempt it is answered. A call that may be repeated is sent again within its deadline, a small number of attempts
+/// and the node's retry budget. Whatever is given up on is answered at once.
+///
+/// One command is outstanding at a time. The session enforces the deadline of each \c SendAttempt and reports
+/// \c Unknown with \c UpstreamTimeout when it passes; \c onDeadline is for the deadline of the whole call.
+class CallDecision {
+public:
+    /// Places that one call is sent to at most.
+    static constexpr std::uint32_t s_maxAttempts = 4;
+
+    CallDecision(std::shared_ptr<EntryState>, CallRequest, MonotonicTime arrivedAt);
+    ~CallDecision();
+    CallDecision(const CallDecision&) = delete;
+    CallDecision& operator=(const CallDecision&) = delete;
+
+    /// \returns the first command; to be called once.
+    CallCommand start(MonotonicTime now);
+    /// The running attempt ended before or with its answer's header.
+    CallCommand onAttemptFinished(const AttemptResult&, MonotonicTime now);
+    /// The owner of the idempotency key answered, or could not be reached (\c Unavailable).
+    CallCommand onLedger(const LedgerVerdict&, MonotonicTime now);
+    /// \returns the final answer if the call's deadline has passed; the session cancels the running attempt.
+    std::optional<CallCommand> onDeadline(MonotonicTime now);
+    /// The caller went away: nothing is answered, and the session cancels the running attempt.
+    void onCallerGone(MonotonicTime now);
+
+    /// Nothing where the call was refused before a route was found.
+    const publication::Route* route() const { return m_route; }
+    MonotonicTime deadline() const { return m_deadline; }
+    bool ended() const { return m_phase == Phase::Ended; }
+
+    /// How the holder of an idempotency key ended, to be reported to the key's owner once the call has ended.
+    /// \returns nothing where no key was asked for, or the key went to another call.
+    std::optional<Outcome> keyOutcome() const;
+
+private:
+    enum class Phase : std::uint8_t {
+        Created,
+        AwaitingLedger,
+        Attempting,
+        Ended,
+    };
+
+    struct Attempt {
+        NodeName node;
+        bool toNext = false;
+        MonotonicTime sentAt;
+    };
+
+    std::optional<Refusal> refusalAtArrival(MonotonicTime now);
+    void drawVersion();
+    std::optional<SendAttempt> nextAttempt(MonotonicTime now);
+    MonotonicTime attemptDeadline(MonotonicTime now) const;
+    CallCommand send(SendAttempt, MonotonicTime now);
+    CallCommand sendFirst(MonotonicTime now);
+    std::optional<CallCommand> retry(const AttemptResult&, MonotonicTime now);
+    bool mayRunElsewhere(const AttemptResult&, MonotonicTime now) const;
+    void recordAttempt(const AttemptResult&, MonotonicTime now);
+    void closeAttempt(AttemptSign, std::chrono::nanoseconds latency, std::chrono::milliseconds rest, MonotonicTime now);
+    CallCommand relay();
+    CallCommand refuse(RefusalReason, std::optional<std::chrono::milliseconds> retryAfter = std::nullopt);
+    CallCommand finish(CallCommand);
+    bool repeatable() const;
+
+    std::shared_ptr<EntryState> m_state;
+    CallRequest m_request;
+    MonotonicTime m_arrivedAt;
+    MonotonicTime m_deadline;
+    std::shared_ptr<const RouteTable> m_table;
+    const publication::Route* m_route = nullptr;
+    Phase m_phase = Phase::Created;
+    bool m_wantsNext = false;
+    bool m_keyAsked = false;
+    /// The strongest outcome over all attempts: \c NotRun only while each of them was.
+    Outcome m_outcome = Outcome::NotRun;
+    std::optional<Attempt> m_attempt;
+    std::vector<NodeName> m_tried;
+    std::optional<CallCommand> m_final;
+};
+
+}
--- /dev/null
+++ b/packages/routing/include/carobpath/routing/EntryRouter.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "carobpath/membership/NodeEntry.h"
+#include "carobpath/moves/VersionShare.h"
+#include "carobpath/routing/Call.h"
+#include "carobpath/routing/CallDecision.h"
+#include "carobpath/routing/NodeObservation.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace carobpath::routing {
+
+/// Gives the split of a service's calls between its versions at this moment.
+using ShareSource = std::function<moves::VersionShare(const ServiceName&)>;
+
+/// Says for how long a request with the fingerprint is to be refused; nothing where it is not.
+using QuarantineSource
+    = std::function<std::optional<std::chrono::milliseconds>(std::uint64_t fingerprint, MonotonicTime now)>;
+
+/// The entry decision of a node: makes a \c CallDecision for each call and holds what the calls share, which are the
+/// route table, the upstreams and what calls showed of them, and the retry budget.
+class EntryRouter {
+public:
+    explicit EntryRouter(std::mt19937_64 random);
+    ~EntryRouter();
+    EntryRouter(const EntryRouter&) = delete;
+    EntryRouter& operator=(const EntryRouter&) = delete;
+
+    void setOwnNode(NodeName, FailureDomainName);
+    void setConfiguration(publication::ConfigurationPointer);
+    void setMembership(std::shared_ptr<const membership::MembershipView>);
+    /// Without a source each service's current version gets all calls.
+    void setShareSource(ShareSource);
+    void setQuarantineSource(QuarantineSource);
+    /// A node that is not ready refuses each call as \c NotReady.
+    void setReady(bool);
+
+    std::shared_ptr<CallDecision> begin(const CallRequest&, MonotonicTime now);
+
+    /// \returns what calls showed of other nodes since the last time; the oldest are dropped beyond a bound.
+    std::vector<NodeObservation> takeObservations();
+
+private:
+    std::shared_ptr<EntryState> m_state;
+};
+
+}
--- /dev/null
+++ b/packages/routing/include/carobpath/routing/UpstreamPicker.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "carobpath/membership/NodeEntry.h"
+#include "carobpath/routing/UpstreamStatistics.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <span>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace carobpath::routing {
+
+/// The node beside the upstream that a call is sent to.
+struct UpstreamChoice {
+    NodeName node;
+    Endpoint calls;
+    bool freshConnection = false;
+    /// One call that tries out an upstream after its ejection.
+    bool probe = false;
+};
+
+/// What a pick may consider.
+struct PickConstraints {
+    /// Nodes that the call was sent to already.
+    std::span<const NodeName> excluded;
+    /// Whether the call may try out an upstream after its ejection: it can be sent again if that fails.
+    bool mayProbe = false;
+    /// Whether an ejected upstream may be taken where there is nothing better.
+    bool lastResort = false;
+};
+
+/// Chooses among the upstreams of one service and version by the power of two choices: of two drawn at random, the one
+/// with the lower product of observed latency and calls in flight. Upstreams in this node's own failure domain
+/// are preferred until one elsewhere is clearly better. The load that nodes spread lags, so it
+/// moves the choice by a bounded factor only.
+class UpstreamPicker {
+public:
+    /// Part of an upstream's usual calls that a cold one gets.
+    static constexpr double s_coldShare = 0.125;
+    /// An upstream in another failure domain must be better by this factor.
+    static constexpr double s_otherDomainFactor = 2;
+    /// Latency assumed before any call was answered.
+    static constexpr double s_initialLatencySeconds = 0.005;
+
+    explicit UpstreamPicker(std::mt19937_64 random);
+
+    void setOwnNode(NodeName, FailureDomainName);
+    /// Statistics of nodes that the view lacks are forgotten.
+    void setView(std::shared_ptr<const membership::MembershipView>);
+
+    std::optional<UpstreamChoice> pick(
+        const ServiceName&, const VersionName&, const PickConstraints&, MonotonicTime now);
+
+    void onSent(const NodeName&, bool probe, MonotonicTime now);
+    /// \param rest time for which the upstream asked to be left alone, where it did.
+    void onFinished(const NodeName&, AttemptSign, std::chrono::nanoseconds latency, std::chrono::milliseconds rest,
+        MonotonicTime now);
+
+    /// \returns the mean latency of answered calls over all upstreams, if any was answered.
+    std::optional<std::chrono::nanoseconds> meanLatency() const;
+    /// \returns a number from 0 to 1, from the generator that picks too.
+    double drawUnit();
+
+private:
+    struct Candidate {
+        NodeName node;
+        Endpoint calls;
+        FailureDomainName domain;
+        bool cold = false;
+        bool suspect = false;
+        /// From 1 to 2, by the load that the node spread.
+        double hintFactor = 1;
+        UpstreamStatistics* statistics = nullptr;
+    };
+    using Candidates = std::vector<Candidate>;
+    using Pool = std::vector<const Candidate*>;
+    /// Eligible candidates in the order of preference.
+    struct Pools {
+        Pool sound;
+        Pool cold;
+        Pool doubtful;
+        Pool ejected;
+    };
+
+    void addCandidate(const membership::KnownNode&);
+    Pools poolsOf(const Candidates&, const PickConstraints&, MonotonicTime now) const;
+    const Pool* choosePool(const Pools&, const PickConstraints&);
+    const Candidate* dueProbe(const Candidates&, const PickConstraints&, MonotonicTime now) const;
+    const Candidate* pickFrom(const Pool&, MonotonicTime now);
+    const Candidate* betterOfTwo(const Pool&, MonotonicTime now);
+    double cost(const Candidate&, MonotonicTime now) const;
+
+    std::mt19937_64 m_random;
+    NodeName m_ownNode;
+    FailureDomainName m_ownDomain;
+    std::shared_ptr<const membership::MembershipView> m_view;
+    std::unordered_map<NodeName, UpstreamStatistics> m_statistics;
+    std::map<std::pair<ServiceName, VersionName>, Candidates> m_candidates;
+    double m_meanSeconds = 0;
+};
+
+}
--- /dev/null
+++ b/packages/routing/src/AttemptClass.cpp
@@ -0,0 +1,113 @@
+#include "AttemptClass.h"
+
+namespace carobpath::routing {
+
+namespace {
+
+    constexpr unsigned firstServerError = 500;
+
+    bool isRetryableStatus(unsigned status)
+    {
+        return status == 500 || status == 502 || status == 503 || status == 504;
+    }
+
+    AttemptSign signOfRefusal(RefusalReason reason)
+    {
+        switch (reason) {
+        case RefusalReason::Draining:
+        case RefusalReason::NoUpstream:
+        case RefusalReason::NotReady:
+            return AttemptSign::NotServing;
+        case RefusalReason::UpstreamUnreachable:
+            return AttemptSign::Unreachable;
+        case RefusalReason::Overloaded:
+        case RefusalReason::UpstreamRefused:
+        case RefusalReason::DeadlineExceeded:
+            return AttemptSign::Overloaded;
+        default:
+            return AttemptSign::Abandoned;
+        }
+    }
+
+}
+
+AttemptSign signOf(const AttemptResult& result)
+{
+    if (result.outcome == Outcome::Ran)
+        return result.status >= firstServerError ? AttemptSign::ServerError : AttemptSign::Answered;
+    if (result.reason == RefusalReason::Cancelled)
+        return AttemptSign::Abandoned;
+    if (result.outcome == Outcome::Unknown)
+        return AttemptSign::Lost;
+    return signOfRefusal(reasonOf(result));
+}
+
+NodeReachability reachabilityOf(const AttemptResult& result)
+{
+    if (result.status != 0)
+        return NodeReachability::Answered;
+    return result.outcome == Outcome::NotRun ? NodeReachability::Unreachable : NodeReachability::Silent;
+}
+
+bool otherUpstreamMayHelp(const AttemptResult& result)
+{
+    if (result.outcome == Outcome::Ran)
+        return isRetryableStatus(result.status);
+    switch (reasonOf(result)) {
+    case RefusalReason::NotReady:
+    case RefusalReason::NoUpstream:
+    case RefusalReason::Overloaded:
+    case RefusalReason::Draining:
+    case RefusalReason::UpstreamUnreachable:
+    case RefusalReason::UpstreamConnectionLost:
+    case RefusalReason::UpstreamTimeout:
+    case RefusalReason::UpstreamRefused:
+    case RefusalReason::DeadlineExceeded:
+        return true;
+    default:
+        return false;
+    }
+}
+
+bool putNoLoad(const AttemptResult& result)
+{
+    if (result.outcome != Outcome::NotRun)
+        return false;
+    const auto sign = signOf(result);
+    return sign == AttemptSign::NotServing || sign == AttemptSign::Unreachable;
+}
+
+RefusalReason reasonOf(const AttemptResult& result)
+{
+    if (result.reason)
+        return *result.reason;
+    return result.outcome == Outcome::NotRun ? RefusalReason::UpstreamUnreachable
+                                             : RefusalReason::UpstreamConnectionLost;
+}
+
+std::optional<std::chrono::milliseconds> defaultRetryAfter(RefusalReason reason, Outcome outcome, bool repeatable)
+{
+    using std::chrono::milliseconds;
+    if (outcome != Outcome::NotRun && !repeatable)
+        return std::nullopt;
+    switch (reason) {
+    case RefusalReason::Draining:
+    case RefusalReason::Overloaded:
+    case RefusalReason::UpstreamRefused:
+        return milliseconds { 200 };
+    case RefusalReason::RetryBudgetExhausted:
+    case RefusalReason::UpstreamUnreachable:
+    case RefusalReason::UpstreamConnectionLost:
+    case RefusalReason::DeadlineExceeded:
+        return milliseconds { 500 };
+    case RefusalReason::NotReady:
+    case RefusalReason::NoUpstream:
+    case RefusalReason::IdempotencyUnavailable:
+    case RefusalReason::UpstreamTimeout:
+        return milliseconds { 1000 };
+    default:
+        return std::nullopt;
+    }
+}
+
+}
--- /dev/null
+++ b/packages/routing/src/AttemptClass.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "carobpath/routing/Call.h"
+#include "carobpath/routing/NodeObservation.h"
+#include "carobpath/routing/UpstreamStatistics.h"
+
+namespace carobpath::routing {
+
+/// \returns what the end of an attempt says about the upstream.
+AttemptSign signOf(const AttemptResult&);
+
+/// \returns what the end of an attempt says about the node that it was sent to.
+NodeReachability reachabilityOf(const AttemptResult&);
+
+/// \returns whether another upstream may do better.
+bool otherUpstreamMayHelp(const AttemptResult&);
+
+/// \returns whether the attempt put no load on any backend server, so that a retry cannot multiply load.
+bool putNoLoad(const AttemptResult&);
+
+/// \returns the reason that the caller is told where the attempt gave none.
+RefusalReason reasonOf(const AttemptResult&);
+
+/// \returns when a caller may come back after a refusal, where that helps.
+/// \param repeatable whether the call may be done twice; if not, an unknown outcome must not invite a second call.
+std::optional<std::chrono::milliseconds> defaultRetryAfter(RefusalReason, Outcome, bool repeatable);
+
+}
--- /dev/null
+++ b/packages/routing/src/CallDecision.cpp
@@ -0,0 +1,285 @@
+#include "carobpath/routing/CallDecision.h"
+
+#include "AttemptClass.h"
+#include "EntryState.h"
+
+#include <algorithm>
+
+namespace carobpath::routing {
+
+namespace {
+
+    /// An attempt that may be repeated gets this part of the time left, so that a silent one leaves time for another.
+    constexpr int attemptDivisor = 2;
+    /// It gets this multiple of the mean latency at least, so that a slow call is not cut short by that.
+    constexpr int latencyFactor = 10;
+    /// An attempt that was cut by the call's deadline sooner than this says nothing about its upstream.
+    constexpr std::chrono::milliseconds silenceTime { 250 };
+    constexpr std::chrono::milliseconds duplicateRetryAfter { 500 };
+
+    RefusalReason reasonOf(RouteMiss miss)
+    {
+        switch (miss) {
+        case RouteMiss::UnknownHost:
+            return RefusalReason::UnknownHost;
+        case RouteMiss::MethodNotAllowed:
+            return RefusalReason::MethodNotAllowed;
+        case RouteMiss::UnknownRoute:
+            break;
+        }
+        return RefusalReason::UnknownRoute;
+    }
+
+    Outcome stronger(Outcome a, Outcome b)
+    {
+        if (a == Outcome::Ran || b == Outcome::Ran)
+            return Outcome::Ran;
+        return a == Outcome::NotRun ? b : a;
+    }
+
+}
+
+CallDecision::CallDecision(std::shared_ptr<EntryState> state, CallRequest request, MonotonicTime arrivedAt)
+    : m_state(std::move(state))
+    , m_request(std::move(request))
+    , m_arrivedAt(arrivedAt)
+    , m_deadline(arrivedAt)
+{
+}
+
+CallDecision::~CallDecision()
+{
+    if (m_attempt)
+        closeAttempt(AttemptSign::Abandoned, {}, {}, m_attempt->sentAt);
+}
+
+bool CallDecision::repeatable() const
+{
+    return m_route && m_route->repeatability == publication::Repeatability::Repeatable;
+}
+
+std::optional<Outcome> CallDecision::keyOutcome() const
+{
+    if (!m_keyAsked || m_phase != Phase::Ended)
+        return std::nullopt;
+    return m_outcome;
+}
+
+CallCommand CallDecision::start(MonotonicTime now)
+{
+    if (auto refusal = refusalAtArrival(now))
+        return finish(AnswerRefusal { *refusal });
+    m_state->budget.onCall(now);
+    drawVersion();
+    if (repeatable() || !m_request.idempotencyKey)
+        return sendFirst(now);
+    m_phase = Phase::AwaitingLedger;
+    m_keyAsked = true;
+    return AwaitLedger { *m_request.idempotencyKey, m_route->name, m_deadline };
+}
+
+std::optional<Refusal> CallDecision::refusalAtArrival(MonotonicTime now)
+{
+    const auto refusal = [&](RefusalReason reason) {
+        return Refusal { Outcome::NotRun, reason, defaultRetryAfter(reason, Outcome::NotRun, true) };
+    };
+    if (!m_state->ready || !m_state->table->configuration())
+        return refusal(RefusalReason::NotReady);
+    m_table = m_state->table;
+    const auto found = m_table->find(m_request.host, m_request.method, m_request.path);
+    if (const auto* miss = std::get_if<RouteMiss>(&found))
+        return refusal(reasonOf(*miss));
+    m_route = std::get<RouteTable::Match>(found);
+    m_deadline = m_arrivedAt + std::min(m_route->timeout, m_request.callerTimeout.value_or(m_route->timeout));
+    if (now >= m_deadline)
+        return refusal(RefusalReason::DeadlineExceeded);
+    if (!m_state->quarantineSource)
+        return std::nullopt;
+    if (const auto time = m_state->quarantineSource(m_request.fingerprint, now))
+        return Refusal { Outcome::NotRun, RefusalReason::Quarantined, *time };
+    return std::nullopt;
+}
+
+void CallDecision::drawVersion()
+{
+    const auto share = m_state->shareOf(m_route->service);
+    m_wantsNext = share.next && m_state->picker.drawUnit() < share.nextShare;
+}
+
+CallCommand CallDecision::sendFirst(MonotonicTime now)
+{
+    if (auto attempt = nextAttempt(now))
+        return send(std::move(*attempt), now);
+    return refuse(RefusalReason::NoUpstream);
+}
+
+std::optional<SendAttempt> CallDecision::nextAttempt(MonotonicTime now)
+{
+    const auto share = m_state->shareOf(m_route->service);
+    std::vector<VersionName> versions;
+    if (m_wantsNext && share.next)
+        versions.push_back(*share.next);
+    // A call that was not drawn for the next version never goes there: it is unproved beyond its share.
+    versions.push_back(share.current);
+    PickConstraints constraints { m_tried, repeatable() && m_request.bodyReplayable && m_tried.empty(), false };
+    for (const bool lastResort : { false, true }) {
+        constraints.lastResort = lastResort;
+        for (const auto& version : versions) {
+            const auto choice = m_state->picker.pick(m_route->service, version, constraints, now);
+            if (!choice)
+                continue;
+            m_attempt = Attempt { choice->node, share.next == version, now };
+            m_state->picker.onSent(choice->node, choice->probe, now);
+            SendAttempt it;
+            it.number = static_cast<std::uint32_t>(m_tried.size() + 1);
+            it.node = choice->node;
+            it.calls = choice->calls;
+            it.service = m_route->service;
+            it.route = m_route->name;
+            it.version = version;
+            it.deadline = attemptDeadline(now);
+            it.repeatability = m_route->repeatability;
+            it.trafficClass = m_route->trafficClass;
+            it.freshConnection = choice->freshConnection;
+            return it;
+        }
+    }
+    return std::nullopt;
+}
+
+MonotonicTime CallDecision::attemptDeadline(MonotonicTime now) const
+{
+    const auto mean = m_state->picker.meanLatency();
+    const bool last = m_tried.size() + 1 >= s_maxAttempts;
+    if (!repeatable() || !m_request.bodyReplayable || !mean || last)
+        return m_deadline;
+    const MonotonicClock::duration part = (m_deadline - now) / attemptDivisor;
+    return std::min(m_deadline, now + std::max<MonotonicClock::duration>(part, *mean * latencyFactor));
+}
+
+CallCommand CallDecision::send(SendAttempt attempt, MonotonicTime)
+{
+    m_phase = Phase::Attempting;
+    m_tried.push_back(attempt.node);
+    return attempt;
+}
+
+CallCommand CallDecision::onAttemptFinished(const AttemptResult& result, MonotonicTime now)
+{
+    if (m_phase != Phase::Attempting)
+        return m_final ? *m_final : refuse(RefusalReason::Cancelled);
+    recordAttempt(result, now);
+    if (auto again = retry(result, now))
+        return *again;
+    if (result.outcome == Outcome::Ran)
+        return relay();
+    return refuse(routing::reasonOf(result), result.retryAfter);
+}
+
+void CallDecision::recordAttempt(const AttemptResult& result, MonotonicTime now)
+{
+    m_outcome = stronger(m_outcome, result.outcome);
+    if (signOf(result) != AttemptSign::Abandoned)
+        m_state->observe({ m_attempt->node, reachabilityOf(result), now });
+    // A failure on the next version is not answered by another one there.
+    m_wantsNext = m_wantsNext && !m_attempt->toNext;
+    closeAttempt(signOf(result), result.latency, result.retryAfter.value_or(std::chrono::milliseconds {}), now);
+}
+
+void CallDecision::closeAttempt(
+    AttemptSign sign, std::chrono::nanoseconds latency, std::chrono::milliseconds rest, MonotonicTime now)
+{
+    m_state->picker.onFinished(m_attempt->node, sign, latency, rest, now);
+    m_attempt.reset();
+}
+
+bool CallDecision::mayRunElsewhere(const AttemptResult& result, MonotonicTime now) const
+{
+    if (!repeatable() && result.outcome != Outcome::NotRun)
+        return false;
+    return otherUpstreamMayHelp(result) && m_request.bodyReplayable && m_tried.size() < s_maxAttempts
+        && now < m_deadline;
+}
+
+std::optional<CallCommand> CallDecision::retry(const AttemptResult& result, MonotonicTime now)
+{
+    if (!mayRunElsewhere(result, now))
+        return std::nullopt;
+    auto attempt = nextAttempt(now);
+    if (!attempt)
+        return std::nullopt;
+    if (putNoLoad(result) || m_state->budget.tryWithdraw(now))
+        return send(std::move(*attempt), now);
+    closeAttempt(AttemptSign::Abandoned, {}, {}, now);
+    if (result.outcome == Outcome::Ran)
+        return std::nullopt;
+    return refuse(RefusalReason::RetryBudgetExhausted, result.retryAfter);
+}
+
+CallCommand CallDecision::onLedger(const LedgerVerdict& verdict, MonotonicTime now)
+{
+    if (m_phase != Phase::AwaitingLedger)
+        return m_final ? *m_final : refuse(RefusalReason::Cancelled);
+    switch (verdict.answer) {
+    case LedgerAnswer::Granted:
+        return now < m_deadline ? sendFirst(now) : refuse(RefusalReason::DeadlineExceeded);
+    case LedgerAnswer::Unavailable:
+        return refuse(RefusalReason::IdempotencyUnavailable, verdict.retryAfter);
+    // The call with this key ran or may have: to say that it did not would invite the caller to run it twice.
+    case LedgerAnswer::DuplicateInProgress:
+        m_keyAsked = false;
+        m_outcome = Outcome::Unknown;
+        return refuse(RefusalReason::DuplicateInProgress, verdict.retryAfter.value_or(duplicateRetryAfter));
+    case LedgerAnswer::DuplicateRan:
+        break;
+    }
+    m_keyAsked = false;
+    m_outcome = Outcome::Ran;
+    return refuse(RefusalReason::DuplicateRan);
+}
+
+std::optional<CallCommand> CallDecision::onDeadline(MonotonicTime now)
+{
+    if (m_phase == Phase::Ended || now < m_deadline)
+        return std::nullopt;
+    if (m_attempt) {
+        m_outcome = stronger(m_outcome, Outcome::Unknown);
+        const auto node = m_attempt->node;
+        const auto time = now - m_attempt->sentAt;
+        const bool silent = time >= silenceTime;
+        if (silent)
+            m_state->observe({ node, NodeReachability::Silent, now });
+        closeAttempt(silent ? AttemptSign::Lost : AttemptSign::Abandoned, time, {}, now);
+    }
+    return refuse(RefusalReason::DeadlineExceeded);
+}
+
+void CallDecision::onCallerGone(MonotonicTime now)
+{
+    if (m_phase == Phase::Ended)
+        return;
+    if (m_attempt) {
+        m_outcome = stronger(m_outcome, Outcome::Unknown);
+        closeAttempt(AttemptSign::Abandoned, {}, {}, now);
+    }
+    refuse(RefusalReason::Cancelled);
+}
+
+CallCommand CallDecision::relay() { return finish(RelayAnswer {}); }
+
+CallCommand CallDecision::refuse(RefusalReason reason, std::optional<std::chrono::milliseconds> retryAfter)
+{
+    const auto standard = defaultRetryAfter(reason, m_outcome, repeatable());
+    if (!retryAfter && standard)
+        retryAfter = m_state->spread(*standard);
+    return finish(AnswerRefusal { Refusal { m_outcome, reason, retryAfter } });
+}
+
+CallCommand CallDecision::finish(CallCommand command)
+{
+    m_phase = Phase::Ended;
+    m_final = command;
+    return command;
+}
+
+}
--- /dev/null
+++ b/packages/routing/src/EntryRouter.cpp
@@ -0,0 +1,45 @@
+#include "carobpath/routing/EntryRouter.h"
+
+#include "EntryState.h"
+
+namespace carobpath::routing {
+
+EntryRouter::EntryRouter(std::mt19937_64 random)
+    : m_state(std::make_shared<EntryState>(random))
+{
+}
+
+EntryRouter::~EntryRouter() = default;
+
+void EntryRouter::setOwnNode(NodeName node, FailureDomainName domain)
+{
+    m_state->picker.setOwnNode(std::move(node), std::move(domain));
+}
+
+void EntryRouter::setConfiguration(publication::ConfigurationPointer configuration)
+{
+    m_state->table = std::make_shared<RouteTable>(std::move(configuration));
+}
+
+void EntryRouter::setMembership(std::shared_ptr<const membership::MembershipView> view)
+{
+    m_state->picker.setView(std::move(view));
+}
+
+void EntryRouter::setShareSource(ShareSource source) { m_state->shareSource = std::move(source); }
+void EntryRouter::setQuarantineSource(QuarantineSource source) { m_state->quarantineSource = std::move(source); }
+void EntryRouter::setReady(bool ready) { m_state->ready = ready; }
+
+std::shared_ptr<CallDecision> EntryRouter::begin(const CallRequest& request, MonotonicTime now)
+{
+    return std::make_shared<CallDecision>(m_state, request, now);
+}
+
+std::vector<NodeObservation> EntryRouter::takeObservations()
+{
+    std::vector<NodeObservation> taken(m_state->observations.begin(), m_state->observations.end());
+    m_state->observations.clear();
+    return taken;
+}
+
+}
--- /dev/null
+++ b/packages/routing/src/UpstreamPicker.cpp
@@ -0,0 +1,207 @@
+#include "carobpath/routing/UpstreamPicker.h"
+
+#include <algorithm>
+
+namespace carobpath::routing {
+
+namespace {
+
+    /// Weight of a new sample in the mean latency.
+    constexpr double meanWeight = 0.05;
+    /// Factor by which a server that only fails costs more than one that only answers.
+    constexpr double errorFactor = 8;
+
+    bool isServing(const membership::KnownNode& known)
+    {
+        const auto& upstream = known.entry.upstream;
+        if (!upstream || known.entry.leaving || known.liveness == membership::Liveness::Dead)
+            return false;
+        return upstream->state == membership::UpstreamState::Ready
+            || upstream->state == membership::UpstreamState::Cold;
+    }
+
+    double hintFactor(const membership::Upstream& it)
+    {
+        const double slots = std::max(it.slots, 1U);
+        return 1 + std::min(1.0, (it.inFlight + it.waiting) / slots);
+    }
+
+    bool contains(std::span<const NodeName> nodes, const NodeName& node)
+    {
+        return std::find(nodes.begin(), nodes.end(), node) != nodes.end();
+    }
+
+}
+
+UpstreamPicker::UpstreamPicker(std::mt19937_64 random)
+    : m_random(random)
+{
+}
+
+void UpstreamPicker::setOwnNode(NodeName node, FailureDomainName domain)
+{
+    m_ownNode = std::move(node);
+    m_ownDomain = std::move(domain);
+}
+
+void UpstreamPicker::setView(std::shared_ptr<const membership::MembershipView> view)
+{
+    m_view = std::move(view);
+    m_candidates.clear();
+    std::unordered_map<NodeName, UpstreamStatistics> kept;
+    for (const auto& known : m_view->nodes) {
+        const auto old = m_statistics.extract(known.entry.name);
+        auto& statistics = kept[known.entry.name];
+        if (old)
+            statistics = old.mapped();
+        statistics.onRevision(known.entry.revision);
+    }
+    m_statistics = std::move(kept);
+    for (const auto& known : m_view->nodes)
+        addCandidate(known);
+}
+
+void UpstreamPicker::addCandidate(const membership::KnownNode& known)
+{
+    if (!isServing(known))
+        return;
+    const auto& entry = known.entry;
+    const auto& upstream = *entry.upstream;
+    Candidate it;
+    it.node = entry.name;
+    it.calls = entry.addresses.calls;
+    it.domain = entry.domain;
+    it.cold = upstream.state == membership::UpstreamState::Cold;
+    it.suspect = known.liveness == membership::Liveness::Suspect && entry.name != m_ownNode;
+    it.hintFactor = hintFactor(upstream);
+    it.statistics = &m_statistics.at(entry.name);
+    m_candidates[{ upstream.service, upstream.version }].push_back(std::move(it));
+}
+
+std::optional<UpstreamChoice> UpstreamPicker::pick(
+    const ServiceName& service, const VersionName& version, const PickConstraints& constraints, MonotonicTime now)
+{
+    const auto found = m_candidates.find({ service, version });
+    if (found == m_candidates.end())
+        return std::nullopt;
+    const auto* probe = dueProbe(found->second, constraints, now);
+    const auto* chosen = probe;
+    if (!chosen) {
+        const auto pools = poolsOf(found->second, constraints, now);
+        const auto* pool = choosePool(pools, constraints);
+        if (!pool)
+            return std::nullopt;
+        chosen = pickFrom(*pool, now);
+    }
+    return UpstreamChoice { chosen->node, chosen->calls, chosen->statistics->connectionsSuspect(), probe != nullptr };
+}
+
+const UpstreamPicker::Candidate* UpstreamPicker::dueProbe(
+    const Candidates& candidates, const PickConstraints& constraints, MonotonicTime now) const
+{
+    if (!constraints.mayProbe)
+        return nullptr;
+    for (const auto& it : candidates) {
+        if (!it.suspect && it.statistics->probeDue(now) && !contains(constraints.excluded, it.node))
+            return &it;
+    }
+    return nullptr;
+}
+
+UpstreamPicker::Pools UpstreamPicker::poolsOf(
+    const Candidates& candidates, const PickConstraints& constraints, MonotonicTime now) const
+{
+    using Standing = UpstreamStatistics::Standing;
+    Pools pools;
+    for (const auto& it : candidates) {
+        if (contains(constraints.excluded, it.node))
+            continue;
+        const auto standing = it.statistics->standing(now);
+        if (standing == Standing::NotServing)
+            continue;
+        if (standing == Standing::Ejected)
+            pools.ejected.push_back(&it);
+        else if (standing == Standing::Doubtful || it.suspect)
+            pools.doubtful.push_back(&it);
+        else if (it.cold)
+            pools.cold.push_back(&it);
+        else
+            pools.sound.push_back(&it);
+    }
+    return pools;
+}
+
+const UpstreamPicker::Pool* UpstreamPicker::choosePool(const Pools& pools, const PickConstraints& constraints)
+{
+    if (!pools.sound.empty() && !pools.cold.empty()) {
+        const double cold = s_coldShare * static_cast<double>(pools.cold.size());
+        const double all = cold + static_cast<double>(pools.sound.size());
+        return drawUnit() * all < cold ? &pools.cold : &pools.sound;
+    }
+    for (const auto* pool : { &pools.sound, &pools.cold, &pools.doubtful }) {
+        if (!pool->empty())
+            return pool;
+    }
+    return constraints.lastResort && !pools.ejected.empty() ? &pools.ejected : nullptr;
+}
+
+const UpstreamPicker::Candidate* UpstreamPicker::pickFrom(const Pool& pool, MonotonicTime now)
+{
+    Pool near;
+    Pool far;
+    for (const auto* it : pool)
+        (it->domain == m_ownDomain ? near : far).push_back(it);
+    if (near.empty())
+        return betterOfTwo(far, now);
+    const auto* nearest = betterOfTwo(near, now);
+    if (far.empty())
+        return nearest;
+    const auto* other = far[m_random() % far.size()];
+    return cost(*other, now) * s_otherDomainFactor < cost(*nearest, now) ? other : nearest;
+}
+
+const UpstreamPicker::Candidate* UpstreamPicker::betterOfTwo(const Pool& pool, MonotonicTime now)
+{
+    const auto first = m_random() % pool.size();
+    if (pool.size() == 1)
+        return pool[first];
+    const auto second = (first + 1 + m_random() % (pool.size() - 1)) % pool.size();
+    return cost(*pool[second], now) < cost(*pool[first], now) ? pool[second] : pool[first];
+}
+
+double UpstreamPicker::cost(const Candidate& it, MonotonicTime now) const
+{
+    const double mean = m_meanSeconds > 0 ? m_meanSeconds : s_initialLatencySeconds;
+    const double latency = it.statistics->latencySeconds(mean, now);
+    return latency * (1 + it.statistics->inFlight()) * it.hintFactor * (1 + errorFactor * it.statistics->errorRate());
+}
+
+void UpstreamPicker::onSent(const NodeName& node, bool probe, MonotonicTime now)
+{
+    const auto it = m_statistics.find(node);
+    if (it != m_statistics.end())
+        it->second.onSent(now, probe);
+}
+
+void UpstreamPicker::onFinished(const NodeName& node, AttemptSign sign, std::chrono::nanoseconds latency,
+    std::chrono::milliseconds rest, MonotonicTime now)
+{
+    if (sign == AttemptSign::Answered) {
+        const double sample = std::chrono::duration<double>(latency).count();
+        m_meanSeconds = m_meanSeconds > 0 ? m_meanSeconds + meanWeight * (sample - m_meanSeconds) : sample;
+    }
+    const auto it = m_statistics.find(node);
+    if (it != m_statistics.end())
+        it->second.onFinished(sign, latency, rest, now);
+}
+
+std::optional<std::chrono::nanoseconds> UpstreamPicker::meanLatency() const
+{
+    if (m_meanSeconds <= 0)
+        return std::nullopt;
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<double>(m_meanSeconds));
+}
+
+double UpstreamPicker::drawUnit() { return std::uniform_real_distribution<double> {}(m_random); }
+
+}
--- /dev/null
+++ b/packages/routing/src/UpstreamStatistics.cpp
@@ -0,0 +1,124 @@
+#include "carobpath/routing/UpstreamStatistics.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace carobpath::routing {
+
+namespace {
+
+    /// Weight of a new sample in the moving averages.
+    constexpr double latencyWeight = 0.2;
+    constexpr double errorWeight = 0.1;
+    /// Doublings of the ejection time after which it stays at its longest.
+    constexpr std::uint32_t mostEjections = 8;
+
+    double toSeconds(std::chrono::nanoseconds it) { return std::chrono::duration<double>(it).count(); }
+
+}
+
+void UpstreamStatistics::onSent(MonotonicTime, bool probe)
+{
+    ++m_inFlight;
+    m_probeRunning = m_probeRunning || probe;
+}
+
+void UpstreamStatistics::onFinished(
+    AttemptSign sign, std::chrono::nanoseconds latency, std::chrono::milliseconds rest, MonotonicTime now)
+{
+    m_inFlight -= std::min(m_inFlight, 1U);
+    m_probeRunning = false;
+    switch (sign) {
+    case AttemptSign::Answered:
+        countAnswer(latency, false, now);
+        break;
+    case AttemptSign::ServerError:
+        countAnswer(latency, true, now);
+        break;
+    case AttemptSign::Overloaded:
+        m_failuresInRow = 0;
+        m_restsUntil = now + std::clamp(rest, s_shortestRest, s_longestRest);
+        break;
+    case AttemptSign::NotServing:
+        m_notServingUntil = now + s_notServingTime;
+        break;
+    case AttemptSign::Lost:
+        m_connectionsSuspect = true;
+        countFailure(now);
+        break;
+    case AttemptSign::Unreachable:
+        countFailure(now);
+        break;
+    case AttemptSign::Abandoned:
+        break;
+    }
+}
+
+void UpstreamStatistics::countFailure(MonotonicTime now)
+{
+    ++m_failuresInRow;
+    const bool failedProbe = m_ejections > 0 && now >= m_ejectedUntil;
+    if (m_failuresInRow < s_ejectAfter && !failedProbe)
+        return;
+    if (now < m_ejectedUntil)
+        return;
+    const auto time = std::min<std::chrono::milliseconds>(s_firstEjection * (1LL << m_ejections), s_longestEjection);
+    m_ejections = std::min(m_ejections + 1, mostEjections);
+    m_ejectedUntil = now + time;
+}
+
+void UpstreamStatistics::countAnswer(std::chrono::nanoseconds latency, bool error, MonotonicTime now)
+{
+    const double sample = toSeconds(latency);
+    const bool first = m_latencyAt == MonotonicTime {};
+    m_latencySeconds = first ? sample : m_latencySeconds + latencyWeight * (sample - m_latencySeconds);
+    m_latencyAt = now;
+    m_errorRate += errorWeight * ((error ? 1.0 : 0.0) - m_errorRate);
+    m_failuresInRow = 0;
+    m_ejections = 0;
+    m_ejectedUntil = {};
+    m_notServingUntil = {};
+    m_connectionsSuspect = false;
+}
+
+void UpstreamStatistics::onRevision(const Revision& revision)
+{
+    if (revision.incarnation != m_revision.incarnation) {
+        m_failuresInRow = 0;
+        m_ejections = 0;
+        m_ejectedUntil = {};
+        m_latencyAt = {};
+        m_errorRate = 0;
+    }
+    if (revision != m_revision)
+        m_notServingUntil = {};
+    m_revision = revision;
+}
+
+UpstreamStatistics::Standing UpstreamStatistics::standing(MonotonicTime now) const
+{
+    if (now < m_notServingUntil)
+        return Standing::NotServing;
+    if (now < m_ejectedUntil)
+        return Standing::Ejected;
+    const bool unproved = m_ejections > 0 && now < m_ejectedUntil + s_forgiveAfter;
+    if (unproved || now < m_restsUntil)
+        return Standing::Doubtful;
+    return Standing::Sound;
+}
+
+bool UpstreamStatistics::probeDue(MonotonicTime now) const
+{
+    return m_ejections > 0 && now >= m_ejectedUntil && !m_probeRunning;
+}
+
+double UpstreamStatistics::latencySeconds(double mean, MonotonicTime now) const
+{
+    if (m_latencyAt == MonotonicTime {})
+        return mean;
+    const std::chrono::duration<double> age = now - m_latencyAt;
+    const std::chrono::duration<double> halfLife = s_latencyHalfLife;
+    return mean + (m_latencySeconds - mean) * std::exp2(-age / halfLife);
+}
+
+}
--- /dev/null
+++ b/packages/routing/tests/EntryFixture.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "carobpath/routing/EntryRouter.h"
+
+#include <string>
+#include <utility>
+
+/// Hand-made configuration, membership and calls for the tests of the entry decision.
+namespace carobpath::routing::tests {
+
+using namespace std::chrono_literals;
+
+inline constexpr MonotonicTime s_start { 1000s };
+
+inline publication::Route makeRoute(std::string name, std::string prefix, std::vector<std::string> methods,
+    publication::Repeatability repeatability)
+{
+    publication::Route it;
+    it.name = RouteName { std::move(name) };
+    it.member = MemberName { "petra" };
+    it.service = ServiceName { "booking" };
+    it.pathPrefix = std::move(prefix);
+    it.methods = std::move(methods);
+    it.repeatability = repeatability;
+    it.timeout = 2000ms;
+    return it;
+}
+
+/// Service "booking" on host "booking.petra" with versions v1 (current) and v2, GET repeatable, POST not.
+inline publication::ConfigurationPointer makeConfiguration()
+{
+    auto it = std::make_shared<publication::ConfigurationVersion>();
+    publication::ServiceEntry service;
+    service.service.name = ServiceName { "booking" };
+    service.service.hosts = { "booking.petra" };
+    service.currentVersion = VersionName { "v1" };
+    it->set.services[service.service.name] = service;
+    for (const char* name : { "v1", "v2" })
+        it->set.versions[VersionName { name }].version.name = VersionName { name };
+    const auto add = [&](publication::Route route) { it->set.routes[route.name].route = std::move(route); };
+    add(makeRoute("read", "/", { "GET" }, publication::Repeatability::Repeatable));
+    add(makeRoute("book", "/bookings", { "POST" }, publication::Repeatability::NotRepeatable));
+    add(makeRoute("list", "/bookings", { "GET" }, publication::Repeatability::Repeatable));
+    return it;
+}
+
+inline membership::KnownNode makeNode(std::string name, std::string version, std::string domain = "amman-a",
+    membership::UpstreamState state = membership::UpstreamState::Ready)
+{
+    membership::KnownNode it;
+    it.entry.name = NodeName { std::move(name) };
+    it.entry.domain = FailureDomainName { std::move(domain) };
+    it.entry.revision = { Incarnation { 1 }, 1 };
+    it.entry.addresses.calls = Endpoint { "10.0.0.1", 7000 };
+    membership::Upstream upstream;
+    upstream.service = ServiceName { "booking" };
+    upstream.version = VersionName { std::move(version) };
+    upstream.slots = 6;
+    upstream.connections = 130;
+    upstream.state = state;
+    it.entry.upstream = upstream;
+    return it;
+}
+
+inline std::shared_ptr<const membership::MembershipView> makeView(std::vector<membership::KnownNode> nodes)
+{
+    auto it = std::make_shared<membership::MembershipView>();
+    it->nodes = std::move(nodes);
+    return it;
+}
+
+inline CallRequest makeCall(std::string method, std::string path)
+{
+    static int s_calls = 0;
+    CallRequest it;
+    it.id = RequestId { "call-" + std::to_string(++s_calls) };
+    it.host = "booking.petra";
+    it.method = std::move(method);
+    it.path = std::move(path);
+    return it;
+}
+
+inline AttemptResult answered(unsigned status, std::chrono::nanoseconds latency = 5ms)
+{
+    AttemptResult it;
+    it.outcome = Outcome::Ran;
+    it.status = status;
+    it.latency = latency;
+    return it;
+}
+
+inline AttemptResult ended(Outcome outcome, RefusalReason reason, unsigned status = 0)
+{
+    AttemptResult it;
+    it.outcome = outcome;
+    it.reason = reason;
+    it.status = status;
+    return it;
+}
+
+/// A ready entry node "entry" in failure domain amman-a.
+struct EntryFixture {
+    EntryRouter router { std::mt19937_64 { 7 } };
+    MonotonicTime now = s_start;
+
+    explicit EntryFixture(std::vector<membership::KnownNode> nodes)
+    {
+        router.setOwnNode(NodeName { "entry" }, FailureDomainName { "amman-a" });
+        router.setConfiguration(makeConfiguration());
+        router.setMembership(makeView(std::move(nodes)));
+        router.setReady(true);
+    }
+};
+
+}
