Routing: the admission of calls into an upstream's slots

Slots with slow start and a limit that falls where the upstream refuses, a bounded queue by class, shedding by expected wait, draining, and a judgement of the backend server by its calls.

--- /dev/null
+++ b/packages/routing/include/carobpath/routing/AdmissionController.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "carobpath/membership/NodeEntry.h"
+#include "carobpath/routing/Admission.h"
+#include "carobpath/routing/AdmissionQueue.h"
+#include "carobpath/routing/BackendHealth.h"
+#include "carobpath/routing/ConcurrencyLimit.h"
+#include "carobpath/routing/RecentRequests.h"
+#include "carobpath/routing/ServiceTimes.h"
+
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace carobpath::routing {
+
+/// Which measures an admission controller takes; the default is what a node runs with.
+struct AdmissionPolicy {
+    QueueOrder order;
+    /// Keep a third of the slots from downloads.
+    bool reserveSlots = true;
+    /// Refuse at arrival what would miss its deadline.
+    bool shedByWait = true;
+};
+
+/// Lets calls into the slots of the upstream beside this node. Each refusal is given before a byte reaches the
+/// backend server and so is \c NotRun, but for a request that arrived twice.
+class AdmissionController {
+public:
+    /// Bounds of the time after which a refused caller may come back.
+    static constexpr std::chrono::milliseconds s_shortestRetryAfter { 50 };
+    static constexpr std::chrono::milliseconds s_longestRetryAfter { 5000 };
+
+    explicit AdmissionController(AdmissionPolicy policy = {});
+
+    /// A request that is here already is refused as \c DuplicateInProgress, with an outcome of \c Unknown; that
+    /// command comes alone and belongs to the newcomer.
+    AdmissionCommands onArrival(const AdmissionRequest&, MonotonicTime now);
+    AdmissionCommands onFinished(const AdmissionResult&, MonotonicTime now);
+    /// The caller or its entry node went away. A waiting call is dropped without a command; one that was dispatched
+    /// keeps its slot until \c onFinished.
+    AdmissionCommands onCancelled(const RequestId&, MonotonicTime now);
+    /// Drops waiting calls whose deadline has passed. To be called at \c nextTick or later.
+    AdmissionCommands onTick(MonotonicTime now);
+
+    /// The backend server announced itself, or (nothing) its announcement lapsed.
+    AdmissionCommands setUpstream(std::optional<membership::Upstream>, MonotonicTime now);
+    /// What the health endpoint said; a hint that decides nothing alone.
+    void onHealthHint(bool healthy, MonotonicTime now);
+    /// Refuses what waits and all that comes; what is in flight ends.
+    AdmissionCommands drain(MonotonicTime now);
+
+    /// \returns the upstream with the state that calls showed and the load at this node, for the membership.
+    std::optional<membership::Upstream> upstream() const;
+    bool draining() const;
+    std::uint32_t inFlight() const { return static_cast<std::uint32_t>(m_inFlight.size()); }
+    std::uint32_t waiting() const { return static_cast<std::uint32_t>(m_queue.size()); }
+    std::uint32_t limit() const { return m_limit.value(); }
+    /// \returns the earliest deadline of a waiting call.
+    std::optional<MonotonicTime> nextTick() const { return m_queue.earliestDeadline(); }
+    /// \returns the calls that are at the backend server now.
+    std::vector<AdmissionRequest> dispatched() const;
+
+private:
+    struct Running {
+        AdmissionRequest request;
+        MonotonicTime dispatchedAt;
+    };
+
+    std::optional<Refusal> refusalAtArrival(const AdmissionRequest&, MonotonicTime now);
+    std::optional<Refusal> refusalByState(const AdmissionRequest&, MonotonicTime now);
+    void enqueue(const AdmissionRequest&, AdmissionCommands&, MonotonicTime now);
+    void dispatchWaiting(AdmissionCommands&, MonotonicTime now);
+    void dispatch(const AdmissionRequest&, AdmissionCommands&, MonotonicTime now);
+    void rejectExpired(AdmissionCommands&, MonotonicTime now);
+    void rejectAll(AdmissionCommands&, RefusalReason, std::chrono::milliseconds retryAfter);
+    bool fits(const AdmissionRequest&) const;
+    std::uint32_t slotsFor(QueueClass) const;
+    std::uint32_t connectionsOf(const AdmissionRequest&) const;
+    std::chrono::nanoseconds expectedWait(QueueClass, MonotonicTime now) const;
+    Refusal overloaded(const AdmissionRequest&, MonotonicTime now) const;
+
+    AdmissionPolicy m_policy;
+    std::optional<membership::Upstream> m_upstream;
+    bool m_draining = false;
+    ConcurrencyLimit m_limit;
+    BackendHealth m_health;
+    ServiceTimes m_times;
+    AdmissionQueue m_queue;
+    RecentRequests m_recent;
+    std::unordered_map<RequestId, Running> m_inFlight;
+    std::uint32_t m_downloadsInFlight = 0;
+    std::uint32_t m_connectionsInUse = 0;
+};
+
+}
--- /dev/null
+++ b/packages/routing/include/carobpath/routing/AdmissionQueue.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "carobpath/routing/Admission.h"
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace carobpath::routing {
+
+/// Classes of the waiting queue, first served first.
+enum class QueueClass : std::uint8_t {
+    /// Short work that may not be repeated.
+    Booking,
+    /// Other short work.
+    Short,
+    Download,
+};
+
+inline constexpr std::size_t queueClasses = 3;
+
+QueueClass queueClassOf(const AdmissionRequest&);
+
+/// In which order waiting calls are served.
+struct QueueOrder {
+    /// Bookings before short calls before downloads; otherwise all are one class.
+    bool byClass = true;
+    /// Within a class, the call with the fewest connections first; otherwise the one that came first.
+    bool thinFirst = false;
+    /// A call that waited this long is served before any that came later.
+    std::chrono::milliseconds maxOvertaken { 500 };
+};
+
+/// Calls that wait for a slot. Bounded; a full queue makes room for a better class by giving up its newest worse call.
+class AdmissionQueue {
+public:
+    static constexpr std::size_t s_maxWaiting = 64;
+
+    struct Waiting {
+        AdmissionRequest request;
+        MonotonicTime arrivedAt;
+    };
+    /// Says whether a call could be dispatched now.
+    using Fits = std::function<bool(const AdmissionRequest&)>;
+
+    explicit AdmissionQueue(QueueOrder order)
+        : m_order(order)
+    {
+    }
+
+    /// \returns the call that found no room, if any: the new one or one of a worse class.
+    std::optional<AdmissionRequest> push(const AdmissionRequest&, MonotonicTime now);
+    /// Removes the next call that fits.
+    std::optional<AdmissionRequest> pop(const Fits&, MonotonicTime now);
+    /// \returns whether the call waited; it is then removed.
+    bool remove(const RequestId&);
+    /// Removes the calls whose deadline has passed.
+    std::vector<AdmissionRequest> removeExpired(MonotonicTime now);
+    std::vector<AdmissionRequest> removeAll();
+
+    bool contains(const RequestId&) const;
+    std::size_t size() const;
+    std::size_t size(QueueClass it) const { return m_classes[static_cast<std::size_t>(it)].size(); }
+    /// \returns the earliest deadline of a waiting call.
+    std::optional<MonotonicTime> earliestDeadline() const;
+
+private:
+    using Line = std::deque<Waiting>;
+
+    Line& lineOf(const AdmissionRequest&);
+    Line::iterator candidateOf(Line&, MonotonicTime now) const;
+    bool isOverdue(const Waiting&, MonotonicTime now) const;
+
+    QueueOrder m_order;
+    std::array<Line, queueClasses> m_classes;
+};
+
+}
--- /dev/null
+++ b/packages/routing/include/carobpath/routing/ConcurrencyLimit.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "carobpath/foundation/Time.h"
+#include "carobpath/membership/NodeEntry.h"
+
+#include <cstdint>
+
+namespace carobpath::routing {
+
+/// How many calls an upstream is given at a time: from 1 to its announced slots. It starts small and grows with
+/// answers (slow start), and falls below the slots where the upstream itself refuses work.
+class ConcurrencyLimit {
+public:
+    /// What is left of the limit after a refusal.
+    static constexpr double s_decrease = 0.7;
+    /// Refusals within this time of a decrease belong to the same burst and decrease nothing.
+    static constexpr std::chrono::milliseconds s_burst { 100 };
+
+    /// An upstream was seen for the first time, or came back: starts again from a small limit.
+    void restart(const membership::Upstream&);
+    /// The same upstream announced itself again, perhaps with other slots or in another state.
+    void update(const membership::Upstream&);
+
+    /// \param inFlight calls in flight with the answered one. A limit that is not used does not grow.
+    void onAnswered(std::uint32_t inFlight);
+    /// The upstream refused a call for load.
+    void onRefused(MonotonicTime now);
+
+    /// Calls that may be in flight at a time.
+    std::uint32_t value() const;
+
+private:
+    double m_limit = 1;
+    std::uint32_t m_slots = 1;
+    bool m_cold = true;
+    bool m_refusedBefore = false;
+    MonotonicTime m_decreasedAt {};
+};
+
+}
--- /dev/null
+++ b/packages/routing/src/AdmissionController.cpp
@@ -0,0 +1,286 @@
+#include "carobpath/routing/AdmissionController.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace carobpath::routing {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    /// Part of the slots that downloads may not take.
+    constexpr std::uint32_t reservedDivisor = 3;
+    constexpr milliseconds elsewhereRetryAfter { 200 };
+    constexpr milliseconds noUpstreamRetryAfter { 1000 };
+
+    Refusal notRun(RefusalReason reason, std::optional<milliseconds> retryAfter)
+    {
+        return { Outcome::NotRun, reason, retryAfter };
+    }
+
+    /// Up to half as long again, so that callers refused at one moment do not come back at one moment.
+    milliseconds spread(milliseconds time, const RequestId& id)
+    {
+        constexpr std::size_t steps = 64;
+        const auto step = std::hash<RequestId> {}(id) % steps;
+        return time + time * static_cast<int>(step) / static_cast<int>(2 * steps);
+    }
+
+    bool isTimed(BackendResult result)
+    {
+        return result == BackendResult::Answered || result == BackendResult::ServerError
+            || result == BackendResult::TimedOut;
+    }
+
+    bool didNotRun(BackendResult result)
+    {
+        return result == BackendResult::Refused || result == BackendResult::ConnectFailed;
+    }
+
+}
+
+AdmissionController::AdmissionController(AdmissionPolicy policy)
+    : m_policy(policy)
+    , m_queue(policy.order)
+{
+}
+
+AdmissionCommands AdmissionController::onArrival(const AdmissionRequest& request, MonotonicTime now)
+{
+    AdmissionCommands commands;
+    if (const auto refusal = refusalAtArrival(request, now)) {
+        commands.push_back(Reject { request.id, *refusal });
+        return commands;
+    }
+    rejectExpired(commands, now);
+    // Until it has answered, a server that is down gets single trials, which were granted above.
+    if (m_health.isDown())
+        dispatch(request, commands, now);
+    else
+        enqueue(request, commands, now);
+    return commands;
+}
+
+std::optional<Refusal> AdmissionController::refusalAtArrival(const AdmissionRequest& request, MonotonicTime now)
+{
+    if (m_inFlight.contains(request.id) || m_recent.contains(request.id) || m_queue.contains(request.id))
+        return Refusal { Outcome::Unknown, RefusalReason::DuplicateInProgress, std::nullopt };
+    if (now >= request.deadline)
+        return notRun(RefusalReason::DeadlineExceeded, std::nullopt);
+    return refusalByState(request, now);
+}
+
+std::optional<Refusal> AdmissionController::refusalByState(const AdmissionRequest& request, MonotonicTime now)
+{
+    if (draining())
+        return notRun(RefusalReason::Draining, spread(elsewhereRetryAfter, request.id));
+    if (!m_upstream || m_upstream->version != request.version)
+        return notRun(RefusalReason::NoUpstream, spread(noUpstreamRetryAfter, request.id));
+    if (m_health.isDown() && !m_health.tryTrial(request.repeatability, now))
+        return notRun(RefusalReason::UpstreamUnreachable, spread(BackendHealth::s_trialInterval, request.id));
+    return std::nullopt;
+}
+
+void AdmissionController::enqueue(const AdmissionRequest& request, AdmissionCommands& commands, MonotonicTime now)
+{
+    const auto queueClass = queueClassOf(request);
+    const bool mustWait = m_queue.size(queueClass) > 0 || !fits(request);
+    // A call that need not wait is always taken, so that service times are learnt anew after a bad spell.
+    if (mustWait && m_policy.shedByWait) {
+        const auto ready = now + expectedWait(queueClass, now) + m_times.expected(queueClass);
+        if (ready > request.deadline) {
+            commands.push_back(Reject { request.id, overloaded(request, now) });
+            return;
+        }
+    }
+    if (const auto displaced = m_queue.push(request, now))
+        commands.push_back(Reject { displaced->id, overloaded(*displaced, now) });
+    dispatchWaiting(commands, now);
+}
+
+Refusal AdmissionController::overloaded(const AdmissionRequest& request, MonotonicTime now) const
+{
+    const auto wait = std::chrono::ceil<milliseconds>(expectedWait(queueClassOf(request), now));
+    const auto bounded = std::clamp(wait, s_shortestRetryAfter, s_longestRetryAfter);
+    return notRun(RefusalReason::Overloaded, spread(bounded, request.id));
+}
+
+std::chrono::nanoseconds AdmissionController::expectedWait(QueueClass queueClass, MonotonicTime now) const
+{
+    std::chrono::nanoseconds work {};
+    for (const auto& [id, it] : m_inFlight) {
+        const auto expected = m_times.expected(queueClassOf(it.request));
+        work += std::max<std::chrono::nanoseconds>(expected - (now - it.dispatchedAt), std::chrono::nanoseconds {});
+    }
+    for (std::size_t i = 0; i <= static_cast<std::size_t>(queueClass); ++i) {
+        const auto it = static_cast<QueueClass>(i);
+        work += m_times.expected(it) * m_queue.size(it);
+    }
+    return work / slotsFor(queueClass);
+}
+
+std::uint32_t AdmissionController::slotsFor(QueueClass queueClass) const
+{
+    const auto limit = m_limit.value();
+    if (!m_policy.reserveSlots || queueClass != QueueClass::Download || limit == 1)
+        return limit;
+    return limit - std::max(1U, limit / reservedDivisor);
+}
+
+std::uint32_t AdmissionController::connectionsOf(const AdmissionRequest& request) const
+{
+    const auto most = m_upstream ? std::max(1U, m_upstream->connections) : 1U;
+    return std::clamp(request.width, 1U, most);
+}
+
+bool AdmissionController::fits(const AdmissionRequest& request) const
+{
+    if (!m_upstream || m_inFlight.size() >= m_limit.value())
+        return false;
+    const auto queueClass = queueClassOf(request);
+    if (queueClass == QueueClass::Download && m_downloadsInFlight >= slotsFor(queueClass))
+        return false;
+    return m_connectionsInUse + connectionsOf(request) <= std::max(1U, m_upstream->connections);
+}
+
+void AdmissionController::dispatchWaiting(AdmissionCommands& commands, MonotonicTime now)
+{
+    if (m_health.isDown())
+        return;
+    rejectExpired(commands, now);
+    const auto canGo = [this](const AdmissionRequest& it) { return fits(it); };
+    while (const auto next = m_queue.pop(canGo, now))
+        dispatch(*next, commands, now);
+}
+
+void AdmissionController::dispatch(const AdmissionRequest& request, AdmissionCommands& commands, MonotonicTime now)
+{
+    m_inFlight.emplace(request.id, Running { request, now });
+    m_connectionsInUse += connectionsOf(request);
+    if (queueClassOf(request) == QueueClass::Download)
+        ++m_downloadsInFlight;
+    if (request.repeatability == publication::Repeatability::NotRepeatable)
+        m_recent.add(request.id);
+    commands.push_back(Dispatch { request.id });
+}
+
+AdmissionCommands AdmissionController::onFinished(const AdmissionResult& result, MonotonicTime now)
+{
+    AdmissionCommands commands;
+    const auto it = m_inFlight.find(result.id);
+    if (it == m_inFlight.end())
+        return commands;
+    const auto request = it->second.request;
+    const auto inFlight = this->inFlight();
+    m_inFlight.erase(it);
+    m_connectionsInUse -= std::min(m_connectionsInUse, connectionsOf(request));
+    if (queueClassOf(request) == QueueClass::Download)
+        --m_downloadsInFlight;
+    if (didNotRun(result.result))
+        m_recent.forget(request.id);
+    if (isTimed(result.result))
+        m_times.add(queueClassOf(request), result.serviceTime);
+    if (result.result == BackendResult::Refused)
+        m_limit.onRefused(now);
+    if (result.result == BackendResult::Answered)
+        m_limit.onAnswered(inFlight);
+    const bool wasDown = m_health.isDown();
+    m_health.onResult(result.result, now);
+    if (wasDown && !m_health.isDown() && m_upstream)
+        m_limit.restart(*m_upstream);
+    if (m_health.isDown())
+        rejectAll(commands, RefusalReason::UpstreamUnreachable, BackendHealth::s_trialInterval);
+    dispatchWaiting(commands, now);
+    return commands;
+}
+
+AdmissionCommands AdmissionController::onCancelled(const RequestId& id, MonotonicTime now)
+{
+    AdmissionCommands commands;
+    if (m_queue.remove(id))
+        dispatchWaiting(commands, now);
+    return commands;
+}
+
+AdmissionCommands AdmissionController::onTick(MonotonicTime now)
+{
+    AdmissionCommands commands;
+    rejectExpired(commands, now);
+    dispatchWaiting(commands, now);
+    return commands;
+}
+
+void AdmissionController::rejectExpired(AdmissionCommands& commands, MonotonicTime now)
+{
+    for (const auto& it : m_queue.removeExpired(now))
+        commands.push_back(Reject { it.id, notRun(RefusalReason::DeadlineExceeded, std::nullopt) });
+}
+
+void AdmissionController::rejectAll(AdmissionCommands& commands, RefusalReason reason, milliseconds retryAfter)
+{
+    for (const auto& it : m_queue.removeAll())
+        commands.push_back(Reject { it.id, notRun(reason, spread(retryAfter, it.id)) });
+}
+
+AdmissionCommands AdmissionController::setUpstream(std::optional<membership::Upstream> upstream, MonotonicTime now)
+{
+    using membership::UpstreamState;
+    AdmissionCommands commands;
+    const bool sameServer = m_upstream && upstream && m_upstream->version == upstream->version
+        && m_upstream->service == upstream->service
+        && (upstream->state != UpstreamState::Cold || m_upstream->state == UpstreamState::Cold);
+    const bool sameVersion = m_upstream && upstream && m_upstream->version == upstream->version;
+    m_upstream = std::move(upstream);
+    if (m_upstream && sameServer) {
+        m_limit.update(*m_upstream);
+    } else if (m_upstream) {
+        m_limit.restart(*m_upstream);
+        m_health.restart();
+    }
+    if (!m_upstream || !sameVersion)
+        rejectAll(commands, RefusalReason::NoUpstream, noUpstreamRetryAfter);
+    if (draining())
+        rejectAll(commands, RefusalReason::Draining, elsewhereRetryAfter);
+    dispatchWaiting(commands, now);
+    return commands;
+}
+
+void AdmissionController::onHealthHint(bool healthy, MonotonicTime now) { m_health.onHealthHint(healthy, now); }
+
+AdmissionCommands AdmissionController::drain(MonotonicTime)
+{
+    AdmissionCommands commands;
+    m_draining = true;
+    rejectAll(commands, RefusalReason::Draining, elsewhereRetryAfter);
+    return commands;
+}
+
+bool AdmissionController::draining() const
+{
+    return m_draining || (m_upstream && m_upstream->state == membership::UpstreamState::Draining);
+}
+
+std::optional<membership::Upstream> AdmissionController::upstream() const
+{
+    auto it = m_upstream;
+    if (!it)
+        return it;
+    if (draining())
+        it->state = membership::UpstreamState::Draining;
+    else if (m_health.isDown())
+        it->state = membership::UpstreamState::Down;
+    it->inFlight = inFlight();
+    it->waiting = waiting();
+    return it;
+}
+
+std::vector<AdmissionRequest> AdmissionController::dispatched() const
+{
+    std::vector<AdmissionRequest> requests;
+    for (const auto& [id, it] : m_inFlight)
+        requests.push_back(it.request);
+    return requests;
+}
+
+}
--- /dev/null
+++ b/packages/routing/src/AdmissionQueue.cpp
@@ -0,0 +1,129 @@
+#include "carobpath/routing/AdmissionQueue.h"
+
+#include <algorithm>
+
+namespace carobpath::routing {
+
+QueueClass queueClassOf(const AdmissionRequest& request)
+{
+    if (request.trafficClass == publication::TrafficClass::Download)
+        return QueueClass::Download;
+    return request.repeatability == publication::Repeatability::NotRepeatable ? QueueClass::Booking
+                                                                              : QueueClass::Short;
+}
+
+AdmissionQueue::Line& AdmissionQueue::lineOf(const AdmissionRequest& request)
+{
+    return m_order.byClass ? m_classes[static_cast<std::size_t>(queueClassOf(request))] : m_classes.front();
+}
+
+std::optional<AdmissionRequest> AdmissionQueue::push(const AdmissionRequest& request, MonotonicTime now)
+{
+    auto& line = lineOf(request);
+    std::optional<AdmissionRequest> displaced;
+    if (size() >= s_maxWaiting) {
+        const auto worst = std::find_if(
+            m_classes.rbegin(), m_classes.rend(), [](const Line& it) { return !it.empty(); });
+        if (&*worst <= &line)
+            return request;
+        displaced = std::move(worst->back().request);
+        worst->pop_back();
+    }
+    line.push_back({ request, now });
+    return displaced;
+}
+
+bool AdmissionQueue::isOverdue(const Waiting& it, MonotonicTime now) const
+{
+    return now - it.arrivedAt >= m_order.maxOvertaken;
+}
+
+AdmissionQueue::Line::iterator AdmissionQueue::candidateOf(Line& line, MonotonicTime now) const
+{
+    if (!m_order.thinFirst || line.empty() || isOverdue(line.front(), now))
+        return line.begin();
+    return std::min_element(line.begin(), line.end(),
+        [](const Waiting& a, const Waiting& b) { return a.request.width < b.request.width; });
+}
+
+std::optional<AdmissionRequest> AdmissionQueue::pop(const Fits& fits, MonotonicTime now)
+{
+    Line* chosenLine = nullptr;
+    Line::iterator chosen;
+    for (auto& line : m_classes) {
+        const auto it = candidateOf(line, now);
+        if (it == line.end() || !fits(it->request))
+            continue;
+        const bool overdueFirst = chosenLine && isOverdue(*it, now) && it->arrivedAt < chosen->arrivedAt;
+        if (chosenLine && !overdueFirst)
+            continue;
+        chosenLine = &line;
+        chosen = it;
+    }
+    if (!chosenLine)
+        return std::nullopt;
+    auto request = std::move(chosen->request);
+    chosenLine->erase(chosen);
+    return request;
+}
+
+bool AdmissionQueue::remove(const RequestId& id)
+{
+    for (auto& line : m_classes) {
+        if (std::erase_if(line, [&](const Waiting& it) { return it.request.id == id; }) > 0)
+            return true;
+    }
+    return false;
+}
+
+std::vector<AdmissionRequest> AdmissionQueue::removeExpired(MonotonicTime now)
+{
+    std::vector<AdmissionRequest> removed;
+    for (auto& line : m_classes) {
+        std::erase_if(line, [&](const Waiting& it) {
+            if (now < it.request.deadline)
+                return false;
+            removed.push_back(it.request);
+            return true;
+        });
+    }
+    return removed;
+}
+
+std::vector<AdmissionRequest> AdmissionQueue::removeAll()
+{
+    std::vector<AdmissionRequest> removed;
+    for (auto& line : m_classes) {
+        for (const auto& it : line)
+            removed.push_back(it.request);
+        line.clear();
+    }
+    return removed;
+}
+
+bool AdmissionQueue::contains(const RequestId& id) const
+{
+    return std::any_of(m_classes.begin(), m_classes.end(), [&](const Line& line) {
+        return std::any_of(line.begin(), line.end(), [&](const Waiting& it) { return it.request.id == id; });
+    });
+}
+
+std::size_t AdmissionQueue::size() const
+{
+    std::size_t all = 0;
+    for (const auto& line : m_classes)
+        all += line.size();
+    return all;
+}
+
+std::optional<MonotonicTime> AdmissionQueue::earliestDeadline() const
+{
+    std::optional<MonotonicTime> earliest;
+    for (const auto& line : m_classes) {
+        for (const auto& it : line)
+            earliest = std::min(earliest.value_or(it.request.deadline), it.request.deadline);
+    }
+    return earliest;
+}
+
+}
--- a/packages/routing/tests/EntryFixture.h
+++ b/packages/routing/tests/EntryFixture.h
@@ -10,7 +10,7 @@
 
 using namespace std::chrono_literals;
 
-inline constexpr MonotonicTime s_start { 1000s };
+inline constexpr MonotonicTime startTime { 1000s };
 
 inline publication::Route makeRoute(std::string name, std::string prefix, std::vector<std::string> methods,
     publication::Repeatability repeatability)
@@ -71,9 +71,9 @@
 
 inline CallRequest makeCall(std::string method, std::string path)
 {
-    static int s_calls = 0;
+    static int calls = 0;
     CallRequest it;
-    it.id = RequestId { "call-" + std::to_string(++s_calls) };
+    it.id = RequestId { "call-" + std::to_string(++calls) };
     it.host = "booking.petra";
     it.method = std::move(method);
     it.path = std::move(path);
@@ -101,7 +101,7 @@
 /// A ready entry node "entry" in failure domain amman-a.
 struct EntryFixture {
     EntryRouter router { std::mt19937_64 { 7 } };
-    MonotonicTime now = s_start;
+    MonotonicTime now = startTime;
 
     explicit EntryFixture(std::vector<membership::KnownNode> nodes)
     {
