Moves: evidence book, judge and engine, first working version

Evidence is tagged with a window of the move's time plan, so that stage and share are pure functions of time and merged evidence: a node that starts in the middle of a move reaches the same answer once it has merged its peers' entries. Ruled out: windows by time of receipt, since a node that comes back would count the totals of an hour as fresh.

The comparison looks only at bad calls: the part of them that the new version took against the part of all calls that it took in the same window. A cause that hurts both versions gives no evidence.

EvidenceEntry gains the field window; it travels with the entry.

--- /dev/null
+++ b/packages/moves/include/carobpath/moves/Comparison.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "carobpath/moves/RouteEvidence.h"
+
+#include <cstdint>
+
+/// The statistics that compare the two versions of a move on one route. All are pure functions of merged counts.
+namespace carobpath::moves {
+
+/// Smallest difference of rates that counts as badness, however certain it is.
+double leastExcess(Badness);
+
+/// Logarithm of the evidence that the new version is bad more often than the serving one.
+///
+/// Among the bad calls of one evidence window, the part that the new version took is compared with the part of all
+/// calls that it took: the two agree where both versions are bad alike, so a shared cause gives no evidence. The
+/// likelihood ratios of the windows make an e-process (a mixture over rate ratios, and over the windows in which the
+/// badness may have begun). By Ville's inequality a good version ever passes a threshold log(x) with probability at
+/// most 1/x, however often one looks.
+/// \param endWindow window of the plan before which evidence counts
+double logEvidence(const RouteEvidence&, Badness, std::size_t slowClass, std::uint32_t endWindow);
+
+/// \returns whether the new version's excess over the serving one in the window, or the one before it, is large
+/// enough to matter.
+bool isExcessLarge(const RouteEvidence&, Badness, std::size_t slowClass, std::uint32_t window);
+
+/// \returns whether the new version is bad more often in the window than both versions were before it, and the
+/// serving version took too few calls to tell whether the cause is shared.
+bool isSuspect(const RouteEvidence&, Badness, std::size_t slowClass, std::uint32_t window);
+
+/// \returns whether the new version's rate is above the serving one's by more than chance explains.
+bool isWorse(const Frequency& from, const Frequency& to, Badness);
+
+}
--- a/packages/moves/include/carobpath/moves/Evidence.h
+++ b/packages/moves/include/carobpath/moves/Evidence.h
@@ -29,6 +29,12 @@
     std::uint64_t refused = 0;
     std::array<std::uint64_t, latencyClasses> latency {};
 
+    /// \returns the calls that were answered, well or not.
+    std::uint64_t answered() const { return succeeded + failed; }
+    EvidenceCounts& operator+=(const EvidenceCounts&);
+    /// \returns the growth since earlier counts of the same incarnation; 0 where they did not grow.
+    EvidenceCounts since(const EvidenceCounts& earlier) const;
+
     friend bool operator==(const EvidenceCounts&, const EvidenceCounts&) = default;
 };
 
@@ -41,6 +47,8 @@
     publication::Offset movePublishedAt = 0;
     RouteName route;
     VersionName version;
+    /// Evidence window of the move's plan in which the calls ended; see \c MovePlan.
+    std::uint32_t window = 0;
     EvidenceCounts counts;
 
     friend bool operator==(const EvidenceEntry&, const EvidenceEntry&) = default;
--- /dev/null
+++ b/packages/moves/include/carobpath/moves/MoveId.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "carobpath/foundation/Identifier.h"
+#include "carobpath/publication/ConfigurationSet.h"
+
+#include <compare>
+
+namespace carobpath::moves {
+
+/// Tells one move from every other, also from an earlier one of the same name.
+struct MoveId {
+    MoveName name;
+    publication::Offset publishedAt = 0;
+
+    friend auto operator<=>(const MoveId&, const MoveId&) = default;
+};
+
+}
--- /dev/null
+++ b/packages/moves/include/carobpath/moves/MovePlan.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "carobpath/foundation/Time.h"
+#include "carobpath/publication/Objects.h"
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+namespace carobpath::moves {
+
+/// The time plan of a move: windows of equal length from its start to its deadline, and the shares planned for them.
+///
+/// The last window has no end: it also takes what ends after the deadline, while the log is away. Each window has two
+/// evidence windows, one for calls split as planned and one for calls split cautiously, since rates are compared only
+/// among calls that were split alike.
+class MovePlan {
+public:
+    static constexpr std::uint32_t s_windows = 16;
+    static constexpr std::uint32_t s_evidenceWindows = 2 * s_windows;
+    /// Largest share of the new version in a cautious window.
+    static constexpr double s_cautiousShare = 0.5;
+    /// Windows left after the time by which the last stage is to be entered at the latest.
+    static constexpr std::uint32_t s_lastStageWindow = 12;
+
+    MovePlan(WallTime startAt, WallTime deadline);
+
+    WallTime startAt() const { return m_startAt; }
+    WallTime deadline() const { return m_deadline; }
+    std::chrono::milliseconds windowLength() const { return m_windowLength; }
+
+    /// \returns the index of the window that holds the time; 0 before the start.
+    std::uint32_t windowAt(WallTime) const;
+    WallTime windowStart(std::uint32_t window) const;
+    static constexpr std::uint32_t evidenceWindow(std::uint32_t window, bool isCautious) { return 2 * window + (isCautious ? 1 : 0); }
+
+    /// Stages from the canary to the last; at least two.
+    std::uint32_t stages() const { return static_cast<std::uint32_t>(m_shares.size()); }
+    std::uint32_t lastStage() const { return stages() - 1; }
+    double share(std::uint32_t stage) const { return m_shares.at(stage); }
+    /// Windows that a stage lasts at least where all goes as planned.
+    std::uint32_t dwell() const { return m_dwell; }
+    /// \returns the first window in which the stage may be entered.
+    std::uint32_t plannedWindow(std::uint32_t stage) const { return stage * m_dwell; }
+    /// \returns the window in which a member that wants the move finished enters the stage with thin evidence.
+    std::uint32_t latestWindow(std::uint32_t stage) const { return s_lastStageWindow - (lastStage() - stage); }
+    /// \returns the time from which the verdict is due: early enough to reach the log by the deadline.
+    WallTime verdictDueAt() const;
+
+private:
+    WallTime m_startAt;
+    WallTime m_deadline;
+    std::chrono::milliseconds m_windowLength;
+    std::uint32_t m_dwell = 2;
+    std::vector<double> m_shares;
+};
+
+}
--- /dev/null
+++ b/packages/moves/src/MoveEngine.cpp
@@ -0,0 +1,305 @@
+#include "carobpath/moves/MoveEngine.h"
+
+#include "carobpath/foundation/RendezvousHash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carobpath::moves {
+
+using publication::MoveOutcome;
+using publication::MoveVerdict;
+
+namespace {
+
+    constexpr int warmUpParts = 16;
+
+    MoveId idOf(const publication::MoveEntry& entry)
+    {
+        return { entry.move.name, entry.publishedAt };
+    }
+
+    EvidenceCounts countsOf(CallResult result, std::chrono::nanoseconds latency, bool isTimed)
+    {
+        EvidenceCounts it;
+        switch (result) {
+        case CallResult::Succeeded:
+            it.succeeded = 1;
+            break;
+        case CallResult::Failed:
+            it.failed = 1;
+            break;
+        case CallResult::Refused:
+            it.refused = 1;
+            break;
+        }
+        // A failed call may be short because it failed; its latency says nothing.
+        if (isTimed && result == CallResult::Succeeded)
+            it.latency.at(latencyClassOf(latency)) = 1;
+        return it;
+    }
+
+}
+
+MoveEngine::ActiveMove::ActiveMove(const publication::MoveEntry& moveEntry, std::size_t rank)
+    : entry(moveEntry)
+    , judge(moveEntry)
+    , writer(rank)
+{
+}
+
+MoveEngine::MoveEngine(NodeName self, Incarnation incarnation, std::mt19937_64 random)
+    : m_self(std::move(self))
+    , m_random(random)
+    , m_book(m_self, incarnation)
+{
+}
+
+void MoveEngine::onNodes(std::vector<NodeName> nodes)
+{
+    m_nodes = std::move(nodes);
+}
+
+std::size_t MoveEngine::rankFor(const MoveId& move) const
+{
+    const auto key = move.name.value() + '@' + std::to_string(move.publishedAt);
+    const auto own = rendezvousScore(key, m_self.value());
+    return static_cast<std::size_t>(std::count_if(m_nodes.begin(), m_nodes.end(), [&](const NodeName& it) {
+        return it != m_self && rendezvousScore(key, it.value()) > own;
+    }));
+}
+
+void MoveEngine::onConfiguration(const publication::ConfigurationPointer& configuration, Now now)
+{
+    m_configuration = configuration;
+    m_byService.clear();
+    std::vector<MoveId> active;
+    for (const auto& [name, entry] : configuration->set.moves) {
+        if (entry.verdict)
+            continue;
+        const auto id = idOf(entry);
+        active.push_back(id);
+        auto& newest = m_byService.try_emplace(entry.move.service, id).first->second;
+        if (newest.publishedAt < id.publishedAt)
+            newest = id;
+    }
+    for (auto& [id, move] : m_moves) {
+        if (std::find(active.begin(), active.end(), id) == active.end())
+            keepReport(id, move, now);
+    }
+    std::erase_if(m_moves, [&](const auto& it) { return std::find(active.begin(), active.end(), it.first) == active.end(); });
+    m_book.retain(active, configuration->stamp.offset);
+    for (const auto& id : active) {
+        if (m_moves.contains(id))
+            continue;
+        auto& move = m_moves.try_emplace(id, configuration->set.moves.at(id.name), rankFor(id)).first->second;
+        for (const auto& it : m_book.total(id))
+            move.judge.add(it);
+    }
+}
+
+void MoveEngine::keepReport(const MoveId& id, const ActiveMove& move, Now now)
+{
+    if (m_reports.size() >= s_reportsKept) {
+        const auto oldest = std::min_element(m_reports.begin(), m_reports.end(), [](const auto& a, const auto& b) {
+            return a.first.publishedAt < b.first.publishedAt;
+        });
+        m_reports.erase(oldest);
+    }
+    m_reports.insert_or_assign(id, reportOf(id, move, now));
+}
+
+MoveEngine::ActiveMove* MoveEngine::activeMoveOf(const ServiceName& service)
+{
+    const auto it = m_byService.find(service);
+    return it == m_byService.end() ? nullptr : &m_moves.at(it->second);
+}
+
+const MoveEngine::ActiveMove* MoveEngine::activeMoveOf(const ServiceName& service) const
+{
+    const auto it = m_byService.find(service);
+    return it == m_byService.end() ? nullptr : &m_moves.at(it->second);
+}
+
+void MoveEngine::observe(const ServiceName& service, const RouteName& route, const VersionName& version, CallResult result, std::chrono::nanoseconds latency, Now now)
+{
+    auto* move = activeMoveOf(service);
+    if (!move || now.wall < move->judge.plan().startAt())
+        return;
+    const bool isNew = version == move->entry.move.to;
+    if (!isNew && version != move->entry.from)
+        return;
+    if (isNew && !move->firstCallAt)
+        move->firstCallAt = now.monotonic;
+    const auto& plan = move->judge.plan();
+    const auto warmUp = std::min(s_longestWarmUp, plan.windowLength() * MovePlan::s_windows / warmUpParts);
+    const bool isTimed = !isNew || now.monotonic - *move->firstCallAt >= warmUp;
+    const auto window = MovePlan::evidenceWindow(plan.windowAt(now.wall), move->assessment.isCautious);
+    m_book.observe(idOf(move->entry), route, version, window, countsOf(result, latency, isTimed), now.monotonic);
+}
+
+void MoveEngine::addGrowth(const std::vector<EvidenceGrowth>& growth)
+{
+    for (const auto& it : growth) {
+        const auto move = m_moves.find(it.move);
+        if (move == m_moves.end())
+            continue;
+        move->second.judge.add(it);
+        move->second.isChanged = true;
+    }
+}
+
+void MoveEngine::merge(const EvidenceUpdate& update, Now)
+{
+    addGrowth(m_book.merge(update));
+}
+
+EvidenceUpdate MoveEngine::changedSince(EvidenceCursor& cursor) const
+{
+    return m_book.changedSince(cursor);
+}
+
+std::vector<MoveCommand> MoveEngine::tick(Now now)
+{
+    std::vector<MoveCommand> commands;
+    m_tickedAt = now.monotonic;
+    addGrowth(m_book.publishOwn(now.monotonic));
+    for (auto& [id, move] : m_moves)
+        tickMove(id, move, now, commands);
+    return commands;
+}
+
+void MoveEngine::tickMove(const MoveId& id, ActiveMove& move, Now now, std::vector<MoveCommand>& commands)
+{
+    if (move.isChanged || now.monotonic - move.assessedAt >= s_assessmentInterval) {
+        move.assessment = move.judge.assess(now.wall);
+        move.assessedAt = now.monotonic;
+        move.isChanged = false;
+    }
+    if (move.assessment.badness && !m_book.notice(id))
+        takeBack(id, move, commands);
+    const auto share = m_book.notice(id) ? 0.0 : move.assessment.share;
+    if (share != move.shownShare) {
+        move.shownShare = share;
+        commands.push_back(ShareChanged { move.entry.move.service, id.name, { move.entry.from, move.entry.move.to, share } });
+    }
+    const auto verdict = verdictOf(id, move, now);
+    if (verdict && move.writer.isDue(*verdict, now.monotonic, m_random))
+        commands.push_back(AppendVerdict { id.name, id.publishedAt, *verdict });
+}
+
+void MoveEngine::takeBack(const MoveId& id, ActiveMove& move, std::vector<MoveCommand>& commands)
+{
+    const TakeBackNotice notice { id.name, id.publishedAt, m_self, *move.assessment.badness };
+    m_book.addNotice(notice);
+    commands.push_back(SpreadNotice { notice });
+}
+
+std::optional<MoveVerdict> MoveEngine::verdictOf(const MoveId& id, const ActiveMove& move, Now now) const
+{
+    if (const auto* notice = m_book.notice(id))
+        return notice->verdict;
+    if (!move.assessment.due)
+        return std::nullopt;
+    const bool isTakenBack = move.assessment.due->outcome == MoveOutcome::TakenBack;
+    // A node that is cut off sees little evidence; those that see more have the first word.
+    if (isTakenBack && now.wall < move.judge.plan().deadline() + s_thinEvidenceGrace)
+        return std::nullopt;
+    return move.assessment.due;
+}
+
+VersionShare MoveEngine::share(const ServiceName& service, Now now) const
+{
+    VersionShare it;
+    if (!m_configuration)
+        return it;
+    const auto entry = m_configuration->set.services.find(service);
+    if (entry != m_configuration->set.services.end())
+        it.current = entry->second.currentVersion;
+    const auto* move = activeMoveOf(service);
+    if (!move)
+        return it;
+    it.current = move->entry.from;
+    it.next = move->entry.move.to;
+    const bool isFresh = m_tickedAt != MonotonicTime::min() && now.monotonic - m_tickedAt <= s_longestTickGap;
+    if (isFresh && now.wall >= move->judge.plan().startAt() && !m_book.notice(idOf(move->entry)))
+        it.nextShare = move->assessment.share;
+    return it;
+}
+
+std::optional<MoveReport> MoveEngine::report(const MoveName& name, Now now) const
+{
+    if (!m_configuration)
+        return std::nullopt;
+    const auto entry = m_configuration->set.moves.find(name);
+    if (entry == m_configuration->set.moves.end())
+        return std::nullopt;
+    const auto id = idOf(entry->second);
+    if (const auto active = m_moves.find(id); active != m_moves.end())
+        return reportOf(id, active->second, now);
+
+    const auto kept = m_reports.find(id);
+    auto it = kept == m_reports.end() ? reportOf(id, ActiveMove(entry->second, 0), now) : kept->second;
+    it.isRecorded = true;
+    it.verdict = entry->second.verdict;
+    it.wait = WaitReason::None;
+    it.waitRoute = {};
+    it.nextStep = NextStep::None;
+    it.nextStepAt.reset();
+    switch (entry->second.verdict->outcome) {
+    case MoveOutcome::Done:
+        it.state = MoveState::Done;
+        it.share = 1;
+        break;
+    case MoveOutcome::TakenBack:
+        it.state = MoveState::TakenBack;
+        it.share = 0;
+        break;
+    case MoveOutcome::Withdrawn:
+        it.state = MoveState::Withdrawn;
+        it.share = 0;
+        break;
+    }
+    return it;
+}
+
+MoveReport MoveEngine::reportOf(const MoveId& id, const ActiveMove& move, Now now) const
+{
+    const auto& plan = move.judge.plan();
+    const auto& assessment = move.assessment;
+    MoveReport it;
+    it.id = id;
+    it.service = move.entry.move.service;
+    it.from = move.entry.from;
+    it.to = move.entry.move.to;
+    it.startAt = plan.startAt();
+    it.deadline = plan.deadline();
+    it.share = share(it.service, now).nextShare;
+    it.stage = assessment.stage;
+    it.stages = plan.stages();
+    it.wait = assessment.wait;
+    it.waitRoute = assessment.waitRoute;
+    it.verdict = verdictOf(id, move, now);
+    it.bound = move.judge.threshold();
+    if (it.verdict && it.verdict->outcome == MoveOutcome::TakenBack)
+        it.state = MoveState::TakenBack;
+    if (it.verdict)
+        it.wait = WaitReason::AwaitingRecord;
+    if (now.wall < plan.startAt()) {
+        it.nextStep = NextStep::Start;
+        it.nextStepAt = plan.startAt();
+    } else if (!it.verdict) {
+        const bool isLast = assessment.stage == plan.lastStage();
+        it.nextStep = isLast ? NextStep::Verdict : NextStep::Raise;
+        it.nextStepAt = isLast ? plan.verdictDueAt() : plan.windowStart(std::max(plan.plannedWindow(assessment.stage + 1), assessment.window + 1));
+    }
+    for (const auto& [name, evidence] : move.judge.routes()) {
+        const auto counts = evidence.sum(0, MovePlan::s_windows);
+        const auto slowClass = slowClassOf(evidence);
+        it.routes.push_back({ name, figuresOf(counts.from), figuresOf(counts.to), move.judge.standing(evidence, assessment),
+            logEvidence(evidence, Badness::Failed, slowClass, MovePlan::s_windows), logEvidence(evidence, Badness::Slow, slowClass, MovePlan::s_windows) });
+    }
+    return it;
+}
+
+}
--- /dev/null
+++ b/packages/moves/src/MoveJudge.cpp
@@ -0,0 +1,209 @@
+#include "carobpath/moves/MoveJudge.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+
+namespace carobpath::moves {
+
+using publication::MoveOutcome;
+using publication::MoveReason;
+using publication::MoveVerdict;
+using publication::ThinEvidencePolicy;
+
+namespace {
+
+    constexpr std::array<Badness, 2> allBadness { Badness::Failed, Badness::Slow };
+    constexpr std::uint64_t fewestCalls = 3;
+    constexpr std::uint64_t mostCallsNeeded = 30;
+    /// Part of the calls expected in a stage that have to be counted.
+    constexpr double expectedPart = 0.5;
+    constexpr double refusedExcess = 0.25;
+    constexpr std::uint64_t fewestRefused = 5;
+
+    double refusedPart(const EvidenceCounts& counts)
+    {
+        const auto calls = counts.answered() + counts.refused;
+        return calls == 0 ? 0.0 : static_cast<double>(counts.refused) / static_cast<double>(calls);
+    }
+
+    MoveReason reasonOf(Badness badness)
+    {
+        return badness == Badness::Failed ? MoveReason::ErrorRate : MoveReason::Latency;
+    }
+
+    std::string figures(const WindowCounts& counts, Badness badness, std::size_t slowClass, double evidence, double threshold)
+    {
+        const auto from = frequencyOf(counts.from, badness, slowClass);
+        const auto to = frequencyOf(counts.to, badness, slowClass);
+        std::array<char, 160> buf {};
+        std::snprintf(buf.data(), buf.size(), "%s: new %llu of %llu, serving %llu of %llu; evidence %.1f, bound %.1f",
+            badness == Badness::Failed ? "failed" : "slow",
+            static_cast<unsigned long long>(to.events), static_cast<unsigned long long>(to.calls),
+            static_cast<unsigned long long>(from.events), static_cast<unsigned long long>(from.calls), evidence, threshold);
+        return buf.data();
+    }
+
+}
+
+MoveJudge::MoveJudge(const publication::MoveEntry& entry)
+    : m_entry(entry)
+    , m_plan(entry.move.startAt, entry.move.deadline)
+{
+}
+
+void MoveJudge::add(const EvidenceGrowth& growth)
+{
+    if (growth.window >= MovePlan::s_evidenceWindows)
+        return;
+    if (m_routes.size() >= s_routesKept && !m_routes.contains(growth.route))
+        return;
+    auto& counts = m_routes[growth.route].windows[growth.window];
+    if (growth.version == m_entry.move.to)
+        counts.to += growth.counts;
+    else if (growth.version == m_entry.from)
+        counts.from += growth.counts;
+}
+
+double MoveJudge::threshold() const
+{
+    const auto tests = static_cast<double>(std::max<std::size_t>(1, m_routes.size()) * allBadness.size());
+    return std::log(tests / s_falseAlarm);
+}
+
+RouteStanding MoveJudge::standingOf(const RouteEvidence& evidence, const Progress& progress, std::uint32_t endWindow) const
+{
+    const auto all = evidence.sum(0, endWindow);
+    const auto stage = evidence.sum(progress.entered, endWindow);
+    const auto calls = static_cast<double>(all.from.answered() + all.to.answered());
+    const auto expected = calls / std::max(1U, endWindow) * m_plan.dwell() * m_plan.share(progress.stage);
+
+    RouteStanding it;
+    it.calls = stage.to.answered();
+    it.callsNeeded = std::clamp(static_cast<std::uint64_t>(expectedPart * expected), fewestCalls, mostCallsNeeded);
+    if (calls == 0 && all.from.refused + all.to.refused == 0) {
+        it.callsNeeded = 0;
+        return it;
+    }
+    const auto slowClass = slowClassOf(evidence);
+    for (const auto badness : allBadness) {
+        if (isWorse(frequencyOf(stage.from, badness, slowClass), frequencyOf(stage.to, badness, slowClass), badness))
+            it.wait = WaitReason::Doubt;
+    }
+    if (it.wait == WaitReason::None && stage.to.refused >= fewestRefused && refusedPart(stage.to) > refusedPart(stage.from) + refusedExcess)
+        it.wait = WaitReason::Refusals;
+    if (it.wait == WaitReason::None && it.calls < it.callsNeeded)
+        it.wait = WaitReason::ThinEvidence;
+    return it;
+}
+
+RouteStanding MoveJudge::worstStanding(const Progress& progress, std::uint32_t endWindow, RouteName& route) const
+{
+    RouteStanding worst;
+    for (const auto& [name, evidence] : m_routes) {
+        const auto it = standingOf(evidence, progress, endWindow);
+        if (static_cast<int>(it.wait) > static_cast<int>(worst.wait)) {
+            worst = it;
+            route = name;
+        }
+    }
+    if (m_routes.empty())
+        worst.wait = WaitReason::ThinEvidence;
+    return worst;
+}
+
+MoveJudge::Progress MoveJudge::progressAt(std::uint32_t window) const
+{
+    Progress it;
+    RouteName route;
+    for (std::uint32_t w = 1; w <= window && it.stage < m_plan.lastStage(); ++w) {
+        if (w < m_plan.plannedWindow(it.stage + 1) || isCautious(w - 1))
+            continue;
+        const auto wait = worstStanding(it, w, route).wait;
+        const bool isForced = m_entry.move.onThinEvidence == ThinEvidencePolicy::Finish && w >= m_plan.latestWindow(it.stage + 1);
+        if (wait == WaitReason::None || (wait == WaitReason::ThinEvidence && isForced))
+            it = Progress { it.stage + 1, w };
+    }
+    return it;
+}
+
+std::optional<MoveVerdict> MoveJudge::findBadness(std::uint32_t window) const
+{
+    const auto limit = threshold();
+    for (const auto& [name, evidence] : m_routes) {
+        const auto slowClass = slowClassOf(evidence);
+        for (const auto badness : allBadness) {
+            const auto value = logEvidence(evidence, badness, slowClass, window + 1);
+            if (value >= limit && isExcessLarge(evidence, badness, slowClass, window))
+                return MoveVerdict { MoveOutcome::TakenBack, reasonOf(badness), name, figures(evidence.sum(0, window + 1), badness, slowClass, value, limit) };
+        }
+    }
+    return std::nullopt;
+}
+
+bool MoveJudge::isCautious(std::uint32_t window) const
+{
+    for (const auto& [name, evidence] : m_routes) {
+        const auto slowClass = slowClassOf(evidence);
+        for (const auto badness : allBadness) {
+            if (isSuspect(evidence, badness, slowClass, window))
+                return true;
+        }
+    }
+    return false;
+}
+
+MoveAssessment MoveJudge::assess(WallTime now) const
+{
+    MoveAssessment it;
+    if (now < m_plan.startAt()) {
+        it.wait = WaitReason::NotStarted;
+        return it;
+    }
+    it.window = m_plan.windowAt(now);
+    it.badness = findBadness(it.window);
+    const auto progress = progressAt(it.window);
+    it.stage = progress.stage;
+    it.stageEnteredWindow = progress.entered;
+    it.isCautious = isCautious(it.window) || (it.window > 0 && isCautious(it.window - 1));
+    it.share = m_plan.share(it.stage);
+    if (it.isCautious)
+        it.share = std::min(it.share, MovePlan::s_cautiousShare);
+    it.wait = it.isCautious ? WaitReason::Cautious : worstStanding(progress, it.window + 1, it.waitRoute).wait;
+    if (it.wait == WaitReason::None)
+        it.wait = WaitReason::PlannedTime;
+    it.due = it.badness ? it.badness : dueVerdict(it, now);
+    if (it.due) {
+        it.wait = WaitReason::AwaitingRecord;
+        it.share = it.due->outcome == MoveOutcome::Done && now >= m_plan.deadline() ? 1.0 : it.share;
+        if (it.due->outcome == MoveOutcome::TakenBack)
+            it.share = 0;
+    }
+    return it;
+}
+
+std::optional<MoveVerdict> MoveJudge::dueVerdict(const MoveAssessment& assessment, WallTime now) const
+{
+    if (now < m_plan.verdictDueAt())
+        return std::nullopt;
+    const bool isAtDeadline = now >= m_plan.deadline();
+    const bool isLast = assessment.stage == m_plan.lastStage();
+    if (isLast && assessment.wait == WaitReason::PlannedTime)
+        return MoveVerdict { MoveOutcome::Done, MoveReason::None, {}, "every route compared at the last stage" };
+    if (!isAtDeadline)
+        return std::nullopt;
+    if (assessment.wait == WaitReason::ThinEvidence || assessment.wait == WaitReason::PlannedTime) {
+        if (m_entry.move.onThinEvidence == ThinEvidencePolicy::Finish)
+            return MoveVerdict { MoveOutcome::Done, MoveReason::ThinEvidence, assessment.waitRoute, "finished with thin evidence" };
+        return MoveVerdict { MoveOutcome::TakenBack, MoveReason::ThinEvidence, assessment.waitRoute, "too few calls to compare by the deadline" };
+    }
+    return MoveVerdict { MoveOutcome::TakenBack, MoveReason::ErrorRate, assessment.waitRoute, "doubt about the new version at the deadline" };
+}
+
+RouteStanding MoveJudge::standing(const RouteEvidence& evidence, const MoveAssessment& assessment) const
+{
+    return standingOf(evidence, Progress { assessment.stage, assessment.stageEnteredWindow }, assessment.window + 1);
+}
+
+}
