--- /dev/null
+++ b/packages/publication/include/carobpath/publication/Codec.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "carobpath/foundation/Result.h"
+#include "carobpath/publication/ConfigurationSet.h"
+
+#include <concepts>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+/// The canonical encoding: JSON with sorted keys, no white space and no floating point numbers. Equal values have equal
+/// encodings on every node, so digests and signatures are made over it.
+namespace carobpath::publication {
+
+/// Why a text could not be decoded.
+enum class CodecFault : std::uint8_t {
+    NotJson,
+    /// A key is missing, or a value has the wrong type or is out of range.
+    WrongShape,
+    /// The text differs from the canonical encoding of what it holds: unknown or repeated keys, other order, white space.
+    NotCanonical,
+    TooLarge,
+};
+
+/// The error that decoding reports.
+struct CodecError {
+    CodecFault fault = CodecFault::NotJson;
+};
+
+std::string_view toString(CodecFault);
+
+template <typename T>
+concept Encodable = std::same_as<T, Service> || std::same_as<T, Route> || std::same_as<T, Version> || std::same_as<T, Move> || std::same_as<T, MoveVerdict> || std::same_as<T, ServiceEntry> || std::same_as<T, RouteEntry> || std::same_as<T, VersionEntry> || std::same_as<T, MoveEntry> || std::same_as<T, ConfigurationStamp> || std::same_as<T, ConfigurationSet>;
+
+/// \returns the canonical encoding.
+template <Encodable T>
+std::string encode(const T&);
+
+/// Reads a canonical encoding of at most \c bounds::checkpointBytes.
+/// \returns CodecError where the text is anything else.
+template <Encodable T>
+Result<T> decode(std::string_view text);
+
+/// \returns the digest of the set's canonical encoding.
+Digest digestOfSet(const ConfigurationSet&);
+
+}
--- /dev/null
+++ b/packages/publication/src/Codec.cpp
@@ -0,0 +1,120 @@
+#include "carobpath/publication/Codec.h"
+
+#include "carobpath/foundation/EnumTable.h"
+#include "carobpath/publication/Bounds.h"
+#include "internal/Hex.h"
+#include "internal/Json.h"
+
+namespace carobpath::publication {
+
+namespace {
+
+    constexpr std::array<EnumRow<CodecFault>, 4> codecFaults { {
+        { CodecFault::NotJson, "not-json" },
+        { CodecFault::WrongShape, "wrong-shape" },
+        { CodecFault::NotCanonical, "not-canonical" },
+        { CodecFault::TooLarge, "too-large" },
+    } };
+
+    template <typename Map>
+    nlohmann::json entriesOf(const Map& map)
+    {
+        auto entries = nlohmann::json::array();
+        for (const auto& [name, entry] : map)
+            entries.push_back(entry);
+        return entries;
+    }
+
+    const ServiceName& nameOf(const ServiceEntry& it) { return it.service.name; }
+    const RouteName& nameOf(const RouteEntry& it) { return it.route.name; }
+    const VersionName& nameOf(const VersionEntry& it) { return it.version.name; }
+    const MoveName& nameOf(const MoveEntry& it) { return it.move.name; }
+
+    template <typename Map>
+    void readEntries(const nlohmann::json& in, Map& map)
+    {
+        for (const auto& it : in) {
+            auto entry = it.get<typename Map::mapped_type>();
+            const auto name = nameOf(entry);
+            map.insert_or_assign(name, std::move(entry));
+        }
+    }
+
+}
+
+std::string_view toString(CodecFault it) { return enumText(codecFaults, it); }
+
+void to_json(nlohmann::json& out, const MoveEntry& it)
+{
+    out = { { "move", it.move }, { "from", it.from }, { "publishedAt", it.publishedAt }, { "changedAt", it.changedAt } };
+    if (it.verdict)
+        out["verdict"] = *it.verdict;
+}
+
+void from_json(const nlohmann::json& in, MoveEntry& it)
+{
+    in.at("move").get_to(it.move);
+    in.at("from").get_to(it.from);
+    in.at("publishedAt").get_to(it.publishedAt);
+    in.at("changedAt").get_to(it.changedAt);
+    if (in.contains("verdict"))
+        it.verdict = in.at("verdict").get<MoveVerdict>();
+}
+
+void to_json(nlohmann::json& out, const ConfigurationSet& it)
+{
+    out = nlohmann::json::object();
+    out["services"] = entriesOf(it.services);
+    out["routes"] = entriesOf(it.routes);
+    out["versions"] = entriesOf(it.versions);
+    out["moves"] = entriesOf(it.moves);
+}
+
+void from_json(const nlohmann::json& in, ConfigurationSet& it)
+{
+    readEntries(in.at("services"), it.services);
+    readEntries(in.at("routes"), it.routes);
+    readEntries(in.at("versions"), it.versions);
+    readEntries(in.at("moves"), it.moves);
+}
+
+void from_json(const nlohmann::json& in, Signature& it)
+{
+    it.bytes = Detail::valueOrThrow(Detail::bytesFromHex<Signature::s_size>(in.get_ref<const std::string&>()));
+}
+
+template <Encodable T>
+std::string encode(const T& value)
+{
+    return Detail::dumpCanonical(nlohmann::json(value));
+}
+
+template <Encodable T>
+Result<T> decode(std::string_view text)
+{
+    return Detail::decodeCanonical<T>(text, bounds::checkpointBytes);
+}
+
+#define CAROBPATH_INSTANTIATE_CODEC(Type)           \
+    template std::string encode<Type>(const Type&); \
+    template Result<Type> decode<Type>(std::string_view);
+
+CAROBPATH_INSTANTIATE_CODEC(Service)
+CAROBPATH_INSTANTIATE_CODEC(Route)
+CAROBPATH_INSTANTIATE_CODEC(Version)
+CAROBPATH_INSTANTIATE_CODEC(Move)
+CAROBPATH_INSTANTIATE_CODEC(MoveVerdict)
+CAROBPATH_INSTANTIATE_CODEC(ServiceEntry)
+CAROBPATH_INSTANTIATE_CODEC(RouteEntry)
+CAROBPATH_INSTANTIATE_CODEC(VersionEntry)
+CAROBPATH_INSTANTIATE_CODEC(MoveEntry)
+CAROBPATH_INSTANTIATE_CODEC(ConfigurationStamp)
+CAROBPATH_INSTANTIATE_CODEC(ConfigurationSet)
+#undef CAROBPATH_INSTANTIATE_CODEC
+
+Digest digestOfSet(const ConfigurationSet& set)
+{
+    return digestOf(encode(set));
+}
+
+}
--- /dev/null
+++ b/packages/publication/src/internal/Hex.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace carobpath::publication::Detail {
+
+inline constexpr std::string_view hexDigits = "0123456789abcdef";
+
+template <std::size_t size>
+std::string bytesToHex(const std::array<std::uint8_t, size>& bytes)
+{
+    std::string text;
+    text.reserve(2 * size);
+    for (const auto byte : bytes) {
+        text += hexDigits[byte >> 4];
+        text += hexDigits[byte & 0xf];
+    }
+    return text;
+}
+
+/// \returns nothing unless the text is exactly 2 * size lower-case hexadecimal digits.
+template <std::size_t size>
+std::optional<std::array<std::uint8_t, size>> bytesFromHex(std::string_view text)
+{
+    if (text.size() != 2 * size)
+        return std::nullopt;
+    std::array<std::uint8_t, size> bytes {};
+    for (std::size_t i = 0; i < size; ++i) {
+        const auto high = hexDigits.find(text[2 * i]);
+        const auto low = hexDigits.find(text[2 * i + 1]);
+        if (high == std::string_view::npos || low == std::string_view::npos)
+            return std::nullopt;
+        bytes[i] = static_cast<std::uint8_t>(high << 4 | low);
+    }
+    return bytes;
+}
+
+}
