--- a/packages/gateway/include/carobpath/gateway/GatewayLimits.h
+++ b/packages/gateway/include/carobpath/gateway/GatewayLimits.h
@@ -8,9 +8,9 @@
 /// Bounds of the HTTP sessions of a node. The defaults fit a node beside a backend server with a few slots.
 struct GatewayLimits {
     /// Header of one request or answer, in bytes.
-    std::uint32_t headerBytes = 16 * 1024;
+    std::uint32_t headerBytes = 16U * 1024;
     /// Body of one request, in bytes. Bodies of requests are held whole; bodies of answers are streamed.
-    std::uint64_t bodyBytes = 1024 * 1024;
+    std::uint64_t bodyBytes = 1024ULL * 1024;
     /// Connections accepted at a time on one address.
     std::uint32_t connections = 4096;
     /// Time for the header and body of one request to arrive once its first byte is there.
--- a/packages/gateway/src/AdminServer.cpp
+++ b/packages/gateway/src/AdminServer.cpp
@@ -9,9 +9,9 @@
 
 class AdminServer::Implementation {
 public:
-    Implementation(boost::asio::io_context& context, Handler handler)
-        : m_handler(std::move(handler))
-        , m_listener(std::make_shared<Detail::Listener>(context, m_limits, [this](const auto& session) { handle(*session); }))
+    Implementation(boost::asio::io_context& context, Handler chosenHandler)
+        : handler(std::move(chosenHandler))
+        , listener(std::make_shared<Detail::Listener>(context, limits, [this](const auto& session) { handle(*session); }))
     {
     }
 
@@ -20,16 +20,16 @@
         const auto& request = session.request();
         const std::string_view target = request.target();
         const AdminRequest asked { std::string { request.method_string() }, std::string { target.substr(0, target.find('?')) }, request.body() };
-        AdminResponse answer = m_handler(asked);
+        AdminResponse answer = handler(asked);
         Detail::Response response { static_cast<Detail::http::status>(answer.status), 11 };
         response.set(Detail::http::field::content_type, answer.contentType);
         response.body() = std::move(answer.body);
         session.respond(std::move(response));
     }
 
-    GatewayLimits m_limits;
-    Handler m_handler;
-    std::shared_ptr<Detail::Listener> m_listener;
+    GatewayLimits limits;
+    Handler handler;
+    std::shared_ptr<Detail::Listener> listener;
 };
 
 AdminServer::AdminServer(std::unique_ptr<Implementation> implementation)
@@ -43,13 +43,13 @@
 Result<AdminServer> AdminServer::listen(boost::asio::io_context& context, const Endpoint& endpoint, Handler handler)
 {
     auto implementation = std::make_unique<Implementation>(context, std::move(handler));
-    if (const auto ec = implementation->m_listener->listen(endpoint))
+    if (const auto ec = implementation->listener->listen(endpoint))
         return boost::leaf::new_error(ListenFailure { endpoint, ec.value() });
     return AdminServer { std::move(implementation) };
 }
 
-Endpoint AdminServer::endpoint() const { return m_implementation->m_listener->endpoint(); }
+Endpoint AdminServer::endpoint() const { return m_implementation->listener->endpoint(); }
 
-void AdminServer::stop() { m_implementation->m_listener->stop(); }
+void AdminServer::stop() { m_implementation->listener->stop(); }
 
 }
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -22,48 +22,48 @@
 class Gateway::Implementation {
 public:
     Implementation(boost::asio::io_context& context, routing::EntryRouter& router, routing::AdmissionController& controller,
-        NodeName node, Incarnation incarnation, const GatewayLimits& limits, GatewayHooks hooks)
-        : m_limits(limits)
-        , m_hooks(std::move(hooks))
-        , m_pool(context, m_limits)
-        , m_entry(context, router, m_pool, m_limits, m_hooks, std::move(node), incarnation)
-        , m_admission(context, controller, m_pool, m_limits, m_hooks)
-        , m_callers(std::make_shared<Detail::Listener>(context, m_limits, [this](const auto& session) { m_entry.handle(session); }))
-        , m_calls(std::make_shared<Detail::Listener>(context, m_limits, [this](const auto& session) { m_admission.handle(session); }))
-        , m_sweep(context)
+        NodeName node, Incarnation incarnation, const GatewayLimits& chosenLimits, GatewayHooks chosenHooks)
+        : limits(chosenLimits)
+        , hooks(std::move(chosenHooks))
+        , pool(context, limits)
+        , entry(context, router, pool, limits, hooks, std::move(node), incarnation)
+        , admission(context, controller, pool, limits, hooks)
+        , callers(std::make_shared<Detail::Listener>(context, limits, [this](const auto& session) { entry.handle(session); }))
+        , calls(std::make_shared<Detail::Listener>(context, limits, [this](const auto& session) { admission.handle(session); }))
+        , sweep(context)
     {
     }
 
-    Result<void> listen(const Endpoint& callers, const Endpoint& calls)
+    Result<void> listen(const Endpoint& callersAt, const Endpoint& callsAt)
     {
-        if (const auto ec = m_callers->listen(callers))
-            return boost::leaf::new_error(ListenFailure { callers, ec.value() });
-        if (const auto ec = m_calls->listen(calls))
-            return boost::leaf::new_error(ListenFailure { calls, ec.value() });
-        m_admission.start();
+        if (const auto ec = callers->listen(callersAt))
+            return boost::leaf::new_error(ListenFailure { callersAt, ec.value() });
+        if (const auto ec = calls->listen(callsAt))
+            return boost::leaf::new_error(ListenFailure { callsAt, ec.value() });
+        admission.start();
         scheduleSweep();
         return {};
     }
 
     void scheduleSweep()
     {
-        m_sweep.expires_after(poolSweep);
-        m_sweep.async_wait([this](boost::system::error_code ec) {
+        sweep.expires_after(poolSweep);
+        sweep.async_wait([this](boost::system::error_code ec) {
             if (ec)
                 return;
-            m_pool.expire(MonotonicClock::now());
+            pool.expire(MonotonicClock::now());
             scheduleSweep();
         });
     }
 
-    GatewayLimits m_limits;
-    GatewayHooks m_hooks;
-    Detail::ConnectionPool m_pool;
-    Detail::EntryHandler m_entry;
-    Detail::AdmissionHandler m_admission;
-    std::shared_ptr<Detail::Listener> m_callers;
-    std::shared_ptr<Detail::Listener> m_calls;
-    boost::asio::steady_timer m_sweep;
+    GatewayLimits limits;
+    GatewayHooks hooks;
+    Detail::ConnectionPool pool;
+    Detail::EntryHandler entry;
+    Detail::AdmissionHandler admission;
+    std::shared_ptr<Detail::Listener> callers;
+    std::shared_ptr<Detail::Listener> calls;
+    boost::asio::steady_timer sweep;
 };
 
 Gateway::Gateway(std::unique_ptr<Implementation> implementation)
@@ -74,23 +74,23 @@
 Gateway::~Gateway() = default;
 Gateway::Gateway(Gateway&&) noexcept = default;
 
-Endpoint Gateway::callersEndpoint() const { return m_implementation->m_callers->endpoint(); }
+Endpoint Gateway::callersEndpoint() const { return m_implementation->callers->endpoint(); }
 
-Endpoint Gateway::callsEndpoint() const { return m_implementation->m_calls->endpoint(); }
+Endpoint Gateway::callsEndpoint() const { return m_implementation->calls->endpoint(); }
 
-void Gateway::setBackend(std::optional<Endpoint> endpoint) { m_implementation->m_admission.setBackend(std::move(endpoint)); }
+void Gateway::setBackend(std::optional<Endpoint> endpoint) { m_implementation->admission.setBackend(std::move(endpoint)); }
 
-void Gateway::perform(const routing::AdmissionCommands& commands) { m_implementation->m_admission.perform(commands); }
+void Gateway::perform(const routing::AdmissionCommands& commands) { m_implementation->admission.perform(commands); }
 
 void Gateway::stopAccepting()
 {
-    m_implementation->m_callers->stop();
-    m_implementation->m_calls->stop();
+    m_implementation->callers->stop();
+    m_implementation->calls->stop();
 }
 
 std::size_t Gateway::inFlight() const
 {
-    return m_implementation->m_entry.inFlight() + m_implementation->m_admission.inFlight();
+    return m_implementation->entry.inFlight() + m_implementation->admission.inFlight();
 }
 
 Gateway::Builder::Builder(boost::asio::io_context& context, routing::EntryRouter& router, routing::AdmissionController& controller)
--- a/packages/gateway/src/internal/AdmissionHandler.cpp
+++ b/packages/gateway/src/internal/AdmissionHandler.cpp
@@ -38,7 +38,7 @@
         return;
     }
     if (m_calls.contains(request->id)) {
-        session->refuse(routing::Refusal { routing::Outcome::NotRun, routing::RefusalReason::DuplicateInProgress, std::nullopt }, request->id.value());
+        session->refuse(routing::Refusal { routing::Outcome::Unknown, routing::RefusalReason::DuplicateInProgress, std::nullopt }, request->id.value());
         return;
     }
     auto call = std::make_shared<AdmittedCall>(*this, session, *request);
--- a/packages/gateway/src/internal/UpstreamExchange.h
+++ b/packages/gateway/src/internal/UpstreamExchange.h
@@ -78,8 +78,8 @@
     bool failed() const { return m_failed; }
 
 private:
-    static constexpr std::size_t s_pieceBytes = 16 * 1024;
-    static constexpr std::uint64_t s_discardBytes = 4 * 1024;
+    static constexpr std::size_t s_pieceBytes = 16ULL * 1024;
+    static constexpr std::uint64_t s_discardBytes = 4ULL * 1024;
 
     using Parser = http::response_parser<http::buffer_body>;
 
--- a/packages/gateway/tests/ScriptedServer.h
+++ b/packages/gateway/tests/ScriptedServer.h
@@ -25,13 +25,14 @@
 public:
     ScriptedServer(boost::asio::io_context& context, std::string answer, ScriptEnd end)
         : m_acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+        , m_endpoint { "127.0.0.1", m_acceptor.local_endpoint().port() }
         , m_answer(std::move(answer))
         , m_end(end)
     {
         accept();
     }
 
-    Endpoint endpoint() const { return Endpoint { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
+    const Endpoint& endpoint() const { return m_endpoint; }
     int accepted() const { return static_cast<int>(m_sockets.size()); }
     int requests() const { return m_requests; }
     void close() { m_acceptor.close(); }
@@ -85,6 +86,7 @@
     }
 
     boost::asio::ip::tcp::acceptor m_acceptor;
+    Endpoint m_endpoint;
     std::string m_answer;
     ScriptEnd m_end;
     std::vector<std::shared_ptr<Peer>> m_sockets;
