Fold the log into the set in force

The fold is a pure function of the records: rival operators are settled by log order, with a stale base only where a record touches what its author had not seen, deletions and replaced moves included. The base is the first offset that the author had not folded, since with 'last seen' a race with the very first record could not be told.

A repeated append is dropped by its id. The memory of ids is bounded; a record whose base lies before what may be forgotten is rejected, so an id takes effect at most once for any time between its appends. Ids count for each member, so a rival cannot use one up.

Checkpoints are compared with the state of their own offset; a wrong one is reported and changes nothing.

--- /dev/null
+++ b/packages/publication/include/carobpath/publication/ConfigurationFold.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "carobpath/publication/FoldOutcome.h"
+#include "carobpath/publication/FoldState.h"
+#include "carobpath/publication/Keys.h"
+#include "carobpath/publication/Record.h"
+
+#include <deque>
+#include <string_view>
+
+namespace carobpath::publication {
+
+/// The error of a checkpoint that a fold can't start from.
+struct BadCheckpoint {
+    enum class Reason : std::uint8_t {
+        BadSignature,
+        /// The digest in the stamp is not that of the set.
+        WrongDigest,
+        /// The set does not pass the whole-set check.
+        BadSet,
+    };
+    Reason reason = Reason::BadSignature;
+};
+
+/// Folds the records of the stream \c configuration, in log order, into the set in force. The same records give the same
+/// state and outcomes in every process; no clock, lease or lock is involved.
+class ConfigurationFold {
+public:
+    /// Starts before the first record of the log.
+    explicit ConfigurationFold(TrustedKeys);
+
+    /// Starts from the state in the checkpoint. \returns BadCheckpoint where it can't be trusted.
+    static Result<ConfigurationFold> fromCheckpoint(const CheckpointRecord&, TrustedKeys);
+
+    /// Folds in the next record.
+    FoldOutcome apply(Offset, std::string_view bytes);
+
+    /// \returns the set in force, or nullptr before the first accepted record.
+    ConfigurationPointer current() const { return m_current; }
+
+    /// \returns the offset of the next record to apply.
+    Offset next() const { return m_next; }
+
+    /// \returns everything that a checkpoint has to hold.
+    FoldState state() const;
+
+private:
+    FoldOutcome applyRecord(Offset, const PublishRecord&);
+    FoldOutcome applyRecord(Offset, const VerdictRecord&);
+    FoldOutcome applyRecord(Offset, const CheckpointRecord&);
+
+    const RememberedRecord* findRemembered(const MemberName&, const RecordId&) const;
+    void remember(const PublishRecord&, Offset, bool accepted);
+    void rememberDeletions(const PublishRecord&, Offset);
+    ConfigurationStamp install(Offset, ConfigurationSet, Digest);
+    bool knowsStampBefore(Offset) const;
+    std::optional<ConfigurationStamp> stampBefore(Offset) const;
+    bool agreesWith(const FoldState&) const;
+
+    TrustedKeys m_keys;
+    ConfigurationPointer m_current;
+    Offset m_next = 0;
+    std::deque<RememberedRecord> m_records;
+    std::deque<RememberedDeletion> m_deletions;
+    Offset m_forgottenBefore = 0;
+    /// Stamps in force lately, oldest first. They are compared with checkpoints and are no part of the state.
+    std::deque<ConfigurationStamp> m_stamps;
+    Offset m_stampsKnownFrom = 0;
+};
+
+}
--- a/packages/publication/include/carobpath/publication/FoldState.h
+++ b/packages/publication/include/carobpath/publication/FoldState.h
@@ -5,6 +5,7 @@
 #include "carobpath/publication/RecordId.h"
 
 #include <deque>
+#include <optional>
 
 namespace carobpath::publication {
 
@@ -29,7 +30,8 @@
 
 /// Everything that the outcome of later records depends on.
 struct FoldState {
-    ConfigurationStamp stamp;
+    /// Nothing before the first accepted record.
+    std::optional<ConfigurationStamp> stamp;
     ConfigurationSet set;
     /// The first offset that is not folded in.
     Offset next = 0;
--- /dev/null
+++ b/packages/publication/include/carobpath/publication/SetCheck.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "carobpath/publication/Fault.h"
+
+/// The checks that every published object and every version of the whole set pass. Object files and the fold of the log
+/// use the same ones.
+namespace carobpath::publication {
+
+/// Checks one object by itself: names, bounds and ranges.
+Faults checkObject(const Service&);
+Faults checkObject(const Route&);
+Faults checkObject(const Version&);
+Faults checkObject(const Move&);
+
+/// Checks the whole set: references, owners, hosts, routes that conflict, and bounds.
+/// Where two objects conflict, the fault is on the one that was changed last.
+Faults checkSet(const ConfigurationSet&);
+
+/// \returns whether the canonical encoding, and the verdicts to come, fit into the bound of a set.
+bool fitsIntoSetBound(const ConfigurationSet&, std::size_t encodedBytes);
+
+}
--- a/packages/publication/src/Codec.cpp
+++ b/packages/publication/src/Codec.cpp
@@ -78,6 +78,24 @@
     readEntries(in.at("moves"), it.moves);
 }
 
+void to_json(nlohmann::json& out, const FoldState& it)
+{
+    out = { { "set", it.set }, { "next", it.next }, { "records", it.records }, { "deletions", it.deletions }, { "forgottenBefore", it.forgottenBefore } };
+    if (it.stamp)
+        out["stamp"] = *it.stamp;
+}
+
+void from_json(const nlohmann::json& in, FoldState& it)
+{
+    in.at("set").get_to(it.set);
+    in.at("next").get_to(it.next);
+    in.at("records").get_to(it.records);
+    in.at("deletions").get_to(it.deletions);
+    in.at("forgottenBefore").get_to(it.forgottenBefore);
+    if (in.contains("stamp"))
+        it.stamp = in.at("stamp").get<ConfigurationStamp>();
+}
+
 void from_json(const nlohmann::json& in, Signature& it)
 {
     it.bytes = Detail::valueOrThrow(Detail::bytesFromHex<Signature::s_size>(in.get_ref<const std::string&>()));
--- a/packages/publication/src/Record.cpp
+++ b/packages/publication/src/Record.cpp
@@ -3,6 +3,8 @@
 #include "carobpath/publication/Bounds.h"
 #include "internal/Json.h"
 
+#include <algorithm>
+
 namespace carobpath::publication {
 
 namespace {
@@ -124,6 +126,29 @@
         throw Detail::WrongShape {};
     }
 
+    bool isWellFormed(const PublishRecord& it)
+    {
+        const auto isGood = [](const Change& change) {
+            const auto* deletion = std::get_if<DeleteObject>(&change);
+            return !deletion || isValidName(deletion->object.name);
+        };
+        return isValidName(it.id.writer) && isValidName(it.member.value()) && std::all_of(it.changes.begin(), it.changes.end(), isGood);
+    }
+
+    // Withdrawing a move is its member's right alone.
+    bool isWellFormed(const VerdictRecord& it)
+    {
+        const auto& verdict = it.verdict;
+        const bool routeIsGood = verdict.route.empty() || isValidName(verdict.route.value());
+        return isValidName(it.id.writer) && isValidName(it.writer.value()) && verdict.outcome != MoveOutcome::Withdrawn
+            && verdict.evidence.size() <= bounds::evidenceBytes && routeIsGood;
+    }
+
+    bool isWellFormed(const CheckpointRecord& it)
+    {
+        return isValidName(it.id.writer) && isValidName(it.writer.value());
+    }
+
     std::size_t boundOf(const Record& record)
     {
         return std::holds_alternative<CheckpointRecord>(record) ? bounds::checkpointBytes : bounds::recordBytes;
@@ -164,6 +189,8 @@
             return boost::leaf::new_error(CodecError { CodecFault::TooLarge });
         if (encodeRecord(record) != text)
             return boost::leaf::new_error(CodecError { CodecFault::NotCanonical });
+        if (!std::visit([](const auto& it) { return isWellFormed(it); }, record))
+            return boost::leaf::new_error(CodecError { CodecFault::WrongShape });
         return record;
     } catch (const std::exception&) {
         return boost::leaf::new_error(CodecError { CodecFault::WrongShape });
--- a/packages/publication/src/internal/Json.h
+++ b/packages/publication/src/internal/Json.h
@@ -151,7 +151,8 @@
 void to_json(nlohmann::json&, const ConfigurationSet&);
 void from_json(const nlohmann::json&, ConfigurationSet&);
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FoldState, stamp, set, next, records, deletions, forgottenBefore)
+void to_json(nlohmann::json&, const FoldState&);
+void from_json(const nlohmann::json&, FoldState&);
 
 inline void to_json(nlohmann::json& out, const Signature& it) { out = toHex(it); }
 void from_json(const nlohmann::json&, Signature&);
--- a/packages/publication/tests/RecordTests.cpp
+++ b/packages/publication/tests/RecordTests.cpp
@@ -39,7 +39,7 @@
         FoldState state;
         state.set.versions.emplace(VersionName { "v" }, VersionEntry { version("v", "s"), 2 });
         state.set.moves.emplace(MoveName { "m" }, MoveEntry { move("m", "s", "v"), VersionName { "u" }, 1, 2, MoveVerdict {} });
-        state.stamp = { 2, digestOfSet(state.set) };
+        state.stamp = ConfigurationStamp { 2, digestOfSet(state.set) };
         state.next = 3;
         state.records.push_back({ petra, recordId(1), 1, true });
         state.deletions.push_back({ { ObjectKind::Route, "r" }, 2 });
