--- /dev/null
+++ b/bench/move_experiment.cpp
@@ -0,0 +1,106 @@
+/// Plays moves of good and bad versions with many seeds and prints what became of them.
+#include "moves/Cases.h"
+#include "moves/Experiment.h"
+#include "moves/Summary.h"
+
+#include <cxxopts.hpp>
+
+#include <atomic>
+#include <iostream>
+#include <thread>
+
+namespace carobpath::bench {
+
+namespace {
+
+    struct Options {
+        std::size_t seeds = 1000;
+        std::string caseName;
+        std::string member;
+        std::string policy;
+        std::size_t threads = 3;
+        bool json = false;
+        bool failures = false;
+    };
+
+    constexpr std::uint64_t seedStep = 0x9e3779b97f4a7c15ULL;
+
+    std::uint64_t seedOf(std::size_t index)
+    {
+        return seedStep * (index + 1);
+    }
+
+    void printFailure(const RunResult& run, std::size_t index)
+    {
+        const bool isAsWanted = run.isWithdrawn || (run.isGood ? run.outcome == publication::MoveOutcome::Done && run.isInTime : run.outcome == publication::MoveOutcome::TakenBack);
+        if (isAsWanted)
+            return;
+        std::cerr << "seed " << index << ": outcome " << (run.outcome ? static_cast<int>(*run.outcome) : -1) << " reason "
+                  << static_cast<int>(run.reason) << " in time " << run.isInTime << " harmed " << run.harmed << '\n';
+    }
+
+    std::vector<RunResult> runAll(const Case& kind, const MemberProfile& member, PolicyKind policy, const Options& options)
+    {
+        std::vector<RunResult> results(options.seeds);
+        std::atomic<std::size_t> next { 0 };
+        const auto work = [&] {
+            for (auto i = next++; i < options.seeds; i = next++) {
+                std::mt19937_64 random { seedOf(i) };
+                const auto scenario = drawScenario(kind, member, random);
+                results[i] = runMove(scenario, policy, random());
+            }
+        };
+        std::vector<std::thread> threads;
+        for (std::size_t i = 0; i < options.threads; ++i)
+            threads.emplace_back(work);
+        for (auto& it : threads)
+            it.join();
+        return results;
+    }
+
+    void run(const Options& options)
+    {
+        if (!options.json)
+            std::cout << tableHead() << std::endl;
+        for (const auto& kind : allCases()) {
+            if (!options.caseName.empty() && kind.name != options.caseName)
+                continue;
+            for (const auto& member : allMembers()) {
+                if (!options.member.empty() && member.name.value() != options.member)
+                    continue;
+                for (const auto policy : { PolicyKind::Ours, PolicyKind::FixedStep }) {
+                    const auto* const name = policy == PolicyKind::Ours ? "ours" : "fixed-step";
+                    if (!options.policy.empty() && options.policy != name)
+                        continue;
+                    const auto results = runAll(kind, member, policy, options);
+                    const auto summary = summarize(kind.name, member.name.value(), policy, results);
+                    std::cout << (options.json ? toJson(summary) : tableRow(summary)) << std::endl;
+                    for (std::size_t i = 0; options.failures && i < results.size(); ++i)
+                        printFailure(results[i], i);
+                }
+            }
+        }
+    }
+
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options parser("carobpath-bench-moves", "Measures the policy of moves on drawn scenarios.");
+    parser.add_options()("seeds", "runs of each case", cxxopts::value<std::size_t>()->default_value("1000"))("case", "only this case", cxxopts::value<std::string>()->default_value(""))("member", "petra or akwapim", cxxopts::value<std::string>()->default_value(""))("policy", "ours or fixed-step", cxxopts::value<std::string>()->default_value(""))("threads", "threads", cxxopts::value<std::size_t>()->default_value("3"))("json", "one JSON object a line")("failures", "name the seeds that missed on standard error")("help", "this text");
+    try {
+        const auto given = parser.parse(argc, argv);
+        if (given.count("help") != 0) {
+            std::cout << parser.help();
+            return 0;
+        }
+        carobpath::bench::run({ given["seeds"].as<std::size_t>(), given["case"].as<std::string>(), given["member"].as<std::string>(),
+            given["policy"].as<std::string>(), given["threads"].as<std::size_t>(), given.count("json") != 0, given.count("failures") != 0 });
+    } catch (const std::exception& error) {
+        std::cerr << error.what() << '\n';
+        return 2;
+    }
+    return 0;
+}
