Follow the log from its start or from a checkpoint

Cause: a node that becomes a reader, and an operator's client, have to get to the set in force while the log keeps records for a limited time only. Ruled out: starting a fold from the set that peers hand out. The set alone lacks what decides later records: the ids seen and the deletions remembered. Change: FoldFollower, a decision without I/O: from the first record where it is kept, else from the first checkpoint whose records after it are all there; it says so where there is none.

--- /dev/null
+++ b/packages/publication/include/carobpath/publication/FoldFollower.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "carobpath/publication/ConfigurationFold.h"
+#include "carobpath/publication/LogService.h"
+
+#include <optional>
+#include <vector>
+
+namespace carobpath::publication {
+
+/// One record that was folded, for the time line.
+struct FoldStep {
+    Offset offset = 0;
+    FoldOutcome outcome;
+};
+
+/// How far a follower is.
+enum class FollowState : std::uint8_t {
+    /// The records before the oldest one kept are gone; a checkpoint is being looked for.
+    SeekingCheckpoint,
+    Folding,
+    /// The whole log was read and holds no checkpoint to start from, nor all records from the first.
+    NoCheckpoint,
+};
+
+/// Decides how a reader of the log gets to the set in force and stays there: from the first record where the log still
+/// has it, else from a checkpoint and the records after it. Knows no log: reads are asked for by \c nextRead.
+class FoldFollower {
+public:
+    explicit FoldFollower(TrustedKeys);
+
+    /// \returns the offset of the next record wanted.
+    Offset nextRead() const { return m_nextRead; }
+
+    /// Takes the answer to a read from \c nextRead.
+    /// \returns what became of each record that was folded.
+    std::vector<FoldStep> onBatch(const LogBatch&);
+
+    /// The record wanted is no longer kept.
+    void onTrimmed(const Trimmed&);
+
+    FollowState state() const { return m_state; }
+
+    /// \returns true once every record that the log had at the last read is folded.
+    bool caughtUp() const { return m_caughtUp; }
+
+    /// \returns the set in force as far as folded, or nullptr.
+    ConfigurationPointer current() const;
+
+    /// \returns what a checkpoint has to hold; nothing while no record can be folded.
+    std::optional<FoldState> foldState() const;
+
+private:
+    void seek(const LogRecord&, Offset firstKept);
+
+    TrustedKeys m_keys;
+    std::optional<ConfigurationFold> m_fold;
+    FollowState m_state = FollowState::Folding;
+    Offset m_nextRead = 0;
+    bool m_caughtUp = false;
+};
+
+}
