--- a/bench/move_experiment.cpp
+++ b/bench/move_experiment.cpp
@@ -6,6 +6,7 @@
 #include <cxxopts.hpp>
 
 #include <atomic>
+#include <cstdio>
 #include <iostream>
 #include <thread>
 
@@ -84,23 +85,31 @@
 
 }
 
+int runFromCommandLine(int argc, char** argv)
+{
+    cxxopts::Options parser("carobpath-bench-moves", "Measures the policy of moves on drawn scenarios.");
+    auto add = parser.add_options();
+    add("seeds", "runs of each case", cxxopts::value<std::size_t>()->default_value("1000"));
+    add("case", "only this case", cxxopts::value<std::string>()->default_value(""));
+    add("member", "petra or akwapim", cxxopts::value<std::string>()->default_value(""));
+    add("policy", "ours or fixed-step", cxxopts::value<std::string>()->default_value(""));
+    add("threads", "threads", cxxopts::value<std::size_t>()->default_value("3"));
+    add("json", "one JSON object a line");
+    add("failures", "name the seeds that missed on standard error");
+    const auto given = parser.parse(argc, argv);
+    run({ given["seeds"].as<std::size_t>(), given["case"].as<std::string>(), given["member"].as<std::string>(),
+        given["policy"].as<std::string>(), given["threads"].as<std::size_t>(), given.count("json") != 0, given.count("failures") != 0 });
+    return 0;
+}
+
 }
 
 int main(int argc, char** argv)
 {
-    cxxopts::Options parser("carobpath-bench-moves", "Measures the policy of moves on drawn scenarios.");
-    parser.add_options()("seeds", "runs of each case", cxxopts::value<std::size_t>()->default_value("1000"))("case", "only this case", cxxopts::value<std::string>()->default_value(""))("member", "petra or akwapim", cxxopts::value<std::string>()->default_value(""))("policy", "ours or fixed-step", cxxopts::value<std::string>()->default_value(""))("threads", "threads", cxxopts::value<std::size_t>()->default_value("3"))("json", "one JSON object a line")("failures", "name the seeds that missed on standard error")("help", "this text");
     try {
-        const auto given = parser.parse(argc, argv);
-        if (given.count("help") != 0) {
-            std::cout << parser.help();
-            return 0;
-        }
-        carobpath::bench::run({ given["seeds"].as<std::size_t>(), given["case"].as<std::string>(), given["member"].as<std::string>(),
-            given["policy"].as<std::string>(), given["threads"].as<std::size_t>(), given.count("json") != 0, given.count("failures") != 0 });
-    } catch (const std::exception& error) {
-        std::cerr << error.what() << '\n';
+        return carobpath::bench::runFromCommandLine(argc, argv);
+    } catch (...) {
+        std::fputs("carobpath-bench-moves: an option is not understood\n", stderr);
         return 2;
     }
-    return 0;
 }
--- a/bench/moves/Cases.cpp
+++ b/bench/moves/Cases.cpp
@@ -95,7 +95,7 @@
 
 const std::vector<Case>& allCases()
 {
-    static const std::vector<Case> s_cases {
+    static const std::vector<Case> cases {
         { "good", [](Scenario&, Random&) {} },
         { "failing-at-once", makeFailing },
         { "slow-at-once", makeSlow },
@@ -159,13 +159,13 @@
              makeBadFrom(it, 0, 0.8, random);
          } },
     };
-    return s_cases;
+    return cases;
 }
 
 const std::vector<MemberProfile>& allMembers()
 {
     const auto route = [](const char* name, double rate, milliseconds latency, double errors) { return RouteProfile { RouteName { name }, rate, latency, errors }; };
-    static const std::vector<MemberProfile> s_members {
+    static const std::vector<MemberProfile> members {
         { MemberName { "petra" }, publication::ThinEvidencePolicy::Finish,
             {
                 { ServiceName { "catalog" }, 7, { route("browse", 40, 20ms, 0.001), route("search", 12, 60ms, 0.002) } },
@@ -179,7 +179,7 @@
                 { ServiceName { "maps-svc" }, 3, { route("map", 1.5, 400ms, 0.004), route("sheet", 0.5, 300ms, 0.002) } },
             } },
     };
-    return s_members;
+    return members;
 }
 
 Scenario drawScenario(const Case& kind, const MemberProfile& member, std::mt19937_64& random)
--- a/packages/moves/include/carobpath/moves/Evidence.h
+++ b/packages/moves/include/carobpath/moves/Evidence.h
@@ -31,11 +31,31 @@
 
     /// \returns the calls that were answered, well or not.
     std::uint64_t answered() const { return succeeded + failed; }
-    EvidenceCounts& operator+=(const EvidenceCounts&);
+    EvidenceCounts& operator+=(const EvidenceCounts& other)
+    {
+        succeeded += other.succeeded;
+        failed += other.failed;
+        refused += other.refused;
+        for (std::size_t i = 0; i < latencyClasses; ++i)
+            latency[i] += other.latency[i];
+        return *this;
+    }
     /// \returns the growth since earlier counts of the same incarnation; 0 where they did not grow.
-    EvidenceCounts since(const EvidenceCounts& earlier) const;
+    EvidenceCounts since(const EvidenceCounts& earlier) const
+    {
+        EvidenceCounts it;
+        it.succeeded = growth(succeeded, earlier.succeeded);
+        it.failed = growth(failed, earlier.failed);
+        it.refused = growth(refused, earlier.refused);
+        for (std::size_t i = 0; i < latencyClasses; ++i)
+            it.latency[i] = growth(latency[i], earlier.latency[i]);
+        return it;
+    }
 
     friend bool operator==(const EvidenceCounts&, const EvidenceCounts&) = default;
+
+private:
+    static constexpr std::uint64_t growth(std::uint64_t later, std::uint64_t earlier) { return later > earlier ? later - earlier : 0; }
 };
 
 /// Evidence of one admitting node on one route and version of a move, as spread among nodes.
--- a/packages/moves/include/carobpath/moves/MoveEngine.h
+++ b/packages/moves/include/carobpath/moves/MoveEngine.h
@@ -23,6 +23,8 @@
     static constexpr std::chrono::milliseconds s_longestTickGap { 2000 };
     /// Time between assessments where no evidence came.
     static constexpr std::chrono::milliseconds s_assessmentInterval { 500 };
+    /// Least time between assessments where no call failed.
+    static constexpr std::chrono::milliseconds s_quietInterval { 250 };
     /// Time after the deadline that a verdict of thin evidence waits, for nodes with more evidence to come first.
     static constexpr std::chrono::milliseconds s_thinEvidenceGrace { 5000 };
     /// Longest time for which the latency of a new version's first calls at one upstream is left out: cold start.
@@ -58,6 +60,8 @@
         VerdictWriter writer;
         double shownShare = 0;
         bool isChanged = true;
+        /// Calls failed since the last assessment.
+        bool isUrgent = false;
         MonotonicTime assessedAt = MonotonicTime::min();
         /// When this node first admitted a call to the new version.
         std::optional<MonotonicTime> firstCallAt;
--- a/packages/moves/include/carobpath/moves/RouteEvidence.h
+++ b/packages/moves/include/carobpath/moves/RouteEvidence.h
@@ -15,11 +15,24 @@
 };
 
 /// Merged counts of one route over the whole move.
-struct RouteEvidence {
-    std::array<WindowCounts, MovePlan::s_evidenceWindows> windows {};
-
+class RouteEvidence {
+public:
+    /// Adds to the counts of one evidence window.
+    void add(std::uint32_t evidenceWindow, bool isNew, const EvidenceCounts&);
+    const WindowCounts& window(std::uint32_t evidenceWindow) const { return m_windows.at(evidenceWindow); }
     /// \returns the sum of the windows of the plan from the first to the one before the last, cautious or not.
     WindowCounts sum(std::uint32_t firstWindow, std::uint32_t endWindow) const;
+    /// \returns the first latency class that counts as slow, from what the serving version did; the number of classes
+    /// where it has too few calls to say.
+    std::size_t slowClass() const { return m_slowClass; }
+
+private:
+    void updateSlowClass();
+
+    std::array<WindowCounts, MovePlan::s_evidenceWindows> m_windows {};
+    /// Sums of the windows before each window of the plan.
+    std::array<WindowCounts, MovePlan::s_windows + 1> m_before {};
+    std::size_t m_slowClass = latencyClasses;
 };
 
 /// What is counted against a version.
@@ -37,11 +50,7 @@
     double rate() const { return calls == 0 ? 0.0 : static_cast<double>(events) / static_cast<double>(calls); }
 };
 
-/// \returns the first latency class that counts as slow, from what the serving version did; the number of classes
-/// where it has too few calls to say.
-std::size_t slowClassOf(const RouteEvidence&);
-
-/// \returns how often the calls were bad. \param slowClass the result of \c slowClassOf
+/// \returns how often the calls were bad. \param slowClass the result of \c RouteEvidence::slowClass
 Frequency frequencyOf(const EvidenceCounts&, Badness, std::size_t slowClass);
 
 }
--- a/packages/moves/src/Comparison.cpp
+++ b/packages/moves/src/Comparison.cpp
@@ -11,6 +11,10 @@
     constexpr std::array<double, 3> failedRatios { 4, 20, 100 };
     constexpr std::array<double, 3> slowRatios { 2, 4, 8 };
 
+    /// Bounds that keep the arithmetic finite; far beyond any threshold.
+    constexpr double mostEvidence = 1e100;
+    constexpr double leastEvidence = 1e-100;
+
     constexpr double leastFailedExcess = 0.01;
     constexpr double leastSlowExcess = 0.1;
     constexpr std::uint64_t leastEvents = 3;
@@ -29,12 +33,6 @@
         return badness == Badness::Failed ? failedRatios : slowRatios;
     }
 
-    double logSum(double a, double b)
-    {
-        const auto larger = std::max(a, b);
-        return larger + std::log1p(std::exp(std::min(a, b) - larger));
-    }
-
     /// Logarithm of the likelihood ratio of one window for one ratio of rates.
     double logLikelihoodRatio(const Frequency& from, const Frequency& to, double ratio)
     {
@@ -54,23 +52,19 @@
 
 double logEvidence(const RouteEvidence& evidence, Badness badness, std::size_t slowClass, std::uint32_t endWindow)
 {
-    const double logWeight = -std::log(static_cast<double>(MovePlan::s_evidenceWindows));
+    constexpr double weight = 1.0 / MovePlan::s_evidenceWindows;
     std::array<double, 3> sums {};
-    sums.fill(-std::numeric_limits<double>::infinity());
-    for (std::uint32_t i = 0; i < 2 * endWindow && i < evidence.windows.size(); ++i) {
-        const auto from = frequencyOf(evidence.windows[i].from, badness, slowClass);
-        const auto to = frequencyOf(evidence.windows[i].to, badness, slowClass);
+    for (std::uint32_t i = 0; i < 2 * endWindow && i < MovePlan::s_evidenceWindows; ++i) {
+        const auto from = frequencyOf(evidence.window(i).from, badness, slowClass);
+        const auto to = frequencyOf(evidence.window(i).to, badness, slowClass);
         const bool isEmpty = from.events + to.events == 0;
         for (std::size_t j = 0; j < sums.size(); ++j) {
-            sums[j] = logSum(logWeight, sums[j]);
+            sums[j] += weight;
             if (!isEmpty)
-                sums[j] += logLikelihoodRatio(from, to, ratiosOf(badness)[j]);
+                sums[j] = std::min(mostEvidence, sums[j] * std::exp(logLikelihoodRatio(from, to, ratiosOf(badness)[j])));
         }
     }
-    auto mixture = sums[0];
-    for (std::size_t j = 1; j < sums.size(); ++j)
-        mixture = logSum(mixture, sums[j]);
-    return mixture - std::log(static_cast<double>(sums.size()));
+    return std::log(std::max(leastEvidence, (sums[0] + sums[1] + sums[2]) / static_cast<double>(sums.size())));
 }
 
 bool isExcessLarge(const RouteEvidence& evidence, Badness badness, std::size_t slowClass, std::uint32_t window)
--- a/packages/moves/src/MoveEngine.cpp
+++ b/packages/moves/src/MoveEngine.cpp
@@ -146,6 +146,7 @@
             continue;
         move->second.judge.add(it);
         move->second.isChanged = true;
+        move->second.isUrgent = move->second.isUrgent || it.counts.failed > 0;
     }
 }
 
@@ -171,10 +172,12 @@
 
 void MoveEngine::tickMove(const MoveId& id, ActiveMove& move, Now now, std::vector<MoveCommand>& commands)
 {
-    if (move.isChanged || now.monotonic - move.assessedAt >= s_assessmentInterval) {
+    const auto interval = move.isChanged ? s_quietInterval : s_assessmentInterval;
+    if (move.isUrgent || move.assessedAt == MonotonicTime::min() || now.monotonic - move.assessedAt >= interval) {
         move.assessment = move.judge.assess(now.wall);
         move.assessedAt = now.monotonic;
         move.isChanged = false;
+        move.isUrgent = false;
     }
     if (move.assessment.badness && !m_book.notice(id))
         takeBack(id, move, commands);
@@ -295,7 +298,7 @@
     }
     for (const auto& [name, evidence] : move.judge.routes()) {
         const auto counts = evidence.sum(0, MovePlan::s_windows);
-        const auto slowClass = slowClassOf(evidence);
+        const auto slowClass = evidence.slowClass();
         it.routes.push_back({ name, figuresOf(counts.from), figuresOf(counts.to), move.judge.standing(evidence, assessment),
             logEvidence(evidence, Badness::Failed, slowClass, MovePlan::s_windows), logEvidence(evidence, Badness::Slow, slowClass, MovePlan::s_windows) });
     }
--- a/packages/moves/src/MoveJudge.cpp
+++ b/packages/moves/src/MoveJudge.cpp
@@ -59,11 +59,9 @@
         return;
     if (m_routes.size() >= s_routesKept && !m_routes.contains(growth.route))
         return;
-    auto& counts = m_routes[growth.route].windows[growth.window];
-    if (growth.version == m_entry.move.to)
-        counts.to += growth.counts;
-    else if (growth.version == m_entry.from)
-        counts.from += growth.counts;
+    const bool isNew = growth.version == m_entry.move.to;
+    if (isNew || growth.version == m_entry.from)
+        m_routes[growth.route].add(growth.window, isNew, growth.counts);
 }
 
 double MoveJudge::threshold() const
@@ -86,7 +84,7 @@
         it.callsNeeded = 0;
         return it;
     }
-    const auto slowClass = slowClassOf(evidence);
+    const auto slowClass = evidence.slowClass();
     for (const auto badness : allBadness) {
         if (isWorse(frequencyOf(stage.from, badness, slowClass), frequencyOf(stage.to, badness, slowClass), badness))
             it.wait = WaitReason::Doubt;
@@ -132,7 +130,7 @@
 {
     const auto limit = threshold();
     for (const auto& [name, evidence] : m_routes) {
-        const auto slowClass = slowClassOf(evidence);
+        const auto slowClass = evidence.slowClass();
         for (const auto badness : allBadness) {
             const auto value = logEvidence(evidence, badness, slowClass, window + 1);
             if (value >= limit && isExcessLarge(evidence, badness, slowClass, window))
@@ -145,7 +143,7 @@
 bool MoveJudge::isCautious(std::uint32_t window) const
 {
     for (const auto& [name, evidence] : m_routes) {
-        const auto slowClass = slowClassOf(evidence);
+        const auto slowClass = evidence.slowClass();
         for (const auto badness : allBadness) {
             if (isSuspect(evidence, badness, slowClass, window))
                 return true;
--- a/packages/moves/src/RouteEvidence.cpp
+++ b/packages/moves/src/RouteEvidence.cpp
@@ -1,5 +1,7 @@
 #include "carobpath/moves/RouteEvidence.h"
 
+#include <algorithm>
+
 namespace carobpath::moves {
 
 namespace {
@@ -18,29 +20,38 @@
 
 }
 
+void RouteEvidence::add(std::uint32_t evidenceWindow, bool isNew, const EvidenceCounts& counts)
+{
+    const auto version = isNew ? &WindowCounts::to : &WindowCounts::from;
+    m_windows.at(evidenceWindow).*version += counts;
+    for (auto i = evidenceWindow / 2 + 1; i < m_before.size(); ++i)
+        m_before[i].*version += counts;
+    if (!isNew)
+        updateSlowClass();
+}
+
 WindowCounts RouteEvidence::sum(std::uint32_t firstWindow, std::uint32_t endWindow) const
 {
-    WindowCounts result;
-    for (auto i = 2 * firstWindow; i < 2 * endWindow && i < windows.size(); ++i) {
-        result.from += windows[i].from;
-        result.to += windows[i].to;
-    }
-    return result;
+    const auto& first = m_before.at(firstWindow);
+    const auto& end = m_before.at(std::min(endWindow, MovePlan::s_windows));
+    return { end.from.since(first.from), end.to.since(first.to) };
 }
 
-std::size_t slowClassOf(const RouteEvidence& evidence)
+void RouteEvidence::updateSlowClass()
 {
-    const auto counts = evidence.sum(0, MovePlan::s_windows).from;
+    const auto& counts = m_before.back().from;
     const auto calls = timedCalls(counts);
+    m_slowClass = latencyClasses;
     if (calls < leastCallsForSlowClass)
-        return latencyClasses;
+        return;
     std::uint64_t slower = calls;
     for (std::size_t i = 0; i < latencyClasses; ++i) {
-        if (static_cast<double>(slower) <= slowTail * static_cast<double>(calls))
-            return i;
+        if (static_cast<double>(slower) <= slowTail * static_cast<double>(calls)) {
+            m_slowClass = i;
+            return;
+        }
         slower -= counts.latency[i];
     }
-    return latencyClasses;
 }
 
 Frequency frequencyOf(const EvidenceCounts& counts, Badness badness, std::size_t slowClass)
