Talk to the platform's log over HTTP

A kept connection is probed before its use, so that one the log closed costs no lost answer.

The fake server of the tests runs on the test's own io_context; each answer of the log, good or bad, is a row of a table.

--- /dev/null
+++ b/packages/publication/src/internal/EndpointPool.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "internal/HttpExchange.h"
+
+#include <deque>
+#include <memory>
+#include <vector>
+
+namespace carobpath::publication::Detail {
+
+/// The endpoints of one service and the connections that are kept open to them.
+class EndpointPool : public std::enable_shared_from_this<EndpointPool> {
+public:
+    EndpointPool(boost::asio::any_io_executor executor, std::vector<Endpoint> endpoints, std::size_t idleConnections)
+        : m_executor(std::move(executor))
+        , m_endpoints(std::move(endpoints))
+        , m_idleBound(idleConnections)
+    {
+    }
+
+    std::size_t size() const { return m_endpoints.size(); }
+
+    /// Index of the endpoint that answered last.
+    std::size_t preferred() const { return m_preferred; }
+
+    /// Makes one exchange with an endpoint.
+    void send(std::size_t endpoint, HttpRequest, HttpHandler);
+
+    /// Cancels every exchange; their handlers are not called.
+    void close();
+
+private:
+    struct IdleConnection {
+        std::size_t endpoint = 0;
+        StreamPointer stream;
+    };
+
+    void sendOnNew(std::size_t endpoint, HttpRequest, HttpHandler);
+    void onResult(std::size_t endpoint, HttpResult, const HttpHandler&);
+    StreamPointer takeIdle(std::size_t endpoint);
+    std::shared_ptr<HttpExchange> makeExchange(std::size_t endpoint, HttpRequest, HttpHandler);
+
+    boost::asio::any_io_executor m_executor;
+    std::vector<Endpoint> m_endpoints;
+    std::size_t m_idleBound;
+    std::size_t m_preferred = 0;
+    std::deque<IdleConnection> m_idle;
+    std::vector<std::weak_ptr<HttpExchange>> m_running;
+    bool m_isClosed = false;
+};
+
+}
--- /dev/null
+++ b/packages/publication/src/internal/HttpExchange.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "carobpath/foundation/Endpoint.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace carobpath::publication::Detail {
+
+using StreamPointer = std::unique_ptr<boost::beast::tcp_stream>;
+
+/// A request, and the limits of its exchange.
+struct HttpRequest {
+    boost::beast::http::verb method = boost::beast::http::verb::get;
+    std::string target;
+    std::string body;
+    std::chrono::milliseconds connectTimeout {};
+    std::chrono::milliseconds answerTimeout {};
+    std::size_t answerBytes = 0;
+};
+
+struct HttpAnswer {
+    unsigned status = 0;
+    std::string body;
+    /// The connection, where it may carry another exchange.
+    StreamPointer reusable;
+};
+
+enum class HttpFailure : std::uint8_t {
+    /// No byte of the request left this process.
+    NotSent,
+    /// The connection ended before a whole answer.
+    NoAnswer,
+    TimedOut,
+    AnswerTooLarge,
+};
+
+using HttpResult = std::variant<HttpAnswer, HttpFailure>;
+using HttpHandler = std::function<void(HttpResult)>;
+
+/// One request and its answer on one connection. Keeps itself alive until its handler has run.
+class HttpExchange : public std::enable_shared_from_this<HttpExchange> {
+public:
+    HttpExchange(const boost::asio::any_io_executor&, Endpoint, HttpRequest, HttpHandler);
+
+    /// Connects and sends the request.
+    void start();
+    /// Sends the request over a connection that was kept open.
+    void startOn(StreamPointer);
+    /// Ends the exchange without a call of its handler.
+    void cancel();
+
+private:
+    void send();
+    void receive();
+    void onAnswer();
+    void finish(HttpResult);
+
+    StreamPointer m_stream;
+    Endpoint m_endpoint;
+    HttpRequest m_plan;
+    HttpHandler m_handler;
+    boost::beast::http::request<boost::beast::http::string_body> m_request;
+    boost::beast::flat_buffer m_buffer;
+    boost::beast::http::response_parser<boost::beast::http::string_body> m_parser;
+};
+
+}
--- /dev/null
+++ b/packages/publication/tests/FakeLogServer.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "carobpath/foundation/Endpoint.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace carobpath::publication {
+
+/// What the fake does with one request.
+struct FakeAnswer {
+    enum class Kind : std::uint8_t {
+        Send,
+        /// Takes the request and closes the connection.
+        CloseWithoutAnswer,
+        /// Takes the request and never answers.
+        Hang,
+        /// Answers and then closes the connection, though it did not announce it.
+        SendThenClose,
+    };
+    Kind kind = Kind::Send;
+    unsigned status = 200;
+    std::string body;
+};
+
+/// An HTTP server whose answers the test decides, on the test's own io_context.
+class FakeLogServer {
+public:
+    using Request = boost::beast::http::request<boost::beast::http::string_body>;
+    using Script = std::function<FakeAnswer(const Request&)>;
+
+    FakeLogServer(boost::asio::io_context& io, Script script)
+        : m_acceptor(io, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+        , m_script(std::move(script))
+    {
+        accept();
+    }
+
+    Endpoint endpoint() const { return { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
+    int connections() const { return m_connections; }
+    void stop()
+    {
+        m_acceptor.close();
+        m_sessions.clear();
+    }
+
+private:
+    struct Session {
+        explicit Session(boost::asio::ip::tcp::socket socket)
+            : stream(std::move(socket))
+        {
+        }
+        boost::beast::tcp_stream stream;
+        boost::beast::flat_buffer buffer;
+        Request request;
+        boost::beast::http::response<boost::beast::http::string_body> response;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](boost::system::error_code ec, boost::asio::ip::tcp::socket socket) {
+            if (ec)
+                return;
+            ++m_connections;
+            m_sessions.push_back(std::make_shared<Session>(std::move(socket)));
+            receive(m_sessions.back());
+            accept();
+        });
+    }
+
+    void receive(const std::shared_ptr<Session>& session)
+    {
+        session->request = {};
+        boost::beast::http::async_read(session->stream, session->buffer, session->request, [this, session](auto ec, std::size_t) {
+            if (!ec)
+                answer(session, m_script(session->request));
+        });
+    }
+
+    void answer(const std::shared_ptr<Session>& session, const FakeAnswer& it)
+    {
+        if (it.kind == FakeAnswer::Kind::Hang)
+            return;
+        if (it.kind == FakeAnswer::Kind::CloseWithoutAnswer)
+            return session->stream.close();
+        session->response = {};
+        session->response.result(it.status);
+        session->response.body() = it.body;
+        session->response.prepare_payload();
+        boost::beast::http::async_write(session->stream, session->response, [this, session, kind = it.kind](auto ec, std::size_t) {
+            if (ec || kind == FakeAnswer::Kind::SendThenClose)
+                return session->stream.close();
+            receive(session);
+        });
+    }
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    Script m_script;
+    std::vector<std::shared_ptr<Session>> m_sessions;
+    int m_connections = 0;
+};
+
+}
--- /dev/null
+++ b/packages/publication/tests/HttpLogClientTests.cpp
@@ -0,0 +1,207 @@
+#include "FakeLogServer.h"
+#include "carobpath/publication/Backoff.h"
+#include "carobpath/publication/HttpLogClient.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace carobpath::publication {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    using Kind = FakeAnswer::Kind;
+
+    /// One server that answers as told, and a client of it.
+    struct Fixture {
+        boost::asio::io_context io;
+        std::vector<FakeAnswer> answers;
+        std::vector<std::string> targets;
+        FakeLogServer server { io, [this](const auto& request) {
+                                  targets.emplace_back(request.target());
+                                  const auto index = std::min(targets.size(), answers.size()) - 1;
+                                  return answers.at(index);
+                              } };
+        FakeLogServer good { io, [](const auto&) { return FakeAnswer { Kind::Send, 200, R"({"offset":7})" }; } };
+
+        HttpLogClientOptions options(std::vector<Endpoint> endpoints) const
+        {
+            HttpLogClientOptions it;
+            it.endpoints = std::move(endpoints);
+            it.answerTimeout = 100ms;
+            return it;
+        }
+
+        AppendResult append(HttpLogClient& client)
+        {
+            std::optional<AppendResult> result;
+            client.append("configuration", "record", [&](const AppendResult& it) { result = it; });
+            run([&] { return result.has_value(); });
+            return result.value();
+        }
+
+        ReadResult read(HttpLogClient& client, Offset from = 3)
+        {
+            std::optional<ReadResult> result;
+            client.read("configuration", from, 20ms, 256, [&](ReadResult it) { result = std::move(it); });
+            run([&] { return result.has_value(); });
+            return result.value();
+        }
+
+        template <typename Condition>
+        void run(Condition condition)
+        {
+            const auto hangBound = std::chrono::steady_clock::now() + 30s;
+            while (!condition() && std::chrono::steady_clock::now() < hangBound)
+                io.run_one_for(1s);
+        }
+    };
+
+    const std::string batchBody = R"({"first":0,"next":5,"records":[{"offset":3,"body":"a"},{"offset":4,"body":"b"}]})";
+
+}
+
+BOOST_AUTO_TEST_SUITE(HttpLog)
+
+BOOST_AUTO_TEST_CASE(Each_answer_to_an_append_has_its_typed_result)
+{
+    struct Row {
+        const char* name;
+        FakeAnswer answer;
+        AppendResult expected;
+    };
+    const std::vector<Row> rows {
+        { "taken", { Kind::Send, 200, R"({"offset":17})" }, Appended { 17 } },
+        { "down", { Kind::Send, 503, "" }, LogFailure { LogError::Unavailable, 503 } },
+        { "answer lost", { Kind::CloseWithoutAnswer, 0, "" }, LogFailure { LogError::AnswerLost, 0 } },
+        { "no answer in time", { Kind::Hang, 0, "" }, LogFailure { LogError::AnswerLost, 0 } },
+        { "too large", { Kind::Send, 413, "" }, LogFailure { LogError::Refused, 413 } },
+        { "server error", { Kind::Send, 500, "" }, LogFailure { LogError::AnswerLost, 500 } },
+        { "no JSON", { Kind::Send, 200, "taken" }, LogFailure { LogError::AnswerLost, 200 } },
+        { "negative offset", { Kind::Send, 200, R"({"offset":-1})" }, LogFailure { LogError::AnswerLost, 200 } },
+    };
+    for (const auto& row : rows) {
+        Fixture it;
+        it.answers = { row.answer };
+        HttpLogClient client { it.io.get_executor(), it.options({ it.server.endpoint() }) };
+        BOOST_TEST((it.append(client) == row.expected), row.name);
+        BOOST_TEST(it.targets.size() == 1U, row.name);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(Each_answer_to_a_read_has_its_typed_result)
+{
+    struct Row {
+        const char* name;
+        FakeAnswer answer;
+        ReadResult expected;
+    };
+    const std::vector<Row> rows {
+        { "records", { Kind::Send, 200, batchBody }, LogBatch { 0, 5, { { 3, "a" }, { 4, "b" } } } },
+        { "none", { Kind::Send, 200, R"({"first":0,"next":3,"records":[]})" }, LogBatch { 0, 3, {} } },
+        { "trimmed", { Kind::Send, 410, R"({"first":9})" }, Trimmed { 9 } },
+        { "down", { Kind::Send, 503, "" }, LogFailure { LogError::Unavailable, 503 } },
+        { "closed", { Kind::CloseWithoutAnswer, 0, "" }, LogFailure { LogError::Unavailable, 0 } },
+        { "slow", { Kind::Hang, 0, "" }, LogFailure { LogError::TimedOut, 0 } },
+        { "no JSON", { Kind::Send, 200, "{" }, LogFailure { LogError::Malformed, 200 } },
+        { "crossed", { Kind::Send, 200, R"({"first":0,"next":5,"records":[{"offset":4,"body":""},{"offset":3,"body":""}]})" }, LogFailure { LogError::Malformed, 200 } },
+        { "of another offset", { Kind::Send, 200, R"({"first":0,"next":5,"records":[{"offset":2,"body":""}]})" }, LogFailure { LogError::Malformed, 200 } },
+        { "refused", { Kind::Send, 404, "" }, LogFailure { LogError::Refused, 404 } },
+    };
+    for (const auto& row : rows) {
+        Fixture it;
+        it.answers = { row.answer };
+        HttpLogClient client { it.io.get_executor(), it.options({ it.server.endpoint() }) };
+        BOOST_TEST((it.read(client) == row.expected), row.name);
+        BOOST_TEST(it.targets.front() == "/streams/configuration/records?from=3&wait_ms=20&limit=256");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(A_log_that_is_not_there_is_unavailable)
+{
+    Fixture it;
+    const auto gone = it.server.endpoint();
+    it.server.stop();
+    HttpLogClient client { it.io.get_executor(), it.options({ gone }) };
+    BOOST_TEST((it.append(client) == AppendResult { LogFailure { LogError::Unavailable, 0 } }));
+    BOOST_TEST((it.read(client) == ReadResult { LogFailure { LogError::Unavailable, 0 } }));
+
+    HttpLogClient nowhere { it.io.get_executor(), it.options({}) };
+    BOOST_TEST((it.append(nowhere) == AppendResult { LogFailure { LogError::Unavailable, 0 } }));
+    HttpLogClient badAddress { it.io.get_executor(), it.options({ { "not-a-number", 1 } }) };
+    BOOST_TEST((it.append(badAddress) == AppendResult { LogFailure { LogError::Unavailable, 0 } }));
+}
+
+BOOST_AUTO_TEST_CASE(An_append_goes_to_the_next_endpoint_only_where_the_first_surely_did_not_take_it)
+{
+    Fixture down;
+    down.answers = { { Kind::Send, 503, "" } };
+    HttpLogClient client { down.io.get_executor(), down.options({ down.server.endpoint(), down.good.endpoint() }) };
+    BOOST_TEST((down.append(client) == AppendResult { Appended { 7 } }));
+    BOOST_TEST((down.append(client) == AppendResult { Appended { 7 } }));
+    BOOST_TEST(down.targets.size() == 1U);
+
+    Fixture lost;
+    lost.answers = { { Kind::CloseWithoutAnswer, 0, "" } };
+    HttpLogClient other { lost.io.get_executor(), lost.options({ lost.server.endpoint(), lost.good.endpoint() }) };
+    BOOST_TEST((lost.append(other) == AppendResult { LogFailure { LogError::AnswerLost, 0 } }));
+    BOOST_TEST(lost.good.connections() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(A_connection_is_used_again_until_the_log_closes_it)
+{
+    Fixture it;
+    it.answers = { { Kind::Send, 200, R"({"offset":1})" }, { Kind::Send, 200, R"({"offset":2})" }, { Kind::SendThenClose, 200, R"({"offset":3})" },
+        { Kind::Send, 200, R"({"offset":4})" } };
+    HttpLogClient client { it.io.get_executor(), it.options({ it.server.endpoint() }) };
+    for (const Offset expected : { 1, 2, 3 })
+        BOOST_TEST((it.append(client) == AppendResult { Appended { expected } }));
+    BOOST_TEST(it.server.connections() == 1);
+    it.io.poll();
+    BOOST_TEST((it.append(client) == AppendResult { Appended { 4 } }));
+    BOOST_TEST(it.server.connections() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(A_batch_past_the_bound_of_an_answer_is_read_again_with_fewer_records)
+{
+    Fixture it;
+    it.answers = { { Kind::Send, 200, std::string(2000, ' ') + batchBody }, { Kind::Send, 200, batchBody } };
+    auto options = it.options({ it.server.endpoint() });
+    options.answerBytes = 1000;
+    HttpLogClient client { it.io.get_executor(), options };
+    BOOST_TEST((it.read(client) == ReadResult { LogBatch { 0, 5, { { 3, "a" }, { 4, "b" } } } }));
+    BOOST_TEST(it.targets.back() == "/streams/configuration/records?from=3&wait_ms=20&limit=128");
+}
+
+BOOST_AUTO_TEST_CASE(Handlers_of_a_destroyed_client_are_not_called)
+{
+    Fixture it;
+    it.answers = { { Kind::Hang, 0, "" } };
+    int called = 0;
+    {
+        HttpLogClient client { it.io.get_executor(), it.options({ it.server.endpoint() }) };
+        client.append("configuration", "record", [&](const AppendResult&) { ++called; });
+        it.run([&] { return !it.targets.empty(); });
+    }
+    it.server.stop();
+    it.good.stop();
+    it.io.run_for(30s);
+    BOOST_TEST(it.io.stopped());
+    BOOST_TEST(called == 0);
+}
+
+BOOST_AUTO_TEST_CASE(Backoff_delays_stay_under_a_ceiling_that_doubles_and_is_reset)
+{
+    Backoff backoff { 100ms, 1s, std::mt19937_64 { 5 } };
+    auto ceiling = 100ms;
+    for (int i = 0; i < 20; ++i) {
+        BOOST_TEST((backoff.next() <= ceiling));
+        ceiling = std::min<std::chrono::milliseconds>(1s, ceiling * 2);
+    }
+    backoff.reset();
+    BOOST_TEST((backoff.next() <= 100ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
