--- /dev/null
+++ b/packages/gateway/src/Gateway.cpp
@@ -0,0 +1,141 @@
+#include "carobpath/gateway/Gateway.h"
+
+#include "carobpath/routing/AdmissionController.h"
+#include "carobpath/routing/EntryRouter.h"
+#include "internal/AdmissionHandler.h"
+#include "internal/ConnectionPool.h"
+#include "internal/EntryHandler.h"
+#include "internal/Listener.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <utility>
+
+namespace carobpath::gateway {
+
+namespace {
+
+    constexpr std::chrono::seconds poolSweep { 1 };
+
+}
+
+class Gateway::Implementation {
+public:
+    Implementation(boost::asio::io_context& context, routing::EntryRouter& router, routing::AdmissionController& controller,
+        NodeName node, Incarnation incarnation, const GatewayLimits& chosenLimits, GatewayHooks chosenHooks)
+        : limits(chosenLimits)
+        , hooks(std::move(chosenHooks))
+        , pool(context, limits)
+        , entry(context, router, pool, limits, hooks, std::move(node), incarnation)
+        , admission(context, controller, pool, limits, hooks)
+        , callers(std::make_shared<Detail::Listener>(context, limits, [this](const auto& session) { entry.handle(session); }))
+        , calls(std::make_shared<Detail::Listener>(context, limits, [this](const auto& session) { admission.handle(session); }))
+        , sweep(context)
+    {
+    }
+
+    Result<void> listen(const Endpoint& callersAt, const Endpoint& callsAt)
+    {
+        if (const auto ec = callers->listen(callersAt))
+            return boost::leaf::new_error(ListenFailure { callersAt, ec.value() });
+        if (const auto ec = calls->listen(callsAt))
+            return boost::leaf::new_error(ListenFailure { callsAt, ec.value() });
+        admission.start();
+        scheduleSweep();
+        return {};
+    }
+
+    void scheduleSweep()
+    {
+        sweep.expires_after(poolSweep);
+        sweep.async_wait([this](boost::system::error_code ec) {
+            if (ec)
+                return;
+            pool.expire(MonotonicClock::now());
+            scheduleSweep();
+        });
+    }
+
+    GatewayLimits limits;
+    GatewayHooks hooks;
+    Detail::ConnectionPool pool;
+    Detail::EntryHandler entry;
+    Detail::AdmissionHandler admission;
+    std::shared_ptr<Detail::Listener> callers;
+    std::shared_ptr<Detail::Listener> calls;
+    boost::asio::steady_timer sweep;
+};
+
+Gateway::Gateway(std::unique_ptr<Implementation> implementation)
+    : m_implementation(std::move(implementation))
+{
+}
+
+Gateway::~Gateway() = default;
+Gateway::Gateway(Gateway&&) noexcept = default;
+
+Endpoint Gateway::callersEndpoint() const { return m_implementation->callers->endpoint(); }
+
+Endpoint Gateway::callsEndpoint() const { return m_implementation->calls->endpoint(); }
+
+void Gateway::setBackend(std::optional<Endpoint> endpoint) { m_implementation->admission.setBackend(std::move(endpoint)); }
+
+void Gateway::perform(const routing::AdmissionCommands& commands) { m_implementation->admission.perform(commands); }
+
+void Gateway::stopAccepting()
+{
+    m_implementation->callers->stop();
+    m_implementation->calls->stop();
+}
+
+std::size_t Gateway::inFlight() const
+{
+    return m_implementation->entry.inFlight() + m_implementation->admission.inFlight();
+}
+
+Gateway::Builder::Builder(boost::asio::io_context& context, routing::EntryRouter& router, routing::AdmissionController& controller)
+    : m_context(context)
+    , m_router(router)
+    , m_controller(controller)
+{
+}
+
+Gateway::Builder& Gateway::Builder::node(NodeName name, Incarnation incarnation)
+{
+    m_node = std::move(name);
+    m_incarnation = incarnation;
+    return *this;
+}
+
+Gateway::Builder& Gateway::Builder::callers(Endpoint endpoint)
+{
+    m_callers = std::move(endpoint);
+    return *this;
+}
+
+Gateway::Builder& Gateway::Builder::calls(Endpoint endpoint)
+{
+    m_calls = std::move(endpoint);
+    return *this;
+}
+
+Gateway::Builder& Gateway::Builder::limits(const GatewayLimits& limits)
+{
+    m_limits = limits;
+    return *this;
+}
+
+Gateway::Builder& Gateway::Builder::hooks(GatewayHooks hooks)
+{
+    m_hooks = std::move(hooks);
+    return *this;
+}
+
+Result<Gateway> Gateway::Builder::build()
+{
+    auto implementation = std::make_unique<Implementation>(m_context, m_router, m_controller, m_node, m_incarnation, m_limits, m_hooks);
+    BOOST_LEAF_CHECK(implementation->listen(m_callers, m_calls));
+    return Gateway { std::move(implementation) };
+}
+
+}
