--- /dev/null
+++ b/packages/distribution/include/carobpath/distribution/EvidenceNews.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "carobpath/distribution/EvidencePort.h"
+#include "carobpath/foundation/Time.h"
+#include "carobpath/membership/RumorQueue.h"
+
+#include <set>
+
+namespace carobpath::distribution {
+
+/// Spreads the evidence of active moves and the notices of moves that are to be taken back.
+class EvidenceNews {
+public:
+    /// Entries waiting to be spread.
+    static constexpr std::size_t s_maxEntries = 4096;
+    /// Notices remembered, so that each is pushed once.
+    static constexpr std::size_t s_maxNotices = 1024;
+    /// Shortest time between two collections, and so between two spread revisions of an entry.
+    static constexpr std::chrono::milliseconds s_collectInterval { 1000 };
+
+    explicit EvidenceNews(EvidencePort);
+
+    bool collectionDue(MonotonicTime now) const;
+    /// Takes what changed in the store. \returns notices that are news.
+    std::vector<moves::TakeBackNotice> collect(MonotonicTime now);
+    /// Gives a peer's update to the store. \returns notices that are news.
+    std::vector<moves::TakeBackNotice> merge(const moves::EvidenceUpdate&);
+    /// \returns entries for one message, bounded by bytes, and the latest notices.
+    moves::EvidenceUpdate take(std::size_t budget, std::uint32_t transmissions);
+    /// \returns all that the store holds.
+    moves::EvidenceUpdate everything() const;
+
+private:
+    struct EntryKey {
+        NodeName observer;
+        MoveName move;
+        publication::Offset movePublishedAt;
+        RouteName route;
+        VersionName version;
+        friend auto operator<=>(const EntryKey&, const EntryKey&) = default;
+    };
+    struct NoticeKey {
+        MoveName move;
+        publication::Offset movePublishedAt;
+        friend auto operator<=>(const NoticeKey&, const NoticeKey&) = default;
+    };
+
+    std::vector<moves::TakeBackNotice> remember(const std::vector<moves::TakeBackNotice>&);
+
+    EvidencePort m_port;
+    std::uint64_t m_cursor = 0;
+    MonotonicTime m_collectedAt;
+    membership::RumorQueue<EntryKey, moves::EvidenceEntry> m_entries { s_maxEntries };
+    membership::RumorQueue<NoticeKey, moves::TakeBackNotice> m_notices { s_maxNotices };
+    std::set<NoticeKey> m_known;
+};
+
+}
--- /dev/null
+++ b/packages/distribution/include/carobpath/distribution/Exchange.h
@@ -0,0 +1,218 @@
+#pragma once
+
+#include "carobpath/distribution/ConfigurationKeeper.h"
+#include "carobpath/distribution/EvidenceNews.h"
+#include "carobpath/distribution/FloorGate.h"
+#include "carobpath/distribution/FloorMemory.h"
+#include "carobpath/distribution/PeerMessage.h"
+#include "carobpath/distribution/RelayTree.h"
+#include "carobpath/distribution/TransferSlots.h"
+#include "carobpath/distribution/WholeFetch.h"
+#include "carobpath/membership/MembershipTable.h"
+
+#include <map>
+#include <random>
+#include <variant>
+
+namespace carobpath::distribution {
+
+/// Names one request of the exchange until its end.
+using ExchangeId = std::uint64_t;
+
+/// Send a request; its end is reported by \c onReply or \c onFailed.
+struct SendExchange {
+    ExchangeId id = 0;
+    Endpoint to;
+    PeerMessage message;
+};
+
+/// Send a message that needs no answer; a loss is made good by the exchange.
+struct SendPush {
+    Endpoint to;
+    PeerMessage message;
+};
+
+/// Fetch the whole state; its end is reported by \c onWhole, \c onBusy or \c onFailed.
+struct FetchWhole {
+    ExchangeId id = 0;
+    Endpoint from;
+};
+
+/// Start or stop reading the log.
+struct ReadLog {
+    bool enabled = false;
+};
+
+/// This version is in force from now on: the node has reached its floor.
+struct PutInForce {
+    publication::ConfigurationPointer configuration;
+};
+
+struct PublishView {
+    std::shared_ptr<const membership::MembershipView> view;
+};
+
+/// Whether this node may serve callers.
+struct SetReady {
+    bool ready = false;
+};
+
+using Command = std::variant<SendExchange, SendPush, FetchWhole, ReadLog, PutInForce, PublishView, SetReady>;
+using Commands = std::vector<Command>;
+
+/// What an exchange did since its start, for metrics.
+struct ExchangeCounters {
+    std::uint64_t exchanges = 0;
+    std::uint64_t exchangesFailed = 0;
+    std::uint64_t wholeFetched = 0;
+    std::uint64_t wholeServed = 0;
+    std::uint64_t wholeRefused = 0;
+    std::uint64_t deltasApplied = 0;
+    std::uint64_t digestMismatches = 0;
+    std::uint64_t conflicts = 0;
+    std::uint64_t pauses = 0;
+};
+
+/// Ties what a node does with its peers: spreads the configuration, the membership and the evidence, elects the
+/// readers of the log, and says what is in force. Holds no socket and reads no clock: events go in with the time,
+/// commands come out.
+class Exchange {
+public:
+    static constexpr std::chrono::milliseconds s_tickInterval { 100 };
+    /// Time between two comparisons with a random peer; drawn within a fifth around it.
+    static constexpr std::chrono::milliseconds s_exchangeInterval { 1000 };
+    static constexpr std::chrono::milliseconds s_membershipInterval { 500 };
+    /// Shortest time between two views.
+    static constexpr std::chrono::milliseconds s_viewInterval { 50 };
+    /// Time that a starting node looks for peers before it reads the log.
+    static constexpr std::chrono::milliseconds s_loneStart { 3000 };
+    /// A longer time between two ticks means that the process was paused.
+    static constexpr std::chrono::milliseconds s_pauseGap { 2500 };
+    static constexpr std::chrono::milliseconds s_gateInterval { 300 };
+    /// Shortest time between two comparisons of buckets, with and without news under way.
+    static constexpr std::chrono::milliseconds s_compareInterval { 2000 };
+    static constexpr std::chrono::milliseconds s_compareIntervalBusy { 10000 };
+    /// Every so many exchanges, a seed or a dead peer is tried, so that two halves of the fleet find each other.
+    static constexpr std::uint32_t s_healEvery = 8;
+    /// Random peers that a notice is pushed to besides the neighbours.
+    static constexpr std::size_t s_noticeFanOut = 2;
+    static constexpr std::size_t s_membershipBudget = 4096;
+    static constexpr std::size_t s_evidenceBudget = 2048;
+    static constexpr std::size_t s_compareBudget = 16384;
+    /// Largest delta that is sent unasked.
+    static constexpr std::size_t s_deltaBudget = 262144;
+    static constexpr std::size_t s_maxOutstanding = 256;
+
+    /// \param self the entry of this node; its revision names this life of the process.
+    Exchange(membership::NodeEntry self, std::vector<Endpoint> seeds, SetDigest, EvidencePort, std::mt19937_64, MonotonicTime now);
+
+    /// Called every \c s_tickInterval.
+    Commands tick(MonotonicTime now);
+
+    /// A peer's request. \returns the reply to send.
+    PeerMessage onExchange(const PeerMessage& request, MonotonicTime now, Commands&);
+    Commands onReply(ExchangeId, const PeerMessage& reply, MonotonicTime now);
+    Commands onPush(const PeerMessage&, MonotonicTime now);
+    /// A request or a fetch that got no answer in time, or a broken one.
+    Commands onFailed(ExchangeId, MonotonicTime now);
+    /// A peer wants the whole state. \returns nothing where this node serves too many already.
+    std::optional<WholeState> onFetch(MonotonicTime now);
+    Commands onWhole(ExchangeId, const WholeState&, MonotonicTime now);
+    /// The peer serves too many others.
+    Commands onBusy(ExchangeId, MonotonicTime now);
+
+    /// This node folded a version from the log.
+    Commands onLogAdvanced(publication::ConfigurationPointer, MonotonicTime now);
+    /// This node has read the log to its end.
+    Commands onLogEnd(MonotonicTime now);
+
+    /// The backend server beside this node announced itself, or is gone.
+    Commands setUpstream(std::optional<membership::Upstream>, MonotonicTime now);
+    /// This node is stopping.
+    Commands leave(MonotonicTime now);
+    /// A call to another node ended.
+    Commands onCall(const NodeName&, bool succeeded, MonotonicTime now);
+    /// The store of evidence has a notice that must not wait for the next tick.
+    Commands onEvidenceChanged(MonotonicTime now);
+
+    bool ready() const { return m_ready; }
+    const ConfigurationKeeper& keeper() const { return m_keeper; }
+    const FloorGate& gate() const { return m_gate; }
+    const membership::MembershipTable& members() const { return m_members; }
+    const ExchangeCounters& counters() const { return m_counters; }
+
+private:
+    struct Outstanding {
+        /// Empty where only the address is known.
+        NodeName peer;
+        bool whole = false;
+    };
+    struct PushNews {
+        std::vector<membership::NodeRecord> records;
+        std::vector<moves::TakeBackNotice> notices;
+        std::shared_ptr<const Delta> delta;
+        bool empty() const { return records.empty() && notices.empty() && !delta; }
+    };
+
+    void noticePause(MonotonicTime now);
+    void tickMembership(MonotonicTime now, Commands&);
+    void tickExchange(MonotonicTime now, Commands&);
+    void tickGate(MonotonicTime now, Commands&);
+    void tickFetch(MonotonicTime now, Commands&);
+    void tickRole(MonotonicTime now, Commands&);
+
+    void sendExchange(const Endpoint&, const NodeName&, Commands&);
+    void sendExchangeToSeed(Commands&);
+    void pushSelf(Commands&);
+    void pushTo(const Endpoint&, const PushNews&, Commands&);
+    /// Sends to all neighbours in the tree but one.
+    void push(const PushNews&, const Endpoint& except, Commands&);
+    void tellWitnesses(const Endpoint& except, Commands&);
+    void pushNotices(std::vector<moves::TakeBackNotice>, const Endpoint& except, Commands&);
+
+    PeerMessage header() const;
+    PeerMessage withNews(const Endpoint& receiver);
+    void take(const PeerMessage&, MonotonicTime now, Commands&);
+    void hearFloor(const PeerMessage&);
+    void takeDelta(const PeerMessage&, MonotonicTime now, Commands&);
+    void compareStamps(const PeerMessage&, bool deltaExpected, MonotonicTime now);
+    void answerBuckets(const PeerMessage&, bool askBack, Commands&);
+    void adopted(Adoption, const publication::ConfigurationPointer& before, const Endpoint& source, MonotonicTime now, Commands&);
+    bool comparisonDue(const PeerMessage& request, MonotonicTime now);
+    bool holdsNewerThan(const std::optional<publication::ConfigurationStamp>&) const;
+    void settle(MonotonicTime now, Commands&);
+
+    std::vector<Endpoint> m_seeds;
+    std::mt19937_64 m_random;
+    membership::MembershipTable m_members;
+    ConfigurationKeeper m_keeper;
+    FloorMemory m_floors;
+    FloorGate m_gate;
+    RelayTree m_tree;
+    TransferSlots m_slots;
+    WholeFetch m_fetch;
+    EvidenceNews m_evidence;
+    ExchangeCounters m_counters;
+
+    MonotonicTime m_startedAt;
+    MonotonicTime m_lastTick;
+    MonotonicTime m_membershipAt;
+    MonotonicTime m_exchangeAt;
+    MonotonicTime m_gateAt;
+    MonotonicTime m_comparedAt;
+    MonotonicTime m_viewAt;
+    std::chrono::milliseconds m_loneStart;
+    std::uint32_t m_exchangeRound = 0;
+    ExchangeId m_lastId = 0;
+    std::map<ExchangeId, Outstanding> m_outstanding;
+    bool m_joining = true;
+    bool m_heardPeer = false;
+    /// A peer was heard that has joined itself, so the log need not be read to start.
+    bool m_heardSettled = false;
+    bool m_reading = false;
+    bool m_ready = false;
+    std::shared_ptr<const membership::MembershipView> m_view;
+    publication::ConfigurationPointer m_inForce;
+};
+
+}
--- /dev/null
+++ b/packages/distribution/src/ConfigurationKeeper.cpp
@@ -0,0 +1,81 @@
+#include "carobpath/distribution/ConfigurationKeeper.h"
+
+#include <algorithm>
+
+namespace carobpath::distribution {
+
+ConfigurationKeeper::ConfigurationKeeper(SetDigest digest)
+    : m_digest(std::move(digest))
+{
+}
+
+std::optional<publication::ConfigurationStamp> ConfigurationKeeper::stamp() const
+{
+    if (!m_held)
+        return std::nullopt;
+    return m_held->stamp;
+}
+
+std::optional<Adoption> ConfigurationKeeper::refusal(const publication::ConfigurationStamp& offered) const
+{
+    if (!m_held || m_held->stamp.offset < offered.offset)
+        return std::nullopt;
+    if (offered.offset < m_held->stamp.offset)
+        return Adoption::Older;
+    return offered == m_held->stamp ? Adoption::AlreadyHeld : Adoption::Conflict;
+}
+
+Adoption ConfigurationKeeper::adoptFolded(publication::ConfigurationPointer offered)
+{
+    if (const auto reason = refusal(offered->stamp))
+        return *reason;
+    return swapIn(std::move(offered));
+}
+
+Adoption ConfigurationKeeper::adoptWhole(publication::ConfigurationPointer offered)
+{
+    if (const auto reason = refusal(offered->stamp))
+        return *reason;
+    if (m_digest(offered->set) != offered->stamp.digest)
+        return Adoption::DigestMismatch;
+    return swapIn(std::move(offered));
+}
+
+Adoption ConfigurationKeeper::applyDelta(const Delta& delta)
+{
+    if (const auto reason = refusal(delta.result))
+        return *reason;
+    if (!m_held || m_held->stamp != delta.base)
+        return Adoption::BaseMismatch;
+    auto result = std::make_shared<publication::ConfigurationVersion>();
+    result->stamp = delta.result;
+    result->set = distribution::applyDelta(m_held->set, delta);
+    if (m_digest(result->set) != delta.result.digest)
+        return Adoption::DigestMismatch;
+    return swapIn(std::move(result));
+}
+
+Adoption ConfigurationKeeper::swapIn(publication::ConfigurationPointer version)
+{
+    if (m_held)
+        m_earlier.push_back(std::move(m_held));
+    if (m_earlier.size() > s_history)
+        m_earlier.pop_front();
+    m_held = std::move(version);
+    m_deltas.clear();
+    return Adoption::Adopted;
+}
+
+std::shared_ptr<const Delta> ConfigurationKeeper::deltaFrom(const publication::ConfigurationStamp& base) const
+{
+    const auto made = std::find_if(m_deltas.begin(), m_deltas.end(), [&](const auto& it) { return it->base == base; });
+    if (made != m_deltas.end())
+        return *made;
+    const auto from = std::find_if(m_earlier.begin(), m_earlier.end(), [&](const auto& it) { return it->stamp == base; });
+    if (from == m_earlier.end())
+        return nullptr;
+    m_deltas.push_back(std::make_shared<const Delta>(deltaBetween(**from, *m_held)));
+    return m_deltas.back();
+}
+
+}
--- /dev/null
+++ b/packages/distribution/src/EvidenceNews.cpp
@@ -0,0 +1,76 @@
+#include "carobpath/distribution/EvidenceNews.h"
+
+#include "carobpath/distribution/PeerMessage.h"
+
+namespace carobpath::distribution {
+
+namespace {
+
+    constexpr std::size_t noticeSize = 256;
+    constexpr std::size_t noticeBudget = 4096;
+
+}
+
+EvidenceNews::EvidenceNews(EvidencePort port)
+    : m_port(std::move(port))
+{
+}
+
+std::vector<moves::TakeBackNotice> EvidenceNews::collect(MonotonicTime now)
+{
+    if (!m_port.changedSince)
+        return {};
+    const EvidenceChanges changes = m_port.changedSince(m_cursor);
+    m_cursor = changes.cursor;
+    m_collectedAt = now;
+    for (const auto& it : changes.update.entries)
+        m_entries.put(EntryKey { it.observer, it.move, it.movePublishedAt, it.route, it.version }, it);
+    return remember(changes.update.notices);
+}
+
+bool EvidenceNews::collectionDue(MonotonicTime now) const
+{
+    return now - m_collectedAt >= s_collectInterval;
+}
+
+std::vector<moves::TakeBackNotice> EvidenceNews::merge(const moves::EvidenceUpdate& update)
+{
+    if (update.entries.empty() && update.notices.empty())
+        return {};
+    if (m_port.merge)
+        m_port.merge(update);
+    return remember(update.notices);
+}
+
+std::vector<moves::TakeBackNotice> EvidenceNews::remember(const std::vector<moves::TakeBackNotice>& notices)
+{
+    std::vector<moves::TakeBackNotice> fresh;
+    for (const auto& it : notices) {
+        const NoticeKey key { it.move, it.movePublishedAt };
+        if (m_known.contains(key))
+            continue;
+        if (m_known.size() >= s_maxNotices)
+            m_known.erase(m_known.begin());
+        m_known.insert(key);
+        m_notices.put(key, it);
+        fresh.push_back(it);
+    }
+    return fresh;
+}
+
+moves::EvidenceUpdate EvidenceNews::take(std::size_t budget, std::uint32_t transmissions)
+{
+    moves::EvidenceUpdate update;
+    update.entries = m_entries.take(budget, transmissions, [](const moves::EvidenceEntry& it) { return encodedSize(it); });
+    update.notices = m_notices.take(noticeBudget, transmissions, [](const moves::TakeBackNotice& it) { return noticeSize + it.verdict.evidence.size(); });
+    return update;
+}
+
+moves::EvidenceUpdate EvidenceNews::everything() const
+{
+    if (!m_port.changedSince)
+        return {};
+    return m_port.changedSince(0).update;
+}
+
+}
--- /dev/null
+++ b/packages/distribution/src/Exchange.cpp
@@ -0,0 +1,239 @@
+#include "carobpath/distribution/Exchange.h"
+
+#include <algorithm>
+
+namespace carobpath::distribution {
+
+namespace {
+
+    std::chrono::milliseconds draw(std::chrono::milliseconds from, std::chrono::milliseconds to, std::mt19937_64& random)
+    {
+        return std::chrono::milliseconds { std::uniform_int_distribution<std::int64_t>(from.count(), to.count())(random) };
+    }
+
+}
+
+Exchange::Exchange(membership::NodeEntry self, std::vector<Endpoint> seeds, SetDigest digest, EvidencePort evidence, std::mt19937_64 random, MonotonicTime now)
+    : m_seeds(std::move(seeds))
+    , m_random(random)
+    , m_members(std::move(self), now)
+    , m_keeper(std::move(digest))
+    , m_evidence(std::move(evidence))
+    , m_startedAt(now)
+    , m_lastTick(now)
+    , m_membershipAt(now)
+    , m_exchangeAt(now)
+    , m_gateAt(now)
+    , m_comparedAt(now)
+    , m_viewAt(now)
+    , m_loneStart(s_loneStart + draw(std::chrono::milliseconds { 0 }, s_loneStart, m_random))
+{
+    std::erase(m_seeds, m_members.self().addresses.peer);
+}
+
+Commands Exchange::tick(MonotonicTime now)
+{
+    Commands commands;
+    noticePause(now);
+    tickMembership(now, commands);
+    if (m_evidence.collectionDue(now))
+        pushNotices(m_evidence.collect(now), Endpoint {}, commands);
+    tickExchange(now, commands);
+    tickGate(now, commands);
+    tickFetch(now, commands);
+    settle(now, commands);
+    tickRole(now, commands);
+    return commands;
+}
+
+void Exchange::noticePause(MonotonicTime now)
+{
+    const bool paused = now - m_lastTick >= s_pauseGap;
+    m_lastTick = now;
+    if (!paused)
+        return;
+    ++m_counters.pauses;
+    m_members.onPaused();
+    // Timeouts that are reported now were this process's own doing.
+    for (auto& [id, outstanding] : m_outstanding)
+        outstanding.peer = NodeName {};
+    m_exchangeAt = now;
+}
+
+void Exchange::tickMembership(MonotonicTime now, Commands&)
+{
+    if (now - m_membershipAt < s_membershipInterval)
+        return;
+    m_membershipAt = now;
+    m_members.tick(now);
+}
+
+void Exchange::tickExchange(MonotonicTime now, Commands& commands)
+{
+    if (now < m_exchangeAt)
+        return;
+    constexpr auto spread = s_exchangeInterval / 5;
+    m_exchangeAt = now + draw(s_exchangeInterval - spread, s_exchangeInterval + spread, m_random);
+    const auto* peer = m_tree.randomPeer(m_random);
+    if (!peer) {
+        m_exchangeAt = now + draw(s_gateInterval, s_exchangeInterval, m_random);
+        sendExchangeToSeed(commands);
+        return;
+    }
+    sendExchange(peer->addresses.peer, peer->name, commands);
+    if (++m_exchangeRound % s_healEvery != 0)
+        return;
+    const auto* dead = m_tree.randomDeadPeer(m_random);
+    if (dead && m_exchangeRound % (2 * s_healEvery) == 0)
+        sendExchange(dead->addresses.peer, dead->name, commands);
+    else
+        sendExchangeToSeed(commands);
+}
+
+void Exchange::sendExchangeToSeed(Commands& commands)
+{
+    if (m_seeds.empty())
+        return;
+    const auto index = std::uniform_int_distribution<std::size_t>(0, m_seeds.size() - 1)(m_random);
+    sendExchange(m_seeds[index], NodeName {}, commands);
+}
+
+void Exchange::sendExchange(const Endpoint& to, const NodeName& peer, Commands& commands)
+{
+    if (m_outstanding.size() >= s_maxOutstanding)
+        return;
+    const ExchangeId id = ++m_lastId;
+    m_outstanding.emplace(id, Outstanding { peer, false });
+    ++m_counters.exchanges;
+    PeerMessage message = withNews(to);
+    const auto* held = peer.empty() ? nullptr : m_members.find(peer);
+    if (held && held->dead)
+        message.membership.records.push_back(*held);
+    commands.emplace_back(SendExchange { id, to, std::move(message) });
+}
+
+void Exchange::tickGate(MonotonicTime now, Commands& commands)
+{
+    if (m_gate.confirmed() || m_joining || now < m_gateAt)
+        return;
+    m_gateAt = now + s_gateInterval;
+    std::vector<NodeName> names;
+    for (const auto* it : m_tree.witnesses())
+        names.push_back(it->name);
+    m_gate.update(names);
+    if (m_gate.confirmed())
+        return;
+    for (const auto* it : m_tree.witnesses()) {
+        if (!m_gate.heardFrom(it->name))
+            sendExchange(it->addresses.peer, it->name, commands);
+    }
+}
+
+void Exchange::tickFetch(MonotonicTime now, Commands& commands)
+{
+    const auto peer = m_fetch.start(now);
+    if (!peer)
+        return;
+    const ExchangeId id = ++m_lastId;
+    m_outstanding.emplace(id, Outstanding { NodeName {}, true });
+    commands.emplace_back(FetchWhole { id, *peer });
+}
+
+void Exchange::tickRole(MonotonicTime now, Commands& commands)
+{
+    const bool lone = !m_heardSettled && now - m_startedAt >= m_loneStart;
+    if (m_joining && lone && m_heardPeer)
+        m_joining = false;
+    const bool settled = !m_joining || lone;
+    const bool reading = settled && m_tree.reader() && !m_members.superseded() && !m_members.self().leaving;
+    if (reading == m_reading)
+        return;
+    m_reading = reading;
+    commands.emplace_back(ReadLog { reading });
+}
+
+void Exchange::settle(MonotonicTime now, Commands& commands)
+{
+    if (!m_view || now - m_viewAt >= s_viewInterval) {
+        auto view = m_members.view();
+        if (view != m_view) {
+            m_viewAt = now;
+            m_view = std::move(view);
+            m_tree = RelayTree(m_view, m_members.self().name, m_members.self().domain);
+            commands.emplace_back(PublishView { m_view });
+        }
+    }
+    const bool ready = m_gate.passes(m_keeper.stamp()) && !m_members.superseded();
+    if (ready && m_inForce != m_keeper.held()) {
+        m_inForce = m_keeper.held();
+        commands.emplace_back(PutInForce { m_inForce });
+    }
+    if (ready == m_ready)
+        return;
+    m_ready = ready;
+    commands.emplace_back(SetReady { ready });
+}
+
+Commands Exchange::onLogAdvanced(publication::ConfigurationPointer folded, MonotonicTime now)
+{
+    Commands commands;
+    const auto before = m_keeper.held();
+    adopted(m_keeper.adoptFolded(std::move(folded)), before, Endpoint {}, now, commands);
+    settle(now, commands);
+    return commands;
+}
+
+Commands Exchange::onLogEnd(MonotonicTime now)
+{
+    Commands commands;
+    m_gate.onLogEnd();
+    settle(now, commands);
+    return commands;
+}
+
+Commands Exchange::setUpstream(std::optional<membership::Upstream> upstream, MonotonicTime now)
+{
+    Commands commands;
+    const bool draining = upstream && upstream->state == membership::UpstreamState::Draining;
+    if (m_members.setUpstream(std::move(upstream), now) && draining)
+        pushSelf(commands);
+    settle(now, commands);
+    return commands;
+}
+
+Commands Exchange::leave(MonotonicTime now)
+{
+    Commands commands;
+    m_members.leave();
+    pushSelf(commands);
+    settle(now, commands);
+    tickRole(now, commands);
+    return commands;
+}
+
+void Exchange::pushSelf(Commands& commands)
+{
+    PushNews news;
+    news.records.push_back(*m_members.find(m_members.self().name));
+    push(news, Endpoint {}, commands);
+}
+
+Commands Exchange::onCall(const NodeName& node, bool succeeded, MonotonicTime now)
+{
+    Commands commands;
+    if (succeeded)
+        m_members.onCallSucceeded(node);
+    else
+        m_members.onCallFailed(node, now);
+    settle(now, commands);
+    return commands;
+}
+
+Commands Exchange::onEvidenceChanged(MonotonicTime now)
+{
+    Commands commands;
+    pushNotices(m_evidence.collect(now), Endpoint {}, commands);
+    return commands;
+}
+
+}
--- /dev/null
+++ b/packages/distribution/src/ExchangeMessages.cpp
@@ -0,0 +1,276 @@
+// What an exchange sends to its peers, and what it takes from them.
+#include "carobpath/distribution/Exchange.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace carobpath::distribution {
+
+namespace {
+
+    constexpr std::uint32_t minTransmissions = 4;
+
+}
+
+PeerMessage Exchange::onExchange(const PeerMessage& request, MonotonicTime now, Commands& commands)
+{
+    take(request, now, commands);
+    hearFloor(request);
+    PeerMessage reply = withNews(request.sender);
+    if (request.stamp && holdsNewerThan(request.stamp)) {
+        const auto delta = m_keeper.deltaFrom(*request.stamp);
+        if (delta && encodedSize(*delta) <= s_deltaBudget)
+            reply.delta = delta;
+    }
+    if (comparisonDue(request, now))
+        reply.membershipBuckets = m_members.digest().buckets();
+    settle(now, commands);
+    return reply;
+}
+
+Commands Exchange::onReply(ExchangeId id, const PeerMessage& reply, MonotonicTime now)
+{
+    Commands commands;
+    if (m_outstanding.erase(id) == 0)
+        return commands;
+    take(reply, now, commands);
+    hearFloor(reply);
+    if (reply.stamp && holdsNewerThan(reply.stamp)) {
+        PushNews news;
+        news.delta = m_keeper.deltaFrom(*reply.stamp);
+        if (news.delta && encodedSize(*news.delta) <= s_deltaBudget)
+            pushTo(reply.sender, news, commands);
+    }
+    answerBuckets(reply, true, commands);
+    settle(now, commands);
+    return commands;
+}
+
+Commands Exchange::onPush(const PeerMessage& message, MonotonicTime now)
+{
+    Commands commands;
+    take(message, now, commands);
+    answerBuckets(message, false, commands);
+    settle(now, commands);
+    return commands;
+}
+
+Commands Exchange::onFailed(ExchangeId id, MonotonicTime now)
+{
+    Commands commands;
+    const auto it = m_outstanding.find(id);
+    if (it == m_outstanding.end())
+        return commands;
+    const Outstanding ended = it->second;
+    m_outstanding.erase(it);
+    if (ended.whole)
+        m_fetch.onEnded(false, now, m_random);
+    else
+        ++m_counters.exchangesFailed;
+    if (!ended.peer.empty())
+        m_members.onExchangeFailed(ended.peer, now);
+    settle(now, commands);
+    return commands;
+}
+
+std::optional<WholeState> Exchange::onFetch(MonotonicTime now)
+{
+    if (m_joining || !m_slots.tryStart(now)) {
+        ++m_counters.wholeRefused;
+        return std::nullopt;
+    }
+    ++m_counters.wholeServed;
+    return WholeState { m_keeper.held(), m_members.allRecords(), m_evidence.everything() };
+}
+
+Commands Exchange::onWhole(ExchangeId id, const WholeState& state, MonotonicTime now)
+{
+    Commands commands;
+    if (m_outstanding.erase(id) == 0)
+        return commands;
+    ++m_counters.wholeFetched;
+    m_joining = false;
+    membership::MembershipUpdate update;
+    update.records = state.records;
+    m_members.merge(update, now);
+    pushNotices(m_evidence.merge(state.evidence), Endpoint {}, commands);
+    Adoption adoption = Adoption::AlreadyHeld;
+    const auto before = m_keeper.held();
+    if (state.configuration)
+        adoption = m_keeper.adoptWhole(state.configuration);
+    m_fetch.onEnded(adoption != Adoption::DigestMismatch, now, m_random);
+    adopted(adoption, before, Endpoint {}, now, commands);
+    settle(now, commands);
+    return commands;
+}
+
+Commands Exchange::onBusy(ExchangeId id, MonotonicTime now)
+{
+    return onFailed(id, now);
+}
+
+void Exchange::take(const PeerMessage& message, MonotonicTime now, Commands& commands)
+{
+    if (message.from == m_members.self().name)
+        return;
+    m_heardPeer = true;
+    m_heardSettled = m_heardSettled || !message.joining;
+    m_members.onExchangeSucceeded(message.from);
+    if (message.stamp)
+        m_floors.record(message.sender, *message.stamp);
+    const auto merged = m_members.merge(message.membership, now);
+    PushNews news;
+    news.records = merged.urgent;
+    push(news, message.sender, commands);
+    pushNotices(m_evidence.merge(message.evidence), message.sender, commands);
+    const bool hadDelta = message.delta != nullptr;
+    if (hadDelta)
+        takeDelta(message, now, commands);
+    compareStamps(message, !hadDelta, now);
+}
+
+void Exchange::hearFloor(const PeerMessage& message)
+{
+    // A node that starts waits for what its witnesses hold too: they may have lost the memory of its address.
+    const bool theirsIsHigher = message.stamp && (!message.floor || message.floor->offset < message.stamp->offset);
+    const bool starting = !m_gate.confirmed();
+    m_gate.onHeard(message.from, starting && theirsIsHigher ? message.stamp : message.floor);
+}
+
+void Exchange::takeDelta(const PeerMessage& message, MonotonicTime now, Commands& commands)
+{
+    const auto before = m_keeper.held();
+    const Adoption adoption = m_keeper.applyDelta(*message.delta);
+    if (adoption == Adoption::Adopted)
+        ++m_counters.deltasApplied;
+    adopted(adoption, before, message.sender, now, commands);
+}
+
+void Exchange::compareStamps(const PeerMessage& message, bool deltaExpected, MonotonicTime now)
+{
+    if (m_joining && !message.joining) {
+        m_fetch.want(message.sender, false, now);
+        return;
+    }
+    const auto& theirs = message.stamp;
+    if (!theirs || (m_keeper.held() && m_keeper.held()->stamp.offset >= theirs->offset))
+        return;
+    m_fetch.want(message.sender, deltaExpected && m_keeper.held(), now);
+}
+
+void Exchange::adopted(Adoption adoption, const publication::ConfigurationPointer& before, const Endpoint& source, MonotonicTime, Commands& commands)
+{
+    if (adoption == Adoption::DigestMismatch)
+        ++m_counters.digestMismatches;
+    if (adoption == Adoption::Conflict)
+        ++m_counters.conflicts;
+    if (adoption != Adoption::Adopted)
+        return;
+    if (!m_joining)
+        m_fetch.satisfied();
+    tellWitnesses(source, commands);
+    if (!before)
+        return;
+    PushNews news;
+    news.delta = m_keeper.deltaFrom(before->stamp);
+    if (news.delta && encodedSize(*news.delta) <= s_deltaBudget)
+        push(news, source, commands);
+}
+
+void Exchange::tellWitnesses(const Endpoint& except, Commands& commands)
+{
+    for (const auto* it : m_tree.witnesses()) {
+        if (it->addresses.peer != except)
+            commands.emplace_back(SendPush { it->addresses.peer, header() });
+    }
+}
+
+void Exchange::pushNotices(std::vector<moves::TakeBackNotice> notices, const Endpoint& except, Commands& commands)
+{
+    if (notices.empty())
+        return;
+    PushNews news;
+    news.notices = std::move(notices);
+    push(news, except, commands);
+    for (std::size_t i = 0; i < s_noticeFanOut; ++i) {
+        if (const auto* peer = m_tree.randomPeer(m_random))
+            pushTo(peer->addresses.peer, news, commands);
+    }
+}
+
+void Exchange::push(const PushNews& news, const Endpoint& except, Commands& commands)
+{
+    if (news.empty())
+        return;
+    for (const auto* it : m_tree.neighbours()) {
+        const Endpoint& to = it->addresses.peer;
+        if (to == except)
+            continue;
+        const auto theirs = m_floors.floorOf(to);
+        const bool heldThere = news.delta && theirs && theirs->offset >= news.delta->result.offset;
+        if (heldThere && news.records.empty() && news.notices.empty())
+            continue;
+        pushTo(to, news, commands);
+    }
+}
+
+void Exchange::pushTo(const Endpoint& to, const PushNews& news, Commands& commands)
+{
+    PeerMessage message = header();
+    message.membership.records = news.records;
+    message.evidence.notices = news.notices;
+    message.delta = news.delta;
+    commands.emplace_back(SendPush { to, std::move(message) });
+}
+
+void Exchange::answerBuckets(const PeerMessage& message, bool askBack, Commands& commands)
+{
+    if (!message.membershipBuckets)
+        return;
+    PeerMessage answer = header();
+    answer.membership.records = m_members.recordsInDifferingBuckets(*message.membershipBuckets, s_compareBudget);
+    if (askBack)
+        answer.membershipBuckets = m_members.digest().buckets();
+    if (!askBack && answer.membership.records.empty())
+        return;
+    commands.emplace_back(SendPush { message.sender, std::move(answer) });
+}
+
+bool Exchange::comparisonDue(const PeerMessage& request, MonotonicTime now)
+{
+    if (m_joining || request.joining || request.membershipDigest == m_members.digest().whole())
+        return false;
+    const auto interval = m_members.hasNews() ? s_compareIntervalBusy : s_compareInterval;
+    if (now - m_comparedAt < interval)
+        return false;
+    m_comparedAt = now;
+    return true;
+}
+
+bool Exchange::holdsNewerThan(const std::optional<publication::ConfigurationStamp>& theirs) const
+{
+    return m_keeper.held() && (!theirs || theirs->offset < m_keeper.held()->stamp.offset);
+}
+
+PeerMessage Exchange::header() const
+{
+    PeerMessage message;
+    message.from = m_members.self().name;
+    message.sender = m_members.self().addresses.peer;
+    message.stamp = m_keeper.stamp();
+    message.joining = m_joining;
+    message.membershipDigest = m_members.digest().whole();
+    return message;
+}
+
+PeerMessage Exchange::withNews(const Endpoint& receiver)
+{
+    const auto transmissions = std::max<std::uint32_t>(minTransmissions, std::bit_width(m_members.livePeers()));
+    PeerMessage message = header();
+    message.floor = m_floors.floorOf(receiver);
+    message.membership = m_members.takeNews(s_membershipBudget);
+    message.evidence = m_evidence.take(s_evidenceBudget, transmissions);
+    return message;
+}
+
+}
--- /dev/null
+++ b/packages/distribution/src/PeerMessage.cpp
@@ -0,0 +1,77 @@
+#include "carobpath/distribution/PeerMessage.h"
+
+namespace carobpath::distribution {
+
+namespace {
+
+    constexpr std::size_t entryFixedSize = 128;
+    constexpr std::size_t evidenceFixedSize = 112;
+    constexpr std::size_t wordSize = 8;
+
+    std::size_t textSize(const std::string& text)
+    {
+        return (text.size() + wordSize) / wordSize * wordSize;
+    }
+
+    std::size_t sizeOf(const publication::ServiceEntry& it)
+    {
+        std::size_t size = entryFixedSize + textSize(it.service.name.value()) + textSize(it.service.member.value());
+        for (const auto& host : it.service.hosts)
+            size += wordSize + textSize(host);
+        return size;
+    }
+
+    std::size_t sizeOf(const publication::RouteEntry& it)
+    {
+        std::size_t size = entryFixedSize + textSize(it.route.name.value()) + textSize(it.route.pathPrefix);
+        for (const auto& method : it.route.methods)
+            size += wordSize + textSize(method);
+        return size;
+    }
+
+    std::size_t sizeOf(const publication::VersionEntry& it)
+    {
+        return entryFixedSize + textSize(it.version.name.value());
+    }
+
+    std::size_t sizeOf(const publication::MoveEntry& it)
+    {
+        std::size_t size = 2 * entryFixedSize + textSize(it.move.name.value());
+        if (it.verdict)
+            size += textSize(it.verdict->evidence);
+        return size;
+    }
+
+    template <typename Name>
+    std::size_t sizeOf(const Name& it)
+    {
+        return wordSize + textSize(it.value());
+    }
+
+    template <typename... Lists>
+    std::size_t sizeOfAll(const Lists&... lists)
+    {
+        std::size_t size = 0;
+        const auto add = [&size](const auto& list) {
+            for (const auto& it : list)
+                size += sizeOf(it);
+        };
+        (add(lists), ...);
+        return size;
+    }
+
+}
+
+std::size_t encodedSize(const Delta& it)
+{
+    return 2 * entryFixedSize + sizeOfAll(it.services, it.routes, it.versions, it.moves)
+        + sizeOfAll(it.removedServices, it.removedRoutes, it.removedVersions, it.removedMoves);
+}
+
+std::size_t encodedSize(const moves::EvidenceEntry& it)
+{
+    return evidenceFixedSize + it.counts.latency.size() * wordSize + textSize(it.observer.value())
+        + textSize(it.move.value()) + textSize(it.route.value()) + textSize(it.version.value());
+}
+
+}
--- /dev/null
+++ b/packages/distribution/src/RelayTree.cpp
@@ -0,0 +1,110 @@
+#include "carobpath/distribution/RelayTree.h"
+
+#include "carobpath/distribution/FloorGate.h"
+#include "carobpath/distribution/ReaderElection.h"
+#include "carobpath/foundation/RendezvousHash.h"
+
+#include <algorithm>
+#include <set>
+
+namespace carobpath::distribution {
+
+namespace {
+
+    const membership::NodeEntry* pick(const std::vector<const membership::NodeEntry*>& from, std::mt19937_64& random)
+    {
+        if (from.empty())
+            return nullptr;
+        return from[std::uniform_int_distribution<std::size_t>(0, from.size() - 1)(random)];
+    }
+
+    std::string witnessKey(const membership::MembershipView& view, const NodeName& self)
+    {
+        for (const auto& it : view.nodes) {
+            if (it.entry.name == self)
+                return toString(it.entry.addresses.peer);
+        }
+        return self.value();
+    }
+
+}
+
+RelayTree::RelayTree(std::shared_ptr<const membership::MembershipView> view, const NodeName& self, const FailureDomainName& domain)
+    : m_view(std::move(view))
+{
+    for (const auto& it : m_view->nodes) {
+        if (it.entry.name == self)
+            continue;
+        if (it.liveness == membership::Liveness::Dead)
+            m_dead.push_back(&it.entry);
+        else if (!it.entry.leaving)
+            m_live.push_back(&it.entry);
+    }
+    chooseWitnesses(self);
+    const auto ranked = rankedNodes(*m_view, domain);
+    const auto own = std::find_if(ranked.begin(), ranked.end(), [&](const auto* it) { return it->entry.name == self; });
+    if (own == ranked.end())
+        return;
+    const auto position = static_cast<std::size_t>(own - ranked.begin());
+    m_reader = position < readersPerDomain;
+    joinDomain(ranked, position);
+    if (m_reader)
+        joinOtherDomains(position, domain);
+}
+
+void RelayTree::joinDomain(const std::vector<const membership::KnownNode*>& ranked, std::size_t position)
+{
+    if (m_reader) {
+        for (std::size_t i = 0; i < std::min(readersPerDomain, ranked.size()); ++i) {
+            if (i != position)
+                m_neighbours.push_back(&ranked[i]->entry);
+        }
+    } else {
+        m_neighbours.push_back(&ranked[(position - readersPerDomain) / s_fanOut]->entry);
+    }
+    const std::size_t firstChild = readersPerDomain + position * s_fanOut;
+    for (std::size_t i = firstChild; i < std::min(firstChild + s_fanOut, ranked.size()); ++i)
+        m_neighbours.push_back(&ranked[i]->entry);
+}
+
+void RelayTree::joinOtherDomains(std::size_t rank, const FailureDomainName& own)
+{
+    std::set<FailureDomainName> domains;
+    for (const auto* it : m_live)
+        domains.insert(it->domain);
+    domains.erase(own);
+    for (const auto& domain : domains) {
+        const auto ranked = rankedNodes(*m_view, domain);
+        if (!ranked.empty())
+            m_neighbours.push_back(&ranked[std::min(rank, ranked.size() - 1)]->entry);
+    }
+}
+
+void RelayTree::chooseWitnesses(const NodeName& self)
+{
+    struct Scored {
+        std::uint64_t score;
+        const membership::NodeEntry* node;
+    };
+    const std::string key = witnessKey(*m_view, self);
+    std::vector<Scored> scored;
+    scored.reserve(m_live.size());
+    for (const auto* it : m_live)
+        scored.push_back({ rendezvousScore(key, it->name.value()), it });
+    const auto count = std::min(FloorGate::s_witnesses, scored.size());
+    std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(count), scored.end(), [](const Scored& a, const Scored& b) { return a.score > b.score; });
+    for (std::size_t i = 0; i < count; ++i)
+        m_witnesses.push_back(scored[i].node);
+}
+
+const membership::NodeEntry* RelayTree::randomPeer(std::mt19937_64& random) const
+{
+    return pick(m_live, random);
+}
+
+const membership::NodeEntry* RelayTree::randomDeadPeer(std::mt19937_64& random) const
+{
+    return pick(m_dead, random);
+}
+
+}
--- /dev/null
+++ b/packages/membership/include/carobpath/membership/MembershipTable.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "carobpath/foundation/Time.h"
+#include "carobpath/membership/MembershipUpdate.h"
+#include "carobpath/membership/RumorQueue.h"
+#include "carobpath/membership/SuspicionTable.h"
+#include "carobpath/membership/TableDigest.h"
+
+#include <map>
+#include <memory>
+
+namespace carobpath::membership {
+
+/// What a merge found, for the caller to act on.
+struct MergeResult {
+    /// Records that were news and that others should hear at once: draining, leaving, dead.
+    std::vector<NodeRecord> urgent;
+    /// Suspicions that were news.
+    std::size_t newSuspicions = 0;
+    /// Records that were news, urgent or not.
+    std::size_t newRecords = 0;
+};
+
+/// Soft state of every known node: merges entries by revision, counts suspicion, keeps tombstones, and hands out
+/// immutable views. Only the node itself makes revisions of its own entry.
+class MembershipTable {
+public:
+    /// Nodes known at a time, tombstones included.
+    static constexpr std::size_t s_maxNodes = 4096;
+    /// Time that the entry of a dead or leaving node is kept. During its first half the tombstone is spread.
+    static constexpr std::chrono::minutes s_tombstoneLifetime { 120 };
+    /// Shortest time between two revisions that were made for a change of load alone.
+    static constexpr std::chrono::seconds s_loadHintInterval { 30 };
+    /// Calls to a node that fail in a row before this node suspects it.
+    static constexpr std::uint32_t s_failedCallsToSuspect = 3;
+
+    /// \param self the entry of this node; its revision names this life of the process.
+    MembershipTable(NodeEntry self, MonotonicTime now);
+
+    const NodeEntry& self() const { return m_self; }
+    /// True once a later life of this node was seen at another address: this process was replaced.
+    bool superseded() const { return m_superseded; }
+
+    /// Takes an announcement of the backend server; nothing where it is gone.
+    /// A change of load alone is spread rarely. \returns whether a new revision was made.
+    bool setUpstream(std::optional<Upstream>, MonotonicTime now);
+    /// Marks this node as leaving.
+    void leave();
+
+    /// Passive evidence of calls and exchanges. \returns whether this node suspects the other one from now on.
+    bool onCallFailed(const NodeName&, MonotonicTime now);
+    void onCallSucceeded(const NodeName&);
+    bool onExchangeFailed(const NodeName&, MonotonicTime now);
+    void onExchangeSucceeded(const NodeName&);
+    /// This process did not run for a while, so what it holds against others means nothing.
+    void onPaused();
+
+    MergeResult merge(const MembershipUpdate&, MonotonicTime now);
+    /// Declares deaths, forgets expired suspicions and tombstones. \returns the deaths declared.
+    std::vector<NodeRecord> tick(MonotonicTime now);
+
+    /// \returns news for one message, bounded by bytes.
+    MembershipUpdate takeNews(std::size_t budget);
+    bool hasNews() const { return m_recordNews.size() > 0; }
+    const TableDigest& digest() const { return m_digest; }
+    /// \returns the records in the buckets that differ, bounded by bytes.
+    std::vector<NodeRecord> recordsInDifferingBuckets(const TableDigest::Buckets& theirs, std::size_t budget) const;
+    /// \returns every record that is still spread.
+    std::vector<NodeRecord> allRecords() const;
+
+    /// \returns the view for routing; the same pointer until something changed.
+    std::shared_ptr<const MembershipView> view();
+    /// Known nodes other than this one that are neither dead nor leaving.
+    std::size_t livePeers() const { return m_livePeers; }
+    const NodeRecord* find(const NodeName&) const;
+
+private:
+    struct Known {
+        NodeRecord record;
+        /// When the entry became a tombstone.
+        std::optional<MonotonicTime> endedAt;
+        /// False for a tombstone in the second half of its life.
+        bool spread = true;
+        std::uint32_t failedCalls = 0;
+    };
+    using Nodes = std::map<NodeName, Known>;
+
+    void reviseSelf();
+    bool accept(const NodeRecord&, MonotonicTime now);
+    void hearOfSelf(const NodeRecord&);
+    bool makeRoom();
+    bool suspect(const NodeName&, MonotonicTime now);
+    void store(Known&, const NodeRecord&, MonotonicTime now);
+    void spread(const NodeName&);
+    void ageTombstones(MonotonicTime now);
+    void recountLivePeers();
+    std::uint32_t transmissions() const;
+
+    NodeEntry m_self;
+    bool m_superseded = false;
+    MonotonicTime m_loadHintAt;
+    Nodes m_nodes;
+    SuspicionTable m_suspicions;
+    TableDigest m_digest;
+    RumorQueue<NodeName, NodeName> m_recordNews { s_maxNodes };
+    RumorQueue<Suspicion, Suspicion> m_suspicionNews { 256 };
+    std::shared_ptr<const MembershipView> m_view;
+    std::size_t m_livePeers = 0;
+};
+
+/// \returns whether a node takes no more work and no more part in elections.
+constexpr bool hasEnded(const NodeRecord& it) { return it.dead || it.entry.leaving; }
+
+}
--- /dev/null
+++ b/packages/membership/include/carobpath/membership/RumorQueue.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace carobpath::membership {
+
+/// News that are sent a bounded number of times each, those sent least first.
+/// \tparam Key what a later item replaces.
+template <typename Key, typename Item>
+class RumorQueue {
+public:
+    /// \param capacity items kept; beyond it the one sent most often is dropped.
+    explicit RumorQueue(std::size_t capacity)
+        : m_capacity(capacity)
+    {
+    }
+
+    /// Adds news; an older item of the same key is replaced and its transmissions start anew.
+    void put(const Key& key, Item item)
+    {
+        if (!m_rumors.contains(key) && m_rumors.size() >= m_capacity)
+            dropMostSent();
+        m_rumors.insert_or_assign(key, Rumor { std::move(item), 0 });
+    }
+
+    void erase(const Key& key) { m_rumors.erase(key); }
+    std::size_t size() const { return m_rumors.size(); }
+
+    /// Takes items for one message and counts their transmission.
+    /// \param budget bytes that the items may take together.
+    /// \param transmissions times that an item is sent before it is dropped.
+    template <typename SizeOf>
+    std::vector<Item> take(std::size_t budget, std::uint32_t transmissions, SizeOf sizeOf)
+    {
+        std::vector<Item> items;
+        std::size_t used = 0;
+        for (const auto& it : leastSentFirst()) {
+            const std::size_t size = sizeOf(it->second.item);
+            if (used + size > budget)
+                break;
+            used += size;
+            items.push_back(it->second.item);
+            if (++it->second.sent >= transmissions)
+                m_rumors.erase(it);
+        }
+        return items;
+    }
+
+private:
+    struct Rumor {
+        Item item;
+        std::uint32_t sent = 0;
+    };
+    using Rumors = std::map<Key, Rumor>;
+
+    std::vector<typename Rumors::iterator> leastSentFirst()
+    {
+        std::vector<typename Rumors::iterator> order;
+        order.reserve(m_rumors.size());
+        for (auto it = m_rumors.begin(); it != m_rumors.end(); ++it)
+            order.push_back(it);
+        std::stable_sort(order.begin(), order.end(), [](const auto& a, const auto& b) { return a->second.sent < b->second.sent; });
+        return order;
+    }
+
+    void dropMostSent()
+    {
+        const auto most = std::max_element(m_rumors.begin(), m_rumors.end(), [](const auto& a, const auto& b) { return a.second.sent < b.second.sent; });
+        if (most != m_rumors.end())
+            m_rumors.erase(most);
+    }
+
+    std::size_t m_capacity;
+    Rumors m_rumors;
+};
+
+}
--- /dev/null
+++ b/packages/membership/src/MembershipTable.cpp
@@ -0,0 +1,370 @@
+#include "carobpath/membership/MembershipTable.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace carobpath::membership {
+
+namespace {
+
+    constexpr std::uint32_t minTransmissions = 4;
+    /// Part of a message's membership budget that suspicions may take.
+    constexpr std::size_t suspicionShare = 4;
+
+    enum class LoadClass : std::uint8_t {
+        Free,
+        Waiting,
+        Saturated,
+    };
+
+    LoadClass loadClass(const Upstream& it)
+    {
+        if (it.waiting == 0)
+            return LoadClass::Free;
+        return it.waiting < it.slots ? LoadClass::Waiting : LoadClass::Saturated;
+    }
+
+    /// Equal but for the load.
+    bool sameAnnouncement(const std::optional<Upstream>& a, const std::optional<Upstream>& b)
+    {
+        if (!a || !b)
+            return a.has_value() == b.has_value();
+        Upstream other = *b;
+        other.inFlight = a->inFlight;
+        other.waiting = a->waiting;
+        return *a == other;
+    }
+
+    bool isNewer(const NodeRecord& candidate, const NodeRecord& held)
+    {
+        if (candidate.entry.revision != held.entry.revision)
+            return held.entry.revision < candidate.entry.revision;
+        return candidate.dead && !held.dead;
+    }
+
+    bool isUrgent(const NodeRecord& it)
+    {
+        return hasEnded(it) || (it.entry.upstream && it.entry.upstream->state == UpstreamState::Draining);
+    }
+
+}
+
+MembershipTable::MembershipTable(NodeEntry self, MonotonicTime now)
+    : m_self(std::move(self))
+    , m_loadHintAt(now)
+{
+    Known& known = m_nodes[m_self.name];
+    known.record.entry = m_self;
+    m_digest.toggle(known.record);
+    spread(m_self.name);
+}
+
+bool MembershipTable::setUpstream(std::optional<Upstream> upstream, MonotonicTime now)
+{
+    const bool same = sameAnnouncement(m_self.upstream, upstream);
+    const bool loadMoved = same && upstream && loadClass(*upstream) != loadClass(*m_self.upstream);
+    if (same && !(loadMoved && now - m_loadHintAt >= s_loadHintInterval))
+        return false;
+    m_self.upstream = std::move(upstream);
+    m_loadHintAt = now;
+    reviseSelf();
+    return true;
+}
+
+void MembershipTable::leave()
+{
+    if (m_self.leaving)
+        return;
+    m_self.leaving = true;
+    reviseSelf();
+}
+
+void MembershipTable::reviseSelf()
+{
+    ++m_self.revision.sequence;
+    Known& known = m_nodes[m_self.name];
+    m_digest.toggle(known.record);
+    known.record.entry = m_self;
+    known.record.dead = false;
+    m_digest.toggle(known.record);
+    spread(m_self.name);
+    m_view.reset();
+}
+
+bool MembershipTable::onCallFailed(const NodeName& name, MonotonicTime now)
+{
+    const auto it = m_nodes.find(name);
+    if (it == m_nodes.end())
+        return false;
+    if (++it->second.failedCalls < s_failedCallsToSuspect)
+        return false;
+    return suspect(name, now);
+}
+
+void MembershipTable::onCallSucceeded(const NodeName& name)
+{
+    const auto it = m_nodes.find(name);
+    if (it == m_nodes.end())
+        return;
+    it->second.failedCalls = 0;
+    if (!m_suspicions.suspected(name))
+        return;
+    m_suspicions.withdraw(name, m_self.name);
+    m_view.reset();
+}
+
+bool MembershipTable::onExchangeFailed(const NodeName& name, MonotonicTime now)
+{
+    return suspect(name, now);
+}
+
+void MembershipTable::onExchangeSucceeded(const NodeName& name)
+{
+    onCallSucceeded(name);
+}
+
+void MembershipTable::onPaused()
+{
+    m_suspicions.withdrawAll(m_self.name);
+    for (auto& [name, known] : m_nodes)
+        known.failedCalls = 0;
+    m_view.reset();
+}
+
+bool MembershipTable::suspect(const NodeName& name, MonotonicTime now)
+{
+    const auto it = m_nodes.find(name);
+    if (name == m_self.name || it == m_nodes.end() || hasEnded(it->second.record))
+        return false;
+    const Suspicion suspicion { name, it->second.record.entry.revision, m_self.name };
+    if (!m_suspicions.add(suspicion, now))
+        return false;
+    m_suspicionNews.put(suspicion, suspicion);
+    m_view.reset();
+    return true;
+}
+
+MergeResult MembershipTable::merge(const MembershipUpdate& update, MonotonicTime now)
+{
+    MergeResult result;
+    for (const auto& it : update.records) {
+        if (it.entry.name == m_self.name) {
+            hearOfSelf(it);
+            continue;
+        }
+        if (!accept(it, now))
+            continue;
+        ++result.newRecords;
+        if (isUrgent(it))
+            result.urgent.push_back(it);
+    }
+    for (const auto& it : update.suspicions) {
+        if (it.subject == m_self.name) {
+            if (it.revision >= m_self.revision)
+                reviseSelf();
+            continue;
+        }
+        const NodeRecord* subject = find(it.subject);
+        if (!subject || hasEnded(*subject) || it.revision < subject->entry.revision || !m_suspicions.add(it, now))
+            continue;
+        m_suspicionNews.put(it, it);
+        ++result.newSuspicions;
+        m_view.reset();
+    }
+    if (result.newRecords > 0)
+        recountLivePeers();
+    return result;
+}
+
+bool MembershipTable::accept(const NodeRecord& record, MonotonicTime now)
+{
+    const auto it = m_nodes.find(record.entry.name);
+    if (it != m_nodes.end()) {
+        if (!isNewer(record, it->second.record))
+            return false;
+        if (it->second.spread)
+            m_digest.toggle(it->second.record);
+        store(it->second, record, now);
+        return true;
+    }
+    if (m_nodes.size() >= s_maxNodes && !makeRoom())
+        return false;
+    store(m_nodes[record.entry.name], record, now);
+    return true;
+}
+
+void MembershipTable::store(Known& known, const NodeRecord& record, MonotonicTime now)
+{
+    known.record = record;
+    known.spread = true;
+    known.failedCalls = 0;
+    known.endedAt.reset();
+    if (hasEnded(record))
+        known.endedAt = now;
+    m_digest.toggle(known.record);
+    m_suspicions.clear(record.entry.name);
+    spread(record.entry.name);
+    m_view.reset();
+}
+
+void MembershipTable::hearOfSelf(const NodeRecord& record)
+{
+    const Revision& heard = record.entry.revision;
+    if (m_self.revision.incarnation < heard.incarnation) {
+        if (record.entry.addresses.peer != m_self.addresses.peer && !hasEnded(record)) {
+            m_superseded = true;
+            return;
+        }
+        // The wall clock stepped back between two lives of this node.
+        m_self.revision.incarnation.value = heard.incarnation.value + 1;
+        reviseSelf();
+        return;
+    }
+    if (heard.incarnation < m_self.revision.incarnation)
+        return;
+    const bool stale = m_self.revision < heard || (heard == m_self.revision && record.dead);
+    if (!stale)
+        return;
+    m_self.revision.sequence = std::max(m_self.revision.sequence, heard.sequence);
+    reviseSelf();
+}
+
+bool MembershipTable::makeRoom()
+{
+    auto oldest = m_nodes.end();
+    for (auto it = m_nodes.begin(); it != m_nodes.end(); ++it) {
+        if (!it->second.endedAt || it->first == m_self.name)
+            continue;
+        if (oldest == m_nodes.end() || *it->second.endedAt < *oldest->second.endedAt)
+            oldest = it;
+    }
+    if (oldest == m_nodes.end())
+        return false;
+    if (oldest->second.spread)
+        m_digest.toggle(oldest->second.record);
+    m_recordNews.erase(oldest->first);
+    m_nodes.erase(oldest);
+    return true;
+}
+
+std::vector<NodeRecord> MembershipTable::tick(MonotonicTime now)
+{
+    std::vector<NodeRecord> deaths;
+    const std::size_t observersNeeded = std::clamp<std::size_t>(m_livePeers, 1, SuspicionTable::s_observersNeeded);
+    for (const auto& name : m_suspicions.subjects()) {
+        const auto revision = m_suspicions.dueForDeath(name, observersNeeded, now);
+        const NodeRecord* held = find(name);
+        if (!revision || !held || held->entry.revision != *revision)
+            continue;
+        NodeRecord record = *held;
+        record.dead = true;
+        accept(record, now);
+        deaths.push_back(std::move(record));
+    }
+    if (!m_suspicions.expire(now).empty())
+        m_view.reset();
+    ageTombstones(now);
+    recountLivePeers();
+    return deaths;
+}
+
+void MembershipTable::ageTombstones(MonotonicTime now)
+{
+    for (auto it = m_nodes.begin(); it != m_nodes.end();) {
+        Known& known = it->second;
+        if (!known.endedAt || it->first == m_self.name) {
+            ++it;
+            continue;
+        }
+        const auto age = now - *known.endedAt;
+        if (known.spread && age >= s_tombstoneLifetime / 2) {
+            m_digest.toggle(known.record);
+            known.spread = false;
+            m_recordNews.erase(it->first);
+        }
+        if (age < s_tombstoneLifetime) {
+            ++it;
+            continue;
+        }
+        it = m_nodes.erase(it);
+        m_view.reset();
+    }
+}
+
+void MembershipTable::spread(const NodeName& name)
+{
+    m_recordNews.put(name, name);
+}
+
+std::uint32_t MembershipTable::transmissions() const
+{
+    return std::max<std::uint32_t>(minTransmissions, std::bit_width(m_livePeers));
+}
+
+MembershipUpdate MembershipTable::takeNews(std::size_t budget)
+{
+    MembershipUpdate update;
+    update.suspicions = m_suspicionNews.take(budget / suspicionShare, transmissions(), [](const Suspicion& it) { return encodedSize(it); });
+    const auto names = m_recordNews.take(budget - budget / suspicionShare, transmissions(), [this](const NodeName& it) { return encodedSize(m_nodes[it].record); });
+    for (const auto& it : names)
+        update.records.push_back(m_nodes[it].record);
+    return update;
+}
+
+std::vector<NodeRecord> MembershipTable::recordsInDifferingBuckets(const TableDigest::Buckets& theirs, std::size_t budget) const
+{
+    std::vector<NodeRecord> records;
+    std::size_t used = 0;
+    for (const auto& [name, known] : m_nodes) {
+        const std::size_t bucket = TableDigest::bucketOf(name);
+        if (!known.spread || theirs[bucket] == m_digest.buckets()[bucket])
+            continue;
+        used += encodedSize(known.record);
+        if (used > budget)
+            break;
+        records.push_back(known.record);
+    }
+    return records;
+}
+
+std::vector<NodeRecord> MembershipTable::allRecords() const
+{
+    std::vector<NodeRecord> records;
+    records.reserve(m_nodes.size());
+    for (const auto& [name, known] : m_nodes) {
+        if (known.spread)
+            records.push_back(known.record);
+    }
+    return records;
+}
+
+std::shared_ptr<const MembershipView> MembershipTable::view()
+{
+    if (m_view)
+        return m_view;
+    auto view = std::make_shared<MembershipView>();
+    view->nodes.reserve(m_nodes.size());
+    for (const auto& [name, known] : m_nodes) {
+        Liveness liveness = m_suspicions.suspected(name) ? Liveness::Suspect : Liveness::Alive;
+        if (known.record.dead)
+            liveness = Liveness::Dead;
+        view->nodes.push_back(KnownNode { known.record.entry, liveness });
+    }
+    m_view = std::move(view);
+    return m_view;
+}
+
+void MembershipTable::recountLivePeers()
+{
+    m_livePeers = std::count_if(m_nodes.begin(), m_nodes.end(), [this](const auto& it) {
+        return it.first != m_self.name && !hasEnded(it.second.record);
+    });
+}
+
+const NodeRecord* MembershipTable::find(const NodeName& name) const
+{
+    const auto it = m_nodes.find(name);
+    return it == m_nodes.end() ? nullptr : &it->second.record;
+}
+
+}
--- /dev/null
+++ b/packages/membership/src/TableDigest.cpp
@@ -0,0 +1,42 @@
+#include "carobpath/membership/TableDigest.h"
+
+#include "carobpath/foundation/RendezvousHash.h"
+
+#include <string>
+
+namespace carobpath::membership {
+
+namespace {
+
+    std::uint64_t hashOf(const NodeRecord& record)
+    {
+        const auto& revision = record.entry.revision;
+        std::string text = std::to_string(revision.incarnation.value);
+        text += '.';
+        text += std::to_string(revision.sequence);
+        text += record.dead ? 'd' : 'a';
+        return rendezvousScore(text, record.entry.name.value());
+    }
+
+}
+
+void TableDigest::toggle(const NodeRecord& record)
+{
+    m_buckets[bucketOf(record.entry.name)] ^= hashOf(record);
+}
+
+std::uint64_t TableDigest::whole() const
+{
+    constexpr std::uint64_t multiplier = 0x9e3779b97f4a7c15ULL;
+    std::uint64_t hash = 0;
+    for (const auto it : m_buckets)
+        hash = (hash ^ it) * multiplier;
+    return hash;
+}
+
+std::size_t TableDigest::bucketOf(const NodeName& name)
+{
+    return rendezvousScore("bucket", name.value()) % s_buckets;
+}
+
+}
