--- /dev/null
+++ b/packages/gateway/include/carobpath/gateway/Gateway.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "carobpath/foundation/Endpoint.h"
+#include "carobpath/foundation/Identifier.h"
+#include "carobpath/foundation/Incarnation.h"
+#include "carobpath/foundation/Result.h"
+#include "carobpath/gateway/GatewayHooks.h"
+#include "carobpath/gateway/GatewayLimits.h"
+#include "carobpath/routing/Admission.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <optional>
+
+namespace carobpath::routing {
+class AdmissionController;
+class EntryRouter;
+}
+
+namespace carobpath::gateway {
+
+/// An address that could not be listened on.
+struct ListenFailure {
+    Endpoint endpoint;
+    int systemError = 0;
+};
+
+/// The HTTP sessions of a node: callers' calls in, calls to other nodes out, forwarded calls in, calls to the backend
+/// server out. Makes no decision: it asks the router and the admission controller. Runs on one thread.
+class Gateway {
+public:
+    class Builder;
+
+    ~Gateway();
+    Gateway(Gateway&&) noexcept;
+
+    /// Where callers are answered, and where other nodes forward calls to; with the real ports.
+    Endpoint callersEndpoint() const;
+    Endpoint callsEndpoint() const;
+
+    /// Where the backend server beside this node listens.
+    void setBackend(std::optional<Endpoint>);
+
+    /// Carries out what the admission controller decided outside of a call.
+    void perform(const routing::AdmissionCommands&);
+
+    /// Accepts no new connections and closes idle ones; calls in flight go on.
+    void stopAccepting();
+
+    /// Calls of callers and forwarded calls that have no final answer yet.
+    std::size_t inFlight() const;
+
+private:
+    class Implementation;
+    explicit Gateway(std::unique_ptr<Implementation>);
+
+    std::unique_ptr<Implementation> m_implementation;
+};
+
+/// Collects what a gateway needs. The router, the controller and the context must outlive it.
+class Gateway::Builder {
+public:
+    Builder(boost::asio::io_context&, routing::EntryRouter&, routing::AdmissionController&);
+
+    Builder& node(NodeName, Incarnation);
+    Builder& callers(Endpoint);
+    Builder& calls(Endpoint);
+    Builder& limits(const GatewayLimits&);
+    Builder& hooks(GatewayHooks);
+
+    /// Listens on both addresses. Fails with \c ListenFailure.
+    Result<Gateway> build();
+
+private:
+    boost::asio::io_context& m_context;
+    routing::EntryRouter& m_router;
+    routing::AdmissionController& m_controller;
+    NodeName m_node;
+    Incarnation m_incarnation;
+    Endpoint m_callers;
+    Endpoint m_calls;
+    GatewayLimits m_limits;
+    GatewayHooks m_hooks;
+};
+
+}
--- /dev/null
+++ b/packages/gateway/include/carobpath/gateway/GatewayHooks.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "carobpath/foundation/Identifier.h"
+#include "carobpath/foundation/Time.h"
+#include "carobpath/routing/Admission.h"
+#include "carobpath/routing/Call.h"
+#include "carobpath/routing/CallDecision.h"
+
+#include <chrono>
+#include <functional>
+#include <optional>
+
+namespace carobpath::gateway {
+
+/// A call that the backend server beside this node dealt with; evidence for moves and quarantine.
+struct BackendObservation {
+    RequestId id;
+    RouteName route;
+    VersionName version;
+    std::uint64_t fingerprint = 0;
+    routing::BackendResult result = routing::BackendResult::Answered;
+    /// Time from dispatch to the header of the answer.
+    std::chrono::nanoseconds latency {};
+};
+
+/// The end of a caller's call at the node that it entered.
+struct CallObservation {
+    RequestId id;
+    RouteName route;
+    unsigned status = 0;
+    routing::Outcome outcome = routing::Outcome::NotRun;
+    std::optional<routing::RefusalReason> reason;
+    std::uint32_t attempts = 0;
+    std::chrono::nanoseconds latency {};
+    /// False where the answer could not be written whole.
+    bool whole = true;
+};
+
+using LedgerHandler = std::function<void(routing::LedgerVerdict)>;
+
+/// What the gateway asks of the rest of the node. All are called on the thread of the io_context.
+struct GatewayHooks {
+    /// Records an idempotency key before its call is sent.
+    std::function<void(const routing::AwaitLedger&, const RequestId&, LedgerHandler)> claimKey;
+    /// The call that holds a key has ended. One that has not run opens the key again.
+    std::function<void(const IdempotencyKey&, const RequestId&, routing::Outcome)> endKey;
+    /// Called before a dispatched call reaches the backend server.
+    std::function<void(const routing::AdmissionRequest&)> onDispatched;
+    std::function<void(const BackendObservation&)> onBackend;
+    std::function<void(const CallObservation&)> onCall;
+};
+
+}
--- /dev/null
+++ b/packages/gateway/include/carobpath/gateway/GatewayLimits.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace carobpath::gateway {
+
+/// Bounds of the HTTP sessions of a node. The defaults fit a node beside a backend server with a few slots.
+struct GatewayLimits {
+    /// Header of one request or answer, in bytes.
+    std::uint32_t headerBytes = 16 * 1024;
+    /// Body of one request, in bytes. Bodies of requests are held whole; bodies of answers are streamed.
+    std::uint64_t bodyBytes = 1024 * 1024;
+    /// Connections accepted at a time on one address.
+    std::uint32_t connections = 4096;
+    /// Time for the header and body of one request to arrive once its first byte is there.
+    std::chrono::milliseconds requestTimeout { 10'000 };
+    /// Time that a connection may stand between two requests. Longer than \c pooledIdle, so that a node never
+    /// reuses a connection that the other side is about to close.
+    std::chrono::milliseconds callerIdle { 60'000 };
+    /// Time that a connection to another node or the backend server may stand unused.
+    std::chrono::milliseconds pooledIdle { 10'000 };
+    /// Unused connections kept for one address.
+    std::uint32_t pooledConnections = 64;
+    /// Time for a connection to be made.
+    std::chrono::milliseconds connectTimeout { 1'000 };
+    /// Time without a byte after which the body of an answer counts as lost.
+    std::chrono::milliseconds bodyProgress { 5'000 };
+    /// An admitting node that has no answer yet says so this often.
+    std::chrono::milliseconds interimInterval { 200 };
+    /// Time without a byte, interim answers included, after which a connection to another node counts as silent.
+    std::chrono::milliseconds silence { 700 };
+};
+
+}
--- /dev/null
+++ b/packages/gateway/src/AdminServer.cpp
@@ -0,0 +1,55 @@
+#include "carobpath/gateway/AdminServer.h"
+
+#include "carobpath/gateway/Gateway.h"
+#include "internal/Listener.h"
+
+#include <utility>
+
+namespace carobpath::gateway {
+
+class AdminServer::Implementation {
+public:
+    Implementation(boost::asio::io_context& context, Handler handler)
+        : m_handler(std::move(handler))
+        , m_listener(std::make_shared<Detail::Listener>(context, m_limits, [this](const auto& session) { handle(*session); }))
+    {
+    }
+
+    void handle(Detail::ServerSession& session)
+    {
+        const auto& request = session.request();
+        const std::string_view target = request.target();
+        const AdminRequest asked { std::string { request.method_string() }, std::string { target.substr(0, target.find('?')) }, request.body() };
+        AdminResponse answer = m_handler(asked);
+        Detail::Response response { static_cast<Detail::http::status>(answer.status), 11 };
+        response.set(Detail::http::field::content_type, answer.contentType);
+        response.body() = std::move(answer.body);
+        session.respond(std::move(response));
+    }
+
+    GatewayLimits m_limits;
+    Handler m_handler;
+    std::shared_ptr<Detail::Listener> m_listener;
+};
+
+AdminServer::AdminServer(std::unique_ptr<Implementation> implementation)
+    : m_implementation(std::move(implementation))
+{
+}
+
+AdminServer::~AdminServer() = default;
+AdminServer::AdminServer(AdminServer&&) noexcept = default;
+
+Result<AdminServer> AdminServer::listen(boost::asio::io_context& context, const Endpoint& endpoint, Handler handler)
+{
+    auto implementation = std::make_unique<Implementation>(context, std::move(handler));
+    if (const auto ec = implementation->m_listener->listen(endpoint))
+        return boost::leaf::new_error(ListenFailure { endpoint, ec.value() });
+    return AdminServer { std::move(implementation) };
+}
+
+Endpoint AdminServer::endpoint() const { return m_implementation->m_listener->endpoint(); }
+
+void AdminServer::stop() { m_implementation->m_listener->stop(); }
+
+}
--- /dev/null
+++ b/packages/gateway/src/internal/AdmissionHandler.cpp
@@ -0,0 +1,94 @@
+#include "internal/AdmissionHandler.h"
+
+#include "internal/AdmittedCall.h"
+#include "internal/ForwardedHeader.h"
+
+#include <type_traits>
+#include <utility>
+
+namespace carobpath::gateway::Detail {
+
+namespace {
+
+    constexpr std::chrono::milliseconds tickInterval { 20 };
+
+    const RequestId& idOf(const routing::AdmissionCommand& command)
+    {
+        return std::visit([](const auto& it) -> const RequestId& { return it.id; }, command);
+    }
+
+}
+
+AdmissionHandler::AdmissionHandler(boost::asio::io_context& context, routing::AdmissionController& controller, ConnectionPool& pool,
+    const GatewayLimits& limits, const GatewayHooks& hooks)
+    : m_controller(controller)
+    , m_pool(pool)
+    , m_limits(limits)
+    , m_hooks(hooks)
+    , m_tick(context)
+{
+}
+
+void AdmissionHandler::handle(const ServerSession::Pointer& session)
+{
+    const auto now = MonotonicClock::now();
+    const auto request = admissionRequest(session->request(), now);
+    if (!request) {
+        session->refuse(routing::Refusal { routing::Outcome::NotRun, routing::RefusalReason::MalformedRequest, std::nullopt }, {});
+        return;
+    }
+    if (m_calls.contains(request->id)) {
+        session->refuse(routing::Refusal { routing::Outcome::NotRun, routing::RefusalReason::DuplicateInProgress, std::nullopt }, request->id.value());
+        return;
+    }
+    auto call = std::make_shared<AdmittedCall>(*this, session, *request);
+    m_calls.emplace(request->id, call);
+    call->wait();
+    perform(m_controller.onArrival(*request, now));
+}
+
+void AdmissionHandler::perform(const routing::AdmissionCommands& commands)
+{
+    for (const auto& command : commands) {
+        const auto it = m_calls.find(idOf(command));
+        if (it == m_calls.end())
+            continue;
+        const auto call = it->second;
+        if (const auto* reject = std::get_if<routing::Reject>(&command)) {
+            m_calls.erase(it);
+            call->reject(reject->refusal);
+        } else {
+            call->dispatch(m_backend);
+        }
+    }
+}
+
+void AdmissionHandler::finish(const routing::AdmissionResult& result)
+{
+    m_calls.erase(result.id);
+    perform(m_controller.onFinished(result, MonotonicClock::now()));
+}
+
+void AdmissionHandler::start()
+{
+    scheduleTick();
+}
+
+void AdmissionHandler::stop()
+{
+    m_stopped = true;
+    m_tick.cancel();
+}
+
+void AdmissionHandler::scheduleTick()
+{
+    m_tick.expires_after(tickInterval);
+    m_tick.async_wait([this](boost::system::error_code ec) {
+        if (ec || m_stopped)
+            return;
+        perform(m_controller.onTick(MonotonicClock::now()));
+        scheduleTick();
+    });
+}
+
+}
--- /dev/null
+++ b/packages/gateway/src/internal/AdmissionHandler.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "carobpath/foundation/Endpoint.h"
+#include "carobpath/gateway/GatewayHooks.h"
+#include "carobpath/gateway/GatewayLimits.h"
+#include "carobpath/routing/AdmissionController.h"
+#include "internal/ConnectionPool.h"
+#include "internal/ServerSession.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <unordered_map>
+
+namespace carobpath::gateway::Detail {
+
+class AdmittedCall;
+
+/// Takes calls that nodes forward to the backend server beside this one: asks the admission controller which may run,
+/// and carries its commands out.
+class AdmissionHandler {
+public:
+    AdmissionHandler(boost::asio::io_context&, routing::AdmissionController&, ConnectionPool&, const GatewayLimits&, const GatewayHooks&);
+
+    /// Where the backend server listens; calls dispatched without one are refused.
+    void setBackend(std::optional<Endpoint> endpoint) { m_backend = std::move(endpoint); }
+
+    void handle(const ServerSession::Pointer&);
+
+    /// Carries out what the admission controller decided outside of a call, such as on a change of the upstream.
+    void perform(const routing::AdmissionCommands&);
+
+    /// Starts the periodic ticks of the controller.
+    void start();
+    void stop();
+
+    std::size_t inFlight() const { return m_calls.size(); }
+
+private:
+    friend class AdmittedCall;
+
+    void scheduleTick();
+    void finish(const routing::AdmissionResult&);
+
+    routing::AdmissionController& m_controller;
+    ConnectionPool& m_pool;
+    const GatewayLimits& m_limits;
+    const GatewayHooks& m_hooks;
+    boost::asio::steady_timer m_tick;
+    std::optional<Endpoint> m_backend;
+    std::unordered_map<RequestId, std::shared_ptr<AdmittedCall>> m_calls;
+    bool m_stopped = false;
+};
+
+}
--- /dev/null
+++ b/packages/gateway/src/internal/AdmittedCall.cpp
@@ -0,0 +1,165 @@
+#include "internal/AdmittedCall.h"
+
+#include "internal/ForwardedHeader.h"
+
+#include <utility>
+
+namespace carobpath::gateway::Detail {
+
+namespace {
+
+    constexpr unsigned firstServerError = 500;
+
+    routing::BackendResult resultOf(ExchangeFailure failure)
+    {
+        switch (failure) {
+        case ExchangeFailure::ConnectFailed:
+            return routing::BackendResult::ConnectFailed;
+        case ExchangeFailure::TimedOut:
+        case ExchangeFailure::Silent:
+            return routing::BackendResult::TimedOut;
+        case ExchangeFailure::Cancelled:
+            return routing::BackendResult::Cancelled;
+        case ExchangeFailure::ConnectionLost:
+        case ExchangeFailure::Mismatched:
+            return routing::BackendResult::ConnectionLost;
+        }
+        return routing::BackendResult::ConnectionLost;
+    }
+
+    routing::Refusal refusalOf(ExchangeFailure failure)
+    {
+        using routing::Outcome;
+        using routing::RefusalReason;
+        if (failure == ExchangeFailure::ConnectFailed)
+            return routing::Refusal { Outcome::NotRun, RefusalReason::UpstreamUnreachable, std::nullopt };
+        if (failure == ExchangeFailure::TimedOut)
+            return routing::Refusal { Outcome::Unknown, RefusalReason::UpstreamTimeout, std::nullopt };
+        return routing::Refusal { Outcome::Unknown, RefusalReason::UpstreamConnectionLost, std::nullopt };
+    }
+
+    bool isTypedRefusal(const ResponseHeader& header)
+    {
+        return header.result() == http::status::service_unavailable && outcomeOf(header) == routing::Outcome::NotRun;
+    }
+
+    routing::Refusal refusalOfBackend(const ResponseHeader& header)
+    {
+        const bool draining = reasonOf(header) == routing::RefusalReason::Draining;
+        routing::Refusal refusal;
+        refusal.outcome = routing::Outcome::NotRun;
+        refusal.reason = draining ? routing::RefusalReason::Draining : routing::RefusalReason::UpstreamRefused;
+        refusal.retryAfter = milliseconds(header, HeaderName::retryAfterMs);
+        return refusal;
+    }
+
+}
+
+AdmittedCall::AdmittedCall(AdmissionHandler& handler, ServerSession::Pointer session, routing::AdmissionRequest request)
+    : m_handler(handler)
+    , m_session(std::move(session))
+    , m_request(std::move(request))
+{
+}
+
+void AdmittedCall::wait()
+{
+    m_session->onGone([self = shared_from_this()] { self->onCallerGone(); });
+    m_session->sendInterimAnswers();
+}
+
+void AdmittedCall::dispatch(const std::optional<Endpoint>& backend)
+{
+    m_dispatched = true;
+    m_dispatchedAt = MonotonicClock::now();
+    if (!backend) {
+        onFailure(ExchangeFailure::ConnectFailed);
+        return;
+    }
+    if (m_handler.m_hooks.onDispatched)
+        m_handler.m_hooks.onDispatched(m_request);
+    m_exchange = std::make_shared<UpstreamExchange>(m_handler.m_pool, m_handler.m_limits);
+    ExchangeTarget target;
+    target.endpoint = *backend;
+    target.headerDeadline = m_request.deadline;
+    target.requestId = m_request.id;
+    m_exchange->start(std::move(target), backendRequest(m_session->request(), m_request, m_dispatchedAt),
+        [self = shared_from_this()](std::optional<ExchangeFailure> failure) { self->onHeader(failure); });
+}
+
+void AdmittedCall::reject(const routing::Refusal& refusal)
+{
+    m_finished = true;
+    m_session->refuse(refusal, m_request.id.value());
+}
+
+void AdmittedCall::onHeader(std::optional<ExchangeFailure> failure)
+{
+    m_latency = MonotonicClock::now() - m_dispatchedAt;
+    if (failure)
+        onFailure(*failure);
+    else if (isTypedRefusal(m_exchange->header()))
+        refuseForBackend();
+    else
+        relay();
+}
+
+void AdmittedCall::onFailure(ExchangeFailure failure)
+{
+    if (failure == ExchangeFailure::Cancelled)
+        m_session->abandon();
+    else
+        m_session->refuse(refusalOf(failure), m_request.id.value());
+    finish(resultOf(failure));
+}
+
+void AdmittedCall::refuseForBackend()
+{
+    const auto refusal = refusalOfBackend(m_exchange->header());
+    m_exchange->discard();
+    m_session->refuse(refusal, m_request.id.value());
+    finish(routing::BackendResult::Refused);
+}
+
+void AdmittedCall::relay()
+{
+    ResponseHeader header = m_exchange->header();
+    removeHopByHopFields(header);
+    header.set(HeaderName::requestId, m_request.id.value());
+    header.set(HeaderName::outcome, routing::toString(routing::Outcome::Ran));
+    const bool serverError = header.result_int() >= firstServerError;
+    m_session->relay(m_exchange, std::move(header), [self = shared_from_this(), serverError](bool whole) {
+        if (!whole)
+            self->finish(self->m_exchange->failed() ? routing::BackendResult::ConnectionLost : routing::BackendResult::Cancelled);
+        else
+            self->finish(serverError ? routing::BackendResult::ServerError : routing::BackendResult::Answered);
+    });
+}
+
+void AdmittedCall::onCallerGone()
+{
+    if (m_finished)
+        return;
+    if (m_dispatched) {
+        m_exchange->cancel();
+        return;
+    }
+    m_finished = true;
+    m_session->abandon();
+    m_handler.m_calls.erase(m_request.id);
+    m_handler.perform(m_handler.m_controller.onCancelled(m_request.id, MonotonicClock::now()));
+}
+
+void AdmittedCall::finish(routing::BackendResult result)
+{
+    if (std::exchange(m_finished, true))
+        return;
+    const auto now = MonotonicClock::now();
+    if (m_handler.m_hooks.onBackend) {
+        const BackendObservation observation { m_request.id, m_request.route, m_request.version, m_request.fingerprint, result, m_latency };
+        m_handler.m_hooks.onBackend(observation);
+    }
+    m_handler.finish(routing::AdmissionResult { m_request.id, result, now - m_dispatchedAt });
+}
+
+}
--- /dev/null
+++ b/packages/gateway/src/internal/AdmittedCall.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "carobpath/foundation/Endpoint.h"
+#include "carobpath/routing/Admission.h"
+#include "internal/AdmissionHandler.h"
+#include "internal/ServerSession.h"
+#include "internal/UpstreamExchange.h"
+
+#include <memory>
+
+namespace carobpath::gateway::Detail {
+
+/// One forwarded call from its arrival at the admitting node to its answer.
+class AdmittedCall : public std::enable_shared_from_this<AdmittedCall> {
+public:
+    AdmittedCall(AdmissionHandler&, ServerSession::Pointer, routing::AdmissionRequest);
+
+    /// Watches for the caller's leaving and keeps the entry node informed while the call waits.
+    void wait();
+
+    /// Sends the call to the backend server.
+    void dispatch(const std::optional<Endpoint>& backend);
+
+    /// Answers with a refusal of this node.
+    void reject(const routing::Refusal&);
+
+private:
+    void onHeader(std::optional<ExchangeFailure>);
+    void onFailure(ExchangeFailure);
+    void refuseForBackend();
+    void relay();
+    void onCallerGone();
+    void finish(routing::BackendResult);
+
+    AdmissionHandler& m_handler;
+    ServerSession::Pointer m_session;
+    routing::AdmissionRequest m_request;
+    std::shared_ptr<UpstreamExchange> m_exchange;
+    MonotonicTime m_dispatchedAt;
+    std::chrono::nanoseconds m_latency {};
+    bool m_dispatched = false;
+    bool m_finished = false;
+};
+
+}
--- /dev/null
+++ b/packages/gateway/src/internal/BodyRelay.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "carobpath/gateway/GatewayLimits.h"
+#include "internal/HttpTypes.h"
+#include "internal/UpstreamExchange.h"
+
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/serializer.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+namespace carobpath::gateway::Detail {
+
+/// How the answer is written to the connection that asked.
+struct RelayFraming {
+    bool keepAlive = true;
+    /// False for callers of HTTP/1.0, which know no chunks.
+    bool mayChunk = true;
+    /// True where the answer has no body by its nature (HEAD, 204, 304).
+    bool headerOnly = false;
+};
+
+/// Writes the answer of an exchange to a connection, one piece at a time: the next piece is read only when the last
+/// one is written, so that a slow caller slows the upstream and no body is held whole.
+class BodyRelay : public std::enable_shared_from_this<BodyRelay> {
+public:
+    /// Called once; false where the answer could not be written whole.
+    using Done = std::function<void(bool whole)>;
+
+    BodyRelay(boost::beast::tcp_stream&, const GatewayLimits&, std::shared_ptr<UpstreamExchange>);
+
+    /// The stream must outlive the call of \c done.
+    void start(ResponseHeader, RelayFraming, Done);
+
+private:
+    void writeHeaderOnly();
+    void writeHeader();
+    void readPiece();
+    void writePiece(std::string_view);
+    void writeEnd();
+    void finish(bool whole);
+
+    boost::beast::tcp_stream& m_stream;
+    const GatewayLimits& m_limits;
+    std::shared_ptr<UpstreamExchange> m_exchange;
+    http::response<http::buffer_body> m_message;
+    std::optional<http::response_serializer<http::buffer_body>> m_serializer;
+    Done m_done;
+};
+
+}
--- /dev/null
+++ b/packages/gateway/src/internal/ConnectionPool.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "carobpath/foundation/Endpoint.h"
+#include "carobpath/foundation/Time.h"
+#include "carobpath/gateway/GatewayLimits.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace carobpath::gateway::Detail {
+
+/// A connection to another node or to the backend server, with the bytes read ahead on it.
+struct Connection {
+    explicit Connection(boost::asio::io_context& context)
+        : stream(context)
+    {
+    }
+
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer;
+    MonotonicTime madeAt;
+    MonotonicTime usedAt;
+    /// True once an exchange was completed on it.
+    bool reused = false;
+};
+
+using ConnectionPointer = std::shared_ptr<Connection>;
+
+/// Unused connections by address; the one used last is taken first.
+class ConnectionPool {
+public:
+    ConnectionPool(boost::asio::io_context&, const GatewayLimits&);
+
+    /// \returns an open connection whose other end has not closed it, or nothing.
+    ConnectionPointer take(const Endpoint&, MonotonicTime now);
+
+    /// Keeps a connection after a complete, matched exchange.
+    void give(const Endpoint&, ConnectionPointer, MonotonicTime now);
+
+    /// Closes the unused connections to the address made up to the moment given: one of their kind fell silent.
+    void closeOlder(const Endpoint&, MonotonicTime madeUpTo);
+
+    /// Closes connections that stood unused too long.
+    void expire(MonotonicTime now);
+
+
+    ConnectionPointer make() const;
+    std::size_t idleConnections() const;
+
+private:
+    struct Idle {
+        std::vector<ConnectionPointer> connections;
+        MonotonicTime suspectUpTo {};
+    };
+
+    boost::asio::io_context& m_context;
+    const GatewayLimits& m_limits;
+    std::unordered_map<Endpoint, Idle> m_idle;
+};
+
+}
--- /dev/null
+++ b/packages/gateway/src/internal/EntryCall.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "internal/EntryHandler.h"
+#include "internal/UpstreamExchange.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+
+namespace carobpath::gateway::Detail {
+
+/// One caller's call from its header to its final answer. Carries the commands of its decision out.
+class EntryCall : public std::enable_shared_from_this<EntryCall> {
+public:
+    EntryCall(EntryHandler&, ServerSession::Pointer, routing::CallRequest);
+    ~EntryCall();
+    EntryCall(const EntryCall&) = delete;
+    EntryCall& operator=(const EntryCall&) = delete;
+
+    void start();
+
+private:
+    void perform(const routing::CallCommand&);
+    void send(const routing::SendAttempt&);
+    void awaitLedger(const routing::AwaitLedger&);
+    void onLedger(const routing::LedgerVerdict&);
+    void reportKeyOutcome();
+    void answer(const routing::Refusal&);
+    void relayAnswer();
+    void onHeader(std::optional<ExchangeFailure>);
+    void onCallerGone();
+    routing::AttemptResult resultOfHeader() const;
+    routing::AttemptResult resultOfFailure(ExchangeFailure) const;
+    ResponseHeader headerForCaller() const;
+    void observe(unsigned status, routing::Outcome, std::optional<routing::RefusalReason>, bool whole);
+
+    EntryHandler& m_handler;
+    ServerSession::Pointer m_session;
+    routing::CallRequest m_call;
+    std::shared_ptr<routing::CallDecision> m_decision;
+    std::shared_ptr<UpstreamExchange> m_exchange;
+    std::optional<routing::SendAttempt> m_attempt;
+    MonotonicTime m_attemptStartedAt;
+    boost::asio::steady_timer m_ledgerTimer;
+    bool m_ledgerAnswered = false;
+    bool m_answered = false;
+};
+
+}
--- /dev/null
+++ b/packages/gateway/src/internal/ForwardedHeader.cpp
@@ -0,0 +1,153 @@
+#include "internal/ForwardedHeader.h"
+
+#include "carobpath/foundation/RendezvousHash.h"
+#include "carobpath/publication/EnumText.h"
+
+#include <boost/beast/core/string.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace carobpath::gateway::Detail {
+
+namespace {
+
+    constexpr int hexBase = 16;
+    constexpr std::size_t fingerprintDigits = 16;
+    constexpr std::chrono::milliseconds longestDeadline { 24 * 3600 * 1000 };
+
+    template <typename Number>
+    std::optional<Number> number(std::string_view text, int base)
+    {
+        Number value {};
+        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value, base);
+        if (ec != std::errc {} || end != text.data() + text.size())
+            return std::nullopt;
+        return value;
+    }
+
+    std::string_view value(const http::fields& fields, std::string_view name)
+    {
+        const auto it = fields.find(name);
+        return it == fields.end() ? std::string_view {} : std::string_view { it->value() };
+    }
+
+    std::string hex(std::uint64_t number)
+    {
+        std::string text(fingerprintDigits, '0');
+        std::array<char, fingerprintDigits> digits {};
+        const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), number, hexBase).ptr;
+        const auto n = static_cast<std::size_t>(end - digits.data());
+        std::copy_n(digits.data(), n, text.data() + fingerprintDigits - n);
+        return text;
+    }
+
+    std::string millisecondsLeft(MonotonicTime deadline, MonotonicTime now)
+    {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now);
+        return std::to_string(std::max<std::int64_t>(0, left.count()));
+    }
+
+    bool isOwnField(std::string_view name)
+    {
+        const auto size = HeaderName::prefix.size();
+        return name.size() >= size && boost::beast::iequals(name.substr(0, size), HeaderName::prefix);
+    }
+
+    void removeOwnFields(http::fields& fields)
+    {
+        std::vector<std::string> names;
+        for (const auto& it : fields) {
+            if (isOwnField(it.name_string()))
+                names.emplace_back(it.name_string());
+        }
+        for (const auto& name : names)
+            fields.erase(name);
+    }
+
+    std::shared_ptr<Request> cleanCopy(const Request& request)
+    {
+        auto copy = std::make_shared<Request>(request);
+        removeHopByHopFields(*copy);
+        removeOwnFields(*copy);
+        copy->version(11);
+        copy->keep_alive(true);
+        copy->prepare_payload();
+        return copy;
+    }
+
+}
+
+std::optional<std::chrono::milliseconds> milliseconds(const http::fields& fields, std::string_view name)
+{
+    const auto n = number<std::int64_t>(value(fields, name), 10);
+    if (!n || *n < 0 || std::chrono::milliseconds { *n } > longestDeadline)
+        return std::nullopt;
+    return std::chrono::milliseconds { *n };
+}
+
+std::shared_ptr<const Request> forwardedRequest(const Request& request, const routing::CallRequest& call, const routing::SendAttempt& attempt, MonotonicTime now)
+{
+    auto copy = cleanCopy(request);
+    copy->set(HeaderName::requestId, call.id.value());
+    copy->set(HeaderName::route, attempt.route.value());
+    copy->set(HeaderName::version, attempt.version.value());
+    copy->set(HeaderName::deadline, millisecondsLeft(attempt.deadline, now));
+    copy->set(HeaderName::fingerprint, hex(call.fingerprint));
+    copy->set(HeaderName::trafficClass, publication::toString(attempt.trafficClass));
+    copy->set(HeaderName::repeatability, publication::toString(attempt.repeatability));
+    return copy;
+}
+
+std::optional<routing::AdmissionRequest> admissionRequest(const Request& request, MonotonicTime now)
+{
+    routing::AdmissionRequest admission;
+    admission.id = RequestId { std::string { value(request, HeaderName::requestId) } };
+    admission.route = RouteName { std::string { value(request, HeaderName::route) } };
+    admission.version = VersionName { std::string { value(request, HeaderName::version) } };
+    const auto timeLeft = milliseconds(request, HeaderName::deadline);
+    const auto fingerprint = number<std::uint64_t>(value(request, HeaderName::fingerprint), hexBase);
+    const auto trafficClass = publication::trafficClassFromString(value(request, HeaderName::trafficClass));
+    const auto repeatability = publication::repeatabilityFromString(value(request, HeaderName::repeatability));
+    const bool named = !admission.id.empty() && !admission.route.empty() && !admission.version.empty();
+    if (!named || !timeLeft || !fingerprint || !trafficClass || !repeatability)
+        return std::nullopt;
+    admission.deadline = now + *timeLeft;
+    admission.fingerprint = *fingerprint;
+    admission.trafficClass = *trafficClass;
+    admission.repeatability = *repeatability;
+    return admission;
+}
+
+std::shared_ptr<const Request> backendRequest(const Request& request, const routing::AdmissionRequest& admission, MonotonicTime now)
+{
+    auto copy = cleanCopy(request);
+    copy->set(HeaderName::requestId, admission.id.value());
+    copy->set(HeaderName::deadline, millisecondsLeft(admission.deadline, now));
+    return copy;
+}
+
+std::optional<routing::Outcome> outcomeOf(const ResponseHeader& header)
+{
+    return routing::outcomeFromString(value(header, HeaderName::outcome));
+}
+
+std::optional<routing::RefusalReason> reasonOf(const ResponseHeader& header)
+{
+    return routing::refusalReasonFromString(value(header, HeaderName::reason));
+}
+
+std::uint64_t fingerprintOf(const Request& request)
+{
+    std::string key { request.method_string() };
+    key += ' ';
+    key += value(request, "Host");
+    key += ' ';
+    key += request.target();
+    return rendezvousScore(key, request.body());
+}
+
+}
--- /dev/null
+++ b/packages/gateway/src/internal/ForwardedHeader.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "carobpath/foundation/Time.h"
+#include "carobpath/routing/Admission.h"
+#include "carobpath/routing/Call.h"
+#include "internal/HttpTypes.h"
+
+#include <chrono>
+#include <optional>
+
+/// The header fields between the entry node and the admitting node, see docs/INTERFACES.md.
+namespace carobpath::gateway::Detail {
+
+/// \returns the caller's request as it is sent to the admitting node: connection fields and fields of the caller's
+/// that carobpath itself uses are gone, those of the attempt are added.
+std::shared_ptr<const Request> forwardedRequest(const Request&, const routing::CallRequest&, const routing::SendAttempt&, MonotonicTime now);
+
+/// \returns what the admitting node needs of a forwarded request, or nothing where a field lacks or makes no sense.
+std::optional<routing::AdmissionRequest> admissionRequest(const Request&, MonotonicTime now);
+
+/// \returns the request as the backend server gets it: without the fields that only nodes read.
+std::shared_ptr<const Request> backendRequest(const Request&, const routing::AdmissionRequest&, MonotonicTime now);
+
+/// \returns the milliseconds in a header field, or nothing where it is absent or no number.
+std::optional<std::chrono::milliseconds> milliseconds(const http::fields&, std::string_view name);
+
+/// \returns the outcome that the header of an answer carries.
+std::optional<routing::Outcome> outcomeOf(const ResponseHeader&);
+std::optional<routing::RefusalReason> reasonOf(const ResponseHeader&);
+
+/// Hash of what makes two requests the same: method, host, target and body.
+std::uint64_t fingerprintOf(const Request&);
+
+}
--- /dev/null
+++ b/packages/gateway/src/internal/HttpTypes.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <string_view>
+
+/// The message types and header names that the sessions share.
+namespace carobpath::gateway::Detail {
+
+namespace http = boost::beast::http;
+
+/// A request whose body is held whole, so that it can be sent to another node again.
+using Request = http::request<http::string_body>;
+/// An answer that the node writes itself.
+using Response = http::response<http::string_body>;
+using ResponseHeader = http::response_header<>;
+
+namespace HeaderName {
+    inline constexpr std::string_view requestId = "Carobpath-Request-Id";
+    inline constexpr std::string_view route = "Carobpath-Route";
+    inline constexpr std::string_view version = "Carobpath-Version";
+    inline constexpr std::string_view deadline = "Carobpath-Deadline-Ms";
+    inline constexpr std::string_view callerTimeout = "Carobpath-Timeout-Ms";
+    inline constexpr std::string_view fingerprint = "Carobpath-Fingerprint";
+    inline constexpr std::string_view trafficClass = "Carobpath-Traffic-Class";
+    inline constexpr std::string_view repeatability = "Carobpath-Repeatability";
+    inline constexpr std::string_view hybridTime = "Carobpath-Hybrid-Time";
+    inline constexpr std::string_view outcome = "Carobpath-Outcome";
+    inline constexpr std::string_view reason = "Carobpath-Reason";
+    inline constexpr std::string_view retryAfterMs = "Carobpath-Retry-After-Ms";
+    inline constexpr std::string_view idempotencyKey = "Idempotency-Key";
+    inline constexpr std::string_view prefix = "carobpath-";
+}
+
+/// Removes the header fields that speak of one connection only (RFC 9110, section 7.6.1).
+template <typename Fields>
+void removeHopByHopFields(Fields& fields)
+{
+    fields.erase(http::field::connection);
+    fields.erase(http::field::keep_alive);
+    fields.erase(http::field::proxy_connection);
+    fields.erase(http::field::te);
+    fields.erase(http::field::trailer);
+    fields.erase(http::field::upgrade);
+    fields.erase(http::field::expect);
+}
+
+}
--- /dev/null
+++ b/packages/gateway/src/internal/Listener.cpp
@@ -0,0 +1,104 @@
+#include "internal/Listener.h"
+
+#include "internal/SocketOptions.h"
+
+#include <boost/asio/error.hpp>
+
+#include <utility>
+
+namespace carobpath::gateway::Detail {
+
+namespace {
+
+    /// Pause after the system refused a connection, mostly for want of file descriptors.
+    constexpr std::chrono::milliseconds acceptPause { 50 };
+
+}
+
+Listener::Listener(boost::asio::io_context& context, const GatewayLimits& limits, ServerSession::RequestHandler handler)
+    : m_acceptor(context)
+    , m_acceptTimer(context)
+    , m_limits(limits)
+    , m_handler(std::move(handler))
+{
+}
+
+boost::system::error_code Listener::listen(const Endpoint& endpoint)
+{
+    const auto tcp = toTcp(endpoint);
+    if (!tcp)
+        return boost::asio::error::invalid_argument;
+    boost::system::error_code ec;
+    m_acceptor.open(tcp->protocol(), ec);
+    if (ec)
+        return ec;
+    m_acceptor.set_option(boost::asio::socket_base::reuse_address { true }, ec);
+    m_acceptor.bind(*tcp, ec);
+    if (ec)
+        return ec;
+    m_acceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
+    if (ec)
+        return ec;
+    accept();
+    return {};
+}
+
+Endpoint Listener::endpoint() const
+{
+    boost::system::error_code ec;
+    return fromTcp(m_acceptor.local_endpoint(ec));
+}
+
+void Listener::accept()
+{
+    m_acceptor.async_accept([self = shared_from_this()](boost::system::error_code ec, boost::asio::ip::tcp::socket socket) {
+        if (ec == boost::asio::error::operation_aborted || !self->m_acceptor.is_open())
+            return;
+        if (!ec) {
+            self->add(std::move(socket));
+            self->accept();
+            return;
+        }
+        self->m_acceptTimer.expires_after(acceptPause);
+        self->m_acceptTimer.async_wait([self](boost::system::error_code waited) {
+            if (!waited)
+                self->accept();
+        });
+    });
+}
+
+void Listener::add(boost::asio::ip::tcp::socket&& socket)
+{
+    if (m_sessions.size() >= m_forgetAt)
+        forgetClosed();
+    if (m_sessions.size() >= m_limits.connections)
+        return;
+    auto session = std::make_shared<ServerSession>(std::move(socket), m_limits, m_handler);
+    m_sessions.push_back(session);
+    session->start();
+}
+
+void Listener::forgetClosed()
+{
+    std::erase_if(m_sessions, [](const auto& it) { return it.expired(); });
+    m_forgetAt = std::max<std::size_t>(64, 2 * m_sessions.size());
+    m_forgetAt = std::min<std::size_t>(m_forgetAt, m_limits.connections);
+}
+
+void Listener::stop()
+{
+    m_acceptor.close();
+    m_acceptTimer.cancel();
+    for (const auto& it : m_sessions) {
+        if (const auto session = it.lock())
+            session->closeWhenIdle();
+    }
+}
+
+std::size_t Listener::connections()
+{
+    forgetClosed();
+    return m_sessions.size();
+}
+
+}
--- /dev/null
+++ b/packages/gateway/src/internal/ServerSession.cpp
@@ -0,0 +1,265 @@
+#include "internal/ServerSession.h"
+
+#include "internal/BodyRelay.h"
+#include "internal/SocketOptions.h"
+
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <utility>
+
+namespace carobpath::gateway::Detail {
+
+namespace {
+
+    constexpr std::size_t readBytes = 4096;
+
+    Response interimResponse()
+    {
+        Response response { http::status::processing, 11 };
+        return response;
+    }
+
+    std::string refusalBody(const routing::Refusal& refusal)
+    {
+        const nlohmann::json body {
+            { "outcome", routing::toString(refusal.outcome) },
+            { "reason", routing::toString(refusal.reason) },
+        };
+        return body.dump() + "\n";
+    }
+
+    std::chrono::seconds roundedUp(std::chrono::milliseconds time)
+    {
+        return std::chrono::ceil<std::chrono::seconds>(time);
+    }
+
+    bool isTooLarge(boost::system::error_code ec)
+    {
+        return ec == http::error::header_limit || ec == http::error::body_limit || ec == http::error::buffer_overflow;
+    }
+
+    bool isMalformed(boost::system::error_code ec)
+    {
+        return ec.category() == http::make_error_code(http::error::bad_method).category()
+            && ec != http::error::end_of_stream && ec != http::error::partial_message;
+    }
+
+}
+
+ServerSession::ServerSession(boost::asio::ip::tcp::socket&& socket, const GatewayLimits& limits, RequestHandler handler)
+    : m_stream(std::move(socket))
+    , m_interimTimer(m_stream.get_executor())
+    , m_limits(limits)
+    , m_handler(std::move(handler))
+{
+}
+
+void ServerSession::start()
+{
+    setConnectionOptions(m_stream.socket());
+    waitForRequest();
+}
+
+void ServerSession::waitForRequest()
+{
+    m_state = State::Idle;
+    if (m_buffer.size() != 0) {
+        readRequest();
+        return;
+    }
+    if (m_closeWhenIdle) {
+        close();
+        return;
+    }
+    m_stream.expires_after(m_limits.callerIdle);
+    m_stream.async_read_some(m_buffer.prepare(readBytes), [self = shared_from_this()](boost::system::error_code ec, std::size_t n) {
+        if (ec) {
+            self->close();
+            return;
+        }
+        self->m_buffer.commit(n);
+        self->readRequest();
+    });
+}
+
+void ServerSession::readRequest()
+{
+    m_state = State::Reading;
+    m_arrivedAt = MonotonicClock::now();
+    m_parser.emplace();
+    m_parser->header_limit(m_limits.headerBytes);
+    m_parser->body_limit(m_limits.bodyBytes);
+    m_stream.expires_after(m_limits.requestTimeout);
+    http::async_read(m_stream, m_buffer, *m_parser,
+        [self = shared_from_this()](boost::system::error_code ec, std::size_t) { self->onRequest(ec); });
+}
+
+void ServerSession::onRequest(boost::system::error_code ec)
+{
+    if (ec) {
+        refuseMalformed(ec);
+        return;
+    }
+    m_state = State::Handling;
+    m_requestKeepsAlive = request().keep_alive();
+    m_stream.expires_never();
+    watchForClose();
+    m_handler(shared_from_this());
+}
+
+void ServerSession::refuseMalformed(boost::system::error_code ec)
+{
+    if (!isTooLarge(ec) && !isMalformed(ec)) {
+        close();
+        return;
+    }
+    m_state = State::Handling;
+    m_requestKeepsAlive = false;
+    const auto reason = isTooLarge(ec) ? routing::RefusalReason::RequestTooLarge : routing::RefusalReason::MalformedRequest;
+    refuse(routing::Refusal { routing::Outcome::NotRun, reason, std::nullopt }, {});
+}
+
+void ServerSession::watchForClose()
+{
+    if (std::exchange(m_watching, true))
+        return;
+    m_stream.socket().async_wait(boost::asio::socket_base::wait_read, [self = shared_from_this()](boost::system::error_code ec) {
+        self->m_watching = false;
+        if (ec || self->m_state != State::Handling || !isClosedByPeer(self->m_stream.socket()))
+            return;
+        if (auto gone = std::exchange(self->m_onGone, nullptr))
+            gone();
+    });
+}
+
+void ServerSession::onGone(std::function<void()> gone)
+{
+    m_onGone = std::move(gone);
+}
+
+void ServerSession::sendInterimAnswers()
+{
+    m_interimTimer.expires_after(m_limits.interimInterval);
+    m_interimTimer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
+        if (ec || self->m_state != State::Handling)
+            return;
+        self->writeInterim();
+    });
+}
+
+void ServerSession::writeInterim()
+{
+    m_writingInterim = true;
+    auto interim = std::make_shared<Response>(interimResponse());
+    m_stream.expires_after(m_limits.requestTimeout);
+    http::async_write(m_stream, *interim, [self = shared_from_this(), interim](boost::system::error_code ec, std::size_t) {
+        self->m_writingInterim = false;
+        if (auto next = std::exchange(self->m_afterInterim, nullptr)) {
+            next();
+            return;
+        }
+        if (!ec && self->m_state == State::Handling)
+            self->sendInterimAnswers();
+    });
+}
+
+void ServerSession::beginAnswer()
+{
+    m_state = State::Answering;
+    m_onGone = nullptr;
+    m_interimTimer.cancel();
+}
+
+void ServerSession::respond(Response&& response, AnswerDone done)
+{
+    beginAnswer();
+    m_response = std::make_shared<Response>(std::move(response));
+    m_answerDone = std::move(done);
+    m_response->version(11);
+    m_response->keep_alive(m_requestKeepsAlive && !m_closeWhenIdle);
+    m_response->prepare_payload();
+    if (m_writingInterim)
+        m_afterInterim = [this] { writeWhole(); };
+    else
+        writeWhole();
+}
+
+void ServerSession::writeWhole()
+{
+    m_stream.expires_after(m_limits.callerIdle);
+    http::async_write(m_stream, *m_response, [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
+        const bool keepAlive = self->m_response->keep_alive();
+        self->m_response = nullptr;
+        self->endAnswer(keepAlive, !ec);
+    });
+}
+
+void ServerSession::refuse(const routing::Refusal& refusal, std::string_view requestId, AnswerDone done)
+{
+    Response response { static_cast<http::status>(routing::httpStatus(refusal.reason)), 11 };
+    response.set(http::field::content_type, "application/json");
+    response.set(HeaderName::outcome, routing::toString(refusal.outcome));
+    response.set(HeaderName::reason, routing::toString(refusal.reason));
+    if (!requestId.empty())
+        response.set(HeaderName::requestId, requestId);
+    if (refusal.retryAfter) {
+        response.set(http::field::retry_after, std::to_string(roundedUp(*refusal.retryAfter).count()));
+        response.set(HeaderName::retryAfterMs, std::to_string(refusal.retryAfter->count()));
+    }
+    response.body() = refusalBody(refusal);
+    respond(std::move(response), std::move(done));
+}
+
+void ServerSession::relay(std::shared_ptr<UpstreamExchange> exchange, ResponseHeader header, AnswerDone done)
+{
+    beginAnswer();
+    m_answerDone = std::move(done);
+    RelayFraming framing;
+    framing.mayChunk = request().version() >= 11;
+    framing.headerOnly = request().method() == http::verb::head || exchange->bodyIsDone();
+    const bool lengthIsKnown = framing.headerOnly || exchange->contentLength().has_value();
+    framing.keepAlive = m_requestKeepsAlive && !m_closeWhenIdle && (framing.mayChunk || lengthIsKnown);
+    auto relay = std::make_shared<BodyRelay>(m_stream, m_limits, std::move(exchange));
+    auto begin = [self = shared_from_this(), relay, framing, header = std::move(header)]() mutable {
+        relay->start(std::move(header), framing, [self, keepAlive = framing.keepAlive](bool whole) { self->endAnswer(keepAlive, whole); });
+    };
+    if (m_writingInterim)
+        m_afterInterim = std::move(begin);
+    else
+        begin();
+}
+
+void ServerSession::endAnswer(bool keepAlive, bool whole)
+{
+    if (auto done = std::exchange(m_answerDone, nullptr))
+        done(whole);
+    if (whole && keepAlive)
+        waitForRequest();
+    else
+        close();
+}
+
+void ServerSession::closeWhenIdle()
+{
+    m_closeWhenIdle = true;
+    if (m_state == State::Idle)
+        close();
+}
+
+void ServerSession::close()
+{
+    m_state = State::Closed;
+    m_onGone = nullptr;
+    m_interimTimer.cancel();
+    boost::system::error_code ec;
+    m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+    m_stream.close();
+}
+
+}
--- /dev/null
+++ b/packages/gateway/src/internal/SocketOptions.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/system/error_code.hpp>
+
+#include "carobpath/foundation/Endpoint.h"
+
+#include <optional>
+
+namespace carobpath::gateway::Detail {
+
+/// Sets no-delay, keep-alive probes and the TCP user timeout, so that the system gives up on a connection whose
+/// other end no longer answers.
+void setConnectionOptions(boost::asio::ip::tcp::socket&);
+
+/// \returns true where the other end has closed, or the socket is broken. Reads nothing.
+bool isClosedByPeer(boost::asio::ip::tcp::socket&);
+
+/// \returns true where bytes wait that nobody asked for.
+bool hasUnexpectedBytes(boost::asio::ip::tcp::socket&);
+
+/// \returns nothing where the address is no IP number.
+std::optional<boost::asio::ip::tcp::endpoint> toTcp(const Endpoint&);
+
+Endpoint fromTcp(const boost::asio::ip::tcp::endpoint&);
+
+}
--- /dev/null
+++ b/packages/gateway/src/internal/UpstreamExchange.cpp
@@ -0,0 +1,221 @@
+#include "internal/UpstreamExchange.h"
+
+#include "internal/SocketOptions.h"
+
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace carobpath::gateway::Detail {
+
+namespace {
+
+    bool isInterim(const ResponseHeader& header)
+    {
+        return header.result_int() >= 100 && header.result_int() < 200;
+    }
+
+}
+
+UpstreamExchange::UpstreamExchange(ConnectionPool& pool, const GatewayLimits& limits)
+    : m_pool(pool)
+    , m_limits(limits)
+{
+}
+
+void UpstreamExchange::start(ExchangeTarget target, std::shared_ptr<const Request> request, HeaderHandler onHeader)
+{
+    m_target = std::move(target);
+    m_request = std::move(request);
+    m_onHeader = std::move(onHeader);
+    if (!m_target.fresh)
+        m_connection = m_pool.take(m_target.endpoint, MonotonicClock::now());
+    if (m_connection)
+        write();
+    else
+        connect();
+}
+
+void UpstreamExchange::connect()
+{
+    const auto endpoint = toTcp(m_target.endpoint);
+    m_connection = m_pool.make();
+    if (!endpoint) {
+        fail(ExchangeFailure::ConnectFailed);
+        return;
+    }
+    const auto now = MonotonicClock::now();
+    m_connection->madeAt = now;
+    m_connection->stream.expires_at(std::min(now + m_limits.connectTimeout, m_target.headerDeadline));
+    m_connection->stream.async_connect(*endpoint, [self = shared_from_this()](boost::system::error_code ec) {
+        if (self->m_cancelled || ec) {
+            self->fail(self->m_cancelled ? ExchangeFailure::Cancelled : ExchangeFailure::ConnectFailed);
+            return;
+        }
+        setConnectionOptions(self->m_connection->stream.socket());
+        self->write();
+    });
+}
+
+void UpstreamExchange::write()
+{
+    setHeaderExpiry();
+    http::async_write(m_connection->stream, *m_request, [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
+        if (ec) {
+            self->fail(self->failureOf(ec));
+            return;
+        }
+        self->readHeader();
+    });
+}
+
+void UpstreamExchange::setHeaderExpiry()
+{
+    auto expiry = m_target.headerDeadline;
+    if (m_target.silence)
+        expiry = std::min(expiry, MonotonicClock::now() + *m_target.silence);
+    m_connection->stream.expires_at(expiry);
+}
+
+void UpstreamExchange::resetParser()
+{
+    m_parser.emplace();
+    m_parser->header_limit(m_limits.headerBytes);
+    m_parser->body_limit(boost::none);
+    if (m_request->method() == http::verb::head)
+        m_parser->skip(true);
+}
+
+void UpstreamExchange::readHeader()
+{
+    resetParser();
+    http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser,
+        [self = shared_from_this()](boost::system::error_code ec, std::size_t) { self->onHeader(ec); });
+}
+
+void UpstreamExchange::onHeader(boost::system::error_code ec)
+{
+    if (ec) {
+        fail(failureOf(ec));
+        return;
+    }
+    if (isInterim(header())) {
+        setHeaderExpiry();
+        readHeader();
+        return;
+    }
+    if (!answersRequest()) {
+        fail(ExchangeFailure::Mismatched);
+        return;
+    }
+    auto handler = std::exchange(m_onHeader, nullptr);
+    handler(std::nullopt);
+}
+
+bool UpstreamExchange::answersRequest() const
+{
+    const auto it = header().find(HeaderName::requestId);
+    return it == header().end() || it->value() == m_target.requestId.value();
+}
+
+std::optional<std::uint64_t> UpstreamExchange::contentLength() const
+{
+    const auto length = m_parser->content_length();
+    if (!length)
+        return std::nullopt;
+    return *length;
+}
+
+void UpstreamExchange::readBody(BodyHandler handler)
+{
+    if (m_parser->is_done()) {
+        finish();
+        handler(std::nullopt, {});
+        return;
+    }
+    auto& body = m_parser->get().body();
+    body.data = m_piece.data();
+    body.size = m_piece.size();
+    m_connection->stream.expires_after(m_limits.bodyProgress);
+    http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser,
+        [self = shared_from_this(), handler = std::move(handler)](boost::system::error_code ec, std::size_t) {
+            if (ec == http::error::need_buffer)
+                ec = {};
+            if (ec) {
+                const auto failure = self->failureOf(ec);
+                self->fail(failure);
+                handler(failure, {});
+                return;
+            }
+            const std::size_t n = self->m_piece.size() - self->m_parser->get().body().size;
+            if (n == 0) {
+                self->readBody(handler);
+                return;
+            }
+            handler(std::nullopt, std::string_view { self->m_piece.data(), n });
+        });
+}
+
+void UpstreamExchange::discard()
+{
+    discardNext(0);
+}
+
+void UpstreamExchange::discardNext(std::uint64_t read)
+{
+    if (read > s_discardBytes) {
+        cancel();
+        return;
+    }
+    readBody([self = shared_from_this(), read](std::optional<ExchangeFailure> failure, std::string_view piece) {
+        if (!failure && !piece.empty())
+            self->discardNext(read + piece.size());
+    });
+}
+
+void UpstreamExchange::finish()
+{
+    if (std::exchange(m_finished, true))
+        return;
+    if (m_parser->keep_alive() && !m_cancelled) {
+        m_connection->stream.expires_never();
+        m_pool.give(m_target.endpoint, m_connection, MonotonicClock::now());
+    } else {
+        m_connection->stream.close();
+    }
+}
+
+void UpstreamExchange::cancel()
+{
+    m_cancelled = true;
+    if (m_connection && !m_finished)
+        m_connection->stream.close();
+}
+
+ExchangeFailure UpstreamExchange::failureOf(boost::system::error_code ec) const
+{
+    if (m_cancelled)
+        return ExchangeFailure::Cancelled;
+    if (ec != boost::beast::error::timeout)
+        return ExchangeFailure::ConnectionLost;
+    const bool deadlinePassed = MonotonicClock::now() >= m_target.headerDeadline;
+    return deadlinePassed ? ExchangeFailure::TimedOut : ExchangeFailure::Silent;
+}
+
+void UpstreamExchange::fail(ExchangeFailure failure)
+{
+    m_finished = true;
+    m_failed = failure != ExchangeFailure::Cancelled;
+    const bool wentQuiet = failure == ExchangeFailure::Silent || failure == ExchangeFailure::TimedOut;
+    if (wentQuiet)
+        m_pool.closeOlder(m_target.endpoint, m_connection->madeAt);
+    m_connection->stream.close();
+    if (auto handler = std::exchange(m_onHeader, nullptr))
+        handler(failure);
+}
+
+}
--- /dev/null
+++ b/packages/gateway/tests/ScriptedServer.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "carobpath/foundation/Endpoint.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace carobpath::gateway {
+
+/// What the server does once it has written its bytes.
+enum class ScriptEnd {
+    Close,
+    StaySilent,
+};
+
+/// Plays one script on each connection that it accepts: reads until the end of a request's header, writes its bytes,
+/// then closes or says no more.
+class ScriptedServer {
+public:
+    ScriptedServer(boost::asio::io_context& context, std::string answer, ScriptEnd end)
+        : m_acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+        , m_answer(std::move(answer))
+        , m_end(end)
+    {
+        accept();
+    }
+
+    Endpoint endpoint() const { return Endpoint { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
+    int accepted() const { return static_cast<int>(m_sockets.size()); }
+    int requests() const { return m_requests; }
+    void close() { m_acceptor.close(); }
+
+private:
+    struct Peer {
+        explicit Peer(boost::asio::ip::tcp::socket&& accepted)
+            : socket(std::move(accepted))
+        {
+        }
+        boost::asio::ip::tcp::socket socket;
+        std::array<char, 4096> piece {};
+        std::string read;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([this](boost::system::error_code ec, boost::asio::ip::tcp::socket socket) {
+            if (ec)
+                return;
+            m_sockets.push_back(std::make_shared<Peer>(std::move(socket)));
+            read(m_sockets.back());
+            accept();
+        });
+    }
+
+    void read(const std::shared_ptr<Peer>& peer)
+    {
+        peer->socket.async_read_some(boost::asio::buffer(peer->piece), [this, peer](boost::system::error_code ec, std::size_t n) {
+            if (ec)
+                return;
+            peer->read.append(peer->piece.data(), n);
+            if (peer->read.find("\r\n\r\n") == std::string::npos) {
+                read(peer);
+                return;
+            }
+            peer->read.clear();
+            ++m_requests;
+            answer(peer);
+        });
+    }
+
+    void answer(const std::shared_ptr<Peer>& peer)
+    {
+        boost::system::error_code ec;
+        boost::asio::write(peer->socket, boost::asio::buffer(m_answer), ec);
+        if (m_end == ScriptEnd::Close)
+            peer->socket.close(ec);
+        else
+            read(peer);
+    }
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::string m_answer;
+    ScriptEnd m_end;
+    std::vector<std::shared_ptr<Peer>> m_sockets;
+    int m_requests = 0;
+};
+
+}
--- /dev/null
+++ b/packages/gateway/tests/UpstreamExchangeTests.cpp
@@ -0,0 +1,196 @@
+#include "ScriptedServer.h"
+#include "internal/UpstreamExchange.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <optional>
+#include <ostream>
+#include <string>
+
+namespace carobpath::gateway::Detail {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    /// How one exchange ended, with the whole body.
+    struct Seen {
+        std::optional<ExchangeFailure> headerFailure;
+        std::optional<ExchangeFailure> bodyFailure;
+        unsigned status = 0;
+        std::string body;
+        bool ended = false;
+    };
+
+    /// One exchange after the other against one server.
+    class Bench {
+    public:
+        Bench(std::string answer, ScriptEnd end)
+            : m_server(m_context, std::move(answer), end)
+        {
+        }
+
+        Seen exchange(std::chrono::milliseconds deadline = 5s, std::chrono::milliseconds silence = 5s)
+        {
+            Seen seen;
+            auto exchange = std::make_shared<UpstreamExchange>(m_pool, m_limits);
+            auto request = std::make_shared<Request>(http::verb::get, "/", 11);
+            request->set(http::field::host, "test");
+            ExchangeTarget target;
+            target.endpoint = m_server.endpoint();
+            target.headerDeadline = MonotonicClock::now() + deadline;
+            target.silence = silence;
+            target.requestId = RequestId { "r-1" };
+            exchange->start(target, request, [&](std::optional<ExchangeFailure> failure) {
+                seen.headerFailure = failure;
+                seen.ended = failure.has_value();
+                if (failure)
+                    return;
+                seen.status = exchange->header().result_int();
+                readBody(exchange, seen);
+            });
+            while (!seen.ended)
+                m_context.run_one();
+            return seen;
+        }
+
+        ScriptedServer& server() { return m_server; }
+        ConnectionPool& pool() { return m_pool; }
+
+    private:
+        void readBody(const std::shared_ptr<UpstreamExchange>& exchange, Seen& seen)
+        {
+            exchange->readBody([this, exchange, &seen](std::optional<ExchangeFailure> failure, std::string_view piece) {
+                seen.bodyFailure = failure;
+                seen.body += piece;
+                if (failure || piece.empty())
+                    seen.ended = true;
+                else
+                    readBody(exchange, seen);
+            });
+        }
+
+        boost::asio::io_context m_context;
+        GatewayLimits m_limits;
+        ConnectionPool m_pool { m_context, m_limits };
+        ScriptedServer m_server;
+    };
+
+    const std::string wholeAnswer = "HTTP/1.1 200 OK\r\nCarobpath-Request-Id: r-1\r\nContent-Length: 5\r\n\r\nwhole";
+
+    struct FaultRow {
+        const char* name;
+        std::string answer;
+        ScriptEnd end;
+        std::optional<ExchangeFailure> headerFailure;
+        std::optional<ExchangeFailure> bodyFailure;
+    };
+
+    const std::array faultRows {
+        FaultRow { "closed before a byte", "", ScriptEnd::Close, ExchangeFailure::ConnectionLost, std::nullopt },
+        FaultRow { "silent", "", ScriptEnd::StaySilent, ExchangeFailure::Silent, std::nullopt },
+        FaultRow { "header cut short", "HTTP/1.1 200 OK\r\nConte", ScriptEnd::Close, ExchangeFailure::ConnectionLost, std::nullopt },
+        FaultRow { "no HTTP", "hello\r\n\r\n", ScriptEnd::Close, ExchangeFailure::ConnectionLost, std::nullopt },
+        FaultRow { "another request's answer", "HTTP/1.1 200 OK\r\nCarobpath-Request-Id: r-2\r\nContent-Length: 0\r\n\r\n", ScriptEnd::StaySilent,
+            ExchangeFailure::Mismatched, std::nullopt },
+        FaultRow { "body cut short", "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nwhole", ScriptEnd::Close, std::nullopt, ExchangeFailure::ConnectionLost },
+        FaultRow { "chunked body without its end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n", ScriptEnd::Close, std::nullopt,
+            ExchangeFailure::ConnectionLost },
+        FaultRow { "header too large", "HTTP/1.1 200 OK\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n", ScriptEnd::Close, ExchangeFailure::ConnectionLost,
+            std::nullopt },
+    };
+
+}
+
+BOOST_AUTO_TEST_SUITE(UpstreamExchanges)
+
+BOOST_AUTO_TEST_CASE(A_complete_matched_exchange_gives_the_whole_body_and_its_connection_is_used_again)
+{
+    Bench bench { wholeAnswer, ScriptEnd::StaySilent };
+    for (int i = 0; i < 3; ++i) {
+        const auto seen = bench.exchange();
+        BOOST_TEST(!seen.headerFailure.has_value());
+        BOOST_TEST(!seen.bodyFailure.has_value());
+        BOOST_TEST(seen.body == "whole");
+    }
+    BOOST_TEST(bench.server().accepted() == 1);
+    BOOST_TEST(bench.server().requests() == 3);
+}
+
+BOOST_AUTO_TEST_CASE(Every_faulty_answer_is_a_typed_failure_and_its_connection_is_not_used_again)
+{
+    for (const auto& row : faultRows) {
+        BOOST_TEST_CONTEXT(row.name)
+        {
+            Bench bench { row.answer, row.end };
+            const auto seen = bench.exchange(5s, 100ms);
+            BOOST_TEST((seen.headerFailure == row.headerFailure));
+            BOOST_TEST((seen.bodyFailure == row.bodyFailure));
+            BOOST_TEST(bench.pool().idleConnections() == 0U);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(Interim_answers_are_passed_over)
+{
+    Bench bench { "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + wholeAnswer, ScriptEnd::StaySilent };
+    const auto seen = bench.exchange();
+    BOOST_TEST(seen.status == 200U);
+    BOOST_TEST(seen.body == "whole");
+}
+
+BOOST_AUTO_TEST_CASE(A_passed_deadline_is_told_apart_from_silence)
+{
+    Bench bench { "", ScriptEnd::StaySilent };
+    BOOST_TEST((bench.exchange(50ms, 5s).headerFailure == ExchangeFailure::TimedOut));
+}
+
+BOOST_AUTO_TEST_CASE(A_refused_connection_is_told_apart_from_one_that_was_lost)
+{
+    Bench bench { wholeAnswer, ScriptEnd::StaySilent };
+    bench.server().close();
+    BOOST_TEST((bench.exchange().headerFailure == ExchangeFailure::ConnectFailed));
+}
+
+BOOST_AUTO_TEST_CASE(An_answer_with_bytes_after_its_end_does_not_leak_into_the_next_exchange)
+{
+    Bench bench { wholeAnswer + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother", ScriptEnd::StaySilent };
+    BOOST_TEST(bench.exchange().body == "whole");
+    BOOST_TEST(bench.pool().idleConnections() == 0U);
+    BOOST_TEST(bench.exchange().body == "whole");
+    BOOST_TEST(bench.server().accepted() == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ConnectionPools)
+
+BOOST_AUTO_TEST_CASE(Connections_made_before_one_that_fell_silent_are_closed)
+{
+    boost::asio::io_context context;
+    GatewayLimits limits;
+    ConnectionPool pool { context, limits };
+    ScriptedServer server { context, "", ScriptEnd::StaySilent };
+    const MonotonicTime now = MonotonicClock::now();
+    const auto connectionMadeAt = [&](MonotonicTime madeAt) {
+        auto connection = pool.make();
+        connection->stream.connect(boost::asio::ip::tcp::endpoint { boost::asio::ip::make_address("127.0.0.1"), server.endpoint().port });
+        connection->madeAt = madeAt;
+        return connection;
+    };
+    pool.give(server.endpoint(), connectionMadeAt(now - 2s), now);
+    pool.give(server.endpoint(), connectionMadeAt(now), now);
+    const auto inUse = connectionMadeAt(now - 3s);
+
+    pool.closeOlder(server.endpoint(), now - 1s);
+    pool.give(server.endpoint(), inUse, now);
+
+    BOOST_TEST(pool.idleConnections() == 1U);
+    BOOST_TEST((pool.take(server.endpoint(), now)->madeAt == now));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
