--- a/packages/distribution/include/carobpath/distribution/EvidenceNews.h
+++ b/packages/distribution/include/carobpath/distribution/EvidenceNews.h
@@ -4,6 +4,7 @@
 #include "carobpath/foundation/Time.h"
 #include "carobpath/membership/RumorQueue.h"
 
+#include <deque>
 #include <set>
 
 namespace carobpath::distribution {
@@ -15,6 +16,8 @@
     static constexpr std::size_t s_maxEntries = 4096;
     /// Notices remembered, so that each is pushed once.
     static constexpr std::size_t s_maxNotices = 1024;
+    /// Parts of a store's changes that are taken in one collection.
+    static constexpr std::size_t s_maxParts = 16;
     /// Shortest time between two collections, and so between two spread revisions of an entry.
     static constexpr std::chrono::milliseconds s_collectInterval { 1000 };
 
@@ -33,10 +36,12 @@
 private:
     struct EntryKey {
         NodeName observer;
+        Incarnation incarnation;
         MoveName move;
         publication::Offset movePublishedAt;
         RouteName route;
         VersionName version;
+        std::uint32_t window;
         friend auto operator<=>(const EntryKey&, const EntryKey&) = default;
     };
     struct NoticeKey {
@@ -48,11 +53,12 @@
     std::vector<moves::TakeBackNotice> remember(const std::vector<moves::TakeBackNotice>&);
 
     EvidencePort m_port;
-    std::uint64_t m_cursor = 0;
     MonotonicTime m_collectedAt;
     membership::RumorQueue<EntryKey, moves::EvidenceEntry> m_entries { s_maxEntries };
     membership::RumorQueue<NoticeKey, moves::TakeBackNotice> m_notices { s_maxNotices };
     std::set<NoticeKey> m_known;
+    /// The notices known, oldest first.
+    std::deque<NoticeKey> m_knownOrder;
 };
 
 }
--- a/packages/distribution/include/carobpath/distribution/EvidencePort.h
+++ b/packages/distribution/include/carobpath/distribution/EvidencePort.h
@@ -3,42 +3,53 @@
 #include "carobpath/moves/Evidence.h"
 
 #include <concepts>
-#include <cstdint>
 #include <functional>
+#include <memory>
 
 namespace carobpath::distribution {
 
-/// Evidence that changed after a cursor, and the cursor to ask with next.
-struct EvidenceChanges {
-    moves::EvidenceUpdate update;
-    std::uint64_t cursor = 0;
-};
-
-/// A holder of evidence of active moves: its own counts and what was merged from peers.
-/// \c changedSince gives each changed entry once, in its latest revision, merged ones included.
-template <typename Store>
-concept EvidenceStore = requires(Store& store, std::uint64_t cursor, const moves::EvidenceUpdate& update)
+/// A holder of evidence of active moves: its own counts and what was merged from peers. \c changedSince gives what
+/// changed after the cursor, merged entries included, and moves the cursor; it is called again while it gives entries.
+template <typename Store, typename Cursor>
+concept EvidenceStore = std::default_initializable<Cursor> && requires(const Store& store, Cursor& cursor)
 {
     {
         store.changedSince(cursor)
-        } -> std::convertible_to<EvidenceChanges>;
-    store.merge(update);
+        } -> std::convertible_to<moves::EvidenceUpdate>;
 };
 
 /// How the exchange reaches a holder of evidence. Empty functions stand for none.
 struct EvidencePort {
-    std::function<EvidenceChanges(std::uint64_t cursor)> changedSince;
+    /// \returns the next part of what changed since the last call; no entries once there is nothing left.
+    std::function<moves::EvidenceUpdate()> takeChanges;
+    /// \returns all that is held.
+    std::function<moves::EvidenceUpdate()> everything;
     std::function<void(const moves::EvidenceUpdate&)> merge;
 };
 
-/// \returns a port to the store, which must outlive it.
-template <EvidenceStore Store>
-EvidencePort evidencePortOf(Store& store)
+/// Adds one update to another.
+inline void append(moves::EvidenceUpdate& sum, const moves::EvidenceUpdate& part)
+{
+    sum.entries.insert(sum.entries.end(), part.entries.begin(), part.entries.end());
+    sum.notices.insert(sum.notices.end(), part.notices.begin(), part.notices.end());
+}
+
+/// \param store must outlive the port.
+/// \param merge gives a peer's update to the store.
+template <typename Cursor, EvidenceStore<Cursor> Store>
+EvidencePort evidencePortOf(const Store& store, std::function<void(const moves::EvidenceUpdate&)> merge)
 {
-    return {
-        [&store](std::uint64_t cursor) { return EvidenceChanges(store.changedSince(cursor)); },
-        [&store](const moves::EvidenceUpdate& update) { store.merge(update); },
+    EvidencePort port;
+    port.takeChanges = [&store, cursor = std::make_shared<Cursor>()] { return moves::EvidenceUpdate(store.changedSince(*cursor)); };
+    port.everything = [&store] {
+        Cursor cursor;
+        moves::EvidenceUpdate all;
+        for (moves::EvidenceUpdate part = store.changedSince(cursor); !part.entries.empty() || !part.notices.empty(); part = store.changedSince(cursor))
+            append(all, part);
+        return all;
     };
+    port.merge = std::move(merge);
+    return port;
 }
 
 }
--- a/packages/distribution/src/EvidenceNews.cpp
+++ b/packages/distribution/src/EvidenceNews.cpp
@@ -18,14 +18,19 @@
 
 std::vector<moves::TakeBackNotice> EvidenceNews::collect(MonotonicTime now)
 {
-    if (!m_port.changedSince)
-        return {};
-    const EvidenceChanges changes = m_port.changedSince(m_cursor);
-    m_cursor = changes.cursor;
     m_collectedAt = now;
-    for (const auto& it : changes.update.entries)
-        m_entries.put(EntryKey { it.observer, it.move, it.movePublishedAt, it.route, it.version }, it);
-    return remember(changes.update.notices);
+    if (!m_port.takeChanges)
+        return {};
+    moves::EvidenceUpdate changes;
+    for (std::size_t i = 0; i < s_maxParts; ++i) {
+        const moves::EvidenceUpdate part = m_port.takeChanges();
+        append(changes, part);
+        if (part.entries.empty())
+            break;
+    }
+    for (const auto& it : changes.entries)
+        m_entries.put(EntryKey { it.observer, it.revision.incarnation, it.move, it.movePublishedAt, it.route, it.version, it.window }, it);
+    return remember(changes.notices);
 }
 
 bool EvidenceNews::collectionDue(MonotonicTime now) const
@@ -49,9 +54,12 @@
         const NoticeKey key { it.move, it.movePublishedAt };
         if (m_known.contains(key))
             continue;
-        if (m_known.size() >= s_maxNotices)
-            m_known.erase(m_known.begin());
+        if (m_knownOrder.size() >= s_maxNotices) {
+            m_known.erase(m_knownOrder.front());
+            m_knownOrder.pop_front();
+        }
         m_known.insert(key);
+        m_knownOrder.push_back(key);
         m_notices.put(key, it);
         fresh.push_back(it);
     }
@@ -68,9 +76,9 @@
 
 moves::EvidenceUpdate EvidenceNews::everything() const
 {
-    if (!m_port.changedSince)
+    if (!m_port.everything)
         return {};
-    return m_port.changedSince(0).update;
+    return m_port.everything();
 }
 
 }
--- a/packages/gateway/src/internal/ConnectionPool.h
+++ b/packages/gateway/src/internal/ConnectionPool.h
@@ -48,7 +48,6 @@
     /// Closes connections that stood unused too long.
     void expire(MonotonicTime now);
 
-
     ConnectionPointer make() const;
     std::size_t idleConnections() const;
 
--- /dev/null
+++ b/packages/peer/include/carobpath/peer/ExchangeRunner.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "carobpath/distribution/Exchange.h"
+#include "carobpath/peer/PeerClient.h"
+#include "carobpath/peer/PeerServer.h"
+
+#include <memory>
+
+namespace carobpath::peer {
+
+/// A reading of the hybrid logical clock.
+struct HybridTime {
+    std::uint64_t milliseconds = 0;
+    std::uint32_t counter = 0;
+};
+
+/// What a runner reports. Each may be left empty; all are called on the context's thread.
+struct RunnerCallbacks {
+    /// A version is in force from now on; never older than one reported before. Not called below the node's floor.
+    std::function<void(publication::ConfigurationPointer)> onConfiguration;
+    /// The membership changed.
+    std::function<void(std::shared_ptr<const membership::MembershipView>)> onView;
+    /// This node is to read the log from now on, or no longer.
+    std::function<void(bool)> onReaderRole;
+    /// Whether this node may serve callers.
+    std::function<void(bool)> onReady;
+    /// Another node forwards a claim of an idempotency key; the reply may be given later.
+    std::function<void(const ClaimRequest&, ClaimReply)> onClaim;
+    std::function<bool(const ReleaseRequest&)> onRelease;
+    /// A peer sent a message that breaks the protocol.
+    std::function<void(MessageError)> onMalformed;
+    /// Reads the hybrid clock for a message that is sent.
+    std::function<HybridTime()> hybridNow;
+    /// A message came with this reading.
+    std::function<void(HybridTime)> onHybridTime;
+};
+
+/// Carries the commands of \c distribution::Exchange over connections and timers.
+///
+/// Wiring in a daemon:
+/// - make it with \c Builder once the other listeners are bound, so that the entry holds their ports;
+/// - \c start it;
+/// - read the log while \c onReaderRole says so: call \c publishConfiguration with each folded version that is newer,
+///   and \c reportLogEnd whenever the log was read to its end;
+/// - call \c setUpstream on each announcement, \c reportCall on the end of each call to another node,
+///   \c notifyEvidence when a notice of a move was made, and \c leave when the process is asked to stop, a while before
+///   \c stop.
+class ExchangeRunner : public std::enable_shared_from_this<ExchangeRunner> {
+public:
+    class Builder;
+
+    ~ExchangeRunner();
+    ExchangeRunner(const ExchangeRunner&) = delete;
+    ExchangeRunner& operator=(const ExchangeRunner&) = delete;
+
+    void start();
+    /// Closes every connection and calls nothing any more.
+    void stop();
+
+    /// \returns where it listens for peers.
+    Endpoint endpoint() const;
+
+    /// This node folded a version from the log.
+    void publishConfiguration(publication::ConfigurationPointer);
+    /// This node has read the log to its end.
+    void reportLogEnd();
+    void setUpstream(std::optional<membership::Upstream>);
+    /// A call to another node ended; \c ok says that the node answered, whatever the answer was.
+    void reportCall(const NodeName&, bool ok);
+    /// The store of evidence has news that must not wait for the next second.
+    void notifyEvidence();
+    /// Says that this node is leaving.
+    void leave();
+
+    /// Calls of the ledger to other nodes.
+    PeerClient& client();
+    bool ready() const;
+    const distribution::Exchange& exchange() const;
+
+private:
+    struct Impl;
+
+    explicit ExchangeRunner(std::unique_ptr<Impl>);
+
+    std::unique_ptr<Impl> m_impl;
+};
+
+/// Builds a runner. \c self and \c listen are needed.
+class ExchangeRunner::Builder {
+public:
+    /// \param runtime there is one for each thread; made by the thread that runs its context.
+    explicit Builder(std::shared_ptr<PeerRuntime> runtime);
+    ~Builder();
+
+    /// The node's entry; its revision names this life of the process, and its peer address is set by \c build.
+    Builder& self(membership::NodeEntry);
+    /// Where to listen for peers; port 0 takes a free port.
+    Builder& listen(Endpoint);
+    Builder& seeds(std::vector<Endpoint>);
+    Builder& random(std::mt19937_64);
+    Builder& evidence(distribution::EvidencePort);
+    Builder& callbacks(RunnerCallbacks);
+
+    /// Binds the listener. Throws boost::system::system_error where that fails.
+    std::shared_ptr<ExchangeRunner> build();
+
+private:
+    friend struct ExchangeRunner::Impl;
+    struct Parts;
+    std::unique_ptr<Parts> m_parts;
+};
+
+}
--- /dev/null
+++ b/packages/peer/src/internal/Conversions.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "Peer.capnp.h"
+#include "carobpath/distribution/PeerMessage.h"
+#include "carobpath/foundation/Result.h"
+#include "carobpath/peer/PeerError.h"
+
+/// Between the schema's messages and the typed ones. Reading reports \c MessageError.
+namespace carobpath::peer {
+
+/// Longest name that is taken from a peer.
+inline constexpr std::size_t maxNameLength = 256;
+/// Longest list that is taken from a peer.
+inline constexpr std::size_t maxListLength = 16384;
+
+void write(const distribution::PeerMessage&, schema::PeerMessage::Builder);
+Result<distribution::PeerMessage> read(schema::PeerMessage::Reader);
+
+void write(const distribution::WholeState&, schema::WholeState::Builder);
+Result<distribution::WholeState> read(schema::WholeState::Reader);
+
+void write(const membership::NodeRecord&, schema::NodeRecord::Builder);
+Result<membership::NodeRecord> read(schema::NodeRecord::Reader);
+
+void write(const moves::EvidenceEntry&, schema::EvidenceEntry::Builder);
+Result<moves::EvidenceEntry> read(schema::EvidenceEntry::Reader);
+
+void write(const membership::Suspicion&, schema::Suspicion::Builder);
+Result<membership::Suspicion> read(schema::Suspicion::Reader);
+
+void write(const moves::TakeBackNotice&, schema::TakeBackNotice::Builder);
+Result<moves::TakeBackNotice> read(schema::TakeBackNotice::Reader);
+
+void write(const distribution::Delta&, schema::Delta::Builder);
+Result<distribution::Delta> read(schema::Delta::Reader);
+
+}
--- /dev/null
+++ b/packages/peer/src/internal/PeerService.cpp
@@ -0,0 +1,121 @@
+#include "PeerService.h"
+
+#include "ReadMessage.h"
+
+namespace carobpath::peer {
+
+namespace {
+
+    using distribution::PeerMessage;
+
+    kj::Exception failure(std::string_view text)
+    {
+        return kj::Exception(kj::Exception::Type::FAILED, __FILE__, __LINE__, kj::heapString(text.data(), text.size()));
+    }
+
+    template <typename Name>
+    Name nameOf(capnp::Text::Reader text)
+    {
+        return Name { std::string(text.begin(), text.size()) };
+    }
+
+    bool isName(capnp::Text::Reader text)
+    {
+        return text.size() > 0 && text.size() <= maxNameLength;
+    }
+
+    std::uint32_t millisecondsOf(const routing::LedgerVerdict& verdict)
+    {
+        return verdict.retryAfter ? static_cast<std::uint32_t>(verdict.retryAfter->count()) : 0;
+    }
+
+}
+
+PeerService::PeerService(std::shared_ptr<const PeerHooks> hooks, std::shared_ptr<MonotonicTime> lastUsed)
+    : m_hooks(std::move(hooks))
+    , m_lastUsed(std::move(lastUsed))
+{
+}
+
+void PeerService::touch() const
+{
+    *m_lastUsed = MonotonicClock::now();
+}
+
+kj::Promise<void> PeerService::refuse(MessageError error) const
+{
+    if (m_hooks->onMalformed)
+        m_hooks->onMalformed(error);
+    return failure(toString(error.fault));
+}
+
+kj::Promise<void> PeerService::exchange(ExchangeContext context)
+{
+    touch();
+    const auto request = readMessage<PeerMessage>(context.getParams().getMessage());
+    if (const auto* error = std::get_if<MessageError>(&request))
+        return refuse(*error);
+    context.releaseParams();
+    write(m_hooks->onExchange(std::get<PeerMessage>(request)), context.getResults().initReply());
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerService::deliver(DeliverContext context)
+{
+    touch();
+    const auto message = readMessage<PeerMessage>(context.getParams().getMessage());
+    if (const auto* error = std::get_if<MessageError>(&message))
+        return refuse(*error);
+    context.releaseParams();
+    m_hooks->onDeliver(std::get<PeerMessage>(message));
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerService::fetchWhole(FetchWholeContext context)
+{
+    touch();
+    const auto state = m_hooks->onFetchWhole();
+    auto to = context.getResults().initState();
+    to.setServed(state.has_value());
+    if (state)
+        write(*state, to);
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> PeerService::claim(ClaimContext context)
+{
+    touch();
+    const auto params = context.getParams();
+    if (!m_hooks->onClaim)
+        return failure("claims are not served");
+    if (!isName(params.getKey()) || !isName(params.getRoute()) || !isName(params.getRequestId()))
+        return refuse(MessageError { MessageFault::NameMissing });
+    ClaimRequest request;
+    request.key = nameOf<IdempotencyKey>(params.getKey());
+    request.route = nameOf<RouteName>(params.getRoute());
+    request.requestId = nameOf<RequestId>(params.getRequestId());
+    request.timeout = std::chrono::milliseconds { params.getTimeoutMilliseconds() };
+    auto paf = kj::newPromiseAndFulfiller<routing::LedgerVerdict>();
+    auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<routing::LedgerVerdict>>>(kj::mv(paf.fulfiller));
+    m_hooks->onClaim(request, [fulfiller](routing::LedgerVerdict verdict) { (*fulfiller)->fulfill(kj::mv(verdict)); });
+    return paf.promise.then([context](routing::LedgerVerdict verdict) mutable {
+        auto results = context.getResults();
+        results.setVerdict(static_cast<std::uint8_t>(verdict.answer));
+        results.setRetryAfterMilliseconds(millisecondsOf(verdict));
+    });
+}
+
+kj::Promise<void> PeerService::release(ReleaseContext context)
+{
+    touch();
+    const auto params = context.getParams();
+    if (!m_hooks->onRelease)
+        return failure("claims are not served");
+    if (!isName(params.getKey()) || !isName(params.getRequestId()))
+        return refuse(MessageError { MessageFault::NameMissing });
+    const ReleaseRequest request { nameOf<IdempotencyKey>(params.getKey()), nameOf<RequestId>(params.getRequestId()) };
+    context.getResults().setReleased(m_hooks->onRelease(request));
+    return kj::READY_NOW;
+}
+
+}
