Routing: quarantine of requests that crash backend servers

Cause: a request that crashes each server that runs it is sent again by its caller and takes one server after the other. Ruled out: a plain count of crashes by fingerprint. In the table of cases it refuses requests that only stood beside the crashed one. Change: a crash is told from a cut connection at the admitting node; its suspects are spread; a crash is blamed on the suspects that are in the most crashes, and a request is refused once it alone explains two. An answer clears its request. One suspect is not dispatched beside another, so that a second crash tells them apart; a pair that crashed together twice before the news arrived is settled by the third crash.

--- a/packages/routing/include/carobpath/routing/AdmissionController.h
+++ b/packages/routing/include/carobpath/routing/AdmissionController.h
@@ -5,11 +5,13 @@
 #include "carobpath/routing/AdmissionQueue.h"
 #include "carobpath/routing/BackendHealth.h"
 #include "carobpath/routing/ConcurrencyLimit.h"
+#include "carobpath/routing/CrashDetector.h"
 #include "carobpath/routing/RecentRequests.h"
+#include "carobpath/routing/RunningCalls.h"
 #include "carobpath/routing/ServiceTimes.h"
 
+#include <functional>
 #include <optional>
-#include <unordered_map>
 #include <vector>
 
 namespace carobpath::routing {
@@ -23,6 +25,15 @@
     bool shedByWait = true;
 };
 
+/// What a node holds of requests that crash backend servers.
+struct FingerprintChecks {
+    /// Says for how long the request is to be refused.
+    std::function<std::optional<std::chrono::milliseconds>(Fingerprint, MonotonicTime now)> refusedFor;
+    /// Says whether the request is suspected. One suspect is not dispatched beside another, so that
+    /// a second crash tells which of them it was.
+    std::function<bool(Fingerprint)> isSuspect;
+};
+
 /// Lets calls into the slots of the upstream beside this node. Each refusal is given before a byte reaches the
 /// backend server and so is \c NotRun, but for a request that arrived twice.
 class AdmissionController {
@@ -45,6 +56,7 @@
 
     /// The backend server announced itself, or (nothing) its announcement lapsed.
     AdmissionCommands setUpstream(std::optional<membership::Upstream>, MonotonicTime now);
+    void setFingerprintChecks(FingerprintChecks);
     /// What the health endpoint said; a hint that decides nothing alone.
     void onHealthHint(bool healthy, MonotonicTime now);
     /// Refuses what waits and all that comes; what is in flight ends.
@@ -53,20 +65,15 @@
     /// \returns the upstream with the state that calls showed and the load at this node, for the membership.
     std::optional<membership::Upstream> upstream() const;
     bool draining() const;
-    std::uint32_t inFlight() const { return static_cast<std::uint32_t>(m_inFlight.size()); }
+    std::uint32_t inFlight() const { return m_running.size(); }
     std::uint32_t waiting() const { return static_cast<std::uint32_t>(m_queue.size()); }
     std::uint32_t limit() const { return m_limit.value(); }
     /// \returns the earliest deadline of a waiting call.
     std::optional<MonotonicTime> nextTick() const { return m_queue.earliestDeadline(); }
-    /// \returns the calls that are at the backend server now.
-    std::vector<AdmissionRequest> dispatched() const;
+    /// \returns the requests that may have crashed the backend server, once after each crash.
+    std::optional<std::vector<Fingerprint>> takeCrash();
 
 private:
-    struct Running {
-        AdmissionRequest request;
-        MonotonicTime dispatchedAt;
-    };
-
     std::optional<Refusal> refusalAtArrival(const AdmissionRequest&, MonotonicTime now);
     std::optional<Refusal> refusalByState(const AdmissionRequest&, MonotonicTime now);
     void enqueue(const AdmissionRequest&, AdmissionCommands&, MonotonicTime now);
@@ -75,6 +82,11 @@
     void rejectExpired(AdmissionCommands&, MonotonicTime now);
     void rejectAll(AdmissionCommands&, RefusalReason, std::chrono::milliseconds retryAfter);
     bool fits(const AdmissionRequest&) const;
+    bool isSuspect(const AdmissionRequest&) const;
+    bool runsBesideSuspect(const AdmissionRequest&) const;
+    void learn(const AdmissionResult&, const RunningCall&, std::uint32_t inFlight, MonotonicTime now);
+    void watchForCrash(const AdmissionResult&, const RunningCall&, MonotonicTime now);
+    void noteCrash(CrashDetector::Finding);
     std::uint32_t slotsFor(QueueClass) const;
     std::uint32_t connectionsOf(const AdmissionRequest&) const;
     std::chrono::nanoseconds expectedWait(QueueClass, MonotonicTime now) const;
@@ -88,9 +100,10 @@
     ServiceTimes m_times;
     AdmissionQueue m_queue;
     RecentRequests m_recent;
-    std::unordered_map<RequestId, Running> m_inFlight;
-    std::uint32_t m_downloadsInFlight = 0;
-    std::uint32_t m_connectionsInUse = 0;
+    FingerprintChecks m_fingerprints;
+    CrashDetector m_crashes;
+    std::optional<std::vector<Fingerprint>> m_crash;
+    RunningCalls m_running;
 };
 
 }
--- a/packages/routing/include/carobpath/routing/AdmissionQueue.h
+++ b/packages/routing/include/carobpath/routing/AdmissionQueue.h
@@ -70,7 +70,8 @@
     using Line = std::deque<Waiting>;
 
     Line& lineOf(const AdmissionRequest&);
-    Line::iterator candidateOf(Line&, MonotonicTime now) const;
+    /// \returns the next call of the line that fits; past its maximal wait the first one goes before all.
+    Line::iterator candidateOf(Line&, const Fits&, MonotonicTime now) const;
     bool isOverdue(const Waiting&, MonotonicTime now) const;
 
     QueueOrder m_order;
--- /dev/null
+++ b/packages/routing/include/carobpath/routing/RunningCalls.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "carobpath/routing/Admission.h"
+#include "carobpath/routing/CrashReport.h"
+#include "carobpath/routing/ServiceTimes.h"
+
+#include <functional>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace carobpath::routing {
+
+/// A call that is at the backend server.
+struct RunningCall {
+    AdmissionRequest request;
+    MonotonicTime dispatchedAt;
+    /// Connections that it takes up.
+    std::uint32_t connections = 1;
+};
+
+/// The calls that are at the backend server now, with the slots and connections that they take up.
+class RunningCalls {
+public:
+    void add(RunningCall);
+    /// \returns the call, if it was there.
+    std::optional<RunningCall> remove(const RequestId&);
+
+    bool contains(const RequestId& id) const { return m_calls.contains(id); }
+    std::uint32_t size() const { return static_cast<std::uint32_t>(m_calls.size()); }
+    std::uint32_t downloads() const { return m_downloads; }
+    std::uint32_t connections() const { return m_connections; }
+    std::vector<Fingerprint> fingerprints() const;
+    bool anyOf(const std::function<bool(const AdmissionRequest&)>&) const;
+
+    /// \returns the sum of the times that the calls still need, by the means of their classes.
+    std::chrono::nanoseconds remainingWork(const ServiceTimes&, MonotonicTime now) const;
+
+private:
+    std::unordered_map<RequestId, RunningCall> m_calls;
+    std::uint32_t m_downloads = 0;
+    std::uint32_t m_connections = 0;
+};
+
+}
--- a/packages/routing/src/AdmissionController.cpp
+++ b/packages/routing/src/AdmissionController.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <utility>
 
 namespace carobpath::routing {
 
@@ -64,10 +65,14 @@
 
 std::optional<Refusal> AdmissionController::refusalAtArrival(const AdmissionRequest& request, MonotonicTime now)
 {
-    if (m_inFlight.contains(request.id) || m_recent.contains(request.id) || m_queue.contains(request.id))
+    if (m_running.contains(request.id) || m_recent.contains(request.id) || m_queue.contains(request.id))
         return Refusal { Outcome::Unknown, RefusalReason::DuplicateInProgress, std::nullopt };
     if (now >= request.deadline)
         return notRun(RefusalReason::DeadlineExceeded, std::nullopt);
+    if (m_fingerprints.refusedFor) {
+        if (const auto time = m_fingerprints.refusedFor(request.fingerprint, now))
+            return notRun(RefusalReason::Quarantined, *time);
+    }
     return refusalByState(request, now);
 }
 
@@ -108,11 +113,7 @@
 
 std::chrono::nanoseconds AdmissionController::expectedWait(QueueClass queueClass, MonotonicTime now) const
 {
-    std::chrono::nanoseconds work {};
-    for (const auto& [id, it] : m_inFlight) {
-        const auto expected = m_times.expected(queueClassOf(it.request));
-        work += std::max<std::chrono::nanoseconds>(expected - (now - it.dispatchedAt), std::chrono::nanoseconds {});
-    }
+    auto work = m_running.remainingWork(m_times, now);
     for (std::size_t i = 0; i <= static_cast<std::size_t>(queueClass); ++i) {
         const auto it = static_cast<QueueClass>(i);
         work += m_times.expected(it) * m_queue.size(it);
@@ -136,12 +137,14 @@
 
 bool AdmissionController::fits(const AdmissionRequest& request) const
 {
-    if (!m_upstream || m_inFlight.size() >= m_limit.value())
+    if (!m_upstream || m_running.size() >= m_limit.value())
         return false;
     const auto queueClass = queueClassOf(request);
-    if (queueClass == QueueClass::Download && m_downloadsInFlight >= slotsFor(queueClass))
+    if (queueClass == QueueClass::Download && m_running.downloads() >= slotsFor(queueClass))
         return false;
-    return m_connectionsInUse + connectionsOf(request) <= std::max(1U, m_upstream->connections);
+    if (isSuspect(request) && runsBesideSuspect(request))
+        return false;
+    return m_running.connections() + connectionsOf(request) <= std::max(1U, m_upstream->connections);
 }
 
 void AdmissionController::dispatchWaiting(AdmissionCommands& commands, MonotonicTime now)
@@ -156,10 +159,7 @@
 
 void AdmissionController::dispatch(const AdmissionRequest& request, AdmissionCommands& commands, MonotonicTime now)
 {
-    m_inFlight.emplace(request.id, Running { request, now });
-    m_connectionsInUse += connectionsOf(request);
-    if (queueClassOf(request) == QueueClass::Download)
-        ++m_downloadsInFlight;
+    m_running.add({ request, now, connectionsOf(request) });
     if (request.repeatability == publication::Repeatability::NotRepeatable)
         m_recent.add(request.id);
     commands.push_back(Dispatch { request.id });
@@ -168,19 +168,24 @@
 AdmissionCommands AdmissionController::onFinished(const AdmissionResult& result, MonotonicTime now)
 {
     AdmissionCommands commands;
-    const auto it = m_inFlight.find(result.id);
-    if (it == m_inFlight.end())
+    const auto inFlight = m_running.size();
+    const auto running = m_running.remove(result.id);
+    if (!running)
         return commands;
-    const auto request = it->second.request;
-    const auto inFlight = this->inFlight();
-    m_inFlight.erase(it);
-    m_connectionsInUse -= std::min(m_connectionsInUse, connectionsOf(request));
-    if (queueClassOf(request) == QueueClass::Download)
-        --m_downloadsInFlight;
+    learn(result, *running, inFlight, now);
+    if (m_health.isDown())
+        rejectAll(commands, RefusalReason::UpstreamUnreachable, BackendHealth::s_trialInterval);
+    dispatchWaiting(commands, now);
+    return commands;
+}
+
+void AdmissionController::learn(
+    const AdmissionResult& result, const RunningCall& running, std::uint32_t inFlight, MonotonicTime now)
+{
     if (didNotRun(result.result))
-        m_recent.forget(request.id);
+        m_recent.forget(result.id);
     if (isTimed(result.result))
-        m_times.add(queueClassOf(request), result.serviceTime);
+        m_times.add(queueClassOf(running.request), result.serviceTime);
     if (result.result == BackendResult::Refused)
         m_limit.onRefused(now);
     if (result.result == BackendResult::Answered)
@@ -189,10 +194,50 @@
     m_health.onResult(result.result, now);
     if (wasDown && !m_health.isDown() && m_upstream)
         m_limit.restart(*m_upstream);
-    if (m_health.isDown())
-        rejectAll(commands, RefusalReason::UpstreamUnreachable, BackendHealth::s_trialInterval);
-    dispatchWaiting(commands, now);
-    return commands;
+    watchForCrash(result, running, now);
+}
+
+void AdmissionController::watchForCrash(const AdmissionResult& result, const RunningCall& running, MonotonicTime now)
+{
+    const auto fingerprint = running.request.fingerprint;
+    switch (result.result) {
+    case BackendResult::Answered:
+    case BackendResult::ServerError:
+        m_crashes.onAnswered(fingerprint, running.dispatchedAt, now);
+        break;
+    case BackendResult::ConnectionLost:
+        noteCrash(m_crashes.onConnectionLost(fingerprint, m_running.fingerprints(), now));
+        break;
+    case BackendResult::ConnectFailed:
+        noteCrash(m_crashes.onConnectFailed(now));
+        break;
+    case BackendResult::Refused:
+    case BackendResult::TimedOut:
+    case BackendResult::Cancelled:
+        break;
+    }
+}
+
+void AdmissionController::noteCrash(CrashDetector::Finding finding)
+{
+    if (finding)
+        m_crash = std::move(finding);
+}
+
+std::optional<std::vector<Fingerprint>> AdmissionController::takeCrash() { return std::exchange(m_crash, std::nullopt); }
+
+void AdmissionController::setFingerprintChecks(FingerprintChecks checks) { m_fingerprints = std::move(checks); }
+
+bool AdmissionController::isSuspect(const AdmissionRequest& request) const
+{
+    return m_fingerprints.isSuspect && m_fingerprints.isSuspect(request.fingerprint);
+}
+
+bool AdmissionController::runsBesideSuspect(const AdmissionRequest& request) const
+{
+    return m_running.anyOf([&](const AdmissionRequest& it) {
+        return it.fingerprint != request.fingerprint && isSuspect(it);
+    });
 }
 
 AdmissionCommands AdmissionController::onCancelled(const RequestId& id, MonotonicTime now)
@@ -230,6 +275,8 @@
     const bool sameServer = m_upstream && upstream && m_upstream->version == upstream->version
         && m_upstream->service == upstream->service
         && (upstream->state != UpstreamState::Cold || m_upstream->state == UpstreamState::Cold);
+    if (m_upstream && !sameServer)
+        noteCrash(m_crashes.onRestarted(now));
     const bool sameVersion = m_upstream && upstream && m_upstream->version == upstream->version;
     m_upstream = std::move(upstream);
     if (m_upstream && sameServer) {
@@ -275,12 +322,4 @@
     return it;
 }
 
-std::vector<AdmissionRequest> AdmissionController::dispatched() const
-{
-    std::vector<AdmissionRequest> requests;
-    for (const auto& [id, it] : m_inFlight)
-        requests.push_back(it.request);
-    return requests;
-}
-
 }
--- a/packages/routing/src/AdmissionQueue.cpp
+++ b/packages/routing/src/AdmissionQueue.cpp
@@ -38,12 +38,19 @@
     return now - it.arrivedAt >= m_order.maxOvertaken;
 }
 
-AdmissionQueue::Line::iterator AdmissionQueue::candidateOf(Line& line, MonotonicTime now) const
+AdmissionQueue::Line::iterator AdmissionQueue::candidateOf(Line& line, const Fits& fits, MonotonicTime now) const
 {
-    if (!m_order.thinFirst || line.empty() || isOverdue(line.front(), now))
-        return line.begin();
-    return std::min_element(line.begin(), line.end(),
-        [](const Waiting& a, const Waiting& b) { return a.request.width < b.request.width; });
+    if (line.empty())
+        return line.end();
+    if (isOverdue(line.front(), now))
+        return fits(line.front().request) ? line.begin() : line.end();
+    auto best = line.end();
+    for (auto it = line.begin(); it != line.end(); ++it) {
+        const bool thinner = best != line.end() && m_order.thinFirst && it->request.width < best->request.width;
+        if ((best == line.end() || thinner) && fits(it->request))
+            best = it;
+    }
+    return best;
 }
 
 std::optional<AdmissionRequest> AdmissionQueue::pop(const Fits& fits, MonotonicTime now)
@@ -51,8 +58,8 @@
     Line* chosenLine = nullptr;
     Line::iterator chosen;
     for (auto& line : m_classes) {
-        const auto it = candidateOf(line, now);
-        if (it == line.end() || !fits(it->request))
+        const auto it = candidateOf(line, fits, now);
+        if (it == line.end())
             continue;
         const bool overdueFirst = chosenLine && isOverdue(*it, now) && it->arrivedAt < chosen->arrivedAt;
         if (chosenLine && !overdueFirst)
--- /dev/null
+++ b/packages/routing/src/CrashQuarantine.cpp
@@ -0,0 +1,168 @@
+#include "carobpath/routing/CrashQuarantine.h"
+
+#include "BlameAssignment.h"
+
+#include <algorithm>
+
+namespace carobpath::routing {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    WallTime toWall(MonotonicTime at, Now now)
+    {
+        return now.wall - std::chrono::duration_cast<milliseconds>(now.monotonic - at);
+    }
+
+}
+
+CrashQuarantine::CrashQuarantine(NodeName node, Incarnation incarnation)
+    : m_node(std::move(node))
+    , m_revision { incarnation, 0 }
+{
+}
+
+void CrashQuarantine::onCrash(std::vector<Fingerprint> suspects, Now now)
+{
+    if (suspects.size() > s_maxSuspects)
+        suspects.resize(s_maxSuspects);
+    ++m_revision.sequence;
+    addReport({ m_node, m_revision, now.wall, std::move(suspects) }, now);
+    judge(now);
+}
+
+void CrashQuarantine::onAnswered(Fingerprint fingerprint, Now now)
+{
+    m_answered.add(fingerprint, now.monotonic);
+    if (!isSuspect(fingerprint))
+        return;
+    addAcquittal({ m_node, fingerprint, now.wall }, now);
+    judge(now);
+}
+
+void CrashQuarantine::merge(const CrashUpdate& update, Now now)
+{
+    for (const auto& it : update.acquittals)
+        addAcquittal(it, now);
+    for (const auto& it : update.reports)
+        addReport(it, now);
+    judge(now);
+}
+
+void CrashQuarantine::addReport(const CrashReport& report, Now now)
+{
+    if (report.suspects.size() > s_maxSuspects || report.at + s_reportTime <= now.wall)
+        return;
+    if (!m_reports.try_emplace({ report.node, report.revision }, report).second)
+        return;
+    if (m_reports.size() > s_maxReports)
+        dropOldestReport();
+    if (!m_reports.contains({ report.node, report.revision }))
+        return;
+    if (m_outgoing.reports.size() < s_maxReports)
+        m_outgoing.reports.push_back(report);
+    for (const auto it : report.suspects)
+        acquitIfAnswered(it, report.at, now);
+}
+
+void CrashQuarantine::dropOldestReport()
+{
+    const auto oldest = std::min_element(m_reports.begin(), m_reports.end(),
+        [](const auto& a, const auto& b) { return a.second.at < b.second.at; });
+    m_reports.erase(oldest);
+}
+
+void CrashQuarantine::acquitIfAnswered(Fingerprint fingerprint, WallTime crashedAt, Now now)
+{
+    const auto seen = m_answered.lastSeen(fingerprint);
+    if (!seen || isCleared(fingerprint, crashedAt))
+        return;
+    const auto answeredAt = toWall(*seen, now);
+    if (answeredAt + s_answerCounts >= crashedAt)
+        addAcquittal({ m_node, fingerprint, answeredAt }, now);
+}
+
+void CrashQuarantine::addAcquittal(const CrashAcquittal& acquittal, Now now)
+{
+    if (acquittal.at + s_reportTime <= now.wall)
+        return;
+    const auto it = m_acquittals.find(acquittal.fingerprint);
+    if (it != m_acquittals.end() && it->second.at >= acquittal.at)
+        return;
+    if (it == m_acquittals.end() && m_acquittals.size() >= s_maxAcquittals)
+        return;
+    m_acquittals[acquittal.fingerprint] = acquittal;
+    if (m_outgoing.acquittals.size() < s_maxAcquittals)
+        m_outgoing.acquittals.push_back(acquittal);
+}
+
+bool CrashQuarantine::isCleared(Fingerprint fingerprint, WallTime crashedAt) const
+{
+    const auto it = m_acquittals.find(fingerprint);
+    return it != m_acquittals.end() && it->second.at + s_answerCounts >= crashedAt;
+}
+
+void CrashQuarantine::judge(Now now)
+{
+    std::vector<CrashSuspects> crashes;
+    m_suspects.clear();
+    for (const auto& [id, report] : m_reports) {
+        CrashSuspects uncleared;
+        for (const auto it : report.suspects) {
+            if (!isCleared(it, report.at))
+                uncleared.insert(it);
+        }
+        m_suspects.insert(uncleared.begin(), uncleared.end());
+        crashes.push_back(std::move(uncleared));
+    }
+    std::set<Fingerprint> known;
+    for (const auto& [fingerprint, until] : m_refusedUntil)
+        known.insert(fingerprint);
+    const auto guilty = guiltyOf(std::move(crashes), known);
+    std::erase_if(m_refusedUntil, [&](const auto& it) { return !guilty.contains(it.first); });
+    for (const auto it : guilty)
+        quarantine(it, now);
+}
+
+void CrashQuarantine::quarantine(Fingerprint fingerprint, Now now)
+{
+    auto last = WallTime::min();
+    for (const auto& [id, report] : m_reports) {
+        if (std::find(report.suspects.begin(), report.suspects.end(), fingerprint) != report.suspects.end())
+            last = std::max(last, report.at);
+    }
+    // A reporter whose wall clock is ahead cannot make the quarantine longer.
+    const auto left = std::min<milliseconds>(last + s_quarantineTime - now.wall, s_quarantineTime);
+    m_refusedUntil[fingerprint] = now.monotonic + left;
+}
+
+std::optional<milliseconds> CrashQuarantine::refusedFor(Fingerprint fingerprint, MonotonicTime now) const
+{
+    const auto it = m_refusedUntil.find(fingerprint);
+    if (it == m_refusedUntil.end() || it->second <= now)
+        return std::nullopt;
+    return std::chrono::ceil<milliseconds>(it->second - now);
+}
+
+void CrashQuarantine::onTick(Now now)
+{
+    const auto isOver = [&](WallTime at) { return at + s_reportTime <= now.wall; };
+    std::erase_if(m_reports, [&](const auto& it) { return isOver(it.second.at); });
+    std::erase_if(m_acquittals, [&](const auto& it) { return isOver(it.second.at); });
+    judge(now);
+}
+
+CrashUpdate CrashQuarantine::takeUpdate() { return std::exchange(m_outgoing, {}); }
+
+CrashUpdate CrashQuarantine::snapshot() const
+{
+    CrashUpdate update;
+    for (const auto& [id, report] : m_reports)
+        update.reports.push_back(report);
+    for (const auto& [fingerprint, acquittal] : m_acquittals)
+        update.acquittals.push_back(acquittal);
+    return update;
+}
+
+}
--- /dev/null
+++ b/packages/routing/src/RunningCalls.cpp
@@ -0,0 +1,56 @@
+#include "carobpath/routing/RunningCalls.h"
+
+#include <algorithm>
+
+namespace carobpath::routing {
+
+namespace {
+
+    bool isDownload(const RunningCall& it) { return queueClassOf(it.request) == QueueClass::Download; }
+
+}
+
+void RunningCalls::add(RunningCall call)
+{
+    m_connections += call.connections;
+    m_downloads += isDownload(call) ? 1 : 0;
+    auto id = call.request.id;
+    m_calls.emplace(std::move(id), std::move(call));
+}
+
+std::optional<RunningCall> RunningCalls::remove(const RequestId& id)
+{
+    const auto it = m_calls.find(id);
+    if (it == m_calls.end())
+        return std::nullopt;
+    auto call = std::move(it->second);
+    m_calls.erase(it);
+    m_connections -= call.connections;
+    m_downloads -= isDownload(call) ? 1 : 0;
+    return call;
+}
+
+std::vector<Fingerprint> RunningCalls::fingerprints() const
+{
+    std::vector<Fingerprint> fingerprints;
+    for (const auto& [id, it] : m_calls)
+        fingerprints.push_back(it.request.fingerprint);
+    return fingerprints;
+}
+
+bool RunningCalls::anyOf(const std::function<bool(const AdmissionRequest&)>& predicate) const
+{
+    return std::any_of(m_calls.begin(), m_calls.end(), [&](const auto& it) { return predicate(it.second.request); });
+}
+
+std::chrono::nanoseconds RunningCalls::remainingWork(const ServiceTimes& times, MonotonicTime now) const
+{
+    std::chrono::nanoseconds work {};
+    for (const auto& [id, it] : m_calls) {
+        const std::chrono::nanoseconds left = times.expected(queueClassOf(it.request)) - (now - it.dispatchedAt);
+        work += std::max(left, std::chrono::nanoseconds {});
+    }
+    return work;
+}
+
+}
