Routing: overload and queue order measured; thin first kept

Cause: the order of the admission queue was first come within a class, and an overdue download passed short calls after half a second. Conclusion: kept; the price is the slowest hundredth of wide downloads.

--- /dev/null
+++ b/bench/routing/OverloadRun.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "BackendModel.h"
+#include "EventQueue.h"
+#include "Report.h"
+
+#include <memory>
+#include <vector>
+
+namespace carobpath::bench {
+
+/// One service under a constant load of repeatable calls.
+struct OverloadCase {
+    std::string name;
+    std::size_t upstreams = 7;
+    BackendSize backend;
+    std::chrono::microseconds hop { 500 };
+    std::chrono::milliseconds timeout { 1000 };
+    /// Calls offered as a multiple of what the upstreams can serve.
+    double load = 2;
+};
+
+/// What became of the calls.
+struct OverloadCounts {
+    std::uint64_t calls = 0;
+    std::uint64_t attempts = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t late = 0;
+    std::vector<double> answerMilliseconds;
+    std::vector<double> refusalMilliseconds;
+};
+
+/// Offers calls in virtual time and counts what became of them. A derived class carries one call.
+class OverloadRun {
+public:
+    static constexpr std::chrono::seconds s_warmUp { 5 };
+    static constexpr std::chrono::seconds s_measured { 20 };
+
+    OverloadRun(OverloadCase it, std::uint64_t seed)
+        : m_case(std::move(it))
+        , m_random(seed)
+    {
+        for (std::size_t i = 0; i < m_case.upstreams; ++i)
+            m_backends.push_back(std::make_unique<BackendModel>(m_queue, m_case.backend, seed * 100 + i));
+    }
+    virtual ~OverloadRun() = default;
+    OverloadRun(const OverloadRun&) = delete;
+    OverloadRun& operator=(const OverloadRun&) = delete;
+
+    Report::Row run(const std::string& policy)
+    {
+        arrive();
+        m_queue.runUntil(m_queue.now() + s_warmUp);
+        m_counts = {};
+        const auto offeredBefore = offered();
+        m_queue.runUntil(m_queue.now() + s_measured);
+        const auto calls = static_cast<double>(m_counts.calls);
+        const auto perCall = [calls](std::uint64_t n) { return static_cast<double>(n) / calls; };
+        return { { "case", m_case.name }, { "load", m_case.load }, { "policy", policy },
+            { "sent/call", perCall(offered() - offeredBefore) }, { "attempts/call", perCall(m_counts.attempts) },
+            { "answered", perCall(m_counts.answered) }, { "of capacity", perCall(m_counts.answered) * m_case.load },
+            { "refused", perCall(m_counts.refused) }, { "late", perCall(m_counts.late) },
+            { "answer p50 ms", quantile(m_counts.answerMilliseconds, 0.5) },
+            { "answer p99 ms", quantile(m_counts.answerMilliseconds, 0.99) },
+            { "refusal p99 ms", quantile(m_counts.refusalMilliseconds, 0.99) } };
+    }
+
+protected:
+    virtual void startCall() = 0;
+
+    void onAnswered(MonotonicTime since)
+    {
+        ++m_counts.answered;
+        m_counts.answerMilliseconds.push_back(millisecondsSince(since));
+    }
+    void onRefused(MonotonicTime since)
+    {
+        ++m_counts.refused;
+        m_counts.refusalMilliseconds.push_back(millisecondsSince(since));
+    }
+    void onLate() { ++m_counts.late; }
+    void onAttempt() { ++m_counts.attempts; }
+
+    const OverloadCase& overloadCase() const { return m_case; }
+    EventQueue& queue() { return m_queue; }
+    BackendModel& backend(std::size_t index) { return *m_backends[index]; }
+    std::mt19937_64& random() { return m_random; }
+
+private:
+    double millisecondsSince(MonotonicTime since) const
+    {
+        return std::chrono::duration<double, std::milli>(m_queue.now() - since).count();
+    }
+
+    std::uint64_t offered() const
+    {
+        std::uint64_t all = 0;
+        for (const auto& it : m_backends)
+            all += it->offered();
+        return all;
+    }
+
+    void arrive()
+    {
+        const std::chrono::duration<double> service = m_case.backend.meanService;
+        const double capacity = static_cast<double>(m_case.upstreams * m_case.backend.slots) / service.count();
+        ++m_counts.calls;
+        startCall();
+        const std::chrono::duration<double> gap(
+            std::exponential_distribution<double> { capacity * m_case.load }(m_random));
+        m_queue.after(std::chrono::duration_cast<MonotonicClock::duration>(gap), [this] { arrive(); });
+    }
+
+    OverloadCase m_case;
+    EventQueue m_queue;
+    std::mt19937_64 m_random;
+    std::vector<std::unique_ptr<BackendModel>> m_backends;
+    OverloadCounts m_counts;
+};
+
+}
--- a/packages/routing/include/carobpath/routing/Admission.h
+++ b/packages/routing/include/carobpath/routing/Admission.h
@@ -23,7 +23,8 @@
     publication::TrafficClass trafficClass = publication::TrafficClass::Short;
     MonotonicTime deadline;
     std::uint64_t fingerprint = 0;
-    /// Number of connections that the whole call needs at the upstream, 1 for a plain call.
+    /// Number of requests that the caller's whole work spans, such as the parts of a ranged download; 1 for a plain
+    /// call. Each part is a request of its own with one connection; the width only orders the queue.
     std::uint32_t width = 1;
 };
 
--- a/packages/routing/include/carobpath/routing/AdmissionController.h
+++ b/packages/routing/include/carobpath/routing/AdmissionController.h
@@ -19,8 +19,8 @@
 /// Which measures an admission controller takes; the default is what a node runs with.
 struct AdmissionPolicy {
     QueueOrder order;
-    /// Keep a third of the slots from downloads.
-    bool reserveSlots = true;
+    /// Part of the slots that downloads may not take; one slot at least unless it is zero.
+    double reservedPart = 1.0 / 6;
     /// Refuse at arrival what would miss its deadline.
     bool shedByWait = true;
 };
@@ -88,7 +88,6 @@
     void watchForCrash(const AdmissionResult&, const RunningCall&, MonotonicTime now);
     void noteCrash(CrashDetector::Finding);
     std::uint32_t slotsFor(QueueClass) const;
-    std::uint32_t connectionsOf(const AdmissionRequest&) const;
     std::chrono::nanoseconds expectedWait(QueueClass, MonotonicTime now) const;
     Refusal overloaded(const AdmissionRequest&, MonotonicTime now) const;
 
--- a/packages/routing/include/carobpath/routing/AdmissionQueue.h
+++ b/packages/routing/include/carobpath/routing/AdmissionQueue.h
@@ -25,12 +25,13 @@
 
 /// In which order waiting calls are served.
 struct QueueOrder {
-    /// Bookings before short calls before downloads; otherwise all are one class.
+    /// Bookings before short calls before downloads; otherwise all are one class. A call that has waited for half of
+    /// its time is served before any that came later, whatever their class.
     bool byClass = true;
-    /// Within a class, the call with the fewest connections first; otherwise the one that came first.
-    bool thinFirst = false;
-    /// A call that waited this long is served before any that came later.
-    std::chrono::milliseconds maxOvertaken { 500 };
+    /// Within a class, the call of the smallest width first; otherwise the one that came first.
+    bool thinFirst = true;
+    /// A call that waited this long is served before wider and thinner ones of its class that came later.
+    std::chrono::milliseconds maxOvertaken { 5000 };
 };
 
 /// Calls that wait for a slot. Bounded; a full queue makes room for a better class by giving up its newest worse call.
@@ -72,7 +73,7 @@
     Line& lineOf(const AdmissionRequest&);
     /// \returns the next call of the line that fits; past its maximal wait the first one goes before all.
     Line::iterator candidateOf(Line&, const Fits&, MonotonicTime now) const;
-    bool isOverdue(const Waiting&, MonotonicTime now) const;
+    bool isOverdueInClass(const Waiting&, MonotonicTime now) const;
 
     QueueOrder m_order;
     std::array<Line, queueClasses> m_classes;
--- a/packages/routing/include/carobpath/routing/RunningCalls.h
+++ b/packages/routing/include/carobpath/routing/RunningCalls.h
@@ -15,11 +15,9 @@
 struct RunningCall {
     AdmissionRequest request;
     MonotonicTime dispatchedAt;
-    /// Connections that it takes up.
-    std::uint32_t connections = 1;
 };
 
-/// The calls that are at the backend server now, with the slots and connections that they take up.
+/// The calls that are at the backend server now, each of which takes up a slot and a connection.
 class RunningCalls {
 public:
     void add(RunningCall);
@@ -29,7 +27,6 @@
     bool contains(const RequestId& id) const { return m_calls.contains(id); }
     std::uint32_t size() const { return static_cast<std::uint32_t>(m_calls.size()); }
     std::uint32_t downloads() const { return m_downloads; }
-    std::uint32_t connections() const { return m_connections; }
     std::vector<Fingerprint> fingerprints() const;
     bool anyOf(const std::function<bool(const AdmissionRequest&)>&) const;
 
@@ -39,7 +36,6 @@
 private:
     std::unordered_map<RequestId, RunningCall> m_calls;
     std::uint32_t m_downloads = 0;
-    std::uint32_t m_connections = 0;
 };
 
 }
--- a/packages/routing/src/AdmissionController.cpp
+++ b/packages/routing/src/AdmissionController.cpp
@@ -10,8 +10,6 @@
 
     using std::chrono::milliseconds;
 
-    /// Part of the slots that downloads may not take.
-    constexpr std::uint32_t reservedDivisor = 3;
     constexpr milliseconds elsewhereRetryAfter { 200 };
     constexpr milliseconds noUpstreamRetryAfter { 1000 };
 
@@ -124,27 +122,20 @@
 std::uint32_t AdmissionController::slotsFor(QueueClass queueClass) const
 {
     const auto limit = m_limit.value();
-    if (!m_policy.reserveSlots || queueClass != QueueClass::Download || limit == 1)
+    if (m_policy.reservedPart <= 0 || queueClass != QueueClass::Download || limit == 1)
         return limit;
-    return limit - std::max(1U, limit / reservedDivisor);
-}
-
-std::uint32_t AdmissionController::connectionsOf(const AdmissionRequest& request) const
-{
-    const auto most = m_upstream ? std::max(1U, m_upstream->connections) : 1U;
-    return std::clamp(request.width, 1U, most);
+    const auto reserved = static_cast<std::uint32_t>(limit * m_policy.reservedPart);
+    return limit - std::clamp(reserved, 1U, limit - 1);
 }
 
 bool AdmissionController::fits(const AdmissionRequest& request) const
 {
-    if (!m_upstream || m_running.size() >= m_limit.value())
+    if (!m_upstream || m_running.size() >= std::min(m_limit.value(), m_upstream->connections))
         return false;
     const auto queueClass = queueClassOf(request);
     if (queueClass == QueueClass::Download && m_running.downloads() >= slotsFor(queueClass))
         return false;
-    if (isSuspect(request) && runsBesideSuspect(request))
-        return false;
-    return m_running.connections() + connectionsOf(request) <= std::max(1U, m_upstream->connections);
+    return !isSuspect(request) || !runsBesideSuspect(request);
 }
 
 void AdmissionController::dispatchWaiting(AdmissionCommands& commands, MonotonicTime now)
@@ -159,7 +150,7 @@
 
 void AdmissionController::dispatch(const AdmissionRequest& request, AdmissionCommands& commands, MonotonicTime now)
 {
-    m_running.add({ request, now, connectionsOf(request) });
+    m_running.add({ request, now });
     if (request.repeatability == publication::Repeatability::NotRepeatable)
         m_recent.add(request.id);
     commands.push_back(Dispatch { request.id });
--- a/packages/routing/src/AdmissionQueue.cpp
+++ b/packages/routing/src/AdmissionQueue.cpp
@@ -4,6 +4,16 @@
 
 namespace carobpath::routing {
 
+namespace {
+
+    /// \returns whether the call has waited for half of its time.
+    bool isOverdue(const AdmissionQueue::Waiting& it, MonotonicTime now)
+    {
+        return now - it.arrivedAt >= (it.request.deadline - it.arrivedAt) / 2;
+    }
+
+}
+
 QueueClass queueClassOf(const AdmissionRequest& request)
 {
     if (request.trafficClass == publication::TrafficClass::Download)
@@ -33,16 +43,16 @@
     return displaced;
 }
 
-bool AdmissionQueue::isOverdue(const Waiting& it, MonotonicTime now) const
+bool AdmissionQueue::isOverdueInClass(const Waiting& it, MonotonicTime now) const
 {
-    return now - it.arrivedAt >= m_order.maxOvertaken;
+    return isOverdue(it, now) || now - it.arrivedAt >= m_order.maxOvertaken;
 }
 
 AdmissionQueue::Line::iterator AdmissionQueue::candidateOf(Line& line, const Fits& fits, MonotonicTime now) const
 {
     if (line.empty())
         return line.end();
-    if (isOverdue(line.front(), now))
+    if (isOverdueInClass(line.front(), now))
         return fits(line.front().request) ? line.begin() : line.end();
     auto best = line.end();
     for (auto it = line.begin(); it != line.end(); ++it) {
--- a/packages/routing/src/RunningCalls.cpp
+++ b/packages/routing/src/RunningCalls.cpp
@@ -12,7 +12,6 @@
 
 void RunningCalls::add(RunningCall call)
 {
-    m_connections += call.connections;
     m_downloads += isDownload(call) ? 1 : 0;
     auto id = call.request.id;
     m_calls.emplace(std::move(id), std::move(call));
@@ -25,7 +24,6 @@
         return std::nullopt;
     auto call = std::move(it->second);
     m_calls.erase(it);
-    m_connections -= call.connections;
     m_downloads -= isDownload(call) ? 1 : 0;
     return call;
 }
--- a/packages/routing/tests/CrashQuarantineTests.cpp
+++ b/packages/routing/tests/CrashQuarantineTests.cpp
@@ -81,7 +81,7 @@
 
     const std::vector<BlameRow>& blameRows()
     {
-        static const std::vector<BlameRow> s_rows {
+        static const std::vector<BlameRow> rows {
             { "one crash blames nobody", { { Event::Crash, 0, { killer } } }, {}, { killer } },
             { "two crashes alone", { { Event::Crash, 0, { killer } }, { Event::Crash, 1, { killer } } }, { killer }, {} },
             { "two crashes of one server", { { Event::Crash, 0, { killer } }, { Event::Crash, 0, { killer } } },
@@ -126,7 +126,7 @@
                     { Event::Crash, 2, { killer } } },
                 { killer }, {} },
         };
-        return s_rows;
+        return rows;
     }
 
     void apply(Fleet& fleet, const FleetEvent& it)
