Moves: a move that replaces an unfinished one no longer throws

onConfiguration reported on the move that ended before the new one of the same service was known, and looked it up. The case replaced-unfinished of the experiment ended in std::out_of_range. New moves now begin before ended ones are reported, and a report shows the share of its own move alone.

The experiment measures the delay of stopping twice: from the counts of all nodes without delay, and from the first node's finding.

--- a/bench/moves/Experiment.cpp
+++ b/bench/moves/Experiment.cpp
@@ -172,6 +172,8 @@
         }
         if (m_shownAt && m_result.outcome != publication::MoveOutcome::Done)
             m_result.stopDelay = std::max(0ms, m_lastNewCall - *m_shownAt);
+        if (const auto found = m_policy.foundAt(); found && !m_scenario.isGood && m_result.outcome != publication::MoveOutcome::Done)
+            m_result.foundDelay = std::max(0ms, m_lastNewCall - *found);
         m_result.controlBytes = m_policy.controlBytes();
         m_result.appends = m_log.appends();
         m_result.length = now - start;
--- a/bench/moves/Experiment.h
+++ b/bench/moves/Experiment.h
@@ -21,6 +21,8 @@
     /// From the moment at which the counts of all nodes, without any delay, show the badness, to the last call that
     /// went to the new version.
     std::optional<milliseconds> stopDelay;
+    /// The same from the moment at which one node's merged evidence shows the badness.
+    std::optional<milliseconds> foundDelay;
     /// Largest share of the new version while it was bad, mean over the nodes.
     double largestBadShare = 0;
     std::uint64_t controlBytes = 0;
--- a/bench/moves/FixedStep.h
+++ b/bench/moves/FixedStep.h
@@ -25,6 +25,7 @@
     void observe(std::size_t node, Pick, std::size_t route, const DrawnCall&, milliseconds now);
     void step(milliseconds now, LogModel&);
     std::uint64_t controlBytes() const { return 0; }
+    std::optional<milliseconds> foundAt() const { return std::nullopt; }
     bool isSettled(milliseconds now) const;
 
 private:
--- a/bench/moves/Fleet.cpp
+++ b/bench/moves/Fleet.cpp
@@ -213,6 +213,8 @@
             if (append->movePublishedAt == moveOffset && !isCut(node, now))
                 log.append(append->verdict, now);
         } else if (const auto* spread = std::get_if<moves::SpreadNotice>(&command)) {
+            if (!m_foundAt && spread->notice.movePublishedAt == moveOffset)
+                m_foundAt = now;
             for (std::size_t to = 0; to < nodeCount; ++to) {
                 if (to != node && !draw(s_loss))
                     send(node, to, { {}, { spread->notice } }, now);
--- a/bench/moves/Fleet.h
+++ b/bench/moves/Fleet.h
@@ -29,6 +29,7 @@
     void observe(std::size_t node, Pick, std::size_t route, const DrawnCall&, milliseconds now);
     void step(milliseconds now, LogModel&);
     std::uint64_t controlBytes() const { return m_controlBytes; }
+    std::optional<milliseconds> foundAt() const { return m_foundAt; }
     bool isSettled(milliseconds now) const;
 
     /// \returns both clocks of every node at a time since the start of the move.
@@ -70,6 +71,7 @@
     std::vector<Node> m_nodes;
     std::vector<Configuration> m_configurations;
     std::vector<Message> m_messages;
+    std::optional<milliseconds> m_foundAt;
     bool m_isEndPublished = false;
     std::uint64_t m_incarnations = 0;
     std::uint64_t m_controlBytes = 0;
--- a/bench/moves/Policy.h
+++ b/bench/moves/Policy.h
@@ -40,6 +40,10 @@
     {
         constPolicy.controlBytes()
         } -> std::same_as<std::uint64_t>;
+    /// When the first node found the new version bad.
+    {
+        constPolicy.foundAt()
+        } -> std::same_as<std::optional<milliseconds>>;
     /// Every node has seen the end of the move.
     {
         constPolicy.isSettled(now)
--- a/bench/moves/Summary.h
+++ b/bench/moves/Summary.h
@@ -19,11 +19,15 @@
     std::size_t bad = 0;
     std::size_t takenBack = 0;
     std::size_t withdrawn = 0;
-    /// Runs of bad versions in which the badness showed and calls stopped, and those where that took over 1 s.
+    /// Runs of bad versions in which the badness showed and calls stopped, and those where that took over 1 s:
+    /// from the undelayed counts of all nodes, then from the first node's finding.
     std::size_t stopped = 0;
     std::size_t stoppedLate = 0;
+    milliseconds stopDelayP50 {};
     milliseconds stopDelayP99 {};
-    milliseconds stopDelayMax {};
+    std::size_t found = 0;
+    std::size_t foundLate = 0;
+    milliseconds foundDelayMax {};
     double harmedPart = 0;
     double harmedPerMove = 0;
     /// Largest share that a bad version had: mean and largest over the seeds.
--- a/packages/moves/src/MoveEngine.cpp
+++ b/packages/moves/src/MoveEngine.cpp
@@ -83,19 +83,23 @@
         if (newest.publishedAt < id.publishedAt)
             newest = id;
     }
+    m_book.retain(active, configuration->stamp.offset);
+    for (const auto& id : active)
+        begin(id);
     for (auto& [id, move] : m_moves) {
         if (std::find(active.begin(), active.end(), id) == active.end())
             keepReport(id, move, now);
     }
     std::erase_if(m_moves, [&](const auto& it) { return std::find(active.begin(), active.end(), it.first) == active.end(); });
-    m_book.retain(active, configuration->stamp.offset);
-    for (const auto& id : active) {
-        if (m_moves.contains(id))
-            continue;
-        auto& move = m_moves.try_emplace(id, configuration->set.moves.at(id.name), rankFor(id)).first->second;
-        for (const auto& it : m_book.total(id))
-            move.judge.add(it);
-    }
+}
+
+void MoveEngine::begin(const MoveId& id)
+{
+    if (m_moves.contains(id))
+        return;
+    auto& move = m_moves.try_emplace(id, m_configuration->set.moves.at(id.name), rankFor(id)).first->second;
+    for (const auto& it : m_book.total(id))
+        move.judge.add(it);
 }
 
 void MoveEngine::keepReport(const MoveId& id, const ActiveMove& move, Now now)
@@ -277,7 +281,8 @@
     it.to = move.entry.move.to;
     it.startAt = plan.startAt();
     it.deadline = plan.deadline();
-    it.share = share(it.service, now).nextShare;
+    const auto newest = m_byService.find(it.service);
+    it.share = newest != m_byService.end() && newest->second == id ? share(it.service, now).nextShare : 0;
     it.stage = assessment.stage;
     it.stages = plan.stages();
     it.wait = assessment.wait;
--- a/packages/moves/tests/MoveEngineTests.cpp
+++ b/packages/moves/tests/MoveEngineTests.cpp
@@ -72,6 +72,27 @@
     BOOST_TEST(toJson(*report).find("\"taken-back\"") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(A_move_that_replaces_an_unfinished_one_takes_over_its_service)
+{
+    MoveEngine engine(NodeName { "n1" }, { 1 }, std::mt19937_64 { 1 });
+    engine.onConfiguration(oneMove(160s), at(0ms));
+    engine.tick(at(0ms));
+    auto next = *oneMove(160s);
+    next.stamp.offset = 9;
+    auto& earlier = next.set.moves.begin()->second;
+    auto later = earlier;
+    earlier.verdict = publication::MoveVerdict { publication::MoveOutcome::Withdrawn, publication::MoveReason::Replaced, {}, {} };
+    later.move.name = MoveName { "n" };
+    later.move.to = VersionName { "booking-3" };
+    later.publishedAt = 9;
+    next.set.moves[later.move.name] = later;
+    engine.onConfiguration(std::make_shared<const publication::ConfigurationVersion>(next), at(20s));
+    engine.tick(at(20s));
+    BOOST_TEST(engine.share(booking, at(20s)).next->value() == "booking-3");
+    BOOST_TEST(toString(engine.report(MoveName { "m" }, at(20s))->state) == "withdrawn");
+    BOOST_TEST(engine.report(MoveName { "m" }, at(20s))->share == 0.0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
