Moves: evidence needed by exposure, and a binomial test for doubt

Change: what the next stage may expose on a route grows with the calls counted on it in this one, by the member's setting; doubt is a binomial tail over the newest windows in place of a normal approximation over the stage.

--- a/packages/moves/include/carobpath/moves/Comparison.h
+++ b/packages/moves/include/carobpath/moves/Comparison.h
@@ -28,7 +28,8 @@
 /// serving version took too few calls to tell whether the cause is shared.
 bool isSuspect(const RouteEvidence&, Badness, std::size_t slowClass, std::uint32_t window);
 
-/// \returns whether the new version's rate is above the serving one's by more than chance explains.
-bool isWorse(const Frequency& from, const Frequency& to, Badness);
+/// \returns whether the new version is bad more often than the serving one by more than chance explains.
+/// \param chance probability below which an excess is not held to be chance
+bool isWorse(const Frequency& from, const Frequency& to, Badness, double chance);
 
 }
--- a/packages/moves/include/carobpath/moves/MoveJudge.h
+++ b/packages/moves/include/carobpath/moves/MoveJudge.h
@@ -80,6 +80,8 @@
     };
 
     Progress progressAt(std::uint32_t window) const;
+    /// Calls of the new version that a route needs in the stage before the next.
+    std::uint64_t callsNeeded(double callsPerWindow, std::uint32_t stage) const;
     RouteStanding standingOf(const RouteEvidence&, const Progress&, std::uint32_t endWindow) const;
     /// The first route that is in the way of the next stage.
     RouteStanding worstStanding(const Progress&, std::uint32_t endWindow, RouteName&) const;
--- a/packages/moves/src/Comparison.cpp
+++ b/packages/moves/src/Comparison.cpp
@@ -26,7 +26,28 @@
     /// Part of the new version's rate that the serving one has to show for the cause to be held as shared.
     constexpr double sharedPart = 0.33;
 
-    constexpr double worseDeviations = 3;
+    /// Events up to which a binomial tail is summed; beyond, it is taken as normal.
+    constexpr std::uint64_t mostSummedEvents = 200;
+
+    /// \returns the probability of as many events or more among independent calls.
+    double probabilityOfAtLeast(std::uint64_t events, std::uint64_t calls, double rate)
+    {
+        if (rate >= 1)
+            return 1;
+        const auto n = static_cast<double>(calls);
+        if (events > mostSummedEvents) {
+            const auto deviations = (static_cast<double>(events) - n * rate) / std::sqrt(n * rate * (1 - rate));
+            return 0.5 * std::erfc(deviations / std::sqrt(2.0));
+        }
+        auto logTerm = n * std::log1p(-rate);
+        const auto logOdds = std::log(rate) - std::log1p(-rate);
+        double below = 0;
+        for (std::uint64_t k = 0; k < events; ++k) {
+            below += std::exp(logTerm);
+            logTerm += logOdds + std::log((n - static_cast<double>(k)) / static_cast<double>(k + 1));
+        }
+        return std::max(0.0, 1 - below);
+    }
 
     const std::array<double, 3>& ratiosOf(Badness badness)
     {
@@ -99,16 +120,16 @@
     return !isShared;
 }
 
-bool isWorse(const Frequency& from, const Frequency& to, Badness badness)
+bool isWorse(const Frequency& from, const Frequency& to, Badness badness, double chance)
 {
-    if (to.calls == 0)
-        return false;
-    const auto toCalls = static_cast<double>(to.calls);
-    const auto fromCalls = std::max(1.0, static_cast<double>(from.calls));
     const auto floor = badness == Badness::Failed ? leastFailedRate : slowRate;
-    const auto pooled = std::clamp(from.rate(), floor, 1.0);
-    const auto deviation = std::sqrt(pooled * (1 - pooled) * (1 / toCalls + 1 / fromCalls));
-    return to.events >= 2 && to.rate() > pooled + leastExcess(badness) + worseDeviations * deviation;
+    const auto usual = std::clamp(from.rate(), floor, 1.0);
+    if (to.events == 0 || to.rate() < usual + leastExcess(badness))
+        return false;
+    // The serving version's rate is an estimate too: its standard deviation goes to the new version's favour.
+    const auto deviation = std::sqrt(usual * (1 - usual) / std::max(1.0, static_cast<double>(from.calls)));
+    const auto favoured = std::min(1.0, usual + (from.events > 0 ? deviation : 0));
+    return probabilityOfAtLeast(to.events, to.calls, favoured) < chance;
 }
 
 }
--- a/packages/moves/src/MoveJudge.cpp
+++ b/packages/moves/src/MoveJudge.cpp
@@ -15,10 +15,29 @@
 namespace {
 
     constexpr std::array<Badness, 2> allBadness { Badness::Failed, Badness::Slow };
-    constexpr std::uint64_t fewestCalls = 3;
     constexpr std::uint64_t mostCallsNeeded = 30;
-    /// Part of the calls expected in a stage that have to be counted.
-    constexpr double expectedPart = 0.5;
+    /// Chance of doubting a version that is no worse: at a raise, which waits for a while, and at the end.
+    constexpr double raiseChance = 0.01;
+    constexpr double verdictChance = 0.0003;
+
+    /// How much evidence a member asks for.
+    struct EvidenceNeed {
+        /// Calls that the next stage may expose on a route without any evidence.
+        double freeCalls = 0;
+        /// Calls that the next stage may expose on a route for each call counted in this one.
+        double exposureFactor = 0;
+        /// Calls on each route at the last stage without which a move is not held as proved.
+        std::uint64_t fewestLastCalls = 0;
+    };
+
+    constexpr EvidenceNeed needToFinish { 3, 4, 3 };
+    constexpr EvidenceNeed needToTakeBack { 1, 2, 8 };
+
+    const EvidenceNeed& needOf(ThinEvidencePolicy policy)
+    {
+        return policy == ThinEvidencePolicy::Finish ? needToFinish : needToTakeBack;
+    }
+
     constexpr double refusedExcess = 0.25;
     constexpr std::uint64_t fewestRefused = 5;
 
@@ -70,26 +89,36 @@
     return std::log(tests / s_falseAlarm);
 }
 
+std::uint64_t MoveJudge::callsNeeded(double callsPerWindow, std::uint32_t stage) const
+{
+    const auto& need = needOf(m_entry.move.onThinEvidence);
+    const bool isLast = stage == m_plan.lastStage();
+    const auto nextShare = m_plan.share(isLast ? stage : stage + 1);
+    const auto exposed = callsPerWindow * m_plan.dwell() * nextShare;
+    const auto needed = std::ceil(std::max(0.0, exposed - need.freeCalls) / need.exposureFactor);
+    const auto fewest = isLast ? need.fewestLastCalls : 0;
+    return std::clamp(static_cast<std::uint64_t>(needed), fewest, mostCallsNeeded);
+}
+
 RouteStanding MoveJudge::standingOf(const RouteEvidence& evidence, const Progress& progress, std::uint32_t endWindow) const
 {
     const auto all = evidence.sum(0, endWindow);
-    const auto stage = evidence.sum(progress.entered, endWindow);
     const auto calls = static_cast<double>(all.from.answered() + all.to.answered());
-    const auto expected = calls / std::max(1U, endWindow) * m_plan.dwell() * m_plan.share(progress.stage);
-
     RouteStanding it;
-    it.calls = stage.to.answered();
-    it.callsNeeded = std::clamp(static_cast<std::uint64_t>(expectedPart * expected), fewestCalls, mostCallsNeeded);
-    if (calls == 0 && all.from.refused + all.to.refused == 0) {
-        it.callsNeeded = 0;
+    if (calls == 0 && all.from.refused + all.to.refused == 0)
         return it;
-    }
-    const auto slowClass = evidence.slowClass();
+
+    const auto freshFrom = endWindow > m_plan.dwell() ? endWindow - m_plan.dwell() : 0;
+    const auto fresh = evidence.sum(std::max(progress.entered, freshFrom), endWindow);
+    it.calls = evidence.sum(progress.entered, endWindow).to.answered();
+    it.callsNeeded = callsNeeded(calls / std::max(1U, endWindow), progress.stage);
+    const auto chance = progress.stage == m_plan.lastStage() ? verdictChance : raiseChance;
     for (const auto badness : allBadness) {
-        if (isWorse(frequencyOf(stage.from, badness, slowClass), frequencyOf(stage.to, badness, slowClass), badness))
+        const auto slowClass = evidence.slowClass();
+        if (isWorse(frequencyOf(fresh.from, badness, slowClass), frequencyOf(fresh.to, badness, slowClass), badness, chance))
             it.wait = WaitReason::Doubt;
     }
-    if (it.wait == WaitReason::None && stage.to.refused >= fewestRefused && refusedPart(stage.to) > refusedPart(stage.from) + refusedExcess)
+    if (it.wait == WaitReason::None && fresh.to.refused >= fewestRefused && refusedPart(fresh.to) > refusedPart(fresh.from) + refusedExcess)
         it.wait = WaitReason::Refusals;
     if (it.wait == WaitReason::None && it.calls < it.callsNeeded)
         it.wait = WaitReason::ThinEvidence;
--- a/packages/moves/src/RouteEvidence.cpp
+++ b/packages/moves/src/RouteEvidence.cpp
@@ -8,7 +8,7 @@
 
     /// Part of the serving version's calls that may lie in the slow classes.
     constexpr double slowTail = 0.1;
-    constexpr std::uint64_t leastCallsForSlowClass = 20;
+    constexpr std::uint64_t leastCallsForSlowClass = 10;
 
     std::uint64_t timedCalls(const EvidenceCounts& counts)
     {
