Moves: the new version warms up at a smaller share, without latency evidence

Ruled out: a longer warm-up at the canary's share, which harms more calls where slowness is real. Change: one or two windows at 2 % whose latency is not compared; errors count from the first call.

--- a/packages/moves/include/carobpath/moves/MoveEngine.h
+++ b/packages/moves/include/carobpath/moves/MoveEngine.h
@@ -27,8 +27,6 @@
     static constexpr std::chrono::milliseconds s_quietInterval { 250 };
     /// Time after the deadline that a verdict of thin evidence waits, for nodes with more evidence to come first.
     static constexpr std::chrono::milliseconds s_thinEvidenceGrace { 5000 };
-    /// Longest time for which the latency of a new version's first calls at one upstream is left out: cold start.
-    static constexpr std::chrono::milliseconds s_longestWarmUp { 10000 };
     static constexpr std::size_t s_reportsKept = 128;
 
     MoveEngine(NodeName self, Incarnation, std::mt19937_64 random);
--- a/packages/moves/include/carobpath/moves/MovePlan.h
+++ b/packages/moves/include/carobpath/moves/MovePlan.h
@@ -20,7 +20,9 @@
     static constexpr std::uint32_t s_evidenceWindows = 2 * s_windows;
     /// Largest share of the new version in a cautious window.
     static constexpr double s_cautiousShare = 0.5;
-    /// Windows left after the time by which the last stage is to be entered at the latest.
+    /// Share of the new version while its instances warm up.
+    static constexpr double s_warmUpShare = 0.02;
+    /// Window in which a member that wants the move finished enters the last stage at the latest.
     static constexpr std::uint32_t s_lastStageWindow = 12;
 
     MovePlan(WallTime startAt, WallTime deadline);
@@ -38,10 +40,14 @@
     std::uint32_t stages() const { return static_cast<std::uint32_t>(m_shares.size()); }
     std::uint32_t lastStage() const { return stages() - 1; }
     double share(std::uint32_t stage) const { return m_shares.at(stage); }
+    /// Windows at the start in which the new version warms up: its latency is left out and its share is smaller.
+    std::uint32_t warmUpWindows() const { return m_warmUpWindows; }
+    /// Time from its first call for which the latency of one instance of the new version is left out.
+    std::chrono::milliseconds instanceWarmUp() const;
     /// Windows that a stage lasts at least where all goes as planned.
     std::uint32_t dwell() const { return m_dwell; }
     /// \returns the first window in which the stage may be entered.
-    std::uint32_t plannedWindow(std::uint32_t stage) const { return stage * m_dwell; }
+    std::uint32_t plannedWindow(std::uint32_t stage) const { return stage == 0 ? 0 : m_warmUpWindows + stage * m_dwell; }
     /// \returns the window in which a member that wants the move finished enters the stage with thin evidence.
     std::uint32_t latestWindow(std::uint32_t stage) const { return s_lastStageWindow - (lastStage() - stage); }
     /// \returns the time from which the verdict is due: early enough to reach the log by the deadline.
@@ -52,6 +58,7 @@
     WallTime m_deadline;
     std::chrono::milliseconds m_windowLength;
     std::uint32_t m_dwell = 2;
+    std::uint32_t m_warmUpWindows = 1;
     std::vector<double> m_shares;
 };
 
--- a/packages/moves/src/MoveEngine.cpp
+++ b/packages/moves/src/MoveEngine.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-    constexpr int warmUpParts = 16;
-
     MoveId idOf(const publication::MoveEntry& entry)
     {
         return { entry.move.name, entry.publishedAt };
@@ -136,9 +134,10 @@
     if (isNew && !move->firstCallAt)
         move->firstCallAt = now.monotonic;
     const auto& plan = move->judge.plan();
-    const auto warmUp = std::min(s_longestWarmUp, plan.windowLength() * MovePlan::s_windows / warmUpParts);
-    const bool isTimed = !isNew || now.monotonic - *move->firstCallAt >= warmUp;
-    const auto window = MovePlan::evidenceWindow(plan.windowAt(now.wall), move->assessment.isCautious);
+    const auto planWindow = plan.windowAt(now.wall);
+    const bool isWarm = planWindow >= plan.warmUpWindows() && now.monotonic - move->firstCallAt.value_or(now.monotonic) >= plan.instanceWarmUp();
+    const bool isTimed = !isNew || isWarm;
+    const auto window = MovePlan::evidenceWindow(planWindow, move->assessment.isCautious);
     m_book.observe(idOf(move->entry), route, version, window, countsOf(result, latency, isTimed), now.monotonic);
 }
 
--- a/packages/moves/src/MoveJudge.cpp
+++ b/packages/moves/src/MoveJudge.cpp
@@ -31,7 +31,7 @@
     };
 
     constexpr EvidenceNeed needToFinish { 3, 4, 3 };
-    constexpr EvidenceNeed needToTakeBack { 1, 2, 8 };
+    constexpr EvidenceNeed needToTakeBack { 2, 3, 8 };
 
     const EvidenceNeed& needOf(ThinEvidencePolicy policy)
     {
@@ -194,7 +194,7 @@
     it.stage = progress.stage;
     it.stageEnteredWindow = progress.entered;
     it.isCautious = isCautious(it.window) || (it.window > 0 && isCautious(it.window - 1));
-    it.share = m_plan.share(it.stage);
+    it.share = it.window < m_plan.warmUpWindows() ? MovePlan::s_warmUpShare : m_plan.share(it.stage);
     if (it.isCautious)
         it.share = std::min(it.share, MovePlan::s_cautiousShare);
     it.wait = it.isCautious ? WaitReason::Cautious : worstStanding(progress, it.window + 1, it.waitRoute).wait;
--- a/packages/moves/src/MovePlan.cpp
+++ b/packages/moves/src/MovePlan.cpp
@@ -13,6 +13,10 @@
     constexpr milliseconds evidenceDelay { 1500 };
     constexpr std::uint32_t windowsForRaising = 10;
     constexpr std::uint32_t shortestDwell = 2;
+    constexpr milliseconds usualWarmUp { 30000 };
+    constexpr std::uint32_t shortestWarmUpWindows = 1;
+    constexpr std::uint32_t longestWarmUpWindows = 2;
+    constexpr milliseconds longestInstanceWarmUp { 10000 };
     constexpr milliseconds shortestVerdictMargin { 1000 };
     constexpr milliseconds longestVerdictMargin { 10000 };
     constexpr int verdictMarginParts = 20;
@@ -41,6 +45,12 @@
     const auto delayed = static_cast<std::uint32_t>((evidenceDelay + m_windowLength - milliseconds { 1 }) / m_windowLength);
     m_dwell = std::clamp(1 + delayed, shortestDwell, windowsForRaising);
     m_shares = sharesOf(windowsForRaising / m_dwell);
+    m_warmUpWindows = std::clamp(static_cast<std::uint32_t>(usualWarmUp / m_windowLength), shortestWarmUpWindows, longestWarmUpWindows);
+}
+
+milliseconds MovePlan::instanceWarmUp() const
+{
+    return std::min(longestInstanceWarmUp, m_windowLength);
 }
 
 std::uint32_t MovePlan::windowAt(WallTime time) const
