Read object files and check them as the fold does

Every fault is reported at its file, line and column, references included: the check runs the fold's own code over the objects and maps each fault back to the key or list item that it is about. Keys are in kebab case like those of the settings.

--- a/packages/publication/include/carobpath/publication/Fault.h
+++ b/packages/publication/include/carobpath/publication/Fault.h
@@ -91,7 +91,7 @@
 
 /// \returns the stable text of scripts and JSON, such as "stale-base".
 std::string_view toString(FaultKind);
-/// \returns the key in object files, such as "pathPrefix"; empty for None.
+/// \returns the key in object files, such as "path-prefix"; empty for None.
 std::string_view toString(ObjectField);
 std::optional<ObjectField> objectFieldFromString(std::string_view);
 /// \returns one line for operators.
--- a/packages/publication/src/ChangeApplier.cpp
+++ b/packages/publication/src/ChangeApplier.cpp
@@ -4,6 +4,7 @@
 #include "carobpath/publication/SetCheck.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace carobpath::publication::Detail {
 
@@ -223,3 +224,24 @@
 }
 
 }
+
+namespace carobpath::publication {
+
+Faults checkChanges(const ConfigurationSet& base, const MemberName& member, const std::vector<Change>& changes)
+{
+    constexpr Offset afterAll = std::numeric_limits<Offset>::max();
+    PublishRecord record;
+    record.member = member;
+    record.base = afterAll;
+    record.changes = changes;
+    const std::deque<RememberedDeletion> noDeletions;
+    Detail::ChangeApplier applier { base, noDeletions, record, afterAll };
+    applier.apply();
+    auto faults = applier.faults();
+    const auto set = applier.takeSet();
+    if (faults.empty() && !fitsIntoSetBound(set, encode(set).size()))
+        faults.push_back({ FaultKind::BoundExceeded, std::nullopt, ObjectField::None, std::nullopt, "bytes of the whole set", 0 });
+    return faults;
+}
+
+}
--- a/packages/publication/src/Fault.cpp
+++ b/packages/publication/src/Fault.cpp
@@ -41,17 +41,17 @@
         { ObjectField::Name, "name" },
         { ObjectField::Member, "member" },
         { ObjectField::Service, "service" },
-        { ObjectField::InitialVersion, "initialVersion" },
+        { ObjectField::InitialVersion, "initial-version" },
         { ObjectField::Hosts, "hosts" },
-        { ObjectField::PathPrefix, "pathPrefix" },
+        { ObjectField::PathPrefix, "path-prefix" },
         { ObjectField::Methods, "methods" },
         { ObjectField::Repeatability, "repeatability" },
-        { ObjectField::TrafficClass, "trafficClass" },
+        { ObjectField::TrafficClass, "traffic-class" },
         { ObjectField::Timeout, "timeout" },
         { ObjectField::To, "to" },
-        { ObjectField::StartAt, "startAt" },
+        { ObjectField::StartAt, "start-at" },
         { ObjectField::Deadline, "deadline" },
-        { ObjectField::OnThinEvidence, "onThinEvidence" },
+        { ObjectField::OnThinEvidence, "on-thin-evidence" },
     } };
 
     const KindRow& rowOf(FaultKind kind)
--- /dev/null
+++ b/packages/publication/src/internal/MappingReader.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "carobpath/publication/ObjectFile.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <functional>
+#include <set>
+
+namespace carobpath::publication::Detail {
+
+/// Reads the keys of one object and collects every fault and every place.
+class MappingReader {
+public:
+    MappingReader(const YAML::Node& node, const std::string& file, ObjectFaults& faults);
+
+    bool isMapping() const { return m_node.IsMap(); }
+
+    std::string required(ObjectField);
+    std::optional<std::string> optional(ObjectField);
+    std::vector<std::string> list(ObjectField);
+
+    /// Reads a scalar by the parser, and reports the fault where it gives nothing.
+    template <typename T, typename Parse>
+    void read(ObjectField field, ObjectFaultKind kind, const char* expected, T& target, Parse parse)
+    {
+        const auto text = optional(field);
+        if (!text)
+            return;
+        if (const auto value = parse(*text))
+            target = *value;
+        else
+            fault(markOf(field), kind, field, std::string { "is not " } + expected);
+    }
+
+    /// Reports the keys that nobody asked for. \returns whether the object has no fault.
+    bool finish();
+
+    SourceMark mark() const { return m_mark; }
+    SourceMark markOf(ObjectField) const;
+    const std::map<ObjectField, SourceMark>& fields() const { return m_fields; }
+    const std::map<std::pair<ObjectField, std::string>, SourceMark>& items() const { return m_items; }
+
+    /// Takes note of a key that is no field of an object, such as "kind".
+    void allow(const std::string& key) { m_asked.insert(key); }
+
+private:
+    void checkKeys();
+    YAML::Node find(ObjectField);
+    void fault(const SourceMark&, ObjectFaultKind, ObjectField, std::string detail);
+
+    YAML::Node m_node;
+    std::string m_file;
+    ObjectFaults& m_faults;
+    std::size_t m_faultsBefore;
+    SourceMark m_mark;
+    std::set<std::string> m_asked;
+    std::map<ObjectField, SourceMark> m_fields;
+    std::map<std::pair<ObjectField, std::string>, SourceMark> m_items;
+};
+
+/// \returns the place of a node, counted from 1.
+SourceMark markOf(const YAML::Node&, const std::string& file);
+
+}
