Wire the slices into one daemon, carobpathd

Cause: the slices were decisions and sessions side by side; nothing served a call. Change: packages/node assembles them on one thread: the reader of the log folds and hands versions to the exchange, the exchange puts them in force, the router and the move engine take them; announcements reach the admission controller and the other nodes; verdicts and claims of idempotency keys go to the log. The end of a call that held a key is forwarded to the key's owner with its route and outcome, not only a release, so that a key whose call ran is known. The admitting node gives up 5 ms before the entry node, so that its typed answer arrives. Ruled out: closing idle connections at once on SIGTERM; a request on its way would be cut. They stay open for 1 s and say Connection: close with their next answer.

--- a/packages/gateway/include/carobpath/gateway/Gateway.h
+++ b/packages/gateway/include/carobpath/gateway/Gateway.h
@@ -45,12 +45,18 @@
     /// Carries out what the admission controller decided outside of a call.
     void perform(const routing::AdmissionCommands&);
 
-    /// Accepts no new connections and closes idle ones; calls in flight go on.
+    /// Accepts no new connections. Open ones go on, so that a request which is on its way is answered.
     void stopAccepting();
 
-    /// Calls of callers and forwarded calls that have no final answer yet.
+    /// Closes connections as soon as they are idle.
+    void closeIdle();
+
+    /// Calls of callers and forwarded calls that have no whole answer yet.
     std::size_t inFlight() const;
 
+    /// Ends the timers, so that the context can run out of work.
+    void stop();
+
 private:
     class Implementation;
     explicit Gateway(std::unique_ptr<Implementation>);
--- a/packages/gateway/include/carobpath/gateway/GatewayHooks.h
+++ b/packages/gateway/include/carobpath/gateway/GatewayHooks.h
@@ -43,7 +43,7 @@
     /// Records an idempotency key before its call is sent.
     std::function<void(const routing::AwaitLedger&, const RequestId&, LedgerHandler)> claimKey;
     /// The call that holds a key has ended. One that has not run opens the key again.
-    std::function<void(const IdempotencyKey&, const RequestId&, routing::Outcome)> endKey;
+    std::function<void(const IdempotencyKey&, const RouteName&, const RequestId&, routing::Outcome)> endKey;
     /// Called before a dispatched call reaches the backend server.
     std::function<void(const routing::AdmissionRequest&)> onDispatched;
     std::function<void(const BackendObservation&)> onBackend;
--- a/packages/gateway/src/AdminServer.cpp
+++ b/packages/gateway/src/AdminServer.cpp
@@ -50,6 +50,10 @@
 
 Endpoint AdminServer::endpoint() const { return m_implementation->listener->endpoint(); }
 
-void AdminServer::stop() { m_implementation->listener->stop(); }
+void AdminServer::stop()
+{
+    m_implementation->listener->stopAccepting();
+    m_implementation->listener->closeIdle();
+}
 
 }
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -84,13 +84,25 @@
 
 void Gateway::stopAccepting()
 {
-    m_implementation->callers->stop();
-    m_implementation->calls->stop();
+    m_implementation->callers->stopAccepting();
+    m_implementation->calls->stopAccepting();
+}
+
+void Gateway::closeIdle()
+{
+    m_implementation->callers->closeIdle();
+    m_implementation->calls->closeIdle();
 }
 
 std::size_t Gateway::inFlight() const
 {
-    return m_implementation->entry.inFlight() + m_implementation->admission.inFlight();
+    return m_implementation->callers->busyConnections() + m_implementation->calls->busyConnections();
+}
+
+void Gateway::stop()
+{
+    m_implementation->admission.stop();
+    m_implementation->sweep.cancel();
 }
 
 Gateway::Builder::Builder(boost::asio::io_context& context, routing::EntryRouter& router, routing::AdmissionController& controller)
--- a/packages/gateway/src/internal/AdmissionHandler.h
+++ b/packages/gateway/src/internal/AdmissionHandler.h
@@ -34,8 +34,6 @@
     void start();
     void stop();
 
-    std::size_t inFlight() const { return m_calls.size(); }
-
 private:
     friend class AdmittedCall;
 
--- a/packages/gateway/src/internal/EntryCall.cpp
+++ b/packages/gateway/src/internal/EntryCall.cpp
@@ -25,12 +25,6 @@
     , m_call(std::move(call))
     , m_ledgerTimer(handler.m_context)
 {
-    ++m_handler.m_inFlight;
-}
-
-EntryCall::~EntryCall()
-{
-    --m_handler.m_inFlight;
 }
 
 void EntryCall::start()
@@ -139,7 +133,7 @@
 {
     const auto outcome = m_decision->keyOutcome();
     if (outcome && m_handler.m_hooks.endKey)
-        m_handler.m_hooks.endKey(*m_call.idempotencyKey, m_call.id, *outcome);
+        m_handler.m_hooks.endKey(*m_call.idempotencyKey, m_decision->route()->name, m_call.id, *outcome);
 }
 
 void EntryCall::answer(const routing::Refusal& refusal)
--- a/packages/gateway/src/internal/EntryCall.h
+++ b/packages/gateway/src/internal/EntryCall.h
@@ -13,9 +13,6 @@
 class EntryCall : public std::enable_shared_from_this<EntryCall> {
 public:
     EntryCall(EntryHandler&, ServerSession::Pointer, routing::CallRequest);
-    ~EntryCall();
-    EntryCall(const EntryCall&) = delete;
-    EntryCall& operator=(const EntryCall&) = delete;
 
     void start();
 
--- a/packages/gateway/src/internal/EntryHandler.h
+++ b/packages/gateway/src/internal/EntryHandler.h
@@ -22,9 +22,6 @@
 
     void handle(const ServerSession::Pointer&);
 
-    /// Calls that have no final answer yet.
-    std::size_t inFlight() const { return m_inFlight; }
-
 private:
     friend class EntryCall;
 
@@ -38,7 +35,6 @@
     NodeName m_node;
     Incarnation m_incarnation;
     std::uint64_t m_sequence = 0;
-    std::size_t m_inFlight = 0;
 };
 
 }
--- a/packages/gateway/src/internal/ForwardedHeader.cpp
+++ b/packages/gateway/src/internal/ForwardedHeader.cpp
@@ -17,6 +17,8 @@
 
     constexpr int hexBase = 16;
     constexpr std::size_t fingerprintDigits = 16;
+    /// The admitting node gives up this much before the entry node, so that its typed answer still arrives.
+    constexpr std::chrono::milliseconds answerMargin { 5 };
     constexpr std::chrono::milliseconds longestDeadline { 24 * 3600 * 1000 };
 
     template <typename Number>
@@ -115,7 +117,7 @@
     const bool named = !admission.id.empty() && !admission.route.empty() && !admission.version.empty();
     if (!named || !timeLeft || !fingerprint || !trafficClass || !repeatability)
         return std::nullopt;
-    admission.deadline = now + *timeLeft;
+    admission.deadline = now + std::max(*timeLeft - answerMargin, *timeLeft / 2);
     admission.fingerprint = *fingerprint;
     admission.trafficClass = *trafficClass;
     admission.repeatability = *repeatability;
--- a/packages/gateway/src/internal/Listener.cpp
+++ b/packages/gateway/src/internal/Listener.cpp
@@ -85,20 +85,32 @@
     m_forgetAt = std::min<std::size_t>(m_forgetAt, m_limits.connections);
 }
 
-void Listener::stop()
+template <typename Action>
+void Listener::forEachSession(Action action) const
 {
-    m_acceptor.close();
-    m_acceptTimer.cancel();
     for (const auto& it : m_sessions) {
         if (const auto session = it.lock())
-            session->closeWhenIdle();
+            action(*session);
     }
 }
 
-std::size_t Listener::connections()
+void Listener::stopAccepting()
+{
+    m_acceptor.close();
+    m_acceptTimer.cancel();
+    forEachSession([](ServerSession& it) { it.announceClose(); });
+}
+
+void Listener::closeIdle()
+{
+    forEachSession([](ServerSession& it) { it.closeWhenIdle(); });
+}
+
+std::size_t Listener::busyConnections() const
 {
-    forgetClosed();
-    return m_sessions.size();
+    std::size_t n = 0;
+    forEachSession([&n](const ServerSession& it) { n += it.isBusy() ? 1 : 0; });
+    return n;
 }
 
 }
--- a/packages/gateway/src/internal/Listener.h
+++ b/packages/gateway/src/internal/Listener.h
@@ -24,15 +24,21 @@
     /// Where it listens; the port is the real one where 0 was asked for.
     Endpoint endpoint() const;
 
-    /// Accepts no more, and closes each connection once it is idle.
-    void stop();
+    /// Accepts no more connections. Those that are open go on; their next answers say that they close.
+    void stopAccepting();
 
-    std::size_t connections();
+    /// Closes each connection as soon as it is idle.
+    void closeIdle();
+
+    /// \returns the connections on which a request has no whole answer yet.
+    std::size_t busyConnections() const;
 
 private:
     void accept();
     void add(boost::asio::ip::tcp::socket&&);
     void forgetClosed();
+    template <typename Action>
+    void forEachSession(Action) const;
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_acceptTimer;
--- a/packages/gateway/src/internal/ServerSession.cpp
+++ b/packages/gateway/src/internal/ServerSession.cpp
@@ -182,7 +182,7 @@
     m_response = std::make_shared<Response>(std::move(response));
     m_answerDone = std::move(done);
     m_response->version(11);
-    m_response->keep_alive(m_requestKeepsAlive && !m_closeWhenIdle);
+    m_response->keep_alive(m_requestKeepsAlive && !m_closeAnnounced);
     m_response->prepare_payload();
     if (m_writingInterim)
         m_afterInterim = [this] { writeWhole(); };
@@ -224,7 +224,7 @@
     framing.mayChunk = request().version() >= 11;
     framing.headerOnly = request().method() == http::verb::head || exchange->bodyIsDone();
     const bool lengthIsKnown = framing.headerOnly || exchange->contentLength().has_value();
-    framing.keepAlive = m_requestKeepsAlive && !m_closeWhenIdle && (framing.mayChunk || lengthIsKnown);
+    framing.keepAlive = m_requestKeepsAlive && !m_closeAnnounced && (framing.mayChunk || lengthIsKnown);
     auto relay = std::make_shared<BodyRelay>(m_stream, m_limits, std::move(exchange));
     auto begin = [self = shared_from_this(), relay, framing, header = std::move(header)]() mutable {
         relay->start(std::move(header), framing, [self, keepAlive = framing.keepAlive](bool whole) { self->endAnswer(keepAlive, whole); });
@@ -247,6 +247,7 @@
 
 void ServerSession::closeWhenIdle()
 {
+    m_closeAnnounced = true;
     m_closeWhenIdle = true;
     if (m_state == State::Idle)
         close();
--- a/packages/gateway/src/internal/ServerSession.h
+++ b/packages/gateway/src/internal/ServerSession.h
@@ -54,10 +54,14 @@
     /// Closes the connection without an answer: nobody waits for it.
     void abandon() { close(); }
 
+    /// The next answer tells the other end that the connection closes after it.
+    void announceClose() { m_closeAnnounced = true; }
+
     /// No further request is taken; the connection closes once it is idle.
     void closeWhenIdle();
 
-    bool isIdle() const { return m_state == State::Idle; }
+    /// True while a request waits for its answer or the answer is being written.
+    bool isBusy() const { return m_state == State::Handling || m_state == State::Answering; }
 
 private:
     enum class State : std::uint8_t {
@@ -91,6 +95,7 @@
     std::function<void()> m_afterInterim;
     MonotonicTime m_arrivedAt;
     State m_state = State::Idle;
+    bool m_closeAnnounced = false;
     bool m_closeWhenIdle = false;
     bool m_watching = false;
     bool m_writingInterim = false;
--- a/packages/node/include/carobpath/node/UpstreamMonitor.h
+++ b/packages/node/include/carobpath/node/UpstreamMonitor.h
@@ -7,33 +7,25 @@
 
 namespace carobpath::node {
 
-/// Decides what is known of the backend server beside this node: from its announcements, which are heartbeats too,
-/// and from the calls that it was sent. An announcement alone does not bring a backend server up that refuses
-/// connections: announcements may come from elsewhere than the work does.
+/// Keeps what the backend server beside this node announced. An announcement is a heartbeat too: it lapses.
+/// Whether the backend server does its work is not decided here but by the calls that it is sent.
 class UpstreamMonitor {
 public:
-    /// Announcements come once a second; this many seconds without one mean that the backend server is gone or frozen.
+    /// Announcements come once a second; after this time without one the backend server is gone or frozen.
     static constexpr std::chrono::seconds s_heartbeatTimeout { 5 };
-    /// Connection failures in a row after which the backend server counts as down.
-    static constexpr int s_failuresUntilDown = 2;
-    /// How long it stays down after the last connection failure, unless a call succeeds.
-    static constexpr std::chrono::seconds s_downTime { 2 };
 
-    void onAnnouncement(const Announcement&, MonotonicTime now);
-    void onConnectFailed(MonotonicTime now);
-    void onAnswered();
+    /// \returns true where something else was announced than before.
+    bool onAnnouncement(const Announcement&, MonotonicTime now);
 
-    /// \returns what is to be told to other nodes; nothing before the first announcement.
-    std::optional<membership::Upstream> upstream(MonotonicTime now) const;
-    std::optional<Endpoint> backend() const;
+    /// \returns true where the last announcement has lapsed by now.
+    bool onTick(MonotonicTime now);
 
-private:
-    bool isDown(MonotonicTime now) const;
+    /// \returns nothing before the first announcement and after one that lapsed.
+    const std::optional<Announcement>& announcement() const { return m_announcement; }
 
+private:
     std::optional<Announcement> m_announcement;
     MonotonicTime m_announcedAt;
-    MonotonicTime m_failedAt;
-    int m_failures = 0;
 };
 
 }
--- /dev/null
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -0,0 +1,376 @@
+#include "internal/NodeAssembly.h"
+
+#include "carobpath/foundation/EventNames.h"
+#include "carobpath/node/BadKeySetting.h"
+#include "carobpath/publication/Codec.h"
+#include "internal/StatusJson.h"
+
+#include <boost/system/system_error.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace carobpath::node::Detail {
+
+namespace {
+
+    constexpr std::chrono::milliseconds tickInterval { 100 };
+    constexpr std::chrono::milliseconds drainCheckInterval { 20 };
+    /// Time for the news of the leaving to reach the nodes that still forward calls here.
+    constexpr std::chrono::milliseconds leaveNotice { 1'000 };
+
+    Incarnation incarnationNow()
+    {
+        const auto sinceEpoch = WallClock::now().time_since_epoch();
+        return Incarnation { static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count()) };
+    }
+
+    gateway::GatewayLimits limitsOf(const NodeSettings& settings)
+    {
+        using std::chrono::duration_cast;
+        using std::chrono::milliseconds;
+        gateway::GatewayLimits limits;
+        limits.headerBytes = static_cast<std::uint32_t>(settings.limits.headerBytes);
+        limits.bodyBytes = settings.limits.bodyBytes;
+        limits.connections = static_cast<std::uint32_t>(settings.limits.callerConnections);
+        limits.requestTimeout = duration_cast<milliseconds>(settings.timeouts.callerHeader);
+        limits.callerIdle = duration_cast<milliseconds>(settings.timeouts.callerIdle);
+        limits.connectTimeout = duration_cast<milliseconds>(settings.timeouts.connect);
+        limits.bodyProgress = duration_cast<milliseconds>(settings.timeouts.progress);
+        return limits;
+    }
+
+    publication::HttpLogClientOptions logOptionsOf(const NodeSettings& settings)
+    {
+        using std::chrono::duration_cast;
+        using std::chrono::milliseconds;
+        publication::HttpLogClientOptions options;
+        options.endpoints = settings.log.endpoints;
+        options.connectTimeout = duration_cast<milliseconds>(settings.timeouts.connect);
+        options.answerTimeout = duration_cast<milliseconds>(settings.timeouts.log);
+        return options;
+    }
+
+    Result<publication::KeyPair> fleetKeyOf(const NodeSettings& settings)
+    {
+        auto key = publication::KeyPair::fromHex(settings.fleetKey.digits);
+        if (!key)
+            return boost::leaf::new_error(BadKeySetting { "fleet-key" });
+        return key;
+    }
+
+    Result<publication::TrustedKeys> trustedKeysOf(const NodeSettings& settings)
+    {
+        publication::TrustedKeys keys;
+        for (const auto& member : settings.members) {
+            const auto key = publication::publicKeyFromHex(member.publicKey.digits);
+            if (!key)
+                return boost::leaf::new_error(BadKeySetting { "members." + member.name.value() });
+            keys.addMember(member.name, *key);
+        }
+        BOOST_LEAF_AUTO(fleet, fleetKeyOf(settings));
+        keys.addFleet(fleet.publicKey());
+        return keys;
+    }
+
+    std::vector<NodeName> aliveNodes(const membership::MembershipView& view)
+    {
+        std::vector<NodeName> names;
+        for (const auto& node : view.nodes) {
+            if (node.liveness == membership::Liveness::Alive && !node.entry.leaving)
+                names.push_back(node.entry.name);
+        }
+        return names;
+    }
+
+    peer::HybridTime toPeer(const HybridTime& time)
+    {
+        return peer::HybridTime { static_cast<std::uint64_t>(time.wall.time_since_epoch().count()), time.counter };
+    }
+
+    HybridTime fromPeer(const peer::HybridTime& time)
+    {
+        return HybridTime { WallTime { std::chrono::milliseconds { static_cast<std::int64_t>(time.milliseconds) } }, time.counter };
+    }
+
+}
+
+NodeAssembly::NodeAssembly(boost::asio::io_context& io, const NodeSettings& settings, std::ostream& events)
+    : m_settings(settings)
+    , m_logger("node")
+    , m_incarnation(incarnationNow())
+    , m_events(events, "node/" + settings.name.value(), m_incarnation, m_clock)
+    , m_context { io, m_settings, m_incarnation, m_events, m_clock, m_logger }
+    , m_log(io.get_executor(), logOptionsOf(settings))
+    , m_router(m_context.random())
+    , m_ledger(m_context, m_log)
+    , m_peerRuntime(std::make_shared<peer::PeerRuntime>(io))
+    , m_tick(io)
+    , m_drain(io)
+{
+}
+
+Result<void> NodeAssembly::start()
+{
+    BOOST_LEAF_AUTO(fleetKey, fleetKeyOf(m_settings));
+    m_moves.emplace(m_context, m_log, std::move(fleetKey), [this] { m_peers->notifyEvidence(); });
+    BOOST_LEAF_CHECK(listen());
+    BOOST_LEAF_CHECK(startReader());
+    m_router.setOwnNode(m_settings.name, m_settings.failureDomain);
+    m_router.setShareSource([this](const ServiceName& service) { return m_moves->engine().share(service, NodeContext::now()); });
+    BOOST_LEAF_CHECK(startPeers());
+    m_ledger.setPeers(&m_peers->client());
+    m_moves->start();
+    scheduleTick();
+    recordStarted();
+    m_peers->start();
+    return {};
+}
+
+Result<void> NodeAssembly::listen()
+{
+    gateway::Gateway::Builder builder { m_context.io, m_router, m_controller };
+    builder.node(m_settings.name, m_incarnation);
+    builder.callers(m_settings.listen.callers);
+    builder.calls(m_settings.listen.calls);
+    builder.limits(limitsOf(m_settings));
+    builder.hooks(gatewayHooks());
+    BOOST_LEAF_AUTO(gateway, builder.build());
+    m_gateway.emplace(std::move(gateway));
+    m_upstream.emplace(m_context, m_controller, *m_gateway, [this](std::optional<membership::Upstream> upstream) {
+        if (!m_draining)
+            m_peers->setUpstream(std::move(upstream));
+    });
+    BOOST_LEAF_AUTO(admin, gateway::AdminServer::listen(m_context.io, m_settings.listen.admin, [api = AdminApi { adminSources() }](const gateway::AdminRequest& request) { return api.answer(request); }));
+    m_admin.emplace(std::move(admin));
+    return {};
+}
+
+Result<void> NodeAssembly::startReader()
+{
+    BOOST_LEAF_AUTO(keys, trustedKeysOf(m_settings));
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.timeouts.logWait);
+    m_reader = std::make_shared<Reader>(m_context.io, m_log, m_settings.log.stream, std::move(keys), wait, readerHooks(), m_context.random());
+    return {};
+}
+
+Result<void> NodeAssembly::startPeers()
+{
+    membership::NodeEntry self;
+    self.name = m_settings.name;
+    self.region = m_settings.region;
+    self.domain = m_settings.failureDomain;
+    self.revision.incarnation = m_incarnation;
+    self.addresses.callers = m_gateway->callersEndpoint();
+    self.addresses.calls = m_gateway->callsEndpoint();
+    self.addresses.admin = m_admin->endpoint();
+    try {
+        m_peers = peer::ExchangeRunner::Builder { m_peerRuntime }
+                      .self(std::move(self))
+                      .listen(m_settings.listen.peer)
+                      .seeds(m_settings.seeds)
+                      .random(m_context.random())
+                      .evidence(distribution::evidencePortOf<moves::EvidenceCursor>(m_moves->engine(),
+                          [this](const moves::EvidenceUpdate& update) { m_moves->engine().merge(update, NodeContext::now()); }))
+                      .callbacks(peerCallbacks())
+                      .build();
+    } catch (const boost::system::system_error& error) {
+        return boost::leaf::new_error(gateway::ListenFailure { m_settings.listen.peer, error.code().value() });
+    }
+    return {};
+}
+
+gateway::GatewayHooks NodeAssembly::gatewayHooks()
+{
+    gateway::GatewayHooks hooks;
+    hooks.claimKey = [this](const auto& await, const auto& request, auto handler) { m_ledger.claim(await, request, std::move(handler)); };
+    hooks.endKey = [this](const auto& key, const auto& route, const auto& request, auto outcome) { m_ledger.end(key, route, request, outcome); };
+    hooks.onBackend = [this](const auto& observation) { onBackend(observation); };
+    hooks.onCall = [this](const auto& call) { m_metrics.onCall(call); };
+    return hooks;
+}
+
+LogReaderHooks NodeAssembly::readerHooks()
+{
+    LogReaderHooks hooks;
+    hooks.onStep = [this](const publication::FoldStep& step) { onStep(step); };
+    hooks.onEnd = [this](const publication::ConfigurationPointer& configuration) {
+        if (configuration)
+            m_peers->publishConfiguration(configuration);
+        m_peers->reportLogEnd();
+    };
+    hooks.onAvailable = [this](bool available) {
+        m_metrics.setLogAvailable(available);
+        m_events.record(Event(available ? event::logAvailable : event::logUnavailable));
+    };
+    return hooks;
+}
+
+peer::RunnerCallbacks NodeAssembly::peerCallbacks()
+{
+    peer::RunnerCallbacks callbacks;
+    callbacks.onConfiguration = [this](const publication::ConfigurationPointer& it) { onConfiguration(it); };
+    callbacks.onView = [this](const auto& view) { onView(view); };
+    callbacks.onReaderRole = [this](bool reader) {
+        m_metrics.setReader(reader);
+        m_reader->setEnabled(reader);
+    };
+    callbacks.onReady = [this](bool ready) { onReady(ready); };
+    callbacks.onClaim = [this](const peer::ClaimRequest& request, peer::ClaimReply reply) { m_ledger.onPeerClaim(request, std::move(reply)); };
+    callbacks.onEndClaim = [this](const peer::EndRequest& request) { m_ledger.onPeerEnd(request); };
+    callbacks.onMalformed = [this](peer::MessageError error) { m_logger.warn("refused a peer's message: " + std::string { peer::toString(error.fault) }); };
+    callbacks.hybridNow = [this] { return toPeer(m_clock.tick(wallNow())); };
+    callbacks.onHybridTime = [this](peer::HybridTime time) { m_clock.observe(fromPeer(time), wallNow()); };
+    return callbacks;
+}
+
+AdminSources NodeAssembly::adminSources()
+{
+    AdminSources sources;
+    sources.ready = [this] { return m_ready && !m_draining; };
+    sources.status = [this] { return status(); };
+    sources.objects = [this] { return m_configuration ? std::optional { publication::encode(m_configuration->set) } : std::nullopt; };
+    sources.move = [this](const std::string& name) -> std::optional<std::string> {
+        const auto report = m_moves->engine().report(MoveName { name }, NodeContext::now());
+        return report ? std::optional { moves::toJson(*report) } : std::nullopt;
+    };
+    sources.metrics = [this] { return m_metrics.text(); };
+    sources.announce = [this](std::string_view body) { return m_upstream->onAnnouncement(body); };
+    return sources;
+}
+
+std::string NodeAssembly::status() const
+{
+    NodeStatus status;
+    status.settings = &m_settings;
+    status.incarnation = m_incarnation;
+    status.ready = m_ready;
+    status.draining = m_draining;
+    status.reader = m_reader->enabled();
+    status.configuration = m_configuration;
+    status.view = m_view;
+    status.share = [this](const ServiceName& service) { return m_moves->engine().share(service, NodeContext::now()); };
+    return statusJson(status);
+}
+
+void NodeAssembly::recordStarted()
+{
+    m_events.record(Event(event::started)
+                        .with("callers", m_gateway->callersEndpoint())
+                        .with("calls", m_gateway->callsEndpoint())
+                        .with("peer", m_peers->endpoint())
+                        .with("admin", m_admin->endpoint())
+                        .with("region", m_settings.region)
+                        .with("failureDomain", m_settings.failureDomain));
+}
+
+void NodeAssembly::onConfiguration(const publication::ConfigurationPointer& configuration)
+{
+    m_configuration = configuration;
+    m_router.setConfiguration(configuration);
+    m_moves->onConfiguration(configuration);
+    m_metrics.setConfigurationOffset(configuration->stamp.offset);
+    m_events.record(Event(event::configurationInForce)
+                        .with("offset", configuration->stamp.offset)
+                        .with("digest", toHex(configuration->stamp.digest)));
+}
+
+void NodeAssembly::onView(const std::shared_ptr<const membership::MembershipView>& view)
+{
+    m_view = view;
+    m_router.setMembership(view);
+    m_ledger.setMembership(view);
+    auto alive = aliveNodes(*view);
+    m_metrics.setNodes(alive.size());
+    m_moves->engine().onNodes(std::move(alive));
+}
+
+void NodeAssembly::onReady(bool ready)
+{
+    if (m_ready == ready)
+        return;
+    m_ready = ready;
+    m_router.setReady(ready);
+    m_metrics.setReady(ready);
+    m_events.record(Event(ready ? event::ready : event::notReady));
+}
+
+void NodeAssembly::onStep(const publication::FoldStep& step)
+{
+    m_metrics.onRecord(publication::toString(step.outcome));
+    if (std::holds_alternative<publication::Accepted>(step.outcome) || std::holds_alternative<publication::CheckpointMatched>(step.outcome))
+        return;
+    const auto name = std::holds_alternative<publication::VerdictAccepted>(step.outcome) ? event::verdictRecorded : event::recordRejected;
+    m_events.record(Event(name).with("offset", step.offset).with("outcome", publication::toString(step.outcome)));
+}
+
+void NodeAssembly::onBackend(const gateway::BackendObservation& observation)
+{
+    m_metrics.onBackend(observation);
+    m_moves->onBackend(m_upstream->service(), observation);
+}
+
+void NodeAssembly::scheduleTick()
+{
+    m_tick.expires_after(tickInterval);
+    m_tick.async_wait([this](boost::system::error_code ec) {
+        if (ec)
+            return;
+        tick();
+        scheduleTick();
+    });
+}
+
+void NodeAssembly::tick()
+{
+    m_upstream->onTick();
+    m_metrics.setAdmission(m_controller.inFlight(), m_controller.waiting());
+    for (const auto& it : m_router.takeObservations())
+        m_peers->reportCall(it.node, it.reachability == routing::NodeReachability::Answered);
+}
+
+void NodeAssembly::stop(std::function<void()> stopped)
+{
+    if (m_draining)
+        return;
+    m_draining = true;
+    m_stopped = std::move(stopped);
+    m_events.record(Event(event::draining).with("inFlight", m_gateway->inFlight()));
+    m_peers->leave();
+    m_gateway->perform(m_controller.drain(MonotonicClock::now()));
+    m_gateway->stopAccepting();
+    const auto now = MonotonicClock::now();
+    scheduleDrainCheck(now + leaveNotice, now + std::max<std::chrono::microseconds>(m_settings.drain.grace, leaveNotice));
+}
+
+void NodeAssembly::scheduleDrainCheck(MonotonicTime closeIdleAt, MonotonicTime giveUpAt)
+{
+    m_drain.expires_after(drainCheckInterval);
+    m_drain.async_wait([this, closeIdleAt, giveUpAt](boost::system::error_code ec) {
+        if (ec)
+            return;
+        const auto now = MonotonicClock::now();
+        const bool noticed = now >= closeIdleAt;
+        if (noticed)
+            m_gateway->closeIdle();
+        if ((noticed && m_gateway->inFlight() == 0) || now >= giveUpAt)
+            finishStop();
+        else
+            scheduleDrainCheck(closeIdleAt, giveUpAt);
+    });
+}
+
+void NodeAssembly::finishStop()
+{
+    m_events.record(Event(event::stopped).with("cut", m_gateway->inFlight()));
+    m_tick.cancel();
+    m_reader->stop();
+    m_ledger.stop();
+    m_moves->stop();
+    m_peers->stop();
+    m_admin->stop();
+    m_gateway->stop();
+    m_stopped();
+}
+
+}
--- /dev/null
+++ b/packages/node/src/internal/NodeAssembly.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "carobpath/foundation/NodeSettings.h"
+#include "carobpath/gateway/AdminServer.h"
+#include "carobpath/gateway/Gateway.h"
+#include "carobpath/peer/ExchangeRunner.h"
+#include "carobpath/peer/PeerRuntime.h"
+#include "carobpath/routing/AdmissionController.h"
+#include "carobpath/routing/EntryRouter.h"
+#include "internal/AdminApi.h"
+#include "internal/LedgerDriver.h"
+#include "internal/LogReader.h"
+#include "internal/MoveDriver.h"
+#include "internal/NodeContext.h"
+#include "internal/NodeMetrics.h"
+#include "internal/UpstreamDriver.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <iosfwd>
+#include <memory>
+#include <optional>
+
+namespace carobpath::node::Detail {
+
+/// The parts of one node and what passes between them. Holds no decision of its own.
+class NodeAssembly {
+public:
+    NodeAssembly(boost::asio::io_context&, const NodeSettings&, std::ostream& events);
+
+    /// Listens on every address and begins to work.
+    Result<void> start();
+
+    /// See \c Daemon::stop.
+    void stop(std::function<void()> stopped);
+
+private:
+    using Reader = LogReader<publication::HttpLogClient>;
+
+    Result<void> listen();
+    Result<void> startReader();
+    Result<void> startPeers();
+    gateway::GatewayHooks gatewayHooks();
+    LogReaderHooks readerHooks();
+    peer::RunnerCallbacks peerCallbacks();
+    AdminSources adminSources();
+    void recordStarted();
+
+    void onConfiguration(const publication::ConfigurationPointer&);
+    void onView(const std::shared_ptr<const membership::MembershipView>&);
+    void onReady(bool);
+    void onStep(const publication::FoldStep&);
+    void onBackend(const gateway::BackendObservation&);
+
+    std::string status() const;
+
+    void scheduleTick();
+    void tick();
+    void scheduleDrainCheck(MonotonicTime closeIdleAt, MonotonicTime giveUpAt);
+    void finishStop();
+
+    NodeSettings m_settings;
+    HybridClock m_clock;
+    Logger m_logger;
+    Incarnation m_incarnation;
+    EventLog m_events;
+    NodeContext m_context;
+    NodeMetrics m_metrics;
+
+    publication::HttpLogClient m_log;
+    routing::EntryRouter m_router;
+    routing::AdmissionController m_controller;
+    LedgerDriver m_ledger;
+    std::optional<MoveDriver> m_moves;
+    std::optional<gateway::Gateway> m_gateway;
+    std::optional<gateway::AdminServer> m_admin;
+    std::optional<UpstreamDriver> m_upstream;
+    std::shared_ptr<Reader> m_reader;
+    std::shared_ptr<peer::PeerRuntime> m_peerRuntime;
+    std::shared_ptr<peer::ExchangeRunner> m_peers;
+
+    publication::ConfigurationPointer m_configuration;
+    std::shared_ptr<const membership::MembershipView> m_view;
+    boost::asio::steady_timer m_tick;
+    boost::asio::steady_timer m_drain;
+    std::function<void()> m_stopped;
+    bool m_ready = false;
+    bool m_draining = false;
+};
+
+}
--- a/packages/peer/include/carobpath/peer/ExchangeRunner.h
+++ b/packages/peer/include/carobpath/peer/ExchangeRunner.h
@@ -26,7 +26,8 @@
     std::function<void(bool)> onReady;
     /// Another node forwards a claim of an idempotency key; the reply may be given later.
     std::function<void(const ClaimRequest&, ClaimReply)> onClaim;
-    std::function<bool(const ReleaseRequest&)> onRelease;
+    /// A call whose claim was forwarded here has ended.
+    std::function<void(const EndRequest&)> onEndClaim;
     /// A peer sent a message that breaks the protocol.
     std::function<void(MessageError)> onMalformed;
     /// Reads the hybrid clock for a message that is sent.
--- a/packages/peer/include/carobpath/peer/PeerClient.h
+++ b/packages/peer/include/carobpath/peer/PeerClient.h
@@ -19,7 +19,7 @@
     static constexpr std::chrono::milliseconds s_exchangeTimeout { 1500 };
     static constexpr std::chrono::milliseconds s_deliverTimeout { 3000 };
     static constexpr std::chrono::milliseconds s_fetchTimeout { 10000 };
-    static constexpr std::chrono::milliseconds s_releaseTimeout { 1000 };
+    static constexpr std::chrono::milliseconds s_endTimeout { 1000 };
     static constexpr std::chrono::milliseconds s_reconnectBase { 50 };
     static constexpr std::chrono::milliseconds s_reconnectCap { 2000 };
     /// Calls under way at a time, over all peers.
@@ -37,7 +37,7 @@
     void fetchWhole(const Endpoint&, const Completion<distribution::WholeState>&);
     /// Gives up after the claim's own timeout.
     void claim(const Endpoint&, const ClaimRequest&, const Completion<routing::LedgerVerdict>&);
-    void release(const Endpoint&, const ReleaseRequest&, const Completion<bool>&);
+    void endClaim(const Endpoint&, const EndRequest&, const Completion<ClaimEnded>&);
 
     /// Closes every connection; calls under way fail.
     void stop();
--- a/packages/peer/include/carobpath/peer/PeerServer.h
+++ b/packages/peer/include/carobpath/peer/PeerServer.h
@@ -11,7 +11,7 @@
 
 /// What answers the calls of peers. \c onClaim may answer later.
 template <typename Handler>
-concept PeerHandler = requires(Handler& handler, const distribution::PeerMessage& message, const ClaimRequest& claim, const ReleaseRequest& release, ClaimReply reply)
+concept PeerHandler = requires(Handler& handler, const distribution::PeerMessage& message, const ClaimRequest& claim, const EndRequest& end, ClaimReply reply)
 {
     {
         handler.onExchange(message)
@@ -21,9 +21,7 @@
         handler.onFetchWhole()
         } -> std::convertible_to<std::optional<distribution::WholeState>>;
     handler.onClaim(claim, reply);
-    {
-        handler.onRelease(release)
-        } -> std::convertible_to<bool>;
+    handler.onEndClaim(end);
 };
 
 /// The calls of peers as functions.
@@ -32,7 +30,7 @@
     std::function<void(const distribution::PeerMessage&)> onDeliver;
     std::function<std::optional<distribution::WholeState>()> onFetchWhole;
     std::function<void(const ClaimRequest&, ClaimReply)> onClaim;
-    std::function<bool(const ReleaseRequest&)> onRelease;
+    std::function<void(const EndRequest&)> onEndClaim;
     /// A message that breaks the protocol was refused.
     std::function<void(MessageError)> onMalformed;
 };
@@ -46,7 +44,7 @@
     hooks.onDeliver = [&handler](const auto& message) { handler.onDeliver(message); };
     hooks.onFetchWhole = [&handler] { return handler.onFetchWhole(); };
     hooks.onClaim = [&handler](const auto& claim, ClaimReply reply) { handler.onClaim(claim, std::move(reply)); };
-    hooks.onRelease = [&handler](const auto& release) { return handler.onRelease(release); };
+    hooks.onEndClaim = [&handler](const auto& end) { handler.onEndClaim(end); };
     return hooks;
 }
 
--- a/packages/peer/include/carobpath/peer/PeerTypes.h
+++ b/packages/peer/include/carobpath/peer/PeerTypes.h
@@ -3,6 +3,7 @@
 #include "carobpath/distribution/PeerMessage.h"
 #include "carobpath/peer/PeerError.h"
 #include "carobpath/routing/LedgerVerdict.h"
+#include "carobpath/routing/Outcome.h"
 
 #include <chrono>
 #include <functional>
@@ -18,12 +19,17 @@
     std::chrono::milliseconds timeout {};
 };
 
-/// Gives a claimed key back, since its call did not run.
-struct ReleaseRequest {
+/// A call that had claimed a key has ended.
+struct EndRequest {
     IdempotencyKey key;
+    RouteName route;
     RequestId requestId;
+    routing::Outcome outcome = routing::Outcome::Unknown;
 };
 
+/// The owner took note of the end.
+struct ClaimEnded { };
+
 /// How the end of a call to a peer is reported: exactly one of the two is called, once.
 template <typename Answer>
 struct Completion {
--- a/packages/peer/schema/Peer.capnp
+++ b/packages/peer/schema/Peer.capnp
@@ -134,5 +134,5 @@
   # Claims an idempotency key at the owner of its partition.
   claim @3 (key :Text, route :Text, requestId :Text, timeoutMilliseconds :UInt32) -> (verdict :UInt8, retryAfterMilliseconds :UInt32);
   # Gives a claimed key back, since its call did not run.
-  release @4 (key :Text, requestId :Text) -> (released :Bool);
+  endClaim @4 (key :Text, route :Text, requestId :Text, outcome :UInt8) -> ();
 }
--- a/packages/peer/src/ExchangeRunner.cpp
+++ b/packages/peer/src/ExchangeRunner.cpp
@@ -47,7 +47,7 @@
         it.onDeliver = [this](const PeerMessage& message) { takePush(message); };
         it.onFetchWhole = [this] { return exchange->onFetch(MonotonicClock::now()); };
         it.onClaim = callbacks.onClaim;
-        it.onRelease = callbacks.onRelease;
+        it.onEndClaim = callbacks.onEndClaim;
         it.onMalformed = callbacks.onMalformed;
         return it;
     }
--- a/packages/peer/src/PeerClient.cpp
+++ b/packages/peer/src/PeerClient.cpp
@@ -207,15 +207,17 @@
     m_impl->submit(endpoint, PeerCall { std::move(send), completion.failed, claim.timeout });
 }
 
-void PeerClient::release(const Endpoint& endpoint, const ReleaseRequest& release, const Completion<bool>& completion)
+void PeerClient::endClaim(const Endpoint& endpoint, const EndRequest& end, const Completion<ClaimEnded>& completion)
 {
-    auto send = [release, completion](schema::Peer::Client& peer) {
-        auto request = peer.releaseRequest();
-        request.setKey(textOf(release.key.value()));
-        request.setRequestId(textOf(release.requestId.value()));
-        return request.send().then([completion](auto&& response) { completion.done(response.getReleased()); });
+    auto send = [end, completion](schema::Peer::Client& peer) {
+        auto request = peer.endClaimRequest();
+        request.setKey(textOf(end.key.value()));
+        request.setRoute(textOf(end.route.value()));
+        request.setRequestId(textOf(end.requestId.value()));
+        request.setOutcome(static_cast<std::uint8_t>(end.outcome));
+        return request.send().then([completion](auto&&) { completion.done(ClaimEnded {}); });
     };
-    m_impl->submit(endpoint, PeerCall { std::move(send), completion.failed, s_releaseTimeout });
+    m_impl->submit(endpoint, PeerCall { std::move(send), completion.failed, s_endTimeout });
 }
 
 void PeerClient::stop()
--- a/packages/peer/src/internal/PeerService.cpp
+++ b/packages/peer/src/internal/PeerService.cpp
@@ -105,16 +105,22 @@
     });
 }
 
-kj::Promise<void> PeerService::release(ReleaseContext context)
+kj::Promise<void> PeerService::endClaim(EndClaimContext context)
 {
     touch();
     const auto params = context.getParams();
-    if (!m_hooks->onRelease)
+    if (!m_hooks->onEndClaim)
         return failure("claims are not served");
-    if (!isName(params.getKey()) || !isName(params.getRequestId()))
+    if (!isName(params.getKey()) || !isName(params.getRoute()) || !isName(params.getRequestId()))
         return refuse(MessageError { MessageFault::NameMissing });
-    const ReleaseRequest request { nameOf<IdempotencyKey>(params.getKey()), nameOf<RequestId>(params.getRequestId()) };
-    context.getResults().setReleased(m_hooks->onRelease(request));
+    if (params.getOutcome() > static_cast<std::uint8_t>(routing::Outcome::Unknown))
+        return refuse(MessageError { MessageFault::BadEnum });
+    EndRequest request;
+    request.key = nameOf<IdempotencyKey>(params.getKey());
+    request.route = nameOf<RouteName>(params.getRoute());
+    request.requestId = nameOf<RequestId>(params.getRequestId());
+    request.outcome = static_cast<routing::Outcome>(params.getOutcome());
+    m_hooks->onEndClaim(request);
     return kj::READY_NOW;
 }
 
--- a/packages/peer/src/internal/PeerService.h
+++ b/packages/peer/src/internal/PeerService.h
@@ -16,7 +16,7 @@
     kj::Promise<void> deliver(DeliverContext) override;
     kj::Promise<void> fetchWhole(FetchWholeContext) override;
     kj::Promise<void> claim(ClaimContext) override;
-    kj::Promise<void> release(ReleaseContext) override;
+    kj::Promise<void> endClaim(EndClaimContext) override;
 
 private:
     kj::Promise<void> refuse(MessageError) const;
