--- a/packages/node/src/internal/LedgerDriver.cpp
+++ b/packages/node/src/internal/LedgerDriver.cpp
@@ -68,7 +68,7 @@
         if (!m_stopped)
             claimHere(claim, handler);
     };
-    m_peers->claim(*owner, peer::ClaimRequest { await.key, await.route, request, timeLeft(await.deadline) }, std::move(completion));
+    m_peers->claim(*owner, peer::ClaimRequest { await.key, await.route, request, timeLeft(await.deadline) }, completion);
 }
 
 void LedgerDriver::end(const IdempotencyKey& key, const RouteName& route, const RequestId& request, routing::Outcome outcome)
@@ -85,7 +85,7 @@
         if (!m_stopped)
             perform(m_ledger.onCallEnded(end, MonotonicClock::now()));
     };
-    m_peers->endClaim(*owner, peer::EndRequest { key, route, request, outcome }, std::move(completion));
+    m_peers->endClaim(*owner, peer::EndRequest { key, route, request, outcome }, completion);
 }
 
 void LedgerDriver::onPeerClaim(const peer::ClaimRequest& request, gateway::LedgerHandler handler)
--- a/packages/node/src/internal/MoveDriver.cpp
+++ b/packages/node/src/internal/MoveDriver.cpp
@@ -33,10 +33,10 @@
 
 }
 
-MoveDriver::MoveDriver(NodeContext& context, publication::HttpLogClient& log, publication::KeyPair fleetKey, std::function<void()> onNotice)
+MoveDriver::MoveDriver(NodeContext& context, publication::HttpLogClient& log, const publication::KeyPair& fleetKey, std::function<void()> onNotice)
     : m_context(context)
     , m_log(log)
-    , m_fleetKey(std::move(fleetKey))
+    , m_fleetKey(fleetKey)
     , m_onNotice(std::move(onNotice))
     , m_engine(context.settings.name, context.incarnation, context.random())
     , m_timer(context.io)
--- a/packages/node/src/internal/MoveDriver.h
+++ b/packages/node/src/internal/MoveDriver.h
@@ -18,7 +18,7 @@
 class MoveDriver {
 public:
     /// \param onNotice called when a notice must be spread at once.
-    MoveDriver(NodeContext&, publication::HttpLogClient&, publication::KeyPair fleetKey, std::function<void()> onNotice);
+    MoveDriver(NodeContext&, publication::HttpLogClient&, const publication::KeyPair& fleetKey, std::function<void()> onNotice);
 
     void start();
     void stop();
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -113,7 +113,7 @@
 Result<void> NodeAssembly::start()
 {
     BOOST_LEAF_AUTO(fleetKey, fleetKeyOf(m_settings));
-    m_moves.emplace(m_context, m_log, std::move(fleetKey), [this] { m_peers->notifyEvidence(); });
+    m_moves.emplace(m_context, m_log, fleetKey, [this] { m_peers->notifyEvidence(); });
     BOOST_LEAF_CHECK(listen());
     BOOST_LEAF_CHECK(startReader());
     m_router.setOwnNode(m_settings.name, m_settings.failureDomain);
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -8,6 +8,7 @@
 #include <cxxopts.hpp>
 
 #include <csignal>
+#include <cstdio>
 #include <cstring>
 #include <iostream>
 #include <memory>
@@ -88,9 +89,7 @@
     return options;
 }
 
-}
-
-int main(int argc, char** argv)
+int runCommandLine(int argc, char** argv)
 {
     auto options = commandLine();
     try {
@@ -110,3 +109,15 @@
         return exitUsage;
     }
 }
+
+}
+
+int main(int argc, char** argv)
+{
+    try {
+        return runCommandLine(argc, argv);
+    } catch (const std::exception& e) {
+        std::fprintf(stderr, "carobpathd: %s\n", e.what());
+        return exitCannotStart;
+    }
+}
