Moves: suspicion compares with the serving version alone, and Finish ends in time

Cause: the rate held as usual included the new version's own bad calls, so a version that was bad from the start was never suspect; and a member that wants moves finished got Done only at the deadline itself where one route was thin. Change: usual is the serving version's rate with a binomial tail; thin evidence at the last stage is Done when the verdict is due.

--- a/packages/moves/include/carobpath/moves/Comparison.h
+++ b/packages/moves/include/carobpath/moves/Comparison.h
@@ -24,8 +24,8 @@
 /// enough to matter.
 bool isExcessLarge(const RouteEvidence&, Badness, std::size_t slowClass, std::uint32_t window);
 
-/// \returns whether the new version is bad more often in the window than both versions were before it, and the
-/// serving version took too few calls to tell whether the cause is shared.
+/// \returns whether the new version is bad more often in the window than the serving one was up to now, and the
+/// serving version took too few calls in the window to show that the cause is shared.
 bool isSuspect(const RouteEvidence&, Badness, std::size_t slowClass, std::uint32_t window);
 
 /// \returns whether the new version is bad more often than the serving one by more than chance explains.
--- a/packages/moves/include/carobpath/moves/MovePlan.h
+++ b/packages/moves/include/carobpath/moves/MovePlan.h
@@ -47,7 +47,7 @@
     /// Windows that a stage lasts at least where all goes as planned.
     std::uint32_t dwell() const { return m_dwell; }
     /// \returns the first window in which the stage may be entered.
-    std::uint32_t plannedWindow(std::uint32_t stage) const { return stage == 0 ? 0 : m_warmUpWindows + stage * m_dwell; }
+    std::uint32_t plannedWindow(std::uint32_t stage) const { return stage == 0 ? 0 : m_warmUpWindows + stage * m_dwell - 1; }
     /// \returns the window in which a member that wants the move finished enters the stage with thin evidence.
     std::uint32_t latestWindow(std::uint32_t stage) const { return s_lastStageWindow - (lastStage() - stage); }
     /// \returns the time from which the verdict is due: early enough to reach the log by the deadline.
--- a/packages/moves/src/Comparison.cpp
+++ b/packages/moves/src/Comparison.cpp
@@ -20,7 +20,7 @@
     constexpr std::uint64_t leastEvents = 3;
 
     constexpr std::uint64_t leastSuspectEvents = 5;
-    constexpr double suspectDeviations = 4;
+    constexpr double suspectChance = 1e-4;
     constexpr double leastFailedRate = 0.002;
     constexpr double slowRate = 0.1;
     /// Part of the new version's rate that the serving one has to show for the cause to be held as shared.
@@ -105,16 +105,10 @@
     const auto counts = evidence.sum(window, window + 1);
     const auto from = frequencyOf(counts.from, badness, slowClass);
     const auto to = frequencyOf(counts.to, badness, slowClass);
-    if (to.events < leastSuspectEvents || to.rate() < leastExcess(badness))
+    if (to.events < leastSuspectEvents)
         return false;
-    const auto before = evidence.sum(0, window);
-    auto usual = frequencyOf(before.from, badness, slowClass);
-    const auto usualOfNew = frequencyOf(before.to, badness, slowClass);
-    usual.events += usualOfNew.events;
-    usual.calls += usualOfNew.calls;
-    const auto rate = std::max(usual.rate(), badness == Badness::Failed ? leastFailedRate : slowRate);
-    const auto expected = rate * static_cast<double>(to.calls);
-    if (static_cast<double>(to.events) < expected + suspectDeviations * std::sqrt(expected))
+    const auto usual = frequencyOf(evidence.sum(0, window + 1).from, badness, slowClass);
+    if (!isWorse(usual, to, badness, suspectChance))
         return false;
     const bool isShared = from.events >= leastEvents && from.rate() >= sharedPart * to.rate();
     return !isShared;
--- a/packages/moves/src/MoveJudge.cpp
+++ b/packages/moves/src/MoveJudge.cpp
@@ -216,6 +216,9 @@
         return std::nullopt;
     const bool isAtDeadline = now >= m_plan.deadline();
     const bool isLast = assessment.stage == m_plan.lastStage();
+    const bool isFinishedThin = m_entry.move.onThinEvidence == ThinEvidencePolicy::Finish && assessment.wait == WaitReason::ThinEvidence;
+    if (isLast && isFinishedThin)
+        return MoveVerdict { MoveOutcome::Done, MoveReason::ThinEvidence, assessment.waitRoute, "finished with thin evidence" };
     if (isLast && assessment.wait == WaitReason::PlannedTime)
         return MoveVerdict { MoveOutcome::Done, MoveReason::None, {}, "every route compared at the last stage" };
     if (!isAtDeadline)
--- a/packages/moves/src/MovePlan.cpp
+++ b/packages/moves/src/MovePlan.cpp
@@ -44,7 +44,7 @@
 {
     const auto delayed = static_cast<std::uint32_t>((evidenceDelay + m_windowLength - milliseconds { 1 }) / m_windowLength);
     m_dwell = std::clamp(1 + delayed, shortestDwell, windowsForRaising);
-    m_shares = sharesOf(windowsForRaising / m_dwell);
+    m_shares = sharesOf(std::max(1U, (windowsForRaising - 1) / m_dwell));
     m_warmUpWindows = std::clamp(static_cast<std::uint32_t>(usualWarmUp / m_windowLength), shortestWarmUpWindows, longestWarmUpWindows);
 }
 
