--- a/packages/publication/include/carobpath/publication/ConfigurationFold.h
+++ b/packages/publication/include/carobpath/publication/ConfigurationFold.h
@@ -41,6 +41,9 @@
     /// \returns the offset of the next record to apply.
     Offset next() const { return m_next; }
 
+    /// \returns what became of a member's record that was folded not long ago, or nullptr.
+    const RememberedRecord* find(const MemberName&, const RecordId&) const;
+
     /// \returns everything that a checkpoint has to hold.
     FoldState state() const;
 
@@ -49,7 +52,6 @@
     FoldOutcome applyRecord(Offset, const VerdictRecord&);
     FoldOutcome applyRecord(Offset, const CheckpointRecord&);
 
-    const RememberedRecord* findRemembered(const MemberName&, const RecordId&) const;
     void remember(const PublishRecord&, Offset, bool accepted);
     void rememberDeletions(const PublishRecord&, Offset);
     ConfigurationStamp install(Offset, ConfigurationSet, Digest);
--- a/packages/publication/include/carobpath/publication/FoldOutcome.h
+++ b/packages/publication/include/carobpath/publication/FoldOutcome.h
@@ -65,6 +65,7 @@
 /// The checkpoint agrees with this fold.
 struct CheckpointMatched {
     Offset next = 0;
+    WallTime writtenAt;
 
     friend bool operator==(const CheckpointMatched&, const CheckpointMatched&) = default;
 };
--- a/packages/publication/include/carobpath/publication/Record.h
+++ b/packages/publication/include/carobpath/publication/Record.h
@@ -77,6 +77,8 @@
 struct CheckpointRecord {
     RecordId id;
     NodeName writer;
+    /// Clock of the writer; tells a node that has just started how old the checkpoint is.
+    WallTime writtenAt;
     FoldState state;
     /// By the key of the fleet.
     Signature signature;
--- a/packages/publication/src/ConfigurationFold.cpp
+++ b/packages/publication/src/ConfigurationFold.cpp
@@ -115,7 +115,7 @@
 
 FoldOutcome ConfigurationFold::applyRecord(Offset offset, const PublishRecord& record)
 {
-    if (const auto* first = findRemembered(record.member, record.id))
+    if (const auto* first = find(record.member, record.id))
         return Duplicate { record.member, record.id, first->at, first->accepted };
     // The id of a record with an older base may have been forgotten; such a record is not remembered either.
     if (record.base < m_forgottenBefore)
@@ -166,10 +166,10 @@
         return CheckpointIgnored { state.next };
     if (!agreesWith(state))
         return CheckpointMismatch { record.writer, state.next };
-    return CheckpointMatched { state.next };
+    return CheckpointMatched { state.next, record.writtenAt };
 }
 
-const RememberedRecord* ConfigurationFold::findRemembered(const MemberName& member, const RecordId& id) const
+const RememberedRecord* ConfigurationFold::find(const MemberName& member, const RecordId& id) const
 {
     const auto it = std::find_if(m_records.begin(), m_records.end(), [&](const auto& r) { return r.id == id && r.member == member; });
     return it == m_records.end() ? nullptr : &*it;
--- a/packages/publication/src/Record.cpp
+++ b/packages/publication/src/Record.cpp
@@ -64,7 +64,7 @@
 
     json bodyOf(const CheckpointRecord& it)
     {
-        return { { "id", it.id }, { "writer", it.writer }, { "state", it.state } };
+        return { { "id", it.id }, { "writer", it.writer }, { "writtenAt", it.writtenAt }, { "state", it.state } };
     }
 
     void readBody(const json& in, PublishRecord& it)
@@ -89,6 +89,7 @@
     {
         in.at("id").get_to(it.id);
         in.at("writer").get_to(it.writer);
+        in.at("writtenAt").get_to(it.writtenAt);
         in.at("state").get_to(it.state);
     }
 
--- /dev/null
+++ b/packages/publication/tests/FakeLog.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "carobpath/publication/LogService.h"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+
+namespace carobpath::publication {
+
+/// A log in memory whose answers the test may spoil.
+class FakeLog {
+public:
+    enum class Fault : std::uint8_t {
+        None,
+        /// Nothing takes effect, and the caller knows.
+        Down,
+        /// The record is taken, and its answer is lost.
+        AnswerLost,
+        /// The record is not taken, and the caller can't know.
+        RequestLost,
+        /// The record is taken only after the next one, and its answer is lost.
+        Delayed,
+        Refused,
+    };
+
+    /// Faults of the coming appends and reads, one each; none once they are used up.
+    std::deque<Fault> appendFaults;
+    std::deque<Fault> readFaults;
+    /// Called before an append takes effect.
+    std::function<void()> beforeAppend;
+    std::vector<LogRecord> records;
+    Offset first = 0;
+
+    Offset next() const { return m_next; }
+
+    Offset take(std::string bytes)
+    {
+        records.push_back({ m_next, std::move(bytes) });
+        return m_next++;
+    }
+
+    void trim(Offset newFirst)
+    {
+        first = newFirst;
+        std::erase_if(records, [&](const LogRecord& it) { return it.offset < first; });
+    }
+
+    AppendResult append(const std::string& bytes)
+    {
+        if (const auto hook = std::exchange(beforeAppend, nullptr))
+            hook();
+        switch (pop(appendFaults)) {
+        case Fault::Down:
+            return LogFailure { LogError::Unavailable, 503 };
+        case Fault::RequestLost:
+            return LogFailure { LogError::AnswerLost, 0 };
+        case Fault::Delayed:
+            m_delayed = bytes;
+            return LogFailure { LogError::AnswerLost, 0 };
+        case Fault::AnswerLost:
+            take(bytes);
+            return LogFailure { LogError::AnswerLost, 0 };
+        case Fault::Refused:
+            return LogFailure { LogError::Refused, 413 };
+        case Fault::None:
+            break;
+        }
+        const Appended appended { take(bytes) };
+        if (!m_delayed.empty())
+            take(std::exchange(m_delayed, {}));
+        return appended;
+    }
+
+    ReadResult read(Offset from, std::size_t limit)
+    {
+        if (pop(readFaults) != Fault::None)
+            return LogFailure { LogError::TimedOut, 0 };
+        if (from < first)
+            return Trimmed { first };
+        LogBatch batch { first, m_next, {} };
+        std::copy_if(records.begin(), records.end(), std::back_inserter(batch.records), [&](const LogRecord& it) { return it.offset >= from; });
+        batch.records.resize(std::min(limit, batch.records.size()));
+        return batch;
+    }
+
+private:
+    static Fault pop(std::deque<Fault>& faults)
+    {
+        if (faults.empty())
+            return Fault::None;
+        const auto fault = faults.front();
+        faults.pop_front();
+        return fault;
+    }
+
+    Offset m_next = 0;
+    std::string m_delayed;
+};
+
+}
--- a/packages/publication/tests/FoldTests.cpp
+++ b/packages/publication/tests/FoldTests.cpp
@@ -327,7 +327,7 @@
 
     CheckpointRecord checkpointOf(const ConfigurationFold& fold)
     {
-        return sign(CheckpointRecord { recordId(1, "node-1"), NodeName { "node-1" }, fold.state(), {} }, fleetKey());
+        return sign(CheckpointRecord { recordId(1, "node-1"), NodeName { "node-1" }, WallTime {}, fold.state(), {} }, fleetKey());
     }
 
 }
@@ -354,7 +354,7 @@
     Published it;
     const auto checkpoint = checkpointOf(it.fold);
     it.startMove("m");
-    BOOST_TEST((it.apply(checkpoint) == FoldOutcome { CheckpointMatched { 3 } }));
+    BOOST_TEST((it.apply(checkpoint) == FoldOutcome { CheckpointMatched { 3, WallTime {} } }));
 }
 
 BOOST_AUTO_TEST_CASE(A_wrong_checkpoint_is_reported_and_changes_nothing)
--- /dev/null
+++ b/packages/publication/tests/PublisherTests.cpp
@@ -0,0 +1,197 @@
+#include "FakeLog.h"
+#include "Samples.h"
+#include "carobpath/publication/Publisher.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace carobpath::publication {
+
+using namespace samples;
+using namespace std::chrono_literals;
+using LogFault = FakeLog::Fault;
+
+namespace {
+
+    constexpr std::array<const char*, 8> resultTexts { "published", "published-before", "rejected", "check-failed", "wrong-key", "no-checkpoint", "not-published", "unknown" };
+
+    /// A log with Petra's service booking, and operators that publish to it in virtual time.
+    struct Fixture {
+        FakeLog log;
+        MonotonicTime now;
+
+        Fixture() { log.take(encodeRecord(publishRecord(1, 0, bookingChanges()))); }
+
+        PublishResult run(Publisher& publisher)
+        {
+            auto command = publisher.start(now);
+            for (int steps = 0; steps < 10000; ++steps) {
+                if (const auto* finish = std::get_if<Finish>(&command))
+                    return finish->result;
+                command = carryOut(publisher, command);
+            }
+            BOOST_FAIL("the publisher does not end");
+            return NotPublished {};
+        }
+
+        PublishCommand carryOut(Publisher& publisher, const PublishCommand& command)
+        {
+            if (const auto* wait = std::get_if<WaitFor>(&command)) {
+                now += wait->delay;
+                return publisher.onTimer(now);
+            }
+            now += 1ms;
+            if (const auto* read = std::get_if<ReadLog>(&command))
+                return publisher.onRead(log.read(read->from, read->limit), now);
+            return publisher.onAppend(log.append(std::get<AppendRecord>(command).bytes), now);
+        }
+
+        PublishResult publish(std::vector<Change> changes, std::uint64_t sequence = 7, const KeyPair& key = petraKey())
+        {
+            Publisher publisher { { recordId(sequence), petra, std::move(changes) }, key, trustedKeys(), {}, std::mt19937_64 { 11 } };
+            return run(publisher);
+        }
+
+        /// How often the record with the sequence took effect for a reader of the whole log.
+        int timesInForce(std::uint64_t sequence)
+        {
+            log.readFaults.clear();
+            ConfigurationReader reader { trustedKeys() };
+            const auto folded = reader.onBatch(std::get<LogBatch>(log.read(0, log.records.size())));
+            return static_cast<int>(std::count_if(folded.begin(), folded.end(), [&](const FoldedRecord& it) {
+                const auto* accepted = std::get_if<Accepted>(&it.outcome);
+                return accepted && accepted->id == recordId(sequence);
+            }));
+        }
+    };
+
+    std::vector<Change> newRoute(const std::string& prefix = "/new")
+    {
+        return { PutRoute { route("new", "booking", prefix) } };
+    }
+
+    std::string textOf(const PublishResult& result) { return resultTexts.at(result.index()); }
+
+}
+
+BOOST_AUTO_TEST_SUITE(Publishing)
+
+BOOST_AUTO_TEST_CASE(Each_fault_of_the_log_ends_in_a_typed_result_and_no_record_takes_effect_twice)
+{
+    const std::deque<LogFault> always(1000, LogFault::Down);
+    struct Row {
+        const char* name;
+        std::deque<LogFault> appendFaults;
+        std::deque<LogFault> readFaults;
+        std::string result;
+        int timesInForce;
+    };
+    const std::vector<Row> rows {
+        { "no fault", {}, {}, "published", 1 },
+        { "log down for a while", { LogFault::Down, LogFault::Down, LogFault::Down }, {}, "published", 1 },
+        { "log down for good", always, {}, "not-published", 0 },
+        { "reads fail for good", {}, always, "not-published", 0 },
+        { "reads slow", {}, { LogFault::Down, LogFault::Down }, "published", 1 },
+        { "answer lost after the write", { LogFault::AnswerLost }, {}, "published", 1 },
+        { "answer lost, then down", { LogFault::AnswerLost, LogFault::Down }, {}, "published", 1 },
+        { "request lost", { LogFault::RequestLost, LogFault::RequestLost }, {}, "published", 1 },
+        { "first append lands after the second", { LogFault::Delayed }, {}, "published", 1 },
+        { "answer lost and reads fail", { LogFault::AnswerLost }, { LogFault::None }, "published", 1 },
+        { "refused", { LogFault::Refused }, {}, "not-published", 0 },
+    };
+    for (const auto& row : rows) {
+        Fixture it;
+        it.log.appendFaults = row.appendFaults;
+        it.log.readFaults = row.readFaults;
+        BOOST_TEST(textOf(it.publish(newRoute())) == row.result, row.name);
+        BOOST_TEST(it.timesInForce(7) == row.timesInForce, row.name);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(A_result_that_cannot_be_known_is_called_unknown_and_a_second_run_with_the_id_is_safe)
+{
+    for (const auto fault : { LogFault::AnswerLost, LogFault::RequestLost }) {
+        Fixture it;
+        it.log.appendFaults = { fault };
+        it.log.readFaults.assign(1000, LogFault::Down);
+        it.log.readFaults.front() = LogFault::None;
+        const auto result = it.publish(newRoute());
+        BOOST_REQUIRE(textOf(result) == "unknown");
+        BOOST_TEST((std::get<ResultUnknown>(result).id == recordId(7)));
+        it.log.readFaults.clear();
+        const auto second = it.publish(newRoute());
+        BOOST_TEST((textOf(second) == "published" || textOf(second) == "published-before"), textOf(second));
+        BOOST_TEST(it.timesInForce(7) == 1);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(Of_two_rivals_racing_the_loser_learns_what_it_had_not_seen)
+{
+    Fixture it;
+    it.log.beforeAppend = [&] { it.log.take(encodeRecord(publishRecord(50, 1, newRoute("/rival")))); };
+    const auto result = it.publish(newRoute("/mine"));
+    BOOST_REQUIRE(textOf(result) == "rejected");
+    const auto& fault = std::get<PublishRejected>(result).faults.front();
+    BOOST_TEST((fault.kind == FaultKind::StaleBase));
+    BOOST_TEST(fault.changedAt == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Rivals_that_touch_different_objects_both_succeed)
+{
+    Fixture it;
+    it.log.beforeAppend = [&] { it.log.take(encodeRecord(akwapimRecord(50, 1, { PutVersion { version("maps-1", "maps", akwapim) }, PutService { service("maps", "maps-1", akwapim) } }))); };
+    BOOST_TEST(textOf(it.publish(newRoute())) == "published");
+}
+
+BOOST_AUTO_TEST_CASE(Nothing_is_appended_where_the_check_or_the_key_fails)
+{
+    Fixture it;
+    BOOST_TEST(textOf(it.publish({ PutRoute { route("r", "nowhere", "/") } })) == "check-failed");
+    BOOST_TEST(textOf(it.publish(newRoute(), 7, akwapimKey())) == "wrong-key");
+    BOOST_TEST(it.log.next() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(A_trimmed_log_is_read_from_its_checkpoint)
+{
+    Fixture it;
+    it.log.take(encodeRecord(publishRecord(7, 1, newRoute())));
+    ConfigurationReader reader { trustedKeys() };
+    reader.onBatch(std::get<LogBatch>(it.log.read(0, 100)));
+    const CheckpointRecord checkpoint { recordId(1, "node-1"), NodeName { "node-1" }, WallTime {}, reader.fold().state(), {} };
+    it.log.take(encodeRecord(publishRecord(8, 2, { PutRoute { route("crossed", "booking", "/crossed") } })));
+    it.log.take(encodeRecord(Record { sign(checkpoint, petraKey()) }));
+    it.log.take(encodeRecord(Record { sign(checkpoint, fleetKey()) }));
+    it.log.trim(2);
+    BOOST_TEST(textOf(it.publish({ PutRoute { route("more", "booking", "/more") } }, 9)) == "published");
+    BOOST_TEST(textOf(it.publish(newRoute(), 7)) == "published-before");
+
+    // Without a checkpoint whose tail is kept, nothing can be told, and nothing is appended.
+    it.log.trim(3);
+    const auto end = it.log.next();
+    BOOST_TEST(textOf(it.publish({ PutRoute { route("none", "booking", "/none") } }, 10)) == "no-checkpoint");
+    BOOST_TEST(it.log.next() == end);
+}
+
+BOOST_AUTO_TEST_CASE(A_reader_that_was_cut_off_past_the_retention_starts_again_and_never_shows_an_older_set)
+{
+    Fixture it;
+    ConfigurationReader reader { trustedKeys() };
+    reader.onBatch(std::get<LogBatch>(it.log.read(0, 100)));
+    const CheckpointRecord old { recordId(1, "node-1"), NodeName { "node-1" }, WallTime {}, reader.fold().state(), {} };
+    it.log.take(encodeRecord(publishRecord(7, 1, newRoute())));
+    reader.onBatch(std::get<LogBatch>(it.log.read(1, 100)));
+    const auto held = reader.current();
+    it.log.take(encodeRecord(Record { sign(old, fleetKey()) }));
+
+    reader.onTrimmed({ 1 });
+    BOOST_TEST((reader.phase() == ConfigurationReader::Phase::SeekingCheckpoint));
+    reader.onBatch(std::get<LogBatch>(it.log.read(1, 100)));
+    BOOST_TEST((reader.phase() == ConfigurationReader::Phase::Folding));
+    BOOST_TEST(reader.current()->stamp.offset == held->stamp.offset);
+    reader.onBatch(std::get<LogBatch>(it.log.read(reader.nextRead().from, 100)));
+    BOOST_TEST(reader.isCaughtUp());
+    BOOST_TEST((reader.current()->stamp == held->stamp));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
--- a/packages/publication/tests/RecordTests.cpp
+++ b/packages/publication/tests/RecordTests.cpp
@@ -43,7 +43,7 @@
         state.next = 3;
         state.records.push_back({ petra, recordId(1), 1, true });
         state.deletions.push_back({ { ObjectKind::Route, "r" }, 2 });
-        return sign(CheckpointRecord { recordId(1, "node-1"), NodeName { "node-1" }, state, {} }, fleetKey());
+        return sign(CheckpointRecord { recordId(1, "node-1"), NodeName { "node-1" }, WallTime {}, state, {} }, fleetKey());
     }
 
 }
