--- a/packages/foundation/include/carobpath/foundation/MemberSettings.h
+++ b/packages/foundation/include/carobpath/foundation/MemberSettings.h
@@ -18,7 +18,8 @@
 /// \returns the keys of one item of "members".
 const SettingsReader<MemberSettings>& memberSettingsReader();
 
-/// Reports members that are named twice.
+/// Reports members that are listed twice with one key. With another key a member may be listed again, so that a key
+/// can be replaced without a gap.
 void reportRepeatedMembers(SettingsDocument&, const std::vector<MemberSettings>&);
 
 }
--- a/packages/foundation/src/MemberSettings.cpp
+++ b/packages/foundation/src/MemberSettings.cpp
@@ -23,13 +23,13 @@
 
 void reportRepeatedMembers(SettingsDocument& document, const std::vector<MemberSettings>& members)
 {
-    std::set<MemberName> seen;
+    std::set<std::pair<MemberName, std::string>> seen;
     for (std::size_t i = 0; i < members.size(); ++i) {
-        if (members[i].name.empty() || seen.insert(members[i].name).second)
+        if (members[i].name.empty() || seen.emplace(members[i].name, members[i].publicKey.digits).second)
             continue;
         const std::string path = "members[" + std::to_string(i) + "].name";
         const SettingsValue* value = document.find(path);
-        document.addFault(path, value ? value->mark : SettingsMark {}, SettingsFaultKind::Duplicate, "names a member that is listed already");
+        document.addFault(path, value ? value->mark : SettingsMark {}, SettingsFaultKind::Duplicate, "names a member that is listed already with this key");
     }
 }
 
--- a/packages/foundation/tests/SettingsTests.cpp
+++ b/packages/foundation/tests/SettingsTests.cpp
@@ -114,6 +114,11 @@
     checkFaults("- a\n", { "1:1  wrong-type" });
 }
 
+BOOST_AUTO_TEST_CASE(A_member_may_be_listed_again_with_another_key)
+{
+    checkFaults(goodNode + "  - name: petra\n    public-key: " + std::string(64, 'b') + "\n", {});
+}
+
 BOOST_AUTO_TEST_CASE(An_unknown_mapping_is_reported_once_and_not_for_each_key_below)
 {
     checkFaults(goodNode + "tuning: {a: 1, b: {c: 2}}\n", { "11:1 tuning unknown-key" });
