--- a/packages/moves/src/MoveEngine.cpp
+++ b/packages/moves/src/MoveEngine.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-    constexpr int warmUpParts = 16;
-
     MoveId idOf(const publication::MoveEntry& entry)
     {
         return { entry.move.name, entry.publishedAt };
@@ -83,19 +81,23 @@
         if (newest.publishedAt < id.publishedAt)
             newest = id;
     }
+    m_book.retain(active, configuration->stamp.offset);
+    for (const auto& id : active)
+        begin(id);
     for (auto& [id, move] : m_moves) {
         if (std::find(active.begin(), active.end(), id) == active.end())
             keepReport(id, move, now);
     }
     std::erase_if(m_moves, [&](const auto& it) { return std::find(active.begin(), active.end(), it.first) == active.end(); });
-    m_book.retain(active, configuration->stamp.offset);
-    for (const auto& id : active) {
-        if (m_moves.contains(id))
-            continue;
-        auto& move = m_moves.try_emplace(id, configuration->set.moves.at(id.name), rankFor(id)).first->second;
-        for (const auto& it : m_book.total(id))
-            move.judge.add(it);
-    }
+}
+
+void MoveEngine::begin(const MoveId& id)
+{
+    if (m_moves.contains(id))
+        return;
+    auto& move = m_moves.try_emplace(id, m_configuration->set.moves.at(id.name), rankFor(id)).first->second;
+    for (const auto& it : m_book.total(id))
+        move.judge.add(it);
 }
 
 void MoveEngine::keepReport(const MoveId& id, const ActiveMove& move, Now now)
@@ -132,9 +134,10 @@
     if (isNew && !move->firstCallAt)
         move->firstCallAt = now.monotonic;
     const auto& plan = move->judge.plan();
-    const auto warmUp = std::min(s_longestWarmUp, plan.windowLength() * MovePlan::s_windows / warmUpParts);
-    const bool isTimed = !isNew || now.monotonic - *move->firstCallAt >= warmUp;
-    const auto window = MovePlan::evidenceWindow(plan.windowAt(now.wall), move->assessment.isCautious);
+    const auto planWindow = plan.windowAt(now.wall);
+    const bool isWarm = planWindow >= plan.warmUpWindows() && now.monotonic - move->firstCallAt.value_or(now.monotonic) >= plan.instanceWarmUp();
+    const bool isTimed = !isNew || isWarm;
+    const auto window = MovePlan::evidenceWindow(planWindow, move->assessment.isCautious);
     m_book.observe(idOf(move->entry), route, version, window, countsOf(result, latency, isTimed), now.monotonic);
 }
 
@@ -277,7 +280,8 @@
     it.to = move.entry.move.to;
     it.startAt = plan.startAt();
     it.deadline = plan.deadline();
-    it.share = share(it.service, now).nextShare;
+    const auto newest = m_byService.find(it.service);
+    it.share = newest != m_byService.end() && newest->second == id ? share(it.service, now).nextShare : 0;
     it.stage = assessment.stage;
     it.stages = plan.stages();
     it.wait = assessment.wait;
