--- a/packages/foundation/src/NodeSettings.cpp
+++ b/packages/foundation/src/NodeSettings.cpp
@@ -2,6 +2,8 @@
 
 #include "internal/NamedSetting.h"
 
+#include <array>
+
 namespace carobpath {
 
 namespace {
@@ -32,12 +34,12 @@
         it.withDefault(
             "listen.callers", endpointSetting(), "0.0.0.0:8000", [](auto& s) -> auto& { return s.listen.callers; },
             "Address for callers. Port 0 takes any free port.");
-        it.withDefault(
-            "listen.calls", endpointSetting(), "0.0.0.0:8001", [](auto& s) -> auto& { return s.listen.calls; },
-            "Address for calls that other nodes forward.");
-        it.withDefault(
-            "listen.peer", endpointSetting(), "0.0.0.0:8002", [](auto& s) -> auto& { return s.listen.peer; },
-            "Address for the exchange between nodes.");
+        it.required(
+            "listen.calls", endpointSetting(), [](auto& s) -> auto& { return s.listen.calls; },
+            "Address for calls that other nodes forward; they are told this one.");
+        it.required(
+            "listen.peer", endpointSetting(), [](auto& s) -> auto& { return s.listen.peer; },
+            "Address for the exchange between nodes; they are told this one.");
         it.withDefault(
             "listen.admin", endpointSetting(), "127.0.0.1:8003", [](auto& s) -> auto& { return s.listen.admin; },
             "Address for operators, metrics and the backend server beside the node.");
@@ -125,6 +127,17 @@
             "A request to another node's peer address.");
     }
 
+    // Other nodes are told these addresses, so that one which stands for all of the instance's would lead nowhere.
+    void reportUnspecifiedAddresses(SettingsDocument& document, const NodeSettings& settings)
+    {
+        const std::array<std::pair<const char*, const Endpoint*>, 2> told { { { "listen.calls", &settings.listen.calls }, { "listen.peer", &settings.listen.peer } } };
+        for (const auto& [key, endpoint] : told) {
+            const SettingsValue* value = document.find(key);
+            if (value && (endpoint->address == "0.0.0.0" || endpoint->address == "::"))
+                document.addFault(key, value->mark, SettingsFaultKind::BadEndpoint, "must be an address that other nodes can reach");
+        }
+    }
+
     const Reader& reader()
     {
         static const auto it = [] {
@@ -155,6 +168,7 @@
     Detail::resolveKeyFile(document, "fleet-key", "fleet-key-file", settings.fleetKey, settings.fleetKeyFile);
     if (document.isMapping() && !document.find("fleet-key") && !document.find("fleet-key-file"))
         document.addFault("fleet-key", {}, SettingsFaultKind::MissingKey, "is required, or fleet-key-file");
+    reportUnspecifiedAddresses(document, settings);
     reportRepeatedMembers(document, settings.members);
     if (document.hasFaults())
         return boost::leaf::new_error(document.faults());
--- a/packages/foundation/tests/SettingsTests.cpp
+++ b/packages/foundation/tests/SettingsTests.cpp
@@ -17,6 +17,7 @@
                              "  name: booking-1\n"
                              "  region: jordan\n"
                              "  failure-domain: amman-a\n"
+                             "listen: {calls: \"127.0.0.1:8001\", peer: \"127.0.0.1:0\"}\n"
                              "log:\n"
                              "  endpoints: [\"127.0.0.1:9000\"]\n"
                              "fleet-key: "
@@ -76,7 +77,7 @@
 
 BOOST_AUTO_TEST_CASE(Settings_of_a_node_fill_what_is_absent_with_defaults)
 {
-    const auto settings = readNodeSettings(goodNode + "drain: {grace: 5s}\nlisten: {peer: \"127.0.0.1:0\"}\n", "f.yaml");
+    const auto settings = readNodeSettings(goodNode + "drain: {grace: 5s}\n", "f.yaml");
     BOOST_REQUIRE(settings.has_value());
     BOOST_TEST(settings->name.value() == "booking-1");
     BOOST_TEST(settings->members.front().publicKey.digits == key);
@@ -97,19 +98,20 @@
                 "  retention: 5\n"
                 "limits: {queue: many, retry-budget-percent: 300}\n"
                 "members: petra\n"
-                "log-level: loud\n",
-        { "0:0 node.region missing-key", "0:0 fleet-key missing-key", "2:9 node.name bad-name", "3:3 node.regoin unknown-key",
+                "log-level: loud\n"
+                "listen: {peer: \"0.0.0.0:1\"}\n",
+        { "0:0 node.region missing-key", "0:0 listen.calls missing-key", "0:0 fleet-key missing-key", "2:9 node.name bad-name", "3:3 node.regoin unknown-key",
             "6:15 log.endpoints bad-endpoint", "7:14 log.retention bad-duration", "8:17 limits.queue bad-integer",
-            "8:45 limits.retry-budget-percent out-of-bounds", "9:10 members wrong-type", "10:12 log-level bad-choice" });
+            "8:45 limits.retry-budget-percent out-of-bounds", "9:10 members wrong-type", "10:12 log-level bad-choice", "11:16 listen.peer bad-endpoint" });
 }
 
 BOOST_AUTO_TEST_CASE(Faults_of_the_file_itself_are_typed)
 {
-    checkFaults(goodNode + "fleet-key: " + key + "\n", { "11:1 fleet-key duplicate" });
-    checkFaults(goodNode + "timeouts: {call: [1s]}\n", { "11:18 timeouts.call wrong-type" });
-    checkFaults(goodNode + "timeouts: {call: }\n", { "11:18 timeouts.call wrong-type" });
-    checkFaults(goodNode + "  - name: petra\n    public-key: " + key + "\n", { "11:11 members[1].name duplicate" });
-    checkFaults(goodNode + "  - name: other\n    publik-key: " + key + "\n", { "0:0 members[1].public-key missing-key", "12:5 members[1].publik-key unknown-key" });
+    checkFaults(goodNode + "fleet-key: " + key + "\n", { "12:1 fleet-key duplicate" });
+    checkFaults(goodNode + "timeouts: {call: [1s]}\n", { "12:18 timeouts.call wrong-type" });
+    checkFaults(goodNode + "timeouts: {call: }\n", { "12:18 timeouts.call wrong-type" });
+    checkFaults(goodNode + "  - name: petra\n    public-key: " + key + "\n", { "12:11 members[1].name duplicate" });
+    checkFaults(goodNode + "  - name: other\n    publik-key: " + key + "\n", { "0:0 members[1].public-key missing-key", "13:5 members[1].publik-key unknown-key" });
     checkFaults("node: [\n", { "2:1  syntax" });
     checkFaults("- a\n", { "1:1  wrong-type" });
 }
@@ -121,7 +123,7 @@
 
 BOOST_AUTO_TEST_CASE(An_unknown_mapping_is_reported_once_and_not_for_each_key_below)
 {
-    checkFaults(goodNode + "tuning: {a: 1, b: {c: 2}}\n", { "11:1 tuning unknown-key" });
+    checkFaults(goodNode + "tuning: {a: 1, b: {c: 2}}\n", { "12:1 tuning unknown-key" });
 }
 
 BOOST_AUTO_TEST_CASE(A_list_past_its_bound_is_refused)
@@ -129,7 +131,7 @@
     std::string yaml = goodNode + "seeds:\n";
     for (int i = 0; i < 65; ++i)
         yaml += "  - 10.0.0.1:" + std::to_string(i) + "\n";
-    checkFaults(yaml, { "12:3 seeds out-of-bounds" });
+    checkFaults(yaml, { "13:3 seeds out-of-bounds" });
 }
 
 BOOST_AUTO_TEST_CASE(A_key_is_read_from_the_file_that_is_named_in_its_place)
