--- a/tests/process/tests/RunAuditTests.cpp
+++ b/tests/process/tests/RunAuditTests.cpp
@@ -41,7 +41,8 @@
     };
     for (const auto& row : rows) {
         const auto audit = auditRuns(row.calls, row.runs);
-        BOOST_TEST(audit.*row.counter == row.expected, row.what);
+        const std::uint64_t counted = audit.*(row.counter);
+        BOOST_TEST(counted == row.expected, row.what);
         const bool isBroken = row.expected > 0 && row.counter != &RunAudit::unknown;
         BOOST_TEST(audit.isClean() != isBroken, row.what);
     }
