Test the exchange of a fleet under a virtual clock

Decision objects of 12 to 60 nodes deliver to one another directly, with loss, duplicates, long delays, cuts, pauses, kills and a log beside them. Each step checks that no address goes back and that no set is in force in part.

--- a/packages/distribution/include/carobpath/distribution/Exchange.h
+++ b/packages/distribution/include/carobpath/distribution/Exchange.h
@@ -138,6 +138,8 @@
     bool ready() const { return m_ready; }
     const ConfigurationKeeper& keeper() const { return m_keeper; }
     const FloorGate& gate() const { return m_gate; }
+    /// \returns the view published last.
+    const std::shared_ptr<const membership::MembershipView>& currentView() const { return m_view; }
     const membership::MembershipTable& members() const { return m_members; }
     const ExchangeCounters& counters() const { return m_counters; }
 
--- /dev/null
+++ b/packages/distribution/tests/Fleet.cpp
@@ -0,0 +1,388 @@
+#include "Fleet.h"
+
+#include "carobpath/publication/Codec.h"
+
+#include <algorithm>
+#include <ctime>
+
+namespace carobpath::distribution {
+
+namespace {
+
+    constexpr std::uint16_t firstPort = 1000;
+    constexpr std::size_t seeds = 4;
+    constexpr std::chrono::milliseconds exchangeTimeout { 1500 };
+    constexpr std::chrono::milliseconds fetchTimeout { 10000 };
+    constexpr std::chrono::milliseconds refusedDelay { 1 };
+    constexpr std::chrono::milliseconds logDelay { 5 };
+    constexpr std::chrono::milliseconds longPoll { 2000 };
+
+    std::chrono::nanoseconds cpuNow()
+    {
+        timespec now {};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+        return std::chrono::seconds { now.tv_sec } + std::chrono::nanoseconds { now.tv_nsec };
+    }
+
+    membership::NodeEntry entryOf(std::size_t node, std::size_t domain)
+    {
+        membership::NodeEntry entry;
+        entry.name = NodeName { "booking-" + std::to_string(node) };
+        entry.region = RegionName { domain % 2 == 0 ? "jordan" : "ghana" };
+        entry.domain = FailureDomainName { "domain-" + std::to_string(domain) };
+        const auto port = static_cast<std::uint16_t>(firstPort + node);
+        entry.addresses = { { "10.0.0.1", 1 }, { "10.0.0.1", 2 }, { "10.0.0.1", port }, { "10.0.0.1", 3 } };
+        entry.upstream = membership::Upstream { ServiceName { "booking" }, VersionName { "booking-1" }, 6, 130, membership::UpstreamState::Ready, 0, 0 };
+        return entry;
+    }
+
+}
+
+Fleet::Fleet(FleetOptions options)
+    : m_options(std::move(options))
+    , m_random(m_options.seed)
+    , m_now(std::chrono::hours { 1 })
+    , m_nodes(m_options.nodes)
+{
+    for (std::size_t i = 0; i < m_nodes.size(); ++i)
+        m_nodes[i].entry = entryOf(i, domainOf(i));
+}
+
+void Fleet::run(std::chrono::milliseconds duration)
+{
+    const auto end = m_now + duration;
+    while (!m_events.empty() && m_events.top().at <= end) {
+        const Event event = m_events.top();
+        m_events.pop();
+        m_now = event.at;
+        event.action();
+    }
+    m_now = end;
+}
+
+std::optional<std::chrono::milliseconds> Fleet::runUntil(const std::function<bool()>& condition, std::chrono::milliseconds limit)
+{
+    constexpr std::chrono::milliseconds step { 20 };
+    const auto begin = m_now;
+    while (!condition()) {
+        if (m_now - begin >= limit)
+            return std::nullopt;
+        run(step);
+    }
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_now - begin);
+}
+
+publication::ConfigurationPointer Fleet::makeVersion(publication::Offset offset) const
+{
+    auto version = std::make_shared<publication::ConfigurationVersion>();
+    if (!m_log.empty())
+        version->set = m_log.back()->set;
+    for (std::size_t i = 0; m_log.empty() && i < m_options.services; ++i) {
+        publication::ServiceEntry service;
+        service.service.name = ServiceName { "service-" + std::to_string(i) };
+        service.service.member = MemberName { "petra" };
+        service.service.initialVersion = VersionName { "booking-1" };
+        service.service.hosts = { service.service.name.value() + ".petra.example" };
+        service.currentVersion = service.service.initialVersion;
+        version->set.services.emplace(service.service.name, service);
+        for (std::size_t j = 0; j < m_options.routesPerService; ++j) {
+            publication::RouteEntry route;
+            route.route.name = RouteName { service.service.name.value() + "-" + std::to_string(j) };
+            route.route.member = service.service.member;
+            route.route.service = service.service.name;
+            route.route.pathPrefix = "/" + std::to_string(j);
+            version->set.routes.emplace(route.route.name, route);
+        }
+    }
+    auto changed = version->set.routes.begin();
+    std::advance(changed, static_cast<std::ptrdiff_t>(offset % version->set.routes.size()));
+    changed->second.changedAt = offset;
+    version->stamp = { offset, publication::digestOfSet(version->set) };
+    return version;
+}
+
+publication::Offset Fleet::publish()
+{
+    const publication::Offset offset = m_log.empty() ? 0 : m_log.back()->stamp.offset + 1;
+    m_log.push_back(makeVersion(offset));
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        if (m_nodes[i].reading)
+            readLog(i, m_nodes[i].life, false);
+    }
+    return offset;
+}
+
+void Fleet::start(std::size_t node)
+{
+    Node& it = m_nodes[node];
+    ++it.life;
+    it.entry.revision = { Incarnation { static_cast<std::uint64_t>(m_now.time_since_epoch().count()) }, 0 };
+    it.evidence = std::make_shared<FakeEvidence>();
+    std::vector<Endpoint> seedEndpoints;
+    for (std::size_t i = 0; i < std::min(seeds, m_nodes.size()); ++i)
+        seedEndpoints.push_back(m_nodes[i].entry.addresses.peer);
+    auto port = evidencePortOf<std::uint64_t>(*it.evidence, [store = it.evidence](const auto& update) { store->merge(update); });
+    it.exchange = std::make_unique<Exchange>(it.entry, seedEndpoints, publication::digestOfSet, std::move(port), std::mt19937_64(m_random()), m_now);
+    const auto phase = std::uniform_int_distribution<std::int64_t>(0, 100'000)(m_random);
+    tickLater(node, it.life, std::chrono::microseconds { phase });
+}
+
+void Fleet::startAll()
+{
+    for (std::size_t i = 0; i < m_nodes.size(); ++i)
+        start(i);
+}
+
+void Fleet::kill(std::size_t node)
+{
+    Node& it = m_nodes[node];
+    ++it.life;
+    it.exchange.reset();
+    it.deferred.clear();
+    it.paused = false;
+    it.reading = false;
+    it.ready = false;
+    it.inForce.reset();
+}
+
+void Fleet::pause(std::size_t node)
+{
+    m_nodes[node].paused = true;
+}
+
+void Fleet::resume(std::size_t node)
+{
+    m_nodes[node].paused = false;
+    for (const auto& action : std::exchange(m_nodes[node].deferred, {}))
+        action();
+}
+
+void Fleet::setUpstream(std::size_t node, membership::UpstreamState state)
+{
+    auto upstream = *m_nodes[node].entry.upstream;
+    upstream.state = state;
+    execute(node, exchange(node).setUpstream(upstream, m_now));
+}
+
+void Fleet::cut(std::size_t domain, bool logToo)
+{
+    m_cut.insert(domain);
+    if (logToo)
+        m_logCut.insert(domain);
+}
+
+publication::ConfigurationPointer Fleet::serving(std::size_t node) const
+{
+    return m_nodes[node].ready ? m_nodes[node].inForce : nullptr;
+}
+
+bool Fleet::allServe(publication::Offset offset) const
+{
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        if (!running(i) || m_nodes[i].paused)
+            continue;
+        const auto held = serving(i);
+        if (!held || held->stamp.offset != offset)
+            return false;
+    }
+    return true;
+}
+
+bool Fleet::allKnow(std::size_t live)
+{
+    return std::all_of(m_nodes.begin(), m_nodes.end(), [live](const Node& it) { return !it.exchange || it.exchange->members().livePeers() + 1 == live; });
+}
+
+std::uint64_t Fleet::bytesSent() const
+{
+    std::uint64_t sum = 0;
+    for (const auto& it : m_nodes)
+        sum += it.bytes;
+    return sum;
+}
+
+std::size_t Fleet::readers() const
+{
+    return static_cast<std::size_t>(std::count_if(m_nodes.begin(), m_nodes.end(), [](const Node& it) { return it.reading; }));
+}
+
+void Fleet::schedule(std::chrono::microseconds delay, std::function<void()> action)
+{
+    m_events.push(Event { m_now + delay, ++m_eventNumber, std::move(action) });
+}
+
+void Fleet::at(std::size_t node, std::uint64_t life, std::chrono::microseconds delay, Step it)
+{
+    schedule(delay, [this, node, life, it = std::move(it)] { step(node, life, it); });
+}
+
+void Fleet::step(std::size_t node, std::uint64_t life, const Step& it)
+{
+    Node& target = m_nodes[node];
+    if (target.life != life || !target.exchange)
+        return;
+    if (target.paused) {
+        target.deferred.push_back([this, node, life, it] { step(node, life, it); });
+        return;
+    }
+    const auto begin = m_options.measureCpu ? cpuNow() : std::chrono::nanoseconds {};
+    Commands commands = it(*target.exchange);
+    if (m_options.measureCpu)
+        m_cpu += cpuNow() - begin;
+    execute(node, std::move(commands));
+}
+
+void Fleet::tickLater(std::size_t node, std::uint64_t life, std::chrono::microseconds delay)
+{
+    at(node, life, delay, [this, node, life](Exchange& it) {
+        tickLater(node, life, Exchange::s_tickInterval);
+        return it.tick(m_now);
+    });
+}
+
+void Fleet::execute(std::size_t node, Commands commands)
+{
+    for (auto& it : commands)
+        execute(node, it);
+}
+
+void Fleet::execute(std::size_t node, Command& command)
+{
+    if (const auto* exchange = std::get_if<SendExchange>(&command))
+        sendExchange(node, *exchange);
+    else if (const auto* push = std::get_if<SendPush>(&command))
+        sendPush(node, *push);
+    else if (const auto* fetch = std::get_if<FetchWhole>(&command))
+        fetchWhole(node, *fetch);
+    else if (const auto* inForce = std::get_if<PutInForce>(&command))
+        putInForce(node, inForce->configuration);
+    else if (const auto* ready = std::get_if<SetReady>(&command))
+        m_nodes[node].ready = ready->ready;
+    else if (const auto* role = std::get_if<ReadLog>(&command)) {
+        m_nodes[node].reading = role->enabled;
+        if (role->enabled)
+            readLog(node, m_nodes[node].life, true);
+    }
+}
+
+void Fleet::sendExchange(std::size_t node, const SendExchange& it)
+{
+    count(node, m_options.sizeOf ? m_options.sizeOf(it.message) : 0);
+    const std::size_t asked = indexOf(it.to);
+    const std::uint64_t life = m_nodes[node].life;
+    const bool refused = reachable(node, asked) && !running(asked);
+    at(node, life, refused ? refusedDelay : exchangeTimeout, [this, id = it.id](Exchange& exchange) { return exchange.onFailed(id, m_now); });
+    const int copies = chance(m_options.duplicates) ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+        if (reachable(node, asked) && !chance(m_options.loss))
+            answer(asked, node, life, it);
+    }
+}
+
+void Fleet::answer(std::size_t asked, std::size_t asking, std::uint64_t askingLife, const SendExchange& it)
+{
+    at(asked, m_nodes[asked].life, delay(), [this, asked, asking, askingLife, it](Exchange& exchange) {
+        Commands commands;
+        PeerMessage reply = exchange.onExchange(it.message, m_now, commands);
+        count(asked, m_options.sizeOf ? m_options.sizeOf(reply) : 0);
+        if (reachable(asked, asking) && !chance(m_options.loss))
+            at(asking, askingLife, delay(), [this, id = it.id, reply = std::move(reply)](Exchange& back) { return back.onReply(id, reply, m_now); });
+        return commands;
+    });
+}
+
+void Fleet::sendPush(std::size_t node, const SendPush& it)
+{
+    count(node, m_options.sizeOf ? m_options.sizeOf(it.message) : 0);
+    const std::size_t to = indexOf(it.to);
+    const int copies = chance(m_options.duplicates) ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+        if (reachable(node, to) && !chance(m_options.loss))
+            at(to, m_nodes[to].life, delay(), [this, message = it.message](Exchange& exchange) { return exchange.onPush(message, m_now); });
+    }
+}
+
+void Fleet::fetchWhole(std::size_t node, const FetchWhole& it)
+{
+    const std::size_t asked = indexOf(it.from);
+    const std::uint64_t life = m_nodes[node].life;
+    const bool refused = reachable(node, asked) && !running(asked);
+    at(node, life, refused ? refusedDelay : fetchTimeout, [this, id = it.id](Exchange& exchange) { return exchange.onFailed(id, m_now); });
+    if (!reachable(node, asked) || chance(m_options.loss))
+        return;
+    at(asked, m_nodes[asked].life, delay(), [this, asked, node, life, id = it.id](Exchange& exchange) {
+        auto state = exchange.onFetch(m_now);
+        if (state)
+            count(asked, m_options.sizeOfWhole ? m_options.sizeOfWhole(*state) : 0);
+        if (reachable(asked, node)) {
+            at(node, life, delay(), [this, id, state = std::move(state)](Exchange& back) {
+                return state ? back.onWhole(id, *state, m_now) : back.onBusy(id, m_now);
+            });
+        }
+        return Commands {};
+    });
+}
+
+void Fleet::putInForce(std::size_t node, const publication::ConfigurationPointer& version)
+{
+    Node& it = m_nodes[node];
+    const auto offset = version->stamp.offset;
+    if (it.highest && offset < *it.highest)
+        m_violations.push_back(it.entry.name.value() + " went back from " + std::to_string(*it.highest) + " to " + std::to_string(offset));
+    if (offset >= m_log.size() || version->set != m_log[offset]->set)
+        m_violations.push_back(it.entry.name.value() + " has a set in force that was never published");
+    it.highest = std::max(it.highest.value_or(0), offset);
+    it.inForce = version;
+}
+
+void Fleet::readLog(std::size_t node, std::uint64_t life, bool again)
+{
+    ++m_logReads;
+    at(node, life, logDelay, [this, node](Exchange& exchange) {
+        if (!logReachable(node) || m_log.empty())
+            return Commands {};
+        const bool newer = !exchange.keeper().held() || exchange.keeper().held()->stamp.offset < m_log.back()->stamp.offset;
+        Commands commands = newer ? exchange.onLogAdvanced(m_log.back(), m_now) : Commands {};
+        for (auto& it : exchange.onLogEnd(m_now))
+            commands.push_back(std::move(it));
+        return commands;
+    });
+    if (!again)
+        return;
+    schedule(longPoll, [this, node, life] {
+        if (m_nodes[node].life == life && m_nodes[node].reading)
+            readLog(node, life, true);
+    });
+}
+
+void Fleet::count(std::size_t sender, std::size_t bytes)
+{
+    m_nodes[sender].bytes += bytes;
+}
+
+std::chrono::microseconds Fleet::delay()
+{
+    return std::chrono::microseconds { std::uniform_int_distribution<std::int64_t>(m_options.shortestDelay.count(), m_options.longestDelay.count())(m_random) };
+}
+
+bool Fleet::chance(double part)
+{
+    return part > 0 && std::uniform_real_distribution<double>(0, 1)(m_random) < part;
+}
+
+bool Fleet::reachable(std::size_t a, std::size_t b) const
+{
+    return domainOf(a) == domainOf(b) || !(m_cut.contains(domainOf(a)) || m_cut.contains(domainOf(b)));
+}
+
+bool Fleet::logReachable(std::size_t node) const
+{
+    return m_logUp && !m_logCut.contains(domainOf(node));
+}
+
+std::size_t Fleet::indexOf(const Endpoint& endpoint) const
+{
+    return endpoint.port - firstPort;
+}
+
+}
--- /dev/null
+++ b/packages/distribution/tests/FleetTests.cpp
@@ -0,0 +1,248 @@
+#include "Fleet.h"
+
+#include "carobpath/distribution/ReaderElection.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace carobpath::distribution {
+
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::minutes;
+    using std::chrono::seconds;
+
+    /// A fleet in which all know each other and serve with the first version.
+    std::unique_ptr<Fleet> settledFleet(FleetOptions options)
+    {
+        auto fleet = std::make_unique<Fleet>(options);
+        fleet->publish();
+        fleet->startAll();
+        const bool settled = fleet->runUntil([&] { return fleet->allKnow(options.nodes) && fleet->allServe(0); }, seconds { 60 }).has_value();
+        BOOST_REQUIRE(settled);
+        return fleet;
+    }
+
+    void requireNoViolation(const Fleet& fleet)
+    {
+        for (const auto& it : fleet.violations())
+            BOOST_ERROR(it);
+    }
+
+    struct LinkCase {
+        const char* name;
+        double loss;
+        double duplicates;
+        std::chrono::microseconds longestDelay;
+    };
+
+    const LinkCase linkCases[] = {
+        { "as it should be", 0, 0, milliseconds { 2 } },
+        { "a tenth lost", 0.1, 0, milliseconds { 2 } },
+        { "a third twice", 0, 0.33, milliseconds { 2 } },
+        { "late and crossed", 0, 0, milliseconds { 900 } },
+        { "all at once", 0.1, 0.2, milliseconds { 400 } },
+    };
+
+}
+
+BOOST_AUTO_TEST_SUITE(Fleets)
+
+BOOST_AUTO_TEST_CASE(Changes_reach_all_nodes_over_links_of_every_kind)
+{
+    for (const auto& it : linkCases) {
+        BOOST_TEST_CONTEXT(it.name)
+        {
+            FleetOptions options;
+            options.nodes = 30;
+            options.loss = it.loss;
+            options.duplicates = it.duplicates;
+            options.longestDelay = it.longestDelay;
+            const auto fleet = settledFleet(options);
+            publication::Offset offset = 0;
+            for (int i = 0; i < 5; ++i) {
+                offset = fleet->publish();
+                fleet->run(milliseconds { 150 });
+            }
+            const auto took = fleet->runUntil([&] { return fleet->allServe(offset); }, seconds { 30 });
+            BOOST_REQUIRE(took);
+            BOOST_TEST(took->count() <= 5000);
+            requireNoViolation(*fleet);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(Only_the_elected_readers_read_the_log)
+{
+    FleetOptions options;
+    options.nodes = 60;
+    const auto fleet = settledFleet(options);
+    fleet->run(seconds { 20 });
+    BOOST_TEST(fleet->readers() == 3 * readersPerDomain);
+}
+
+BOOST_AUTO_TEST_CASE(A_domain_whose_log_reads_are_cut_still_gets_changes)
+{
+    FleetOptions options;
+    options.nodes = 30;
+    const auto fleet = settledFleet(options);
+    fleet->cutLog(1);
+    const auto offset = fleet->publish();
+    const auto took = fleet->runUntil([&] { return fleet->allServe(offset); }, seconds { 10 });
+    BOOST_REQUIRE(took);
+    BOOST_TEST(took->count() <= 1000);
+}
+
+BOOST_AUTO_TEST_CASE(Readers_that_die_are_replaced)
+{
+    FleetOptions options;
+    options.nodes = 30;
+    const auto fleet = settledFleet(options);
+    for (std::size_t i = 0; i < fleet->size(); ++i) {
+        if (fleet->domainOf(i) == 0 && isReader(*fleet->exchange(i).currentView(), fleet->exchange(i).members().self().name, FailureDomainName { "domain-0" }))
+            fleet->kill(i);
+    }
+    const auto offset = fleet->publish();
+    const auto took = fleet->runUntil([&] { return fleet->allServe(offset); }, seconds { 20 });
+    BOOST_REQUIRE(took);
+    BOOST_TEST(took->count() <= 5000);
+    BOOST_TEST(fleet->runUntil([&] { return fleet->readers() == 3 * readersPerDomain && fleet->allKnow(27); }, seconds { 60 }).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(A_domain_that_was_cut_off_for_an_hour_catches_up_and_is_known_again)
+{
+    FleetOptions options;
+    options.nodes = 18;
+    const auto fleet = settledFleet(options);
+    fleet->cut(2, true);
+    fleet->run(minutes { 1 });
+    BOOST_TEST(fleet->exchange(0).members().livePeers() == 11U);
+    for (int i = 0; i < 20; ++i) {
+        fleet->publish();
+        fleet->run(minutes { 3 });
+    }
+    const auto offset = fleet->publish();
+    fleet->run(seconds { 5 });
+    BOOST_TEST(!fleet->allServe(offset));
+    fleet->heal();
+    BOOST_TEST(fleet->runUntil([&] { return fleet->allServe(offset) && fleet->allKnow(18); }, seconds { 120 }).has_value());
+    requireNoViolation(*fleet);
+}
+
+BOOST_AUTO_TEST_CASE(Half_of_the_fleet_that_returns_empty_is_served_by_its_peers)
+{
+    FleetOptions options;
+    options.nodes = 60;
+    const auto fleet = settledFleet(options);
+    const auto offset = fleet->publish();
+    BOOST_TEST(fleet->runUntil([&] { return fleet->allServe(offset); }, seconds { 10 }).has_value());
+    fleet->setLogUp(false);
+    for (std::size_t i = 0; i < 60; i += 2)
+        fleet->kill(i);
+    for (std::size_t i = 0; i < 60; i += 2)
+        fleet->start(i);
+
+    const auto took = fleet->runUntil([&] { return fleet->allServe(offset); }, seconds { 60 });
+
+    BOOST_REQUIRE(took);
+    BOOST_TEST(took->count() <= 10000);
+    requireNoViolation(*fleet);
+}
+
+BOOST_AUTO_TEST_CASE(A_node_that_comes_back_empty_serves_nothing_below_its_floor)
+{
+    FleetOptions options;
+    options.nodes = 12;
+    const auto fleet = settledFleet(options);
+    // Nodes 1 and 4 and the others of their domain are left behind at version 0.
+    fleet->cut(1, true);
+    const auto offset = fleet->publish();
+    fleet->run(seconds { 30 });
+    fleet->kill(0);
+    fleet->setLogUp(false);
+    fleet->heal();
+    fleet->start(0);
+    BOOST_TEST(fleet->runUntil([&] { return fleet->serving(0) != nullptr; }, seconds { 30 }).has_value());
+    BOOST_TEST(fleet->serving(0)->stamp.offset == offset);
+    requireNoViolation(*fleet);
+}
+
+BOOST_AUTO_TEST_CASE(A_paused_node_accuses_nobody_and_catches_up)
+{
+    FleetOptions options;
+    options.nodes = 12;
+    const auto fleet = settledFleet(options);
+    fleet->pause(5);
+    fleet->run(seconds { 40 });
+    BOOST_TEST(fleet->exchange(0).members().livePeers() == 10U);
+    const auto offset = fleet->publish();
+    fleet->run(seconds { 2 });
+    fleet->resume(5);
+    BOOST_TEST(fleet->runUntil([&] { return fleet->allServe(offset) && fleet->allKnow(12); }, seconds { 30 }).has_value());
+    BOOST_TEST(fleet->exchange(5).counters().pauses >= 1U);
+    requireNoViolation(*fleet);
+}
+
+BOOST_AUTO_TEST_CASE(A_leaving_node_is_forgotten_within_seconds)
+{
+    FleetOptions options;
+    options.nodes = 30;
+    const auto fleet = settledFleet(options);
+    fleet->execute(7, fleet->exchange(7).leave(fleet->now()));
+    const auto othersKnow = [&] {
+        for (std::size_t i = 0; i < fleet->size(); ++i) {
+            if (i != 7 && fleet->exchange(i).members().livePeers() != 28)
+                return false;
+        }
+        return true;
+    };
+    const auto took = fleet->runUntil(othersKnow, seconds { 10 });
+    BOOST_REQUIRE(took);
+    BOOST_TEST(took->count() <= 1000);
+}
+
+BOOST_AUTO_TEST_CASE(A_draining_upstream_is_known_everywhere_within_a_second)
+{
+    FleetOptions options;
+    options.nodes = 60;
+    const auto fleet = settledFleet(options);
+    fleet->setUpstream(11, membership::UpstreamState::Draining);
+    const auto allKnow = [&] {
+        for (std::size_t i = 0; i < fleet->size(); ++i) {
+            const auto* record = fleet->exchange(i).members().find(NodeName { "booking-11" });
+            if (record->entry.upstream->state != membership::UpstreamState::Draining)
+                return false;
+        }
+        return true;
+    };
+    const auto took = fleet->runUntil(allKnow, seconds { 10 });
+    BOOST_REQUIRE(took);
+    BOOST_TEST(took->count() <= 1000);
+}
+
+BOOST_AUTO_TEST_CASE(A_take_back_notice_is_everywhere_within_a_second)
+{
+    FleetOptions options;
+    options.nodes = 60;
+    options.loss = 0.05;
+    const auto fleet = settledFleet(options);
+    moves::TakeBackNotice notice;
+    notice.move = MoveName { "booking-to-2" };
+    notice.observer = NodeName { "booking-3" };
+    fleet->evidence(3).addNotice(notice);
+    fleet->execute(3, fleet->exchange(3).onEvidenceChanged(fleet->now()));
+    const auto allKnow = [&] {
+        for (std::size_t i = 0; i < fleet->size(); ++i) {
+            if (!fleet->evidence(i).hasNotice(notice.move))
+                return false;
+        }
+        return true;
+    };
+    const auto took = fleet->runUntil(allKnow, seconds { 10 });
+    BOOST_REQUIRE(took);
+    BOOST_TEST(took->count() <= 1000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
