--- a/packages/moves/src/Comparison.cpp
+++ b/packages/moves/src/Comparison.cpp
@@ -11,6 +11,10 @@
     constexpr std::array<double, 3> failedRatios { 4, 20, 100 };
     constexpr std::array<double, 3> slowRatios { 2, 4, 8 };
 
+    /// Bounds that keep the arithmetic finite; far beyond any threshold.
+    constexpr double mostEvidence = 1e100;
+    constexpr double leastEvidence = 1e-100;
+
     constexpr double leastFailedExcess = 0.01;
     constexpr double leastSlowExcess = 0.1;
     constexpr std::uint64_t leastEvents = 3;
@@ -22,17 +26,32 @@
     /// Part of the new version's rate that the serving one has to show for the cause to be held as shared.
     constexpr double sharedPart = 0.33;
 
-    constexpr double worseDeviations = 3;
+    /// Events up to which a binomial tail is summed; beyond, it is taken as normal.
+    constexpr std::uint64_t mostSummedEvents = 200;
 
-    const std::array<double, 3>& ratiosOf(Badness badness)
+    /// \returns the probability of as many events or more among independent calls.
+    double probabilityOfAtLeast(std::uint64_t events, std::uint64_t calls, double rate)
     {
-        return badness == Badness::Failed ? failedRatios : slowRatios;
+        if (rate >= 1)
+            return 1;
+        const auto n = static_cast<double>(calls);
+        if (events > mostSummedEvents) {
+            const auto deviations = (static_cast<double>(events) - n * rate) / std::sqrt(n * rate * (1 - rate));
+            return 0.5 * std::erfc(deviations / std::sqrt(2.0));
+        }
+        auto logTerm = n * std::log1p(-rate);
+        const auto logOdds = std::log(rate) - std::log1p(-rate);
+        double below = 0;
+        for (std::uint64_t k = 0; k < events; ++k) {
+            below += std::exp(logTerm);
+            logTerm += logOdds + std::log((n - static_cast<double>(k)) / static_cast<double>(k + 1));
+        }
+        return std::max(0.0, 1 - below);
     }
 
-    double logSum(double a, double b)
+    const std::array<double, 3>& ratiosOf(Badness badness)
     {
-        const auto larger = std::max(a, b);
-        return larger + std::log1p(std::exp(std::min(a, b) - larger));
+        return badness == Badness::Failed ? failedRatios : slowRatios;
     }
 
     /// Logarithm of the likelihood ratio of one window for one ratio of rates.
@@ -54,23 +73,19 @@
 
 double logEvidence(const RouteEvidence& evidence, Badness badness, std::size_t slowClass, std::uint32_t endWindow)
 {
-    const double logWeight = -std::log(static_cast<double>(MovePlan::s_evidenceWindows));
+    constexpr double weight = 1.0 / MovePlan::s_evidenceWindows;
     std::array<double, 3> sums {};
-    sums.fill(-std::numeric_limits<double>::infinity());
-    for (std::uint32_t i = 0; i < 2 * endWindow && i < evidence.windows.size(); ++i) {
-        const auto from = frequencyOf(evidence.windows[i].from, badness, slowClass);
-        const auto to = frequencyOf(evidence.windows[i].to, badness, slowClass);
+    for (std::uint32_t i = 0; i < 2 * endWindow && i < MovePlan::s_evidenceWindows; ++i) {
+        const auto from = frequencyOf(evidence.window(i).from, badness, slowClass);
+        const auto to = frequencyOf(evidence.window(i).to, badness, slowClass);
         const bool isEmpty = from.events + to.events == 0;
         for (std::size_t j = 0; j < sums.size(); ++j) {
-            sums[j] = logSum(logWeight, sums[j]);
+            sums[j] += weight;
             if (!isEmpty)
-                sums[j] += logLikelihoodRatio(from, to, ratiosOf(badness)[j]);
+                sums[j] = std::min(mostEvidence, sums[j] * std::exp(logLikelihoodRatio(from, to, ratiosOf(badness)[j])));
         }
     }
-    auto mixture = sums[0];
-    for (std::size_t j = 1; j < sums.size(); ++j)
-        mixture = logSum(mixture, sums[j]);
-    return mixture - std::log(static_cast<double>(sums.size()));
+    return std::log(std::max(leastEvidence, (sums[0] + sums[1] + sums[2]) / static_cast<double>(sums.size())));
 }
 
 bool isExcessLarge(const RouteEvidence& evidence, Badness badness, std::size_t slowClass, std::uint32_t window)
@@ -105,16 +120,16 @@
     return !isShared;
 }
 
-bool isWorse(const Frequency& from, const Frequency& to, Badness badness)
+bool isWorse(const Frequency& from, const Frequency& to, Badness badness, double chance)
 {
-    if (to.calls == 0)
-        return false;
-    const auto toCalls = static_cast<double>(to.calls);
-    const auto fromCalls = std::max(1.0, static_cast<double>(from.calls));
     const auto floor = badness == Badness::Failed ? leastFailedRate : slowRate;
-    const auto pooled = std::clamp(from.rate(), floor, 1.0);
-    const auto deviation = std::sqrt(pooled * (1 - pooled) * (1 / toCalls + 1 / fromCalls));
-    return to.events >= 2 && to.rate() > pooled + leastExcess(badness) + worseDeviations * deviation;
+    const auto usual = std::clamp(from.rate(), floor, 1.0);
+    if (to.events == 0 || to.rate() < usual + leastExcess(badness))
+        return false;
+    // The serving version's rate is an estimate too: its standard deviation goes to the new version's favour.
+    const auto deviation = std::sqrt(usual * (1 - usual) / std::max(1.0, static_cast<double>(from.calls)));
+    const auto favoured = std::min(1.0, usual + (from.events > 0 ? deviation : 0));
+    return probabilityOfAtLeast(to.events, to.calls, favoured) < chance;
 }
 
 }
