Spread crash reports and write checkpoints from the daemon

Cause: the quarantine of crashing requests and the checkpoints were decisions that nothing carried. Ruled out: crash reports on the exchange's messages; they are rare and tiny, and a slice of their own keeps the exchange from knowing routing. Change: Peer.reportCrashes passes news to four random nodes, each of which passes on what was news to it, and all that is held to one random node every 5 s; entry and admission ask the quarantine. Checkpoints are written by the reader of the log that is due among the elected readers, eight times within the log's retention at least. Result: contract test of the message over loopback; carobpathd builds and starts with both. Conclusion: the proof with processes that crash is a process test.

--- a/packages/foundation/include/carobpath/foundation/EventNames.h
+++ b/packages/foundation/include/carobpath/foundation/EventNames.h
@@ -38,6 +38,7 @@
     inline constexpr EventName callRefused { "call-refused" };
     inline constexpr EventName callRetried { "call-retried" };
     inline constexpr EventName callAborted { "call-aborted" };
+    inline constexpr EventName backendCrashed { "backend-crashed" };
     inline constexpr EventName fingerprintQuarantined { "fingerprint-quarantined" };
     inline constexpr EventName connectionSuspected { "connection-suspected" };
 
--- /dev/null
+++ b/packages/node/src/internal/CheckpointDriver.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "carobpath/membership/NodeEntry.h"
+#include "carobpath/publication/Checkpointing.h"
+#include "carobpath/publication/FoldFollower.h"
+#include "carobpath/publication/HttpLogClient.h"
+#include "internal/NodeContext.h"
+
+namespace carobpath::node::Detail {
+
+/// Appends checkpoints of the fold when this node is due among the readers of the log.
+class CheckpointDriver {
+public:
+    CheckpointDriver(NodeContext&, publication::HttpLogClient&, const publication::KeyPair& fleetKey);
+
+    /// To be called for each folded record.
+    void onStep(const publication::FoldStep&);
+
+    /// To be called about once a second while this node reads the log.
+    void onTick(const publication::FoldFollower&, const membership::MembershipView&);
+
+private:
+    void write(const publication::FoldFollower&);
+
+    NodeContext& m_context;
+    publication::HttpLogClient& m_log;
+    publication::KeyPair m_fleetKey;
+    publication::Checkpointing m_checkpointing;
+    std::uint64_t m_sequence = 0;
+};
+
+}
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -15,6 +15,7 @@
 namespace {
 
     constexpr std::chrono::milliseconds tickInterval { 100 };
+    constexpr std::chrono::milliseconds slowTickInterval { 1'000 };
     constexpr std::chrono::milliseconds drainCheckInterval { 20 };
     /// Time for the news of the leaving to reach the nodes that still forward calls here.
     constexpr std::chrono::milliseconds leaveNotice { 1'000 };
@@ -103,6 +104,7 @@
     , m_context { io, m_settings, m_incarnation, m_events, m_clock, m_logger }
     , m_log(io.get_executor(), logOptionsOf(settings))
     , m_router(m_context.random())
+    , m_quarantine(m_context)
     , m_ledger(m_context, m_log)
     , m_peerRuntime(std::make_shared<peer::PeerRuntime>(io))
     , m_tick(io)
@@ -113,6 +115,9 @@
 Result<void> NodeAssembly::start()
 {
     BOOST_LEAF_AUTO(fleetKey, fleetKeyOf(m_settings));
+    m_checkpoints.emplace(m_context, m_log, fleetKey);
+    m_controller.setFingerprintChecks(m_quarantine.checks());
+    m_router.setQuarantineSource([this](std::uint64_t fingerprint, MonotonicTime now) { return m_quarantine.quarantine().refusedFor(fingerprint, now); });
     m_moves.emplace(m_context, m_log, fleetKey, [this] { m_peers->notifyEvidence(); });
     BOOST_LEAF_CHECK(listen());
     BOOST_LEAF_CHECK(startReader());
@@ -120,6 +125,7 @@
     m_router.setShareSource([this](const ServiceName& service) { return m_moves->engine().share(service, NodeContext::now()); });
     BOOST_LEAF_CHECK(startPeers());
     m_ledger.setPeers(&m_peers->client());
+    m_quarantine.setPeers(&m_peers->client());
     m_moves->start();
     scheduleTick();
     recordStarted();
@@ -218,6 +224,7 @@
     callbacks.onReady = [this](bool ready) { onReady(ready); };
     callbacks.onClaim = [this](const peer::ClaimRequest& request, peer::ClaimReply reply) { m_ledger.onPeerClaim(request, std::move(reply)); };
     callbacks.onEndClaim = [this](const peer::EndRequest& request) { m_ledger.onPeerEnd(request); };
+    callbacks.onCrashes = [this](const routing::CrashUpdate& update) { m_quarantine.onPeerUpdate(update); };
     callbacks.onMalformed = [this](peer::MessageError error) { m_logger.warn("refused a peer's message: " + std::string { peer::toString(error.fault) }); };
     callbacks.hybridNow = [this] { return toPeer(m_clock.tick(wallNow())); };
     callbacks.onHybridTime = [this](peer::HybridTime time) { m_clock.observe(fromPeer(time), wallNow()); };
@@ -280,6 +287,7 @@
     m_view = view;
     m_router.setMembership(view);
     m_ledger.setMembership(view);
+    m_quarantine.setMembership(view);
     auto alive = aliveNodes(*view);
     m_metrics.setNodes(alive.size());
     m_moves->engine().onNodes(std::move(alive));
@@ -297,6 +305,7 @@
 
 void NodeAssembly::onStep(const publication::FoldStep& step)
 {
+    m_checkpoints->onStep(step);
     m_metrics.onRecord(publication::toString(step.outcome));
     if (std::holds_alternative<publication::Accepted>(step.outcome) || std::holds_alternative<publication::CheckpointMatched>(step.outcome))
         return;
@@ -307,6 +316,7 @@
 void NodeAssembly::onBackend(const gateway::BackendObservation& observation)
 {
     m_metrics.onBackend(observation);
+    m_quarantine.onBackend(observation);
     m_moves->onBackend(m_upstream->service(), observation);
 }
 
@@ -327,6 +337,16 @@
     m_metrics.setAdmission(m_controller.inFlight(), m_controller.waiting());
     for (const auto& it : m_router.takeObservations())
         m_peers->reportCall(it.node, it.reachability == routing::NodeReachability::Answered);
+    m_quarantine.onTick(m_controller);
+    if (MonotonicClock::now() - m_slowTickAt >= slowTickInterval)
+        slowTick();
+}
+
+void NodeAssembly::slowTick()
+{
+    m_slowTickAt = MonotonicClock::now();
+    if (m_reader->enabled() && m_view && !m_draining)
+        m_checkpoints->onTick(m_reader->follower(), *m_view);
 }
 
 void NodeAssembly::stop(std::function<void()> stopped)
--- a/packages/node/src/internal/NodeAssembly.h
+++ b/packages/node/src/internal/NodeAssembly.h
@@ -8,11 +8,13 @@
 #include "carobpath/routing/AdmissionController.h"
 #include "carobpath/routing/EntryRouter.h"
 #include "internal/AdminApi.h"
+#include "internal/CheckpointDriver.h"
 #include "internal/LedgerDriver.h"
 #include "internal/LogReader.h"
 #include "internal/MoveDriver.h"
 #include "internal/NodeContext.h"
 #include "internal/NodeMetrics.h"
+#include "internal/QuarantineDriver.h"
 #include "internal/UpstreamDriver.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -57,6 +59,7 @@
 
     void scheduleTick();
     void tick();
+    void slowTick();
     void scheduleDrainCheck(MonotonicTime closeIdleAt, MonotonicTime giveUpAt);
     void finishStop();
 
@@ -70,8 +73,10 @@
 
     publication::HttpLogClient m_log;
     routing::EntryRouter m_router;
+    QuarantineDriver m_quarantine;
     routing::AdmissionController m_controller;
     LedgerDriver m_ledger;
+    std::optional<CheckpointDriver> m_checkpoints;
     std::optional<MoveDriver> m_moves;
     std::optional<gateway::Gateway> m_gateway;
     std::optional<gateway::AdminServer> m_admin;
@@ -85,6 +90,7 @@
     boost::asio::steady_timer m_tick;
     boost::asio::steady_timer m_drain;
     std::function<void()> m_stopped;
+    MonotonicTime m_slowTickAt;
     bool m_ready = false;
     bool m_draining = false;
 };
--- /dev/null
+++ b/packages/node/src/internal/QuarantineDriver.cpp
@@ -0,0 +1,85 @@
+#include "internal/QuarantineDriver.h"
+
+#include "carobpath/foundation/EventNames.h"
+
+#include <algorithm>
+
+namespace carobpath::node::Detail {
+
+namespace {
+
+    bool isAnswer(routing::BackendResult result)
+    {
+        return result == routing::BackendResult::Answered || result == routing::BackendResult::ServerError;
+    }
+
+}
+
+QuarantineDriver::QuarantineDriver(NodeContext& context)
+    : m_context(context)
+    , m_quarantine(context.settings.name, context.incarnation)
+    , m_random(context.random())
+    , m_snapshotAt(MonotonicClock::now())
+{
+}
+
+routing::FingerprintChecks QuarantineDriver::checks()
+{
+    routing::FingerprintChecks checks;
+    checks.refusedFor = [this](routing::Fingerprint it, MonotonicTime now) { return m_quarantine.refusedFor(it, now); };
+    checks.isSuspect = [this](routing::Fingerprint it) { return m_quarantine.isSuspect(it); };
+    return checks;
+}
+
+void QuarantineDriver::onBackend(const gateway::BackendObservation& observation)
+{
+    if (isAnswer(observation.result))
+        m_quarantine.onAnswered(observation.fingerprint, NodeContext::now());
+}
+
+void QuarantineDriver::onPeerUpdate(const routing::CrashUpdate& update)
+{
+    m_quarantine.merge(update, NodeContext::now());
+}
+
+void QuarantineDriver::onTick(routing::AdmissionController& controller)
+{
+    const auto now = NodeContext::now();
+    if (auto suspects = controller.takeCrash()) {
+        m_context.events.record(Event(event::backendCrashed).with("suspects", suspects->size()));
+        m_quarantine.onCrash(std::move(*suspects), now);
+    }
+    m_quarantine.onTick(now);
+    const auto news = m_quarantine.takeUpdate();
+    if (!news.empty())
+        sendToRandomNodes(news, s_fanOut);
+    if (now.monotonic - m_snapshotAt < s_snapshotInterval)
+        return;
+    m_snapshotAt = now.monotonic;
+    const auto all = m_quarantine.snapshot();
+    if (!all.empty())
+        sendToRandomNodes(all, 1);
+}
+
+void QuarantineDriver::sendToRandomNodes(const routing::CrashUpdate& update, std::size_t count)
+{
+    std::vector<Endpoint> chosen;
+    const auto others = otherNodes();
+    std::sample(others.begin(), others.end(), std::back_inserter(chosen), count, m_random);
+    for (const auto& it : chosen)
+        m_peers->reportCrashes(it, update);
+}
+
+std::vector<Endpoint> QuarantineDriver::otherNodes() const
+{
+    std::vector<Endpoint> endpoints;
+    if (!m_view)
+        return endpoints;
+    for (const auto& node : m_view->nodes) {
+        if (node.liveness != membership::Liveness::Dead && node.entry.name != m_context.settings.name)
+            endpoints.push_back(node.entry.addresses.peer);
+    }
+    return endpoints;
+}
+
+}
--- a/packages/peer/include/carobpath/peer/ExchangeRunner.h
+++ b/packages/peer/include/carobpath/peer/ExchangeRunner.h
@@ -3,6 +3,7 @@
 #include "carobpath/distribution/Exchange.h"
 #include "carobpath/peer/PeerClient.h"
 #include "carobpath/peer/PeerServer.h"
+#include "carobpath/routing/CrashReport.h"
 
 #include <memory>
 
@@ -28,6 +29,8 @@
     std::function<void(const ClaimRequest&, ClaimReply)> onClaim;
     /// A call whose claim was forwarded here has ended.
     std::function<void(const EndRequest&)> onEndClaim;
+    /// Another node tells of crashed backend servers.
+    std::function<void(const routing::CrashUpdate&)> onCrashes;
     /// A peer sent a message that breaks the protocol.
     std::function<void(MessageError)> onMalformed;
     /// Reads the hybrid clock for a message that is sent.
--- a/packages/peer/include/carobpath/peer/PeerClient.h
+++ b/packages/peer/include/carobpath/peer/PeerClient.h
@@ -2,6 +2,7 @@
 
 #include "carobpath/peer/PeerRuntime.h"
 #include "carobpath/peer/PeerTypes.h"
+#include "carobpath/routing/CrashReport.h"
 
 #include <memory>
 #include <random>
@@ -38,6 +39,8 @@
     /// Gives up after the claim's own timeout.
     void claim(const Endpoint&, const ClaimRequest&, const Completion<routing::LedgerVerdict>&);
     void endClaim(const Endpoint&, const EndRequest&, const Completion<ClaimEnded>&);
+    /// Tells of crashed backend servers; a failure is not reported, since other peers tell the same.
+    void reportCrashes(const Endpoint&, const routing::CrashUpdate&);
 
     /// Closes every connection; calls under way fail.
     void stop();
--- a/packages/peer/include/carobpath/peer/PeerServer.h
+++ b/packages/peer/include/carobpath/peer/PeerServer.h
@@ -2,6 +2,7 @@
 
 #include "carobpath/peer/PeerRuntime.h"
 #include "carobpath/peer/PeerTypes.h"
+#include "carobpath/routing/CrashReport.h"
 
 #include <concepts>
 #include <memory>
@@ -11,7 +12,7 @@
 
 /// What answers the calls of peers. \c onClaim may answer later.
 template <typename Handler>
-concept PeerHandler = requires(Handler& handler, const distribution::PeerMessage& message, const ClaimRequest& claim, const EndRequest& end, ClaimReply reply)
+concept PeerHandler = requires(Handler& handler, const distribution::PeerMessage& message, const ClaimRequest& claim, const EndRequest& end, const routing::CrashUpdate& crashes, ClaimReply reply)
 {
     {
         handler.onExchange(message)
@@ -22,6 +23,7 @@
         } -> std::convertible_to<std::optional<distribution::WholeState>>;
     handler.onClaim(claim, reply);
     handler.onEndClaim(end);
+    handler.onCrashes(crashes);
 };
 
 /// The calls of peers as functions.
@@ -31,6 +33,7 @@
     std::function<std::optional<distribution::WholeState>()> onFetchWhole;
     std::function<void(const ClaimRequest&, ClaimReply)> onClaim;
     std::function<void(const EndRequest&)> onEndClaim;
+    std::function<void(const routing::CrashUpdate&)> onCrashes;
     /// A message that breaks the protocol was refused.
     std::function<void(MessageError)> onMalformed;
 };
@@ -45,6 +48,7 @@
     hooks.onFetchWhole = [&handler] { return handler.onFetchWhole(); };
     hooks.onClaim = [&handler](const auto& claim, ClaimReply reply) { handler.onClaim(claim, std::move(reply)); };
     hooks.onEndClaim = [&handler](const auto& end) { handler.onEndClaim(end); };
+    hooks.onCrashes = [&handler](const auto& update) { handler.onCrashes(update); };
     return hooks;
 }
 
--- a/packages/peer/schema/Peer.capnp
+++ b/packages/peer/schema/Peer.capnp
@@ -124,6 +124,25 @@
   notices @5 :List(TakeBackNotice);
 }
 
+struct CrashReport {
+  node @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  atMilliseconds @3 :Int64;
+  suspects @4 :List(UInt64);
+}
+
+struct CrashAcquittal {
+  node @0 :Text;
+  fingerprint @1 :UInt64;
+  atMilliseconds @2 :Int64;
+}
+
+struct CrashUpdate {
+  reports @0 :List(CrashReport);
+  acquittals @1 :List(CrashAcquittal);
+}
+
 interface Peer {
   # Compares what two nodes hold.
   exchange @0 (message :PeerMessage) -> (reply :PeerMessage);
@@ -133,6 +152,8 @@
   fetchWhole @2 () -> (state :WholeState);
   # Claims an idempotency key at the owner of its partition.
   claim @3 (key :Text, route :Text, requestId :Text, timeoutMilliseconds :UInt32) -> (verdict :UInt8, retryAfterMilliseconds :UInt32);
-  # Gives a claimed key back, since its call did not run.
+  # A call that had claimed a key has ended.
   endClaim @4 (key :Text, route :Text, requestId :Text, outcome :UInt8) -> ();
+  # Tells of crashed backend servers and of the requests that are suspected.
+  reportCrashes @5 (update :CrashUpdate) -> ();
 }
--- a/packages/peer/src/ExchangeRunner.cpp
+++ b/packages/peer/src/ExchangeRunner.cpp
@@ -48,6 +48,7 @@
         it.onFetchWhole = [this] { return exchange->onFetch(MonotonicClock::now()); };
         it.onClaim = callbacks.onClaim;
         it.onEndClaim = callbacks.onEndClaim;
+        it.onCrashes = callbacks.onCrashes;
         it.onMalformed = callbacks.onMalformed;
         return it;
     }
--- a/packages/peer/src/PeerClient.cpp
+++ b/packages/peer/src/PeerClient.cpp
@@ -175,6 +175,16 @@
     m_impl->submit(endpoint, PeerCall { std::move(send), [](PeerError) {}, s_deliverTimeout });
 }
 
+void PeerClient::reportCrashes(const Endpoint& endpoint, const routing::CrashUpdate& update)
+{
+    auto send = [update](schema::Peer::Client& peer) {
+        auto request = peer.reportCrashesRequest();
+        write(update, request.initUpdate());
+        return request.send().ignoreResult();
+    };
+    m_impl->submit(endpoint, PeerCall { std::move(send), [](PeerError) {}, s_deliverTimeout });
+}
+
 void PeerClient::fetchWhole(const Endpoint& endpoint, const Completion<WholeState>& completion)
 {
     auto send = [completion](schema::Peer::Client& peer) {
--- a/packages/peer/src/internal/Conversions.h
+++ b/packages/peer/src/internal/Conversions.h
@@ -4,6 +4,7 @@
 #include "carobpath/distribution/PeerMessage.h"
 #include "carobpath/foundation/Result.h"
 #include "carobpath/peer/PeerError.h"
+#include "carobpath/routing/CrashReport.h"
 
 /// Between the schema's messages and the typed ones. Reading reports \c MessageError.
 namespace carobpath::peer {
@@ -31,6 +32,9 @@
 void write(const moves::TakeBackNotice&, schema::TakeBackNotice::Builder);
 Result<moves::TakeBackNotice> read(schema::TakeBackNotice::Reader);
 
+void write(const routing::CrashUpdate&, schema::CrashUpdate::Builder);
+Result<routing::CrashUpdate> read(schema::CrashUpdate::Reader);
+
 void write(const distribution::Delta&, schema::Delta::Builder);
 Result<distribution::Delta> read(schema::Delta::Reader);
 
--- a/packages/peer/src/internal/PeerService.cpp
+++ b/packages/peer/src/internal/PeerService.cpp
@@ -124,4 +124,16 @@
     return kj::READY_NOW;
 }
 
+kj::Promise<void> PeerService::reportCrashes(ReportCrashesContext context)
+{
+    touch();
+    const auto update = readMessage<routing::CrashUpdate>(context.getParams().getUpdate());
+    if (const auto* error = std::get_if<MessageError>(&update))
+        return refuse(*error);
+    context.releaseParams();
+    if (m_hooks->onCrashes)
+        m_hooks->onCrashes(std::get<routing::CrashUpdate>(update));
+    return kj::READY_NOW;
+}
+
 }
--- a/packages/peer/src/internal/PeerService.h
+++ b/packages/peer/src/internal/PeerService.h
@@ -17,6 +17,7 @@
     kj::Promise<void> fetchWhole(FetchWholeContext) override;
     kj::Promise<void> claim(ClaimContext) override;
     kj::Promise<void> endClaim(EndClaimContext) override;
+    kj::Promise<void> reportCrashes(ReportCrashesContext) override;
 
 private:
     kj::Promise<void> refuse(MessageError) const;
--- a/packages/peer/tests/PeerTests.cpp
+++ b/packages/peer/tests/PeerTests.cpp
@@ -43,8 +43,10 @@
                 kept->push_back(std::move(reply));
         }
         static void onEndClaim(const EndRequest&) { }
+        void onCrashes(const routing::CrashUpdate& update) { crashes = update; }
 
         bool busy = false;
+        routing::CrashUpdate crashes;
         std::vector<std::string> heard;
         std::vector<std::string> delivered;
         std::shared_ptr<std::vector<ClaimReply>> kept = std::make_shared<std::vector<ClaimReply>>();
@@ -135,6 +137,17 @@
     BOOST_TEST(runUntil([&] { return ended; }));
 }
 
+BOOST_AUTO_TEST_CASE(Crash_reports_and_acquittals_arrive_as_they_were_sent)
+{
+    routing::CrashUpdate update;
+    update.reports.push_back({ NodeName { "n1" }, Revision { Incarnation { 7 }, 2 }, WallTime { std::chrono::milliseconds { 1234 } }, { 11, 12 } });
+    update.acquittals.push_back({ NodeName { "n2" }, 12, WallTime { std::chrono::milliseconds { 1300 } } });
+    client.reportCrashes(server.endpoint(), update);
+    BOOST_TEST(runUntil([&] { return !node.crashes.empty(); }));
+    BOOST_TEST((node.crashes.reports == update.reports));
+    BOOST_TEST((node.crashes.acquittals == update.acquittals));
+}
+
 BOOST_AUTO_TEST_CASE(A_peer_that_does_not_listen_is_a_failed_connection)
 {
     tcp::acceptor unused(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
