--- a/packages/routing/include/carobpath/routing/AdmissionController.h
+++ b/packages/routing/include/carobpath/routing/AdmissionController.h
@@ -6,8 +6,8 @@
 #include "carobpath/routing/BackendHealth.h"
 #include "carobpath/routing/ConcurrencyLimit.h"
 #include "carobpath/routing/CrashDetector.h"
-#include "carobpath/routing/RecentRequests.h"
 #include "carobpath/routing/RunningCalls.h"
+#include "carobpath/routing/SeenRequests.h"
 #include "carobpath/routing/ServiceTimes.h"
 
 #include <functional>
@@ -44,8 +44,8 @@
 
     explicit AdmissionController(AdmissionPolicy policy = {});
 
-    /// A request that is here already is refused as \c DuplicateInProgress, with an outcome of \c Unknown; that
-    /// command comes alone and belongs to the newcomer.
+    /// A request that arrived before is refused as \c DuplicateInProgress, with an outcome of \c Unknown; that command
+    /// comes alone and belongs to the newcomer. An entry node never sends one call to the same node twice.
     AdmissionCommands onArrival(const AdmissionRequest&, MonotonicTime now);
     AdmissionCommands onFinished(const AdmissionResult&, MonotonicTime now);
     /// The caller or its entry node went away. A waiting call is dropped without a command; one that was dispatched
@@ -98,7 +98,7 @@
     BackendHealth m_health;
     ServiceTimes m_times;
     AdmissionQueue m_queue;
-    RecentRequests m_recent;
+    SeenRequests m_seen;
     FingerprintChecks m_fingerprints;
     CrashDetector m_crashes;
     std::optional<std::vector<Fingerprint>> m_crash;
--- a/packages/routing/include/carobpath/routing/AdmissionQueue.h
+++ b/packages/routing/include/carobpath/routing/AdmissionQueue.h
@@ -61,7 +61,6 @@
     std::vector<AdmissionRequest> removeExpired(MonotonicTime now);
     std::vector<AdmissionRequest> removeAll();
 
-    bool contains(const RequestId&) const;
     std::size_t size() const;
     std::size_t size(QueueClass it) const { return m_classes[static_cast<std::size_t>(it)].size(); }
     /// \returns the earliest deadline of a waiting call.
--- a/packages/routing/include/carobpath/routing/RunningCalls.h
+++ b/packages/routing/include/carobpath/routing/RunningCalls.h
@@ -24,7 +24,6 @@
     /// \returns the call, if it was there.
     std::optional<RunningCall> remove(const RequestId&);
 
-    bool contains(const RequestId& id) const { return m_calls.contains(id); }
     std::uint32_t size() const { return static_cast<std::uint32_t>(m_calls.size()); }
     std::uint32_t downloads() const { return m_downloads; }
     std::vector<Fingerprint> fingerprints() const;
--- a/packages/routing/include/carobpath/routing/UpstreamPicker.h
+++ b/packages/routing/include/carobpath/routing/UpstreamPicker.h
@@ -47,6 +47,9 @@
     static constexpr double s_initialLatencySeconds = 0.005;
 
     explicit UpstreamPicker(std::mt19937_64 random);
+    /// Candidates point into the statistics.
+    UpstreamPicker(const UpstreamPicker&) = delete;
+    UpstreamPicker& operator=(const UpstreamPicker&) = delete;
 
     void setOwnNode(NodeName, FailureDomainName);
     /// Statistics of nodes that the view lacks are forgotten.
--- a/packages/routing/include/carobpath/routing/UpstreamStatistics.h
+++ b/packages/routing/include/carobpath/routing/UpstreamStatistics.h
@@ -58,7 +58,8 @@
     Standing standing(MonotonicTime now) const;
     /// \returns whether one call may try out the upstream now.
     bool probeDue(MonotonicTime now) const;
-    /// \returns the expected latency; a memory of a slow answer fades towards \p mean.
+    /// \returns the expected latency, or \p mean before the first answer. It fades with its age, so that an upstream which
+    /// was slow once is tried again.
     double latencySeconds(double mean, MonotonicTime now) const;
     double errorRate() const { return m_errorRate; }
     std::uint32_t inFlight() const { return m_inFlight; }
--- a/packages/routing/src/AdmissionController.cpp
+++ b/packages/routing/src/AdmissionController.cpp
@@ -32,11 +32,6 @@
             || result == BackendResult::TimedOut;
     }
 
-    bool didNotRun(BackendResult result)
-    {
-        return result == BackendResult::Refused || result == BackendResult::ConnectFailed;
-    }
-
 }
 
 AdmissionController::AdmissionController(AdmissionPolicy policy)
@@ -63,7 +58,7 @@
 
 std::optional<Refusal> AdmissionController::refusalAtArrival(const AdmissionRequest& request, MonotonicTime now)
 {
-    if (m_running.contains(request.id) || m_recent.contains(request.id) || m_queue.contains(request.id))
+    if (!m_seen.insert(request.id))
         return Refusal { Outcome::Unknown, RefusalReason::DuplicateInProgress, std::nullopt };
     if (now >= request.deadline)
         return notRun(RefusalReason::DeadlineExceeded, std::nullopt);
@@ -88,14 +83,15 @@
 void AdmissionController::enqueue(const AdmissionRequest& request, AdmissionCommands& commands, MonotonicTime now)
 {
     const auto queueClass = queueClassOf(request);
-    const bool mustWait = m_queue.size(queueClass) > 0 || !fits(request);
     // A call that need not wait is always taken, so that service times are learnt anew after a bad spell.
-    if (mustWait && m_policy.shedByWait) {
-        const auto ready = now + expectedWait(queueClass, now) + m_times.expected(queueClass);
-        if (ready > request.deadline) {
-            commands.push_back(Reject { request.id, overloaded(request, now) });
-            return;
-        }
+    if (m_queue.size(queueClass) == 0 && fits(request)) {
+        dispatch(request, commands, now);
+        return;
+    }
+    const auto ready = now + expectedWait(queueClass, now) + m_times.expected(queueClass);
+    if (m_policy.shedByWait && ready > request.deadline) {
+        commands.push_back(Reject { request.id, overloaded(request, now) });
+        return;
     }
     if (const auto displaced = m_queue.push(request, now))
         commands.push_back(Reject { displaced->id, overloaded(*displaced, now) });
@@ -151,8 +147,6 @@
 void AdmissionController::dispatch(const AdmissionRequest& request, AdmissionCommands& commands, MonotonicTime now)
 {
     m_running.add({ request, now });
-    if (request.repeatability == publication::Repeatability::NotRepeatable)
-        m_recent.add(request.id);
     commands.push_back(Dispatch { request.id });
 }
 
@@ -173,8 +167,6 @@
 void AdmissionController::learn(
     const AdmissionResult& result, const RunningCall& running, std::uint32_t inFlight, MonotonicTime now)
 {
-    if (didNotRun(result.result))
-        m_recent.forget(result.id);
     if (isTimed(result.result))
         m_times.add(queueClassOf(running.request), result.serviceTime);
     if (result.result == BackendResult::Refused)
--- a/packages/routing/src/AdmissionQueue.cpp
+++ b/packages/routing/src/AdmissionQueue.cpp
@@ -118,13 +118,6 @@
     return removed;
 }
 
-bool AdmissionQueue::contains(const RequestId& id) const
-{
-    return std::any_of(m_classes.begin(), m_classes.end(), [&](const Line& line) {
-        return std::any_of(line.begin(), line.end(), [&](const Waiting& it) { return it.request.id == id; });
-    });
-}
-
 std::size_t AdmissionQueue::size() const
 {
     std::size_t all = 0;
--- a/packages/routing/src/UpstreamStatistics.cpp
+++ b/packages/routing/src/UpstreamStatistics.cpp
@@ -70,8 +70,8 @@
 void UpstreamStatistics::countAnswer(std::chrono::nanoseconds latency, bool error, MonotonicTime now)
 {
     const double sample = toSeconds(latency);
-    const bool first = m_latencyAt == MonotonicTime {};
-    m_latencySeconds = first ? sample : m_latencySeconds + latencyWeight * (sample - m_latencySeconds);
+    const double before = latencySeconds(sample, now);
+    m_latencySeconds = before + latencyWeight * (sample - before);
     m_latencyAt = now;
     m_errorRate += errorWeight * ((error ? 1.0 : 0.0) - m_errorRate);
     m_failuresInRow = 0;
@@ -118,7 +118,7 @@
         return mean;
     const std::chrono::duration<double> age = now - m_latencyAt;
     const std::chrono::duration<double> halfLife = s_latencyHalfLife;
-    return mean + (m_latencySeconds - mean) * std::exp2(-age / halfLife);
+    return m_latencySeconds * std::exp2(-age / halfLife);
 }
 
 }
--- a/packages/routing/tests/AdmissionFixture.h
+++ b/packages/routing/tests/AdmissionFixture.h
@@ -58,6 +58,16 @@
         return controller.onFinished({ id, result, time }, now);
     }
 
+    /// Sends calls that end so, one after the other.
+    void fail(BackendResult result, int calls)
+    {
+        for (int i = 0; i < calls; ++i) {
+            const auto it = request();
+            arrive(it);
+            finish(it.id, result);
+        }
+    }
+
     /// Runs calls until the limit has reached the slots.
     void warmUp(std::uint32_t slots = 6)
     {
--- a/packages/routing/tests/CheckedHistory.h
+++ b/packages/routing/tests/CheckedHistory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <rapidcheck.h>
+#include <rapidcheck/detail/TestListenerAdapter.h>
 
 #include <cstdint>
 #include <iostream>
@@ -46,12 +47,13 @@
     const auto step = rc::gen::map(
         rc::gen::pair(rc::gen::inRange<std::uint32_t>(0, parameters.actions), rc::gen::inRange<std::uint32_t>(0, 1000)),
         [](const std::pair<std::uint32_t, std::uint32_t>& it) { return Step { it.first, it.second }; });
+    rc::detail::TestListenerAdapter quiet;
     const auto result = rc::detail::checkTestable(
         [&] {
             const auto steps = *rc::gen::container<Steps>(step);
             RC_ASSERT(check(steps));
         },
-        metadata, params);
+        metadata, params, quiet);
     const bool holds = result.template is<rc::detail::SuccessResult>();
     std::cout << name << ": seed " << parameters.seed << ", " << parameters.histories << " histories, "
               << (holds ? "holds" : "violated") << '\n';
--- a/packages/routing/tests/EntryFixture.h
+++ b/packages/routing/tests/EntryFixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carobpath/routing/EntryRouter.h"
+#include "carobpath/routing/RetryBudget.h"
 
 #include <string>
 #include <utility>
--- /dev/null
+++ b/packages/routing/tests/RouteTableTests.cpp
@@ -0,0 +1,51 @@
+#include "EntryFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace carobpath::routing::tests {
+
+BOOST_AUTO_TEST_SUITE(Routes)
+
+struct RouteRow {
+    const char* host;
+    const char* method;
+    const char* path;
+    /// Name of the route; empty for a miss.
+    const char* route;
+    RouteMiss miss = RouteMiss::UnknownRoute;
+};
+
+BOOST_AUTO_TEST_CASE(A_call_is_matched_by_host_then_longest_prefix_then_method)
+{
+    const RouteRow rows[] {
+        { "booking.petra", "GET", "/catalogue", "read" },
+        { "booking.petra", "GET", "/bookings/7", "list" },
+        { "booking.petra", "POST", "/bookings", "book" },
+        { "booking.petra", "POST", "/bookings?day=1", "book" },
+        { "booking.petra", "DELETE", "/bookings/7", "", RouteMiss::MethodNotAllowed },
+        { "booking.petra", "POST", "/catalogue", "", RouteMiss::MethodNotAllowed },
+        { "booking.petra", "GET", "", "", RouteMiss::UnknownRoute },
+        { "booking.akwapim", "GET", "/", "", RouteMiss::UnknownHost },
+        { "", "GET", "/", "", RouteMiss::UnknownHost },
+    };
+    const RouteTable table { makeConfiguration() };
+    for (const auto& row : rows) {
+        BOOST_TEST_CONTEXT(row.host << " " << row.method << " " << row.path)
+        {
+            const auto found = table.find(row.host, row.method, row.path);
+            const auto* match = std::get_if<RouteTable::Match>(&found);
+            BOOST_TEST((match ? (*match)->name.value() : "") == row.route);
+            if (!match)
+                BOOST_TEST((std::get<RouteMiss>(found) == row.miss));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(A_table_without_configuration_knows_no_host)
+{
+    BOOST_TEST((std::get<RouteMiss>(RouteTable {}.find("booking.petra", "GET", "/")) == RouteMiss::UnknownHost));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
