--- /dev/null
+++ b/packages/gateway/src/internal/Listener.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "carobpath/foundation/Endpoint.h"
+#include "carobpath/gateway/GatewayLimits.h"
+#include "internal/ServerSession.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace carobpath::gateway::Detail {
+
+/// Accepts connections on one address and starts a session for each.
+class Listener : public std::enable_shared_from_this<Listener> {
+public:
+    Listener(boost::asio::io_context&, const GatewayLimits&, ServerSession::RequestHandler);
+
+    /// \returns the error of the system where the address cannot be listened on.
+    boost::system::error_code listen(const Endpoint&);
+
+    /// Where it listens; the port is the real one where 0 was asked for.
+    Endpoint endpoint() const;
+
+    /// Accepts no more connections. Those that are open go on; their next answers say that they close.
+    void stopAccepting();
+
+    /// Closes each connection as soon as it is idle.
+    void closeIdle();
+
+    /// \returns the connections on which a request has no whole answer yet.
+    std::size_t busyConnections() const;
+
+private:
+    void accept();
+    void add(boost::asio::ip::tcp::socket&&);
+    void forgetClosed();
+    template <typename Action>
+    void forEachSession(Action) const;
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_acceptTimer;
+    const GatewayLimits& m_limits;
+    ServerSession::RequestHandler m_handler;
+    std::vector<std::weak_ptr<ServerSession>> m_sessions;
+    std::size_t m_forgetAt = 64;
+};
+
+}
--- /dev/null
+++ b/packages/moves/src/Comparison.cpp
@@ -0,0 +1,129 @@
+#include "carobpath/moves/Comparison.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace carobpath::moves {
+
+namespace {
+
+    constexpr std::array<double, 3> failedRatios { 4, 20, 100 };
+    constexpr std::array<double, 3> slowRatios { 2, 4, 8 };
+
+    /// Bounds that keep the arithmetic finite; far beyond any threshold.
+    constexpr double mostEvidence = 1e100;
+    constexpr double leastEvidence = 1e-100;
+
+    constexpr double leastFailedExcess = 0.01;
+    constexpr double leastSlowExcess = 0.1;
+    constexpr std::uint64_t leastEvents = 3;
+
+    constexpr std::uint64_t leastSuspectEvents = 5;
+    constexpr double suspectChance = 1e-4;
+    constexpr double leastFailedRate = 0.002;
+    constexpr double slowRate = 0.1;
+    /// Part of the new version's rate that the serving one has to show for the cause to be held as shared.
+    constexpr double sharedPart = 0.33;
+
+    /// Events up to which a binomial tail is summed; beyond, it is taken as normal.
+    constexpr std::uint64_t mostSummedEvents = 200;
+
+    /// \returns the probability of as many events or more among independent calls.
+    double probabilityOfAtLeast(std::uint64_t events, std::uint64_t calls, double rate)
+    {
+        if (rate >= 1)
+            return 1;
+        const auto n = static_cast<double>(calls);
+        if (events > mostSummedEvents) {
+            const auto deviations = (static_cast<double>(events) - n * rate) / std::sqrt(n * rate * (1 - rate));
+            return 0.5 * std::erfc(deviations / std::sqrt(2.0));
+        }
+        auto logTerm = n * std::log1p(-rate);
+        const auto logOdds = std::log(rate) - std::log1p(-rate);
+        double below = 0;
+        for (std::uint64_t k = 0; k < events; ++k) {
+            below += std::exp(logTerm);
+            logTerm += logOdds + std::log((n - static_cast<double>(k)) / static_cast<double>(k + 1));
+        }
+        return std::max(0.0, 1 - below);
+    }
+
+    const std::array<double, 3>& ratiosOf(Badness badness)
+    {
+        return badness == Badness::Failed ? failedRatios : slowRatios;
+    }
+
+    /// Logarithm of the likelihood ratio of one window for one ratio of rates.
+    double logLikelihoodRatio(const Frequency& from, const Frequency& to, double ratio)
+    {
+        const auto calls = static_cast<double>(from.calls + to.calls);
+        // One call more for the new version: with few calls the ratio errs to its favour.
+        const auto part = (static_cast<double>(to.calls) + 1) / (calls + 1);
+        const auto events = static_cast<double>(from.events + to.events);
+        return static_cast<double>(to.events) * std::log(ratio) - events * std::log(ratio * part + 1 - part);
+    }
+
+}
+
+double leastExcess(Badness badness)
+{
+    return badness == Badness::Failed ? leastFailedExcess : leastSlowExcess;
+}
+
+double logEvidence(const RouteEvidence& evidence, Badness badness, std::size_t slowClass, std::uint32_t endWindow)
+{
+    constexpr double weight = 1.0 / MovePlan::s_evidenceWindows;
+    std::array<double, 3> sums {};
+    for (std::uint32_t i = 0; i < 2 * endWindow && i < MovePlan::s_evidenceWindows; ++i) {
+        const auto from = frequencyOf(evidence.window(i).from, badness, slowClass);
+        const auto to = frequencyOf(evidence.window(i).to, badness, slowClass);
+        const bool isEmpty = from.events + to.events == 0;
+        for (std::size_t j = 0; j < sums.size(); ++j) {
+            sums[j] += weight;
+            if (!isEmpty)
+                sums[j] = std::min(mostEvidence, sums[j] * std::exp(logLikelihoodRatio(from, to, ratiosOf(badness)[j])));
+        }
+    }
+    return std::log(std::max(leastEvidence, (sums[0] + sums[1] + sums[2]) / static_cast<double>(sums.size())));
+}
+
+bool isExcessLarge(const RouteEvidence& evidence, Badness badness, std::size_t slowClass, std::uint32_t window)
+{
+    for (auto w = window > 0 ? window - 1 : 0; w <= window; ++w) {
+        const auto counts = evidence.sum(w, w + 1);
+        const auto from = frequencyOf(counts.from, badness, slowClass);
+        const auto to = frequencyOf(counts.to, badness, slowClass);
+        if (to.events >= leastEvents && to.rate() - from.rate() >= leastExcess(badness))
+            return true;
+    }
+    return false;
+}
+
+bool isSuspect(const RouteEvidence& evidence, Badness badness, std::size_t slowClass, std::uint32_t window)
+{
+    const auto counts = evidence.sum(window, window + 1);
+    const auto from = frequencyOf(counts.from, badness, slowClass);
+    const auto to = frequencyOf(counts.to, badness, slowClass);
+    if (to.events < leastSuspectEvents)
+        return false;
+    const auto usual = frequencyOf(evidence.sum(0, window + 1).from, badness, slowClass);
+    if (!isWorse(usual, to, badness, suspectChance))
+        return false;
+    const bool isShared = from.events >= leastEvents && from.rate() >= sharedPart * to.rate();
+    return !isShared;
+}
+
+bool isWorse(const Frequency& from, const Frequency& to, Badness badness, double chance)
+{
+    const auto floor = badness == Badness::Failed ? leastFailedRate : slowRate;
+    const auto usual = std::clamp(from.rate(), floor, 1.0);
+    if (to.events == 0 || to.rate() < usual + leastExcess(badness))
+        return false;
+    // The serving version's rate is an estimate too: its standard deviation goes to the new version's favour.
+    const auto deviation = std::sqrt(usual * (1 - usual) / std::max(1.0, static_cast<double>(from.calls)));
+    const auto favoured = std::min(1.0, usual + (from.events > 0 ? deviation : 0));
+    return probabilityOfAtLeast(to.events, to.calls, favoured) < chance;
+}
+
+}
--- /dev/null
+++ b/packages/moves/src/RouteEvidence.cpp
@@ -0,0 +1,67 @@
+#include "carobpath/moves/RouteEvidence.h"
+
+#include <algorithm>
+
+namespace carobpath::moves {
+
+namespace {
+
+    /// Part of the serving version's calls that may lie in the slow classes.
+    constexpr double slowTail = 0.1;
+    constexpr std::uint64_t leastCallsForSlowClass = 10;
+
+    std::uint64_t timedCalls(const EvidenceCounts& counts)
+    {
+        std::uint64_t n = 0;
+        for (const auto count : counts.latency)
+            n += count;
+        return n;
+    }
+
+}
+
+void RouteEvidence::add(std::uint32_t evidenceWindow, bool isNew, const EvidenceCounts& counts)
+{
+    const auto version = isNew ? &WindowCounts::to : &WindowCounts::from;
+    m_windows.at(evidenceWindow).*version += counts;
+    for (auto i = evidenceWindow / 2 + 1; i < m_before.size(); ++i)
+        m_before[i].*version += counts;
+    if (!isNew)
+        updateSlowClass();
+}
+
+WindowCounts RouteEvidence::sum(std::uint32_t firstWindow, std::uint32_t endWindow) const
+{
+    const auto& first = m_before.at(firstWindow);
+    const auto& end = m_before.at(std::min(endWindow, MovePlan::s_windows));
+    return { end.from.since(first.from), end.to.since(first.to) };
+}
+
+void RouteEvidence::updateSlowClass()
+{
+    const auto& counts = m_before.back().from;
+    const auto calls = timedCalls(counts);
+    m_slowClass = latencyClasses;
+    if (calls < leastCallsForSlowClass)
+        return;
+    std::uint64_t slower = calls;
+    for (std::size_t i = 0; i < latencyClasses; ++i) {
+        if (static_cast<double>(slower) <= slowTail * static_cast<double>(calls)) {
+            m_slowClass = i;
+            return;
+        }
+        slower -= counts.latency[i];
+    }
+}
+
+Frequency frequencyOf(const EvidenceCounts& counts, Badness badness, std::size_t slowClass)
+{
+    if (badness == Badness::Failed)
+        return { counts.failed, counts.answered() };
+    Frequency it { 0, timedCalls(counts) };
+    for (auto i = slowClass; i < latencyClasses; ++i)
+        it.events += counts.latency[i];
+    return it;
+}
+
+}
