Moves: badness under load shows in its return, not in one window

Change: two suspect windows count where the serving version did well in the cautious windows after them; the last stage asks for weak e-process evidence too.

--- a/packages/moves/include/carobpath/moves/Comparison.h
+++ b/packages/moves/include/carobpath/moves/Comparison.h
@@ -28,6 +28,11 @@
 /// serving version took too few calls in the window to show that the cause is shared.
 bool isSuspect(const RouteEvidence&, Badness, std::size_t slowClass, std::uint32_t window);
 
+/// \returns whether the new version was suspect twice while calls were split as planned, and both times the serving
+/// version did well once they were split cautiously. Badness under load vanishes with the share, so that a cautious
+/// window alone never shows it.
+bool isSuspectAgain(const RouteEvidence&, Badness, std::size_t slowClass, std::uint32_t window);
+
 /// \returns whether the new version is bad more often than the serving one by more than chance explains.
 /// \param chance probability below which an excess is not held to be chance
 bool isWorse(const Frequency& from, const Frequency& to, Badness, double chance);
--- a/packages/moves/src/Comparison.cpp
+++ b/packages/moves/src/Comparison.cpp
@@ -20,6 +20,7 @@
     constexpr std::uint64_t leastEvents = 3;
 
     constexpr std::uint64_t leastSuspectEvents = 5;
+    constexpr std::uint64_t fewestControlCalls = 5;
     constexpr double suspectChance = 1e-4;
     constexpr double leastFailedRate = 0.002;
     constexpr double slowRate = 0.1;
@@ -66,6 +67,19 @@
 
 }
 
+namespace {
+
+    /// How often the serving version was bad in the cautious windows that follow a window.
+    Frequency cautiousControl(const RouteEvidence& evidence, Badness badness, std::size_t slowClass, std::uint32_t window)
+    {
+        auto counts = evidence.window(MovePlan::evidenceWindow(window, true)).from;
+        if (window + 1 < MovePlan::s_windows)
+            counts += evidence.window(MovePlan::evidenceWindow(window + 1, true)).from;
+        return frequencyOf(counts, badness, slowClass);
+    }
+
+}
+
 double leastExcess(Badness badness)
 {
     return badness == Badness::Failed ? leastFailedExcess : leastSlowExcess;
@@ -114,6 +128,24 @@
     return !isShared;
 }
 
+bool isSuspectAgain(const RouteEvidence& evidence, Badness badness, std::size_t slowClass, std::uint32_t window)
+{
+    const auto usual = frequencyOf(evidence.sum(0, window + 1).from, badness, slowClass);
+    std::uint32_t n = 0;
+    for (std::uint32_t w = 0; w <= window; ++w) {
+        const auto& planned = evidence.window(MovePlan::evidenceWindow(w, false));
+        const auto to = frequencyOf(planned.to, badness, slowClass);
+        if (to.events < leastSuspectEvents || !isWorse(usual, to, badness, suspectChance))
+            continue;
+        const auto beside = frequencyOf(planned.from, badness, slowClass);
+        const auto after = cautiousControl(evidence, badness, slowClass, w);
+        const bool isShared = beside.events >= leastEvents && beside.rate() >= sharedPart * to.rate();
+        if (!isShared && after.calls >= fewestControlCalls && after.rate() < sharedPart * to.rate())
+            ++n;
+    }
+    return n >= 2;
+}
+
 bool isWorse(const Frequency& from, const Frequency& to, Badness badness, double chance)
 {
     const auto floor = badness == Badness::Failed ? leastFailedRate : slowRate;
--- a/packages/moves/src/MoveJudge.cpp
+++ b/packages/moves/src/MoveJudge.cpp
@@ -19,6 +19,8 @@
     /// Chance of doubting a version that is no worse: at a raise, which waits for a while, and at the end.
     constexpr double raiseChance = 0.01;
     constexpr double verdictChance = 0.0003;
+    /// Value of \c logEvidence above which a move is not done.
+    constexpr double doubtEvidence = 5;
 
     /// How much evidence a member asks for.
     struct EvidenceNeed {
@@ -112,9 +114,12 @@
     const auto fresh = evidence.sum(std::max(progress.entered, freshFrom), endWindow);
     it.calls = evidence.sum(progress.entered, endWindow).to.answered();
     it.callsNeeded = callsNeeded(calls / std::max(1U, endWindow), progress.stage);
-    const auto chance = progress.stage == m_plan.lastStage() ? verdictChance : raiseChance;
+    const bool isLast = progress.stage == m_plan.lastStage();
+    const auto chance = isLast ? verdictChance : raiseChance;
     for (const auto badness : allBadness) {
         const auto slowClass = evidence.slowClass();
+        if (isLast && logEvidence(evidence, badness, slowClass, endWindow) >= doubtEvidence)
+            it.wait = WaitReason::Doubt;
         if (isWorse(frequencyOf(fresh.from, badness, slowClass), frequencyOf(fresh.to, badness, slowClass), badness, chance))
             it.wait = WaitReason::Doubt;
     }
@@ -162,7 +167,8 @@
         const auto slowClass = evidence.slowClass();
         for (const auto badness : allBadness) {
             const auto value = logEvidence(evidence, badness, slowClass, window + 1);
-            if (value >= limit && isExcessLarge(evidence, badness, slowClass, window))
+            const bool isProved = value >= limit && isExcessLarge(evidence, badness, slowClass, window);
+            if (isProved || isSuspectAgain(evidence, badness, slowClass, window))
                 return MoveVerdict { MoveOutcome::TakenBack, reasonOf(badness), name, figures(evidence.sum(0, window + 1), badness, slowClass, value, limit) };
         }
     }
