Read the log by one decision object

The publisher had a reader of its own beside FoldFollower, which came in meanwhile. FoldFollower stays; it now refuses a checkpoint that claims a later state than its own offset, and hands out the checkpoint it started from. The publisher backs off where a record is missing in the log's answer.

--- a/packages/publication/include/carobpath/publication/FoldFollower.h
+++ b/packages/publication/include/carobpath/publication/FoldFollower.h
@@ -4,6 +4,7 @@
 #include "carobpath/publication/LogService.h"
 
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace carobpath::publication {
@@ -47,6 +48,15 @@
     /// \returns the set in force as far as folded, or nullptr.
     ConfigurationPointer current() const;
 
+    /// \returns what became of a member's record that was folded not long ago, or nullptr.
+    const RememberedRecord* find(const MemberName&, const RecordId&) const;
+
+    /// \returns the base of a record that is made now: the first offset that is not folded.
+    Offset base() const { return m_fold ? m_fold->next() : 0; }
+
+    /// \returns the checkpoint that the fold was started from, once after each start from one.
+    std::optional<CheckpointMatched> takeStart() { return std::exchange(m_start, std::nullopt); }
+
     /// \returns what a checkpoint has to hold; nothing while no record can be folded.
     std::optional<FoldState> foldState() const;
 
@@ -56,6 +66,7 @@
     TrustedKeys m_keys;
     std::optional<ConfigurationFold> m_fold;
     FollowState m_state = FollowState::Folding;
+    std::optional<CheckpointMatched> m_start;
     Offset m_nextRead = 0;
     bool m_caughtUp = false;
 };
--- a/packages/publication/include/carobpath/publication/Publisher.h
+++ b/packages/publication/include/carobpath/publication/Publisher.h
@@ -2,7 +2,7 @@
 
 #include "carobpath/foundation/Time.h"
 #include "carobpath/publication/Backoff.h"
-#include "carobpath/publication/ConfigurationReader.h"
+#include "carobpath/publication/FoldFollower.h"
 
 #include <chrono>
 #include <string>
@@ -103,7 +103,7 @@
     PublishCommand onTimer(MonotonicTime);
 
     /// The log as far as it was read.
-    const ConfigurationReader& reader() const { return m_reader; }
+    const FoldFollower& log() const { return m_log; }
 
 private:
     enum class Step : std::uint8_t {
@@ -116,17 +116,18 @@
     PublishCommand read() const;
     PublishCommand append();
     PublishCommand makeRecord();
+    bool hasGap(const LogBatch&, const std::vector<FoldStep>&) const;
     PublishCommand retry(MonotonicTime);
     PublishCommand giveUp() const;
     PublishCommand afterFolding(MonotonicTime);
-    std::optional<PublishResult> resultIn(const std::vector<FoldedRecord>&) const;
+    std::optional<PublishResult> resultIn(const std::vector<FoldStep>&) const;
     std::optional<PublishResult> rememberedResult() const;
     std::optional<Faults> faultsOfCheck() const;
 
     PublishRequest m_request;
     KeyPair m_key;
     TrustedKeys m_keys;
-    ConfigurationReader m_reader;
+    FoldFollower m_log;
     PublisherOptions m_options;
     Backoff m_backoff;
     MonotonicTime m_giveUpAt;
--- a/packages/publication/src/FoldFollower.cpp
+++ b/packages/publication/src/FoldFollower.cpp
@@ -61,13 +61,14 @@
 void FoldFollower::seek(const LogRecord& record, Offset firstKept)
 {
     const auto checkpoint = checkpointIn(record);
-    if (!checkpoint || checkpoint->state.next < firstKept)
+    if (!checkpoint || checkpoint->state.next < firstKept || checkpoint->state.next > record.offset)
         return;
     m_fold = foldFrom(*checkpoint, m_keys);
     if (!m_fold)
         return;
     m_state = FollowState::Folding;
     m_nextRead = m_fold->next();
+    m_start = CheckpointMatched { checkpoint->state.next, checkpoint->writtenAt };
 }
 
 void FoldFollower::onTrimmed(const Trimmed& trimmed)
@@ -84,6 +85,11 @@
     return m_fold ? m_fold->current() : nullptr;
 }
 
+const RememberedRecord* FoldFollower::find(const MemberName& member, const RecordId& id) const
+{
+    return m_fold ? m_fold->find(member, id) : nullptr;
+}
+
 std::optional<FoldState> FoldFollower::foldState() const
 {
     if (!m_fold)
--- a/packages/publication/src/Publisher.cpp
+++ b/packages/publication/src/Publisher.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+    constexpr std::size_t recordsPerRead = 256;
+
     /// What a folded record says about the record with the id.
     struct ResultOf {
         const PublishRequest& request;
@@ -45,7 +47,7 @@
     : m_request(std::move(request))
     , m_key(key)
     , m_keys(keys)
-    , m_reader(std::move(keys))
+    , m_log(std::move(keys))
     , m_options(options)
     , m_backoff(options.firstRetry, options.longestRetry, random)
 {
@@ -65,16 +67,16 @@
     }
     m_backoff.reset();
     if (const auto* trimmed = std::get_if<Trimmed>(&result)) {
-        m_reader.onTrimmed(*trimmed);
+        m_log.onTrimmed(*trimmed);
         return read();
     }
-    const auto folded = m_reader.onBatch(std::get<LogBatch>(result));
+    const auto& batch = std::get<LogBatch>(result);
+    const auto folded = m_log.onBatch(batch);
     if (auto own = resultIn(folded))
         return Finish { *std::move(own) };
     if (now >= m_giveUpAt)
         return giveUp();
-    // A gap in the log's answer may be there for a while.
-    if (!folded.empty() && std::holds_alternative<OutOfOrder>(folded.back().outcome))
+    if (hasGap(batch, folded))
         return retry(now);
     return afterFolding(now);
 }
@@ -103,9 +105,8 @@
 
 PublishCommand Publisher::read() const
 {
-    const auto next = m_reader.nextRead();
     const auto wait = m_step == Step::Confirming ? m_options.readWait : std::chrono::milliseconds { 0 };
-    return ReadLog { next.from, wait, next.limit };
+    return ReadLog { m_log.nextRead(), wait, recordsPerRead };
 }
 
 // Every append carries the same bytes, so that it is one record however often it is made.
@@ -118,7 +119,7 @@
 {
     if (auto faults = faultsOfCheck())
         return Finish { CheckFailed { *std::move(faults) } };
-    const auto record = sign(PublishRecord { m_request.id, m_request.member, m_reader.fold().next(), m_request.changes, {} }, m_key);
+    const auto record = sign(PublishRecord { m_request.id, m_request.member, m_log.base(), m_request.changes, {} }, m_key);
     if (!verify(record, m_keys))
         return Finish { WrongKey {} };
     m_bytes = encodeRecord(record);
@@ -131,6 +132,12 @@
     return AppendRecord { m_bytes };
 }
 
+// Records that don't go on from the last one folded; reading again at once would bring the same.
+bool Publisher::hasGap(const LogBatch& batch, const std::vector<FoldStep>& folded) const
+{
+    return m_log.state() == FollowState::Folding && !batch.records.empty() && folded.empty() && batch.records.front().offset > m_log.nextRead();
+}
+
 PublishCommand Publisher::retry(MonotonicTime now)
 {
     if (now >= m_giveUpAt)
@@ -148,16 +155,16 @@
 
 PublishCommand Publisher::afterFolding(MonotonicTime now)
 {
-    if (m_reader.isWithoutCheckpoint())
+    if (m_log.state() == FollowState::NoCheckpoint)
         return m_mayBeAppended ? retry(now) : Finish { NoCheckpoint {} };
-    if (!m_reader.isCaughtUp())
+    if (!m_log.caughtUp())
         return read();
     if (auto remembered = rememberedResult())
         return Finish { *std::move(remembered) };
     return m_step == Step::Confirming ? read() : append();
 }
 
-std::optional<PublishResult> Publisher::resultIn(const std::vector<FoldedRecord>& folded) const
+std::optional<PublishResult> Publisher::resultIn(const std::vector<FoldStep>& folded) const
 {
     for (const auto& it : folded) {
         if (auto result = std::visit(ResultOf { m_request, it.offset }, it.outcome))
@@ -168,7 +175,7 @@
 
 std::optional<PublishResult> Publisher::rememberedResult() const
 {
-    const auto* remembered = m_reader.fold().find(m_request.member, m_request.id);
+    const auto* remembered = m_log.find(m_request.member, m_request.id);
     if (!remembered)
         return std::nullopt;
     if (remembered->accepted)
@@ -178,7 +185,7 @@
 
 std::optional<Faults> Publisher::faultsOfCheck() const
 {
-    const auto current = m_reader.fold().current();
+    const auto current = m_log.current();
     auto faults = checkChanges(current ? current->set : ConfigurationSet {}, m_request.member, m_request.changes);
     return faults.empty() ? std::nullopt : std::optional { std::move(faults) };
 }
