--- a/packages/distribution/tests/Fleet.cpp
+++ b/packages/distribution/tests/Fleet.cpp
@@ -193,6 +193,13 @@
     return std::all_of(m_nodes.begin(), m_nodes.end(), [live](const Node& it) { return !it.exchange || it.exchange->members().livePeers() + 1 == live; });
 }
 
+void Fleet::stopCounting()
+{
+    m_options.sizeOf = nullptr;
+    m_options.sizeOfWhole = nullptr;
+    m_options.measureCpu = false;
+}
+
 std::uint64_t Fleet::bytesSent() const
 {
     std::uint64_t sum = 0;
--- a/packages/distribution/tests/Fleet.h
+++ b/packages/distribution/tests/Fleet.h
@@ -74,6 +74,8 @@
 
     const std::vector<std::string>& violations() const { return m_violations; }
     std::uint64_t logReads() const { return m_logReads; }
+    /// Counts no bytes and no time any more.
+    void stopCounting();
     std::uint64_t bytesSent(std::size_t node) const { return m_nodes[node].bytes; }
     std::uint64_t bytesSent() const;
     std::chrono::nanoseconds cpu() const { return m_cpu; }
