Carry hybrid time with calls; drop settings that nothing reads

Cause: forwarded calls did not carry the hybrid clock, so an answer could be merged before its request in the time line; six settings of the node were checked and then read by nobody, and fleet-key was said to keep peers out, which it does not. Change: requests and answers between nodes carry Carobpath-Hybrid-Time; limits.queue, limits.replay-bytes, limits.retry-budget-percent, limits.peer-connections, timeouts.call and timeouts.peer are gone, since those bounds are constants of the slices; fleet-key is described as what it is, the key that verdicts and checkpoints are signed with. The tests of settings faults use other keys of the same types and check the same faults.

--- a/packages/foundation/include/carobpath/foundation/NodeSettings.h
+++ b/packages/foundation/include/carobpath/foundation/NodeSettings.h
@@ -38,7 +38,7 @@
     /// Peer addresses of nodes to join by.
     std::vector<Endpoint> seeds;
 
-    /// Shared secret of the fleet that peer connections are authenticated with.
+    /// Ed25519 private key that nodes sign verdicts and checkpoints with.
     HexKey fleetKey;
     std::string fleetKeyFile;
 
@@ -46,24 +46,18 @@
 
     /// Bounds of what the node holds at one time.
     struct Limits {
-        std::int64_t queue = 0;
         std::uint64_t headerBytes = 0;
         std::uint64_t bodyBytes = 0;
-        std::uint64_t replayBytes = 0;
-        std::int64_t retryBudgetPercent = 0;
         std::int64_t callerConnections = 0;
-        std::int64_t peerConnections = 0;
     } limits;
 
     struct Timeouts {
         std::chrono::microseconds callerIdle {};
         std::chrono::microseconds callerHeader {};
-        std::chrono::microseconds call {};
         std::chrono::microseconds connect {};
         std::chrono::microseconds progress {};
         std::chrono::microseconds log {};
         std::chrono::microseconds logWait {};
-        std::chrono::microseconds peer {};
     } timeouts;
 
     struct Drain {
--- a/packages/foundation/include/carobpath/foundation/SettingsDocument.h
+++ b/packages/foundation/include/carobpath/foundation/SettingsDocument.h
@@ -38,7 +38,7 @@
     std::size_t size = 0;
 };
 
-/// A YAML file flattened to dotted paths, such as "limits.queue" and "members[0].name".
+/// A YAML file flattened to dotted paths, such as "limits.body-bytes" and "members[0].name".
 /// Faults of the file itself (syntax, duplicate keys, keys that are no text) are collected while reading.
 class SettingsDocument {
 public:
--- a/packages/foundation/include/carobpath/foundation/SettingsFault.h
+++ b/packages/foundation/include/carobpath/foundation/SettingsFault.h
@@ -33,7 +33,7 @@
     std::string file;
     int line = 0;
     int column = 0;
-    /// Dotted path of the key, such as "limits.queue" or "members[2].name".
+    /// Dotted path of the key, such as "limits.body-bytes" or "members[2].name".
     std::string key;
     SettingsFaultKind kind = SettingsFaultKind::Syntax;
     std::string detail;
--- a/packages/foundation/src/NodeSettings.cpp
+++ b/packages/foundation/src/NodeSettings.cpp
@@ -65,10 +65,10 @@
             "Peer addresses of nodes to join by.");
         it.optional(
             "fleet-key", hexKeySetting(), [](auto& s) -> auto& { return s.fleetKey; },
-            "Secret of the fleet; peers without it are refused. Either this or fleet-key-file is required.");
+            "Ed25519 private key that nodes sign verdicts and checkpoints with. Either this or fleet-key-file is required.");
         it.optional(
             "fleet-key-file", pathSetting(), [](auto& s) -> auto& { return s.fleetKeyFile; },
-            "File that holds the secret of the fleet. A relative path starts at the settings file.");
+            "File that holds the fleet key. A relative path starts at the settings file.");
         it.list(
             "members", memberSettingsReader(), { 1, maximumMembers }, [](auto& s) -> auto& { return s.members; },
             "The members of the consortium.");
@@ -76,27 +76,15 @@
 
     void declareLimits(Reader& it)
     {
-        it.withDefault(
-            "limits.queue", integerSetting(0, 10'000), "256", [](auto& s) -> auto& { return s.limits.queue; },
-            "Calls that wait for a slot of the upstream.");
         it.withDefault(
             "limits.header-bytes", sizeSetting(kibibyte, mebibyte), "16KiB", [](auto& s) -> auto& { return s.limits.headerBytes; },
             "Size of a request's header.");
         it.withDefault(
             "limits.body-bytes", sizeSetting(0, 64 * mebibyte), "1MiB", [](auto& s) -> auto& { return s.limits.bodyBytes; },
             "Size of a request's body.");
-        it.withDefault(
-            "limits.replay-bytes", sizeSetting(0, mebibyte), "64KiB", [](auto& s) -> auto& { return s.limits.replayBytes; },
-            "Size of the request body that is kept for a retry.");
-        it.withDefault(
-            "limits.retry-budget-percent", integerSetting(0, 100), "10", [](auto& s) -> auto& { return s.limits.retryBudgetPercent; },
-            "Retries as a share of calls.");
         it.withDefault(
             "limits.caller-connections", integerSetting(1, 100'000), "2000", [](auto& s) -> auto& { return s.limits.callerConnections; },
             "Open connections from callers.");
-        it.withDefault(
-            "limits.peer-connections", integerSetting(1, 10'000), "256", [](auto& s) -> auto& { return s.limits.peerConnections; },
-            "Open connections from other nodes.");
     }
 
     void declareTimeouts(Reader& it)
@@ -107,9 +95,6 @@
         it.withDefault(
             "timeouts.caller-header", durationSetting(100ms, 10min), "10s", [](auto& s) -> auto& { return s.timeouts.callerHeader; },
             "A request's header and each further part of its body must arrive within it.");
-        it.withDefault(
-            "timeouts.call", durationSetting(10ms, 1h), "30s", [](auto& s) -> auto& { return s.timeouts.call; },
-            "Deadline of a call whose caller names none.");
         it.withDefault(
             "timeouts.connect", durationSetting(1ms, 1min), "1s", [](auto& s) -> auto& { return s.timeouts.connect; },
             "Opening a connection to a node or the backend server.");
@@ -122,9 +107,6 @@
         it.withDefault(
             "timeouts.log-wait", durationSetting(10ms, 1min), "2s", [](auto& s) -> auto& { return s.timeouts.logWait; },
             "Wait that a read asks the log for.");
-        it.withDefault(
-            "timeouts.peer", durationSetting(10ms, 1min), "2s", [](auto& s) -> auto& { return s.timeouts.peer; },
-            "A request to another node's peer address.");
     }
 
     // Other nodes are told these addresses, so that one which stands for all of the instance's would lead nowhere.
--- a/packages/foundation/tests/SettingsTests.cpp
+++ b/packages/foundation/tests/SettingsTests.cpp
@@ -84,7 +84,7 @@
     BOOST_TEST((settings->drain.grace == 5s));
     BOOST_TEST(settings->listen.peer.port == 0);
     BOOST_TEST(settings->listen.callers.port == 8000);
-    BOOST_TEST(settings->limits.queue == 256);
+    BOOST_TEST(settings->limits.callerConnections == 2000);
 }
 
 BOOST_AUTO_TEST_CASE(Every_fault_is_reported_at_its_line_and_column)
@@ -96,20 +96,20 @@
                 "log:\n"
                 "  endpoints: [\"loghost:9000\"]\n"
                 "  retention: 5\n"
-                "limits: {queue: many, retry-budget-percent: 300}\n"
+                "limits: {caller-connections: many, header-bytes: 5MiB}\n"
                 "members: petra\n"
                 "log-level: loud\n"
                 "listen: {peer: \"0.0.0.0:1\"}\n",
         { "0:0 node.region missing-key", "0:0 listen.calls missing-key", "0:0 fleet-key missing-key", "2:9 node.name bad-name", "3:3 node.regoin unknown-key",
-            "6:15 log.endpoints bad-endpoint", "7:14 log.retention bad-duration", "8:17 limits.queue bad-integer",
-            "8:45 limits.retry-budget-percent out-of-bounds", "9:10 members wrong-type", "10:12 log-level bad-choice", "11:16 listen.peer bad-endpoint" });
+            "6:15 log.endpoints bad-endpoint", "7:14 log.retention bad-duration", "8:30 limits.caller-connections bad-integer",
+            "8:50 limits.header-bytes out-of-bounds", "9:10 members wrong-type", "10:12 log-level bad-choice", "11:16 listen.peer bad-endpoint" });
 }
 
 BOOST_AUTO_TEST_CASE(Faults_of_the_file_itself_are_typed)
 {
     checkFaults(goodNode + "fleet-key: " + key + "\n", { "12:1 fleet-key duplicate" });
-    checkFaults(goodNode + "timeouts: {call: [1s]}\n", { "12:18 timeouts.call wrong-type" });
-    checkFaults(goodNode + "timeouts: {call: }\n", { "12:18 timeouts.call wrong-type" });
+    checkFaults(goodNode + "timeouts: {log: [1s]}\n", { "12:17 timeouts.log wrong-type" });
+    checkFaults(goodNode + "timeouts: {log: }\n", { "12:17 timeouts.log wrong-type" });
     checkFaults(goodNode + "  - name: petra\n    public-key: " + key + "\n", { "12:11 members[1].name duplicate" });
     checkFaults(goodNode + "  - name: other\n    publik-key: " + key + "\n", { "0:0 members[1].public-key missing-key", "13:5 members[1].publik-key unknown-key" });
     checkFaults("node: [\n", { "2:1  syntax" });
--- a/packages/gateway/include/carobpath/gateway/GatewayHooks.h
+++ b/packages/gateway/include/carobpath/gateway/GatewayHooks.h
@@ -9,6 +9,8 @@
 #include <chrono>
 #include <functional>
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace carobpath::gateway {
 
@@ -48,6 +50,10 @@
     std::function<void(const routing::AdmissionRequest&)> onDispatched;
     std::function<void(const BackendObservation&)> onBackend;
     std::function<void(const CallObservation&)> onCall;
+    /// Reads the hybrid clock as text, for a message to another node.
+    std::function<std::string()> hybridNow;
+    /// A message from another node came with this reading.
+    std::function<void(std::string_view)> onHybridTime;
 };
 
 }
--- a/packages/gateway/src/internal/AdmissionHandler.cpp
+++ b/packages/gateway/src/internal/AdmissionHandler.cpp
@@ -37,6 +37,8 @@
         session->refuse(routing::Refusal { routing::Outcome::NotRun, routing::RefusalReason::MalformedRequest, std::nullopt }, {});
         return;
     }
+    if (m_hooks.onHybridTime)
+        m_hooks.onHybridTime(hybridTimeOf(session->request()));
     if (m_calls.contains(request->id)) {
         session->refuse(routing::Refusal { routing::Outcome::Unknown, routing::RefusalReason::DuplicateInProgress, std::nullopt }, request->id.value());
         return;
--- a/packages/gateway/src/internal/AdmittedCall.cpp
+++ b/packages/gateway/src/internal/AdmittedCall.cpp
@@ -127,6 +127,8 @@
     removeHopByHopFields(header);
     header.set(HeaderName::requestId, m_request.id.value());
     header.set(HeaderName::outcome, routing::toString(routing::Outcome::Ran));
+    if (m_handler.m_hooks.hybridNow)
+        header.set(HeaderName::hybridTime, m_handler.m_hooks.hybridNow());
     const bool serverError = header.result_int() >= firstServerError;
     m_session->relay(m_exchange, std::move(header), [self = shared_from_this(), serverError](bool whole) {
         if (!whole)
--- a/packages/gateway/src/internal/EntryCall.cpp
+++ b/packages/gateway/src/internal/EntryCall.cpp
@@ -62,7 +62,7 @@
     target.silence = m_handler.m_limits.silence;
     target.requestId = m_call.id;
     target.fresh = attempt.freshConnection;
-    auto request = forwardedRequest(m_session->request(), m_call, attempt, m_attemptStartedAt);
+    auto request = forwardedRequest(m_session->request(), m_call, attempt, m_attemptStartedAt, m_handler.hybridNow());
     m_exchange->start(std::move(target), std::move(request),
         [self = shared_from_this()](std::optional<ExchangeFailure> failure) { self->onHeader(failure); });
 }
@@ -71,6 +71,8 @@
 {
     if (m_answered)
         return;
+    if (!failure && m_handler.m_hooks.onHybridTime)
+        m_handler.m_hooks.onHybridTime(hybridTimeOf(m_exchange->header()));
     auto result = failure ? resultOfFailure(*failure) : resultOfHeader();
     const auto now = MonotonicClock::now();
     result.latency = now - m_attemptStartedAt;
@@ -150,6 +152,7 @@
 {
     ResponseHeader header = m_exchange->header();
     removeHopByHopFields(header);
+    header.erase(HeaderName::hybridTime);
     header.set(HeaderName::requestId, m_call.id.value());
     return header;
 }
--- a/packages/gateway/src/internal/EntryHandler.h
+++ b/packages/gateway/src/internal/EntryHandler.h
@@ -26,6 +26,7 @@
     friend class EntryCall;
 
     RequestId nextRequestId();
+    std::string hybridNow() const { return m_hooks.hybridNow ? m_hooks.hybridNow() : std::string {}; }
 
     boost::asio::io_context& m_context;
     routing::EntryRouter& m_router;
--- a/packages/gateway/src/internal/ForwardedHeader.cpp
+++ b/packages/gateway/src/internal/ForwardedHeader.cpp
@@ -91,7 +91,7 @@
     return std::chrono::milliseconds { *n };
 }
 
-std::shared_ptr<const Request> forwardedRequest(const Request& request, const routing::CallRequest& call, const routing::SendAttempt& attempt, MonotonicTime now)
+std::shared_ptr<const Request> forwardedRequest(const Request& request, const routing::CallRequest& call, const routing::SendAttempt& attempt, MonotonicTime now, const std::string& hybridTime)
 {
     auto copy = cleanCopy(request);
     copy->set(HeaderName::requestId, call.id.value());
@@ -101,6 +101,8 @@
     copy->set(HeaderName::fingerprint, hex(call.fingerprint));
     copy->set(HeaderName::trafficClass, publication::toString(attempt.trafficClass));
     copy->set(HeaderName::repeatability, publication::toString(attempt.repeatability));
+    if (!hybridTime.empty())
+        copy->set(HeaderName::hybridTime, hybridTime);
     return copy;
 }
 
@@ -142,6 +144,8 @@
     return routing::refusalReasonFromString(value(header, HeaderName::reason));
 }
 
+std::string_view hybridTimeOf(const http::fields& fields) { return value(fields, HeaderName::hybridTime); }
+
 std::uint64_t fingerprintOf(const Request& request)
 {
     std::string key { request.method_string() };
--- a/packages/gateway/src/internal/ForwardedHeader.h
+++ b/packages/gateway/src/internal/ForwardedHeader.h
@@ -13,7 +13,7 @@
 
 /// \returns the caller's request as it is sent to the admitting node: connection fields and fields of the caller's
 /// that carobpath itself uses are gone, those of the attempt are added.
-std::shared_ptr<const Request> forwardedRequest(const Request&, const routing::CallRequest&, const routing::SendAttempt&, MonotonicTime now);
+std::shared_ptr<const Request> forwardedRequest(const Request&, const routing::CallRequest&, const routing::SendAttempt&, MonotonicTime now, const std::string& hybridTime);
 
 /// \returns what the admitting node needs of a forwarded request, or nothing where a field lacks or makes no sense.
 std::optional<routing::AdmissionRequest> admissionRequest(const Request&, MonotonicTime now);
@@ -28,6 +28,9 @@
 std::optional<routing::Outcome> outcomeOf(const ResponseHeader&);
 std::optional<routing::RefusalReason> reasonOf(const ResponseHeader&);
 
+/// \returns the reading of the other node's hybrid clock; empty where there is none.
+std::string_view hybridTimeOf(const http::fields&);
+
 /// Hash of what makes two requests the same: method, host, target and body.
 std::uint64_t fingerprintOf(const Request&);
 
