Ask witnesses in a node's own failure domain for its floor

Cause: a node that came back empty and first reached a peer of a failure domain that had been cut off took that peer's membership, in which all others were dead.

Ruled out: waiting longer before the gate opens, since the stale view lasts until the halves find each other.

Change: witnesses stand in the node's own failure domain and elsewhere, dead ones among them, since what the node held before was held in its domain too. The gate opens after an answer of each kind, or once all of a kind failed.

--- a/packages/distribution/include/carobpath/distribution/Exchange.h
+++ b/packages/distribution/include/carobpath/distribution/Exchange.h
@@ -160,6 +160,7 @@
     void tickMembership(MonotonicTime now, Commands&);
     void tickExchange(MonotonicTime now, Commands&);
     void tickGate(MonotonicTime now, Commands&);
+    void askWitnesses(const std::vector<const membership::KnownNode*>&, Commands&);
     void tickFetch(MonotonicTime now, Commands&);
     void tickRole(MonotonicTime now, Commands&);
 
--- a/packages/distribution/include/carobpath/distribution/FloorGate.h
+++ b/packages/distribution/include/carobpath/distribution/FloorGate.h
@@ -10,23 +10,32 @@
 namespace carobpath::distribution {
 
 /// Decides whether this node may serve: it must know the floor of its address, and have reached it.
-/// The floor is known once enough of the node's witnesses were asked, or once the log was read to its end.
+///
+/// The floor is known once the log was read to its end, or once the node's witnesses were asked. Some stand in its own
+/// failure domain, since what the node held before it ended was held there too, whatever is cut off; some stand
+/// elsewhere, since a failure domain can end as a whole.
 class FloorGate {
 public:
-    /// Nodes that are told of each version that this node takes.
-    static constexpr std::size_t s_witnesses = 3;
-    /// Witnesses that must have answered.
+    /// Witnesses of each kind that are told of each version that this node takes.
+    static constexpr std::size_t s_told = 2;
+    /// Witnesses of each kind that are asked in turn until one answers.
+    static constexpr std::size_t s_asked = 4;
+    /// Answers needed in all, where so many witnesses can be reached.
     static constexpr std::size_t s_answersNeeded = 2;
 
     /// Takes what a peer said of this address.
     void onHeard(const NodeName& peer, const std::optional<publication::ConfigurationStamp>& floor);
+    /// A peer that was asked did not answer.
+    void onFailed(const NodeName& peer);
     /// The log was read to its end: nothing newer was ever held anywhere.
     void onLogEnd() { m_confirmed = true; }
     /// Settles whether the floor is known.
-    /// \param witnesses the witnesses among the nodes that are known to live.
-    void update(const std::vector<NodeName>& witnesses);
+    /// \param own witnesses in the node's failure domain, also those held dead.
+    /// \param others witnesses elsewhere.
+    void update(const std::vector<NodeName>& own, const std::vector<NodeName>& others);
 
-    bool heardFrom(const NodeName& peer) const { return m_heard.contains(peer); }
+    /// \returns whether a witness is still to be asked.
+    bool lacksAnswerOf(const NodeName& peer) const { return !m_heard.contains(peer) && !m_failed.contains(peer); }
     /// True once the floor is known.
     bool confirmed() const { return m_confirmed; }
     const std::optional<publication::ConfigurationStamp>& floor() const { return m_floor; }
@@ -36,7 +45,12 @@
 private:
     static constexpr std::size_t s_maxHeard = 4096;
 
+    bool settled(const std::vector<NodeName>& witnesses) const;
+    std::size_t answersOf(const std::vector<NodeName>& witnesses) const;
+    std::size_t failuresOf(const std::vector<NodeName>& witnesses) const;
+
     std::set<NodeName> m_heard;
+    std::set<NodeName> m_failed;
     std::optional<publication::ConfigurationStamp> m_floor;
     bool m_confirmed = false;
 };
--- a/packages/distribution/include/carobpath/distribution/RelayTree.h
+++ b/packages/distribution/include/carobpath/distribution/RelayTree.h
@@ -22,8 +22,10 @@
 
     bool reader() const { return m_reader; }
     const std::vector<const membership::NodeEntry*>& neighbours() const { return m_neighbours; }
-    /// \returns the nodes that remember what this node holds.
-    const std::vector<const membership::NodeEntry*>& witnesses() const { return m_witnesses; }
+    /// \returns the nodes that remember what this node holds, by rank: those in its failure domain and those elsewhere.
+    /// Dead ones are among them, since they may have been cut off only.
+    const std::vector<const membership::KnownNode*>& ownWitnesses() const { return m_ownWitnesses; }
+    const std::vector<const membership::KnownNode*>& otherWitnesses() const { return m_otherWitnesses; }
     const std::vector<const membership::NodeEntry*>& livePeers() const { return m_live; }
     /// \returns a live peer, or null.
     const membership::NodeEntry* randomPeer(std::mt19937_64&) const;
@@ -33,12 +35,13 @@
 private:
     void joinDomain(const std::vector<const membership::KnownNode*>& ranked, std::size_t position);
     void joinOtherDomains(std::size_t rank, const FailureDomainName& own);
-    void chooseWitnesses(const NodeName& self);
+    void chooseWitnesses(const NodeName& self, const FailureDomainName& own);
 
     std::shared_ptr<const membership::MembershipView> m_view;
     bool m_reader = false;
     std::vector<const membership::NodeEntry*> m_neighbours;
-    std::vector<const membership::NodeEntry*> m_witnesses;
+    std::vector<const membership::KnownNode*> m_ownWitnesses;
+    std::vector<const membership::KnownNode*> m_otherWitnesses;
     std::vector<const membership::NodeEntry*> m_live;
     std::vector<const membership::NodeEntry*> m_dead;
 };
--- a/packages/distribution/src/Exchange.cpp
+++ b/packages/distribution/src/Exchange.cpp
@@ -11,6 +11,14 @@
         return std::chrono::milliseconds { std::uniform_int_distribution<std::int64_t>(from.count(), to.count())(random) };
     }
 
+    std::vector<NodeName> namesOf(const std::vector<const membership::KnownNode*>& nodes)
+    {
+        std::vector<NodeName> names;
+        for (const auto* it : nodes)
+            names.push_back(it->entry.name);
+        return names;
+    }
+
 }
 
 Exchange::Exchange(membership::NodeEntry self, std::vector<Endpoint> seeds, SetDigest digest, EvidencePort evidence, std::mt19937_64 random, MonotonicTime now)
@@ -117,15 +125,22 @@
     if (m_gate.confirmed() || m_joining || now < m_gateAt)
         return;
     m_gateAt = now + s_gateInterval;
-    std::vector<NodeName> names;
-    for (const auto* it : m_tree.witnesses())
-        names.push_back(it->name);
-    m_gate.update(names);
+    m_gate.update(namesOf(m_tree.ownWitnesses()), namesOf(m_tree.otherWitnesses()));
     if (m_gate.confirmed())
         return;
-    for (const auto* it : m_tree.witnesses()) {
-        if (!m_gate.heardFrom(it->name))
-            sendExchange(it->addresses.peer, it->name, commands);
+    askWitnesses(m_tree.ownWitnesses(), commands);
+    askWitnesses(m_tree.otherWitnesses(), commands);
+}
+
+void Exchange::askWitnesses(const std::vector<const membership::KnownNode*>& witnesses, Commands& commands)
+{
+    std::size_t asked = 0;
+    for (const auto* it : witnesses) {
+        if (!m_gate.lacksAnswerOf(it->entry.name))
+            continue;
+        sendExchange(it->entry.addresses.peer, it->entry.name, commands);
+        if (++asked == FloorGate::s_told)
+            return;
     }
 }
 
--- a/packages/distribution/src/ExchangeMessages.cpp
+++ b/packages/distribution/src/ExchangeMessages.cpp
@@ -67,8 +67,10 @@
         m_fetch.onEnded(false, now, m_random);
     else
         ++m_counters.exchangesFailed;
-    if (!ended.peer.empty())
+    if (!ended.peer.empty()) {
         m_members.onExchangeFailed(ended.peer, now);
+        m_gate.onFailed(ended.peer);
+    }
     settle(now, commands);
     return commands;
 }
@@ -179,9 +181,15 @@
 
 void Exchange::tellWitnesses(const Endpoint& except, Commands& commands)
 {
-    for (const auto* it : m_tree.witnesses()) {
-        if (it->addresses.peer != except)
-            commands.emplace_back(SendPush { it->addresses.peer, header() });
+    for (const auto* witnesses : { &m_tree.ownWitnesses(), &m_tree.otherWitnesses() }) {
+        std::size_t told = 0;
+        for (const auto* it : *witnesses) {
+            if (it->liveness == membership::Liveness::Dead || told == FloorGate::s_told)
+                continue;
+            ++told;
+            if (it->entry.addresses.peer != except)
+                commands.emplace_back(SendPush { it->entry.addresses.peer, header() });
+        }
     }
 }
 
--- a/packages/distribution/src/FloorGate.cpp
+++ b/packages/distribution/src/FloorGate.cpp
@@ -12,15 +12,38 @@
         m_floor = floor;
 }
 
-void FloorGate::update(const std::vector<NodeName>& witnesses)
+void FloorGate::onFailed(const NodeName& peer)
 {
-    if (m_confirmed || witnesses.empty())
+    if (!m_confirmed && m_failed.size() < s_maxHeard)
+        m_failed.insert(peer);
+}
+
+std::size_t FloorGate::answersOf(const std::vector<NodeName>& witnesses) const
+{
+    return static_cast<std::size_t>(std::count_if(witnesses.begin(), witnesses.end(), [this](const NodeName& it) { return m_heard.contains(it); }));
+}
+
+std::size_t FloorGate::failuresOf(const std::vector<NodeName>& witnesses) const
+{
+    return static_cast<std::size_t>(std::count_if(witnesses.begin(), witnesses.end(), [this](const NodeName& it) { return m_failed.contains(it) && !m_heard.contains(it); }));
+}
+
+bool FloorGate::settled(const std::vector<NodeName>& witnesses) const
+{
+    return answersOf(witnesses) > 0 || failuresOf(witnesses) == witnesses.size();
+}
+
+void FloorGate::update(const std::vector<NodeName>& own, const std::vector<NodeName>& others)
+{
+    if (m_confirmed || !settled(own) || !settled(others))
         return;
-    const auto answers = static_cast<std::size_t>(std::count_if(witnesses.begin(), witnesses.end(), [this](const NodeName& it) { return heardFrom(it); }));
-    if (answers < std::min(s_answersNeeded, witnesses.size()))
+    const std::size_t reachable = own.size() + others.size() - failuresOf(own) - failuresOf(others);
+    const std::size_t answers = answersOf(own) + answersOf(others);
+    if (answers == 0 || answers < std::min(s_answersNeeded, reachable))
         return;
     m_confirmed = true;
     m_heard.clear();
+    m_failed.clear();
 }
 
 bool FloorGate::passes(const std::optional<publication::ConfigurationStamp>& held) const
--- a/packages/distribution/src/RelayTree.cpp
+++ b/packages/distribution/src/RelayTree.cpp
@@ -18,6 +18,21 @@
         return from[std::uniform_int_distribution<std::size_t>(0, from.size() - 1)(random)];
     }
 
+    struct Scored {
+        std::uint64_t score;
+        const membership::KnownNode* node;
+    };
+
+    std::vector<const membership::KnownNode*> highest(std::vector<Scored> scored, std::size_t wanted)
+    {
+        const auto count = static_cast<std::ptrdiff_t>(std::min(wanted, scored.size()));
+        std::partial_sort(scored.begin(), scored.begin() + count, scored.end(), [](const Scored& a, const Scored& b) { return a.score > b.score; });
+        std::vector<const membership::KnownNode*> nodes;
+        for (auto it = scored.begin(); it != scored.begin() + count; ++it)
+            nodes.push_back(it->node);
+        return nodes;
+    }
+
     std::string witnessKey(const membership::MembershipView& view, const NodeName& self)
     {
         for (const auto& it : view.nodes) {
@@ -40,7 +55,7 @@
         else if (!it.entry.leaving)
             m_live.push_back(&it.entry);
     }
-    chooseWitnesses(self);
+    chooseWitnesses(self, domain);
     const auto ranked = rankedNodes(*m_view, domain);
     const auto own = std::find_if(ranked.begin(), ranked.end(), [&](const auto* it) { return it->entry.name == self; });
     if (own == ranked.end())
@@ -80,21 +95,19 @@
     }
 }
 
-void RelayTree::chooseWitnesses(const NodeName& self)
+void RelayTree::chooseWitnesses(const NodeName& self, const FailureDomainName& own)
 {
-    struct Scored {
-        std::uint64_t score;
-        const membership::NodeEntry* node;
-    };
     const std::string key = witnessKey(*m_view, self);
-    std::vector<Scored> scored;
-    scored.reserve(m_live.size());
-    for (const auto* it : m_live)
-        scored.push_back({ rendezvousScore(key, it->name.value()), it });
-    const auto count = std::min(FloorGate::s_witnesses, scored.size());
-    std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(count), scored.end(), [](const Scored& a, const Scored& b) { return a.score > b.score; });
-    for (std::size_t i = 0; i < count; ++i)
-        m_witnesses.push_back(scored[i].node);
+    std::vector<Scored> inDomain;
+    std::vector<Scored> elsewhere;
+    for (const auto& it : m_view->nodes) {
+        if (it.entry.name == self || it.entry.leaving)
+            continue;
+        auto& group = it.entry.domain == own ? inDomain : elsewhere;
+        group.push_back({ rendezvousScore(key, it.entry.name.value()), &it });
+    }
+    m_ownWitnesses = highest(std::move(inDomain), FloorGate::s_asked);
+    m_otherWitnesses = highest(std::move(elsewhere), FloorGate::s_asked);
 }
 
 const membership::NodeEntry* RelayTree::randomPeer(std::mt19937_64& random) const
--- a/packages/distribution/tests/Fleet.cpp
+++ b/packages/distribution/tests/Fleet.cpp
@@ -97,7 +97,7 @@
     auto changed = version->set.routes.begin();
     std::advance(changed, static_cast<std::ptrdiff_t>(offset % version->set.routes.size()));
     changed->second.changedAt = offset;
-    version->stamp = { offset, publication::digestOfSet(version->set) };
+    version->stamp = { offset, digestOf(version->set) };
     return version;
 }
 
@@ -122,7 +122,10 @@
     for (std::size_t i = 0; i < std::min(seeds, m_nodes.size()); ++i)
         seedEndpoints.push_back(m_nodes[i].entry.addresses.peer);
     auto port = evidencePortOf<std::uint64_t>(*it.evidence, [store = it.evidence](const auto& update) { store->merge(update); });
-    it.exchange = std::make_unique<Exchange>(it.entry, seedEndpoints, publication::digestOfSet, std::move(port), std::mt19937_64(m_random()), m_now);
+    it.exchange = std::make_unique<Exchange>(
+        it.entry, seedEndpoints, [this](const auto& set) { return digestOf(set); }, std::move(port), std::mt19937_64(m_random()), m_now);
+    if (m_options.withoutFloor)
+        execute(node, it.exchange->onLogEnd(m_now));
     const auto phase = std::uniform_int_distribution<std::int64_t>(0, 100'000)(m_random);
     tickLater(node, it.life, std::chrono::microseconds { phase });
 }
@@ -133,6 +136,27 @@
         start(i);
 }
 
+PeerMessage Fleet::carried(const PeerMessage& message)
+{
+    PeerMessage copy = message;
+    if (!copy.delta || copy.delta->routes.empty() || !chance(m_options.damagedDeltas))
+        return copy;
+    auto damaged = std::make_shared<Delta>(*copy.delta);
+    damaged->routes.pop_back();
+    copy.delta = std::move(damaged);
+    return copy;
+}
+
+Digest Fleet::digestOf(const publication::ConfigurationSet& set) const
+{
+    return m_options.withoutDigests ? Digest {} : publication::digestOfSet(set);
+}
+
+std::size_t Fleet::runningNodes() const
+{
+    return static_cast<std::size_t>(std::count_if(m_nodes.begin(), m_nodes.end(), [](const Node& it) { return it.exchange != nullptr; }));
+}
+
 void Fleet::kill(std::size_t node)
 {
     Node& it = m_nodes[node];
@@ -188,7 +212,7 @@
     return true;
 }
 
-bool Fleet::allKnow(std::size_t live)
+bool Fleet::allKnow(std::size_t live) const
 {
     return std::all_of(m_nodes.begin(), m_nodes.end(), [live](const Node& it) { return !it.exchange || it.exchange->members().livePeers() + 1 == live; });
 }
@@ -290,10 +314,10 @@
 {
     at(asked, m_nodes[asked].life, delay(), [this, asked, asking, askingLife, it](Exchange& exchange) {
         Commands commands;
-        PeerMessage reply = exchange.onExchange(it.message, m_now, commands);
+        const PeerMessage reply = exchange.onExchange(it.message, m_now, commands);
         count(asked, m_options.sizeOf ? m_options.sizeOf(reply) : 0);
         if (reachable(asked, asking) && !chance(m_options.loss))
-            at(asking, askingLife, delay(), [this, id = it.id, reply = std::move(reply)](Exchange& back) { return back.onReply(id, reply, m_now); });
+            at(asking, askingLife, delay(), [this, id = it.id, reply = carried(reply)](Exchange& back) { return back.onReply(id, reply, m_now); });
         return commands;
     });
 }
@@ -305,7 +329,7 @@
     const int copies = chance(m_options.duplicates) ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
         if (reachable(node, to) && !chance(m_options.loss))
-            at(to, m_nodes[to].life, delay(), [this, message = it.message](Exchange& exchange) { return exchange.onPush(message, m_now); });
+            at(to, m_nodes[to].life, delay(), [this, message = carried(it.message)](Exchange& exchange) { return exchange.onPush(message, m_now); });
     }
 }
 
--- a/packages/distribution/tests/Fleet.h
+++ b/packages/distribution/tests/Fleet.h
@@ -29,6 +29,12 @@
     /// Bytes of a message; not counted where empty.
     std::function<std::size_t(const PeerMessage&)> sizeOf;
     std::function<std::size_t(const WholeState&)> sizeOfWhole;
+    /// Part of the deltas that lose an entry on the way.
+    double damagedDeltas = 0;
+    /// Variants that lack a safety mechanism, to show that the checks see it: the floor is taken as known at once;
+    /// every set has the same digest.
+    bool withoutFloor = false;
+    bool withoutDigests = false;
     /// Whether the time within the decision objects is taken.
     bool measureCpu = false;
 };
@@ -56,6 +62,7 @@
     /// Cuts a failure domain off from all others, and from the log where that is wanted.
     void cut(std::size_t domain, bool logToo);
     void heal() { m_cut.clear(); }
+    void healLog() { m_logCut.clear(); }
     void cutLog(std::size_t domain) { m_logCut.insert(domain); }
 
     std::size_t size() const { return m_nodes.size(); }
@@ -67,7 +74,9 @@
     publication::ConfigurationPointer serving(std::size_t node) const;
     /// \returns whether every running node serves with the offset.
     bool allServe(publication::Offset) const;
-    bool allKnow(std::size_t live);
+    /// \returns whether every running node knows so many live nodes, itself included.
+    bool allKnow(std::size_t live) const;
+    std::size_t runningNodes() const;
     MonotonicTime now() const { return m_now; }
     /// Executes commands that a test got from a node.
     void execute(std::size_t node, Commands);
@@ -122,6 +131,8 @@
     bool reachable(std::size_t a, std::size_t b) const;
     bool logReachable(std::size_t node) const;
     std::size_t indexOf(const Endpoint&) const;
+    PeerMessage carried(const PeerMessage&);
+    Digest digestOf(const publication::ConfigurationSet&) const;
     publication::ConfigurationPointer makeVersion(publication::Offset) const;
 
     FleetOptions m_options;
--- a/packages/distribution/tests/FleetTests.cpp
+++ b/packages/distribution/tests/FleetTests.cpp
@@ -149,22 +149,81 @@
     requireNoViolation(*fleet);
 }
 
+namespace {
+
+    /// Node 0 held a version that the nodes of a cut domain lack, and comes back empty among them while the log is down.
+    std::unique_ptr<Fleet> returnAmongStalePeers(std::uint64_t seed, bool withoutFloor)
+    {
+        FleetOptions options;
+        options.nodes = 12;
+        options.seed = seed;
+        options.withoutFloor = withoutFloor;
+        auto fleet = settledFleet(options);
+        fleet->cut(1, true);
+        fleet->publish();
+        fleet->run(seconds { 30 });
+        fleet->kill(0);
+        fleet->setLogUp(false);
+        fleet->heal();
+        fleet->start(0);
+        fleet->run(seconds { 30 });
+        return fleet;
+    }
+
+    constexpr std::uint64_t floorSeeds = 30;
+
+}
+
 BOOST_AUTO_TEST_CASE(A_node_that_comes_back_empty_serves_nothing_below_its_floor)
 {
-    FleetOptions options;
-    options.nodes = 12;
-    const auto fleet = settledFleet(options);
-    // Nodes 1 and 4 and the others of their domain are left behind at version 0.
-    fleet->cut(1, true);
-    const auto offset = fleet->publish();
-    fleet->run(seconds { 30 });
-    fleet->kill(0);
-    fleet->setLogUp(false);
-    fleet->heal();
-    fleet->start(0);
-    BOOST_TEST(fleet->runUntil([&] { return fleet->serving(0) != nullptr; }, seconds { 30 }).has_value());
-    BOOST_TEST(fleet->serving(0)->stamp.offset == offset);
+    for (std::uint64_t seed = 1; seed <= floorSeeds; ++seed) {
+        const auto fleet = returnAmongStalePeers(seed, false);
+        requireNoViolation(*fleet);
+        BOOST_REQUIRE(fleet->serving(0));
+        BOOST_TEST(fleet->serving(0)->stamp.offset == 1U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(Without_the_floor_a_node_that_comes_back_empty_is_seen_to_go_back)
+{
+    std::size_t seen = 0;
+    for (std::uint64_t seed = 1; seed <= floorSeeds; ++seed)
+        seen += returnAmongStalePeers(seed, true)->violations().empty() ? 0 : 1;
+    BOOST_TEST(seen > 0U);
+}
+
+namespace {
+
+    std::unique_ptr<Fleet> changeOverDamagedLinks(bool withoutDigests)
+    {
+        FleetOptions options;
+        options.nodes = 30;
+        options.damagedDeltas = 0.3;
+        options.withoutDigests = withoutDigests;
+        auto fleet = settledFleet(options);
+        for (int i = 0; i < 5; ++i) {
+            fleet->publish();
+            fleet->run(seconds { 5 });
+        }
+        return fleet;
+    }
+
+}
+
+BOOST_AUTO_TEST_CASE(A_damaged_delta_is_refused_and_the_whole_set_is_fetched)
+{
+    const auto fleet = changeOverDamagedLinks(false);
     requireNoViolation(*fleet);
+    BOOST_TEST(fleet->allServe(5));
+    std::uint64_t mismatches = 0;
+    for (std::size_t i = 0; i < fleet->size(); ++i)
+        mismatches += fleet->exchange(i).counters().digestMismatches;
+    BOOST_TEST(mismatches > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(Without_digests_a_damaged_delta_is_seen_in_force)
+{
+    BOOST_TEST(!changeOverDamagedLinks(true)->violations().empty());
 }
 
 BOOST_AUTO_TEST_CASE(A_paused_node_accuses_nobody_and_catches_up)
