Moves: the serving version's past stands in where it has few calls beside

Change: the rate beside is mixed with the usual one at the weight of three calls; doubt at the end asks for a large excess, and its chance is the member's setting.

--- a/packages/moves/include/carobpath/moves/Comparison.h
+++ b/packages/moves/include/carobpath/moves/Comparison.h
@@ -33,8 +33,10 @@
 /// window alone never shows it.
 bool isSuspectAgain(const RouteEvidence&, Badness, std::size_t slowClass, std::uint32_t window);
 
-/// \returns whether the new version is bad more often than the serving one by more than chance explains.
+/// \returns whether the new version is bad more often than chance explains.
+/// \param usual the serving version up to now; with few calls beside, it stands in for them
+/// \param beside the serving version in the same windows as the new one
 /// \param chance probability below which an excess is not held to be chance
-bool isWorse(const Frequency& from, const Frequency& to, Badness, double chance);
+bool isWorse(const Frequency& usual, const Frequency& beside, const Frequency& to, Badness, double chance);
 
 }
--- a/packages/moves/src/Comparison.cpp
+++ b/packages/moves/src/Comparison.cpp
@@ -20,9 +20,11 @@
     constexpr std::uint64_t leastEvents = 3;
 
     constexpr std::uint64_t leastSuspectEvents = 5;
+    /// Weight of what the serving version did up to now, in calls.
+    constexpr double priorCalls = 3;
     constexpr std::uint64_t fewestControlCalls = 5;
     constexpr double suspectChance = 1e-4;
-    constexpr double leastFailedRate = 0.002;
+    constexpr double leastFailedRate = 0.005;
     constexpr double slowRate = 0.1;
     /// Part of the new version's rate that the serving one has to show for the cause to be held as shared.
     constexpr double sharedPart = 0.33;
@@ -122,7 +124,7 @@
     if (to.events < leastSuspectEvents)
         return false;
     const auto usual = frequencyOf(evidence.sum(0, window + 1).from, badness, slowClass);
-    if (!isWorse(usual, to, badness, suspectChance))
+    if (!isWorse(usual, {}, to, badness, suspectChance))
         return false;
     const bool isShared = from.events >= leastEvents && from.rate() >= sharedPart * to.rate();
     return !isShared;
@@ -135,7 +137,7 @@
     for (std::uint32_t w = 0; w <= window; ++w) {
         const auto& planned = evidence.window(MovePlan::evidenceWindow(w, false));
         const auto to = frequencyOf(planned.to, badness, slowClass);
-        if (to.events < leastSuspectEvents || !isWorse(usual, to, badness, suspectChance))
+        if (to.events < leastSuspectEvents || !isWorse(usual, {}, to, badness, suspectChance))
             continue;
         const auto beside = frequencyOf(planned.from, badness, slowClass);
         const auto after = cautiousControl(evidence, badness, slowClass, w);
@@ -146,16 +148,17 @@
     return n >= 2;
 }
 
-bool isWorse(const Frequency& from, const Frequency& to, Badness badness, double chance)
+bool isWorse(const Frequency& usual, const Frequency& beside, const Frequency& to, Badness badness, double chance)
 {
     const auto floor = badness == Badness::Failed ? leastFailedRate : slowRate;
-    const auto usual = std::clamp(from.rate(), floor, 1.0);
-    if (to.events == 0 || to.rate() < usual + leastExcess(badness))
+    const auto before = std::clamp(usual.rate(), floor, 1.0);
+    const auto calls = static_cast<double>(beside.calls) + priorCalls;
+    const auto expected = (static_cast<double>(beside.events) + before * priorCalls) / calls;
+    if (to.events == 0 || to.rate() < expected + leastExcess(badness))
         return false;
-    // The serving version's rate is an estimate too: its standard deviation goes to the new version's favour.
-    const auto deviation = std::sqrt(usual * (1 - usual) / std::max(1.0, static_cast<double>(from.calls)));
-    const auto favoured = std::min(1.0, usual + (from.events > 0 ? deviation : 0));
-    return probabilityOfAtLeast(to.events, to.calls, favoured) < chance;
+    // The rate beside is an estimate too: its standard deviation goes to the new version's favour.
+    const auto deviation = beside.events > 0 ? std::sqrt(expected * (1 - expected) / calls) : 0;
+    return probabilityOfAtLeast(to.events, to.calls, std::min(1.0, expected + deviation)) < chance;
 }
 
 }
--- a/packages/moves/src/MoveJudge.cpp
+++ b/packages/moves/src/MoveJudge.cpp
@@ -16,11 +16,8 @@
 
     constexpr std::array<Badness, 2> allBadness { Badness::Failed, Badness::Slow };
     constexpr std::uint64_t mostCallsNeeded = 30;
-    /// Chance of doubting a version that is no worse: at a raise, which waits for a while, and at the end.
-    constexpr double raiseChance = 0.01;
-    constexpr double verdictChance = 0.0003;
-    /// Value of \c logEvidence above which a move is not done.
-    constexpr double doubtEvidence = 5;
+    /// Chance of doubting a version that is no worse: at a raise, which then waits.
+    constexpr double raiseChance = 0.002;
 
     /// How much evidence a member asks for.
     struct EvidenceNeed {
@@ -30,10 +27,14 @@
         double exposureFactor = 0;
         /// Calls on each route at the last stage without which a move is not held as proved.
         std::uint64_t fewestLastCalls = 0;
+        /// Value of \c logEvidence above which a move is not done.
+        double doubtEvidence = 0;
+        /// Chance of doubting a version that is no worse at the end.
+        double verdictChance = 0;
     };
 
-    constexpr EvidenceNeed needToFinish { 3, 4, 3 };
-    constexpr EvidenceNeed needToTakeBack { 2, 3, 8 };
+    constexpr EvidenceNeed needToFinish { 3, 4, 3, 7, 0.0001 };
+    constexpr EvidenceNeed needToTakeBack { 2, 3, 8, 6, 0.0002 };
 
     const EvidenceNeed& needOf(ThinEvidencePolicy policy)
     {
@@ -115,12 +116,14 @@
     it.calls = evidence.sum(progress.entered, endWindow).to.answered();
     it.callsNeeded = callsNeeded(calls / std::max(1U, endWindow), progress.stage);
     const bool isLast = progress.stage == m_plan.lastStage();
-    const auto chance = isLast ? verdictChance : raiseChance;
+    const auto& need = needOf(m_entry.move.onThinEvidence);
+    const auto chance = isLast ? need.verdictChance : raiseChance;
     for (const auto badness : allBadness) {
         const auto slowClass = evidence.slowClass();
-        if (isLast && logEvidence(evidence, badness, slowClass, endWindow) >= doubtEvidence)
+        const bool isExcessive = isExcessLarge(evidence, badness, slowClass, std::max(1U, endWindow) - 1);
+        if (isLast && isExcessive && logEvidence(evidence, badness, slowClass, endWindow) >= need.doubtEvidence)
             it.wait = WaitReason::Doubt;
-        if (isWorse(frequencyOf(fresh.from, badness, slowClass), frequencyOf(fresh.to, badness, slowClass), badness, chance))
+        if (isWorse(frequencyOf(all.from, badness, slowClass), frequencyOf(fresh.from, badness, slowClass), frequencyOf(fresh.to, badness, slowClass), badness, chance))
             it.wait = WaitReason::Doubt;
     }
     if (it.wait == WaitReason::None && fresh.to.refused >= fewestRefused && refusedPart(fresh.to) > refusedPart(fresh.from) + refusedExcess)
