Date checkpoints, and take over the date of the one a fold started from

Cause: in a run of six nodes, five checkpoints were appended within 3 s of the first record. Each was read back as 56 years old, since the daemon left its date at zero, so every reader found one due at once. Ruled out: parted views at start; the readers had folded the others' checkpoints.

--- a/packages/foundation/include/carobpath/foundation/EventNames.h
+++ b/packages/foundation/include/carobpath/foundation/EventNames.h
@@ -43,7 +43,7 @@
     inline constexpr EventName connectionSuspected { "connection-suspected" };
 
     inline constexpr EventName moveStarted { "move-started" };
-    inline constexpr EventName moveShareRaised { "move-share-raised" };
+    inline constexpr EventName moveShareChanged { "move-share-changed" };
     inline constexpr EventName moveTakenBack { "move-taken-back" };
     inline constexpr EventName moveDone { "move-done" };
     inline constexpr EventName moveWithdrawn { "move-withdrawn" };
--- a/packages/node/src/internal/CheckpointDriver.cpp
+++ b/packages/node/src/internal/CheckpointDriver.cpp
@@ -44,6 +44,11 @@
 {
 }
 
+void CheckpointDriver::onRecovered(const publication::CheckpointMatched& start)
+{
+    m_checkpointing.onRecovered(start.next, start.writtenAt);
+}
+
 void CheckpointDriver::onStep(const publication::FoldStep& step)
 {
     m_checkpointing.onRecord(step.offset, step.outcome);
@@ -61,6 +66,7 @@
     record.id = publication::RecordId { m_context.settings.name.value() + ".checkpoints", m_context.incarnation, ++m_sequence };
     record.writer = m_context.settings.name;
     record.state = *follower.foldState();
+    record.writtenAt = NodeContext::now().wall;
     const auto next = record.state.next;
     auto bytes = publication::encodeRecord(publication::sign(std::move(record), m_fleetKey));
     m_log.append(m_context.settings.log.stream, std::move(bytes), [this, next](const publication::AppendResult& result) {
--- a/packages/node/src/internal/CheckpointDriver.h
+++ b/packages/node/src/internal/CheckpointDriver.h
@@ -13,6 +13,9 @@
 public:
     CheckpointDriver(NodeContext&, publication::HttpLogClient&, const publication::KeyPair& fleetKey);
 
+    /// To be called where the fold was started from a checkpoint.
+    void onRecovered(const publication::CheckpointMatched&);
+
     /// To be called for each folded record.
     void onStep(const publication::FoldStep&);
 
--- a/packages/node/src/internal/LogReader.h
+++ b/packages/node/src/internal/LogReader.h
@@ -18,6 +18,8 @@
 /// What a reader of the log reports. All are called on the context's thread.
 struct LogReaderHooks {
     std::function<void(const publication::FoldStep&)> onStep;
+    /// The fold was started from a checkpoint.
+    std::function<void(const publication::CheckpointMatched&)> onStart;
     /// Everything that the log had was folded; the set in force may be nullptr.
     std::function<void(const publication::ConfigurationPointer&)> onEnd;
     /// The log answers again, or answers no more.
@@ -94,7 +96,10 @@
 
     void onBatch(const publication::LogBatch& batch)
     {
-        for (const auto& step : m_follower.onBatch(batch))
+        const auto steps = m_follower.onBatch(batch);
+        if (const auto start = m_follower.takeStart())
+            m_hooks.onStart(*start);
+        for (const auto& step : steps)
             m_hooks.onStep(step);
         if (m_follower.caughtUp())
             m_hooks.onEnd(m_follower.current());
--- a/packages/node/src/internal/MoveDriver.cpp
+++ b/packages/node/src/internal/MoveDriver.cpp
@@ -108,7 +108,7 @@
 
 void MoveDriver::perform(const moves::ShareChanged& command)
 {
-    m_context.events.record(Event(event::moveShareRaised)
+    m_context.events.record(Event(event::moveShareChanged)
                                 .with("move", command.move)
                                 .with("service", command.service)
                                 .with("share", command.share.nextShare));
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -205,6 +205,7 @@
 {
     LogReaderHooks hooks;
     hooks.onStep = [this](const publication::FoldStep& step) { onStep(step); };
+    hooks.onStart = [this](const publication::CheckpointMatched& start) { m_checkpoints->onRecovered(start); };
     hooks.onEnd = [this](const publication::ConfigurationPointer& configuration) {
         if (configuration)
             m_peers->publishConfiguration(configuration);
