Routing: a caller short of time brings no upstream into doubt

An attempt that ended with a caller's own timeout of a few milliseconds counted as a silent upstream: three of them ejected it, and the node was reported to the membership.

--- a/packages/routing/src/AttemptClass.cpp
+++ b/packages/routing/src/AttemptClass.cpp
@@ -37,6 +37,8 @@
         return result.status >= firstServerError ? AttemptSign::ServerError : AttemptSign::Answered;
     if (result.reason == RefusalReason::Cancelled)
         return AttemptSign::Abandoned;
+    if (result.reason == RefusalReason::UpstreamTimeout && result.latency < silenceTime)
+        return AttemptSign::Abandoned;
     if (result.outcome == Outcome::Unknown)
         return AttemptSign::Lost;
     return signOfRefusal(reasonOf(result));
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -13,8 +13,6 @@
     constexpr int attemptDivisor = 2;
     /// It gets this multiple of the mean latency at least, so that a slow call is not cut short by that.
     constexpr int latencyFactor = 10;
-    /// An attempt that was cut by the call's deadline sooner than this says nothing about its upstream.
-    constexpr std::chrono::milliseconds silenceTime { 250 };
     constexpr std::chrono::milliseconds duplicateRetryAfter { 500 };
 
     RefusalReason reasonOf(RouteMiss miss)
--- a/packages/routing/tests/CallDecisionTests.cpp
+++ b/packages/routing/tests/CallDecisionTests.cpp
@@ -356,6 +356,25 @@
     BOOST_TEST(fixture.router.takeObservations().size() <= 256U);
 }
 
+BOOST_AUTO_TEST_CASE(A_caller_that_is_short_of_time_brings_no_upstream_into_doubt)
+{
+    for (const auto time : { 20ms, 1000ms }) {
+        EntryFixture fixture { { makeNode("n1", "v1") } };
+        std::shared_ptr<CallDecision> call;
+        for (int i = 0; i < 10; ++i) {
+            auto request = makeCall("POST", "/bookings");
+            request.callerTimeout = time;
+            startOf(fixture, call, request);
+            auto timedOut = ended(Outcome::Unknown, RefusalReason::UpstreamTimeout);
+            timedOut.latency = time;
+            call->onAttemptFinished(timedOut, fixture.now + time);
+        }
+        BOOST_TEST(fixture.router.takeObservations().empty() == (time == 20ms));
+        const auto command = startOf(fixture, call, makeCall("POST", "/bookings"));
+        BOOST_TEST(std::get<SendAttempt>(command).freshConnection == (time != 20ms));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
