--- a/bench/routing/decision_cost_bench.cpp
+++ b/bench/routing/decision_cost_bench.cpp
@@ -4,6 +4,7 @@
 #include "carobpath/routing/AdmissionController.h"
 #include "carobpath/routing/CrashQuarantine.h"
 #include "carobpath/routing/EntryRouter.h"
+#include "carobpath/routing/UpstreamPicker.h"
 
 #include <array>
 #include <chrono>
@@ -89,6 +90,20 @@
         });
     }
 
+    /// Each call meets a view that is due.
+    double viewMicroseconds(EntryRouter& router, std::size_t nodes, MonotonicTime now)
+    {
+        const std::array views { makeView(nodes, 1), makeView(nodes, 2) };
+        CallRequest request;
+        request.host = serviceName(0).value();
+        request.path = "/";
+        return microsecondsEach(200, [&](int i) {
+            router.setMembership(views[static_cast<std::size_t>(i) % views.size()]);
+            const auto at = now + i * UpstreamPicker::s_viewInterval;
+            router.begin(request, at)->start(at);
+        });
+    }
+
     double admissionMicroseconds(MonotonicTime now)
     {
         AdmissionController controller;
@@ -112,12 +127,10 @@
             router.setOwnNode(NodeName { "node-0" }, FailureDomainName { "domain-0" });
             router.setConfiguration(makeConfiguration());
             router.setReady(true);
-            const std::array views { makeView(nodes, 1), makeView(nodes, 2) };
-            const double view = microsecondsEach(
-                200, [&](int i) { router.setMembership(views[static_cast<std::size_t>(i) % views.size()]); });
+            const double view = viewMicroseconds(router, nodes, now);
             const double configuration = microsecondsEach(200, [&](int) { router.setConfiguration(makeConfiguration()); });
             report.add({ { "nodes", nodes }, { "new view", view }, { "new config", configuration },
-                { "entry call", entryMicroseconds(router, now) }, { "admitted call", admissionMicroseconds(now) } });
+                { "entry call", entryMicroseconds(router, now + 1h) }, { "admitted call", admissionMicroseconds(now) } });
         }
         return report;
     }
--- a/packages/routing/include/carobpath/routing/UpstreamPicker.h
+++ b/packages/routing/include/carobpath/routing/UpstreamPicker.h
@@ -43,6 +43,8 @@
     static constexpr double s_coldShare = 0.125;
     /// An upstream in another failure domain must be better by this factor.
     static constexpr double s_otherDomainFactor = 2;
+    /// Shortest time between two views that are taken up.
+    static constexpr std::chrono::milliseconds s_viewInterval { 200 };
     /// Latency assumed before any call was answered.
     static constexpr double s_initialLatencySeconds = 0.005;
 
@@ -52,7 +54,8 @@
     UpstreamPicker& operator=(const UpstreamPicker&) = delete;
 
     void setOwnNode(NodeName, FailureDomainName);
-    /// Statistics of nodes that the view lacks are forgotten.
+    /// Taken up by the next pick, within \c s_viewInterval: in a large fleet views follow each other faster than it pays
+    /// to sort them. Statistics of nodes that the view lacks are forgotten.
     void setView(std::shared_ptr<const membership::MembershipView>);
 
     std::optional<UpstreamChoice> pick(
@@ -89,6 +92,8 @@
         Pool ejected;
     };
 
+    void takeUpView(MonotonicTime now);
+    void keepStatistics(const membership::MembershipView&);
     void addCandidate(const membership::KnownNode&);
     Pools poolsOf(const Candidates&, const PickConstraints&, MonotonicTime now) const;
     const Pool* choosePool(const Pools&, const PickConstraints&);
@@ -100,7 +105,9 @@
     std::mt19937_64 m_random;
     NodeName m_ownNode;
     FailureDomainName m_ownDomain;
-    std::shared_ptr<const membership::MembershipView> m_view;
+    /// A view that was not taken up yet.
+    std::shared_ptr<const membership::MembershipView> m_newView;
+    std::optional<MonotonicTime> m_viewTakenAt;
     std::unordered_map<NodeName, UpstreamStatistics> m_statistics;
     std::map<std::pair<ServiceName, VersionName>, Candidates> m_candidates;
     double m_meanSeconds = 0;
--- a/packages/routing/src/UpstreamPicker.cpp
+++ b/packages/routing/src/UpstreamPicker.cpp
@@ -1,6 +1,7 @@
 #include "carobpath/routing/UpstreamPicker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace carobpath::routing {
 
@@ -44,12 +45,24 @@
     m_ownDomain = std::move(domain);
 }
 
-void UpstreamPicker::setView(std::shared_ptr<const membership::MembershipView> view)
+void UpstreamPicker::setView(std::shared_ptr<const membership::MembershipView> view) { m_newView = std::move(view); }
+
+void UpstreamPicker::takeUpView(MonotonicTime now)
 {
-    m_view = std::move(view);
+    if (!m_newView || (m_viewTakenAt && now - *m_viewTakenAt < s_viewInterval))
+        return;
+    m_viewTakenAt = now;
+    const auto view = std::exchange(m_newView, nullptr);
     m_candidates.clear();
+    keepStatistics(*view);
+    for (const auto& known : view->nodes)
+        addCandidate(known);
+}
+
+void UpstreamPicker::keepStatistics(const membership::MembershipView& view)
+{
     std::unordered_map<NodeName, UpstreamStatistics> kept;
-    for (const auto& known : m_view->nodes) {
+    for (const auto& known : view.nodes) {
         const auto old = m_statistics.extract(known.entry.name);
         auto& statistics = kept[known.entry.name];
         if (old)
@@ -57,8 +70,6 @@
         statistics.onRevision(known.entry.revision);
     }
     m_statistics = std::move(kept);
-    for (const auto& known : m_view->nodes)
-        addCandidate(known);
 }
 
 void UpstreamPicker::addCandidate(const membership::KnownNode& known)
@@ -81,6 +92,7 @@
 std::optional<UpstreamChoice> UpstreamPicker::pick(
     const ServiceName& service, const VersionName& version, const PickConstraints& constraints, MonotonicTime now)
 {
+    takeUpView(now);
     const auto found = m_candidates.find({ service, version });
     if (found == m_candidates.end())
         return std::nullopt;
--- a/packages/routing/tests/CallDecisionTests.cpp
+++ b/packages/routing/tests/CallDecisionTests.cpp
@@ -1,5 +1,7 @@
 #include "EntryFixture.h"
 
+#include "carobpath/routing/UpstreamPicker.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include <set>
@@ -326,6 +328,7 @@
     BOOST_TEST(std::get<SendAttempt>(second).version.value() == "v1");
 
     fixture.router.setMembership(makeView({ makeNode("old", "v1") }));
+    fixture.now += UpstreamPicker::s_viewInterval;
     const auto alone = startOf(fixture, call, makeCall("POST", "/bookings"));
     BOOST_TEST(std::get<SendAttempt>(alone).version.value() == "v1");
 }
--- a/packages/routing/tests/UpstreamPickerTests.cpp
+++ b/packages/routing/tests/UpstreamPickerTests.cpp
@@ -21,6 +21,8 @@
         {
             picker.setOwnNode(NodeName { "entry" }, FailureDomainName { "amman-a" });
             picker.setView(makeView(std::move(nodes)));
+            // The first pick takes up the view.
+            pick();
         }
         std::optional<UpstreamChoice> pick(const PickConstraints& constraints = {})
         {
@@ -190,9 +192,22 @@
     auto again = makeNode("leaving", "v1");
     ++again.entry.revision.sequence;
     fixture.picker.setView(makeView({ again }));
+    fixture.now += UpstreamPicker::s_viewInterval;
     BOOST_TEST(fixture.pick().has_value());
 }
 
+BOOST_AUTO_TEST_CASE(Views_that_follow_each_other_fast_are_taken_up_within_a_bound)
+{
+    PickerFixture fixture { { makeNode("old", "v1") } };
+    BOOST_TEST(fixture.pick()->node.value() == "old");
+    fixture.picker.setView(makeView({ makeNode("skipped", "v1") }));
+    fixture.now += 1ms;
+    BOOST_TEST(fixture.pick()->node.value() == "old");
+    fixture.picker.setView(makeView({ makeNode("new", "v1") }));
+    fixture.now += UpstreamPicker::s_viewInterval;
+    BOOST_TEST(fixture.pick()->node.value() == "new");
+}
+
 BOOST_AUTO_TEST_CASE(A_node_that_came_back_starts_without_its_old_failures)
 {
     PickerFixture fixture { { makeNode("back", "v1") } };
@@ -201,6 +216,7 @@
     auto again = makeNode("back", "v1");
     again.entry.revision = { Incarnation { 2 }, 1 };
     fixture.picker.setView(makeView({ again }));
+    fixture.now += UpstreamPicker::s_viewInterval;
     BOOST_TEST(fixture.pick().has_value());
 }
 
