Moves: few good calls beside no longer condemn the new version

Change: the rate beside can only excuse. One shared event beside is enough to excuse a suspect window.

--- a/packages/moves/src/Comparison.cpp
+++ b/packages/moves/src/Comparison.cpp
@@ -141,7 +141,7 @@
             continue;
         const auto beside = frequencyOf(planned.from, badness, slowClass);
         const auto after = cautiousControl(evidence, badness, slowClass, w);
-        const bool isShared = beside.events >= leastEvents && beside.rate() >= sharedPart * to.rate();
+        const bool isShared = beside.events > 0 && beside.rate() >= sharedPart * to.rate();
         if (!isShared && after.calls >= fewestControlCalls && after.rate() < sharedPart * to.rate())
             ++n;
     }
@@ -153,7 +153,8 @@
     const auto floor = badness == Badness::Failed ? leastFailedRate : slowRate;
     const auto before = std::clamp(usual.rate(), floor, 1.0);
     const auto calls = static_cast<double>(beside.calls) + priorCalls;
-    const auto expected = (static_cast<double>(beside.events) + before * priorCalls) / calls;
+    // What happened beside can excuse the new version; few good calls beside cannot condemn it.
+    const auto expected = std::max(before, (static_cast<double>(beside.events) + before * priorCalls) / calls);
     if (to.events == 0 || to.rate() < expected + leastExcess(badness))
         return false;
     // The rate beside is an estimate too: its standard deviation goes to the new version's favour.
--- a/packages/moves/src/MoveJudge.cpp
+++ b/packages/moves/src/MoveJudge.cpp
@@ -34,7 +34,7 @@
     };
 
     constexpr EvidenceNeed needToFinish { 3, 4, 3, 7, 0.0001 };
-    constexpr EvidenceNeed needToTakeBack { 2, 3, 8, 6, 0.0002 };
+    constexpr EvidenceNeed needToTakeBack { 3, 3, 8, 6, 0.0002 };
 
     const EvidenceNeed& needOf(ThinEvidencePolicy policy)
     {
