Make views at most twice a second where nothing drains

Cause: with many entries changing, each node made its view and relay tree up to 20 times a second, at a cost that grows with the fleet.

Change: 500 ms between views; 50 ms where a node drains or leaves; at once after a whole state, since a role or a witness chosen among the few nodes known before is wrong.

--- a/packages/distribution/include/carobpath/distribution/Exchange.h
+++ b/packages/distribution/include/carobpath/distribution/Exchange.h
@@ -82,8 +82,9 @@
     /// Time between two comparisons with a random peer; drawn within a fifth around it.
     static constexpr std::chrono::milliseconds s_exchangeInterval { 1000 };
     static constexpr std::chrono::milliseconds s_membershipInterval { 500 };
-    /// Shortest time between two views.
-    static constexpr std::chrono::milliseconds s_viewInterval { 50 };
+    /// Shortest time between two views, and the same where a node drains or leaves. Making one costs with the fleet.
+    static constexpr std::chrono::milliseconds s_viewInterval { 500 };
+    static constexpr std::chrono::milliseconds s_urgentViewInterval { 50 };
     /// Time that a starting node looks for peers before it reads the log.
     static constexpr std::chrono::milliseconds s_loneStart { 3000 };
     /// A longer time between two ticks means that the process was paused.
@@ -183,6 +184,7 @@
     void adopted(Adoption, const publication::ConfigurationPointer& before, const Endpoint& source, MonotonicTime now, Commands&);
     bool comparisonDue(const PeerMessage& request, MonotonicTime now);
     bool holdsNewerThan(const std::optional<publication::ConfigurationStamp>&) const;
+    bool viewDue(MonotonicTime now) const;
     void settle(MonotonicTime now, Commands&);
 
     std::vector<Endpoint> m_seeds;
@@ -209,6 +211,7 @@
     ExchangeId m_lastId = 0;
     std::map<ExchangeId, Outstanding> m_outstanding;
     bool m_joining = true;
+    bool m_isViewUrgent = false;
     bool m_heardPeer = false;
     /// A peer was heard that has joined itself, so the log need not be read to start.
     bool m_heardSettled = false;
--- a/packages/distribution/src/Exchange.cpp
+++ b/packages/distribution/src/Exchange.cpp
@@ -168,12 +168,20 @@
     commands.emplace_back(ReadLog { reading });
 }
 
+bool Exchange::viewDue(MonotonicTime now) const
+{
+    if (!m_view || m_view->nodes.size() <= 1)
+        return true;
+    return now - m_viewAt >= (m_isViewUrgent ? s_urgentViewInterval : s_viewInterval);
+}
+
 void Exchange::settle(MonotonicTime now, Commands& commands)
 {
-    if (!m_view || now - m_viewAt >= s_viewInterval) {
+    if (viewDue(now)) {
         auto view = m_members.view();
         if (view != m_view) {
             m_viewAt = now;
+            m_isViewUrgent = false;
             m_view = std::move(view);
             m_tree = RelayTree(m_view, m_members.self().name, m_members.self().domain);
             commands.emplace_back(PublishView { m_view });
@@ -229,6 +237,7 @@
 
 void Exchange::pushSelf(Commands& commands)
 {
+    m_isViewUrgent = true;
     PushNews news;
     news.records.push_back(*m_members.find(m_members.self().name));
     push(news, Endpoint {}, commands);
--- a/packages/distribution/src/ExchangeMessages.cpp
+++ b/packages/distribution/src/ExchangeMessages.cpp
@@ -92,6 +92,8 @@
         return commands;
     ++m_counters.wholeFetched;
     m_joining = false;
+    // Roles and witnesses must not be chosen among the few nodes known before.
+    m_viewAt = now - s_viewInterval;
     membership::MembershipUpdate update;
     update.records = state.records;
     m_members.merge(update, now);
@@ -123,6 +125,7 @@
     const auto merged = m_members.merge(message.membership, now);
     PushNews news;
     news.records = merged.urgent;
+    m_isViewUrgent = m_isViewUrgent || !merged.urgent.empty();
     push(news, message.sender, commands);
     pushNotices(m_evidence.merge(message.evidence), message.sender, commands);
     const bool hadDelta = message.delta != nullptr;
