Resume a download that was cut short from another upstream of its version

Cause: a download whose backend server or node dies ended in a visible abort; the caller got no whole answer. Ruled out: holding the body back until it is whole; reports are large, and the bound on memory would refuse them. Change: where the answer has a strong entity tag and a length, and the call may be repeated, the entry node asks another upstream of the same version for the rest by If-Range and goes on with it; the answer must be 206 with the same tag and exactly the range that is missing. It takes part in the retry budget. Anything else still ends in an abort.

--- a/packages/gateway/src/internal/BodyRelay.cpp
+++ b/packages/gateway/src/internal/BodyRelay.cpp
@@ -7,10 +7,10 @@
 
 namespace carobpath::gateway::Detail {
 
-BodyRelay::BodyRelay(boost::beast::tcp_stream& stream, const GatewayLimits& limits, std::shared_ptr<UpstreamExchange> exchange)
+BodyRelay::BodyRelay(boost::beast::tcp_stream& stream, const GatewayLimits& limits, std::shared_ptr<BodySource> source)
     : m_stream(stream)
     , m_limits(limits)
-    , m_exchange(std::move(exchange))
+    , m_source(std::move(source))
 {
 }
 
@@ -22,7 +22,7 @@
     m_message.body().data = nullptr;
     m_message.body().more = true;
     if (!framing.headerOnly) {
-        const auto length = m_exchange->contentLength();
+        const auto length = m_source->contentLength();
         m_message.erase(http::field::transfer_encoding);
         if (length)
             m_message.content_length(*length);
@@ -43,7 +43,7 @@
     http::async_write_header(m_stream, *m_serializer, [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
         const bool written = !ec || ec == http::error::need_buffer;
         if (written)
-            self->m_exchange->discard();
+            self->m_source->discard();
         self->finish(written);
     });
 }
@@ -61,7 +61,7 @@
 
 void BodyRelay::readPiece()
 {
-    m_exchange->readBody([self = shared_from_this()](std::optional<ExchangeFailure> failure, std::string_view piece) {
+    m_source->readBody([self = shared_from_this()](std::optional<ExchangeFailure> failure, std::string_view piece) {
         if (failure) {
             self->finish(false);
             return;
@@ -100,7 +100,7 @@
 void BodyRelay::finish(bool whole)
 {
     if (!whole)
-        m_exchange->cancel();
+        m_source->cancel();
     if (auto done = std::exchange(m_done, nullptr))
         done(whole);
 }
--- a/packages/gateway/src/internal/BodyRelay.h
+++ b/packages/gateway/src/internal/BodyRelay.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "carobpath/gateway/GatewayLimits.h"
+#include "internal/BodySource.h"
 #include "internal/HttpTypes.h"
-#include "internal/UpstreamExchange.h"
 
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
@@ -24,14 +24,14 @@
     bool headerOnly = false;
 };
 
-/// Writes the answer of an exchange to a connection, one piece at a time: the next piece is read only when the last
+/// Writes the answer of a body's source to a connection, one piece at a time: the next piece is read only when the last
 /// one is written, so that a slow caller slows the upstream and no body is held whole.
 class BodyRelay : public std::enable_shared_from_this<BodyRelay> {
 public:
     /// Called once; false where the answer could not be written whole.
     using Done = std::function<void(bool whole)>;
 
-    BodyRelay(boost::beast::tcp_stream&, const GatewayLimits&, std::shared_ptr<UpstreamExchange>);
+    BodyRelay(boost::beast::tcp_stream&, const GatewayLimits&, std::shared_ptr<BodySource>);
 
     /// The stream must outlive the call of \c done.
     void start(ResponseHeader, RelayFraming, Done);
@@ -46,7 +46,7 @@
 
     boost::beast::tcp_stream& m_stream;
     const GatewayLimits& m_limits;
-    std::shared_ptr<UpstreamExchange> m_exchange;
+    std::shared_ptr<BodySource> m_source;
     http::response<http::buffer_body> m_message;
     std::optional<http::response_serializer<http::buffer_body>> m_serializer;
     Done m_done;
--- a/packages/gateway/src/internal/EntryCall.cpp
+++ b/packages/gateway/src/internal/EntryCall.cpp
@@ -17,6 +17,36 @@
         return result;
     }
 
+    routing::AttemptResult resultOfHeader(const UpstreamExchange& exchange)
+    {
+        const auto& header = exchange.header();
+        routing::AttemptResult result;
+        result.outcome = outcomeOf(header).value_or(routing::Outcome::Unknown);
+        result.reason = reasonOf(header);
+        result.status = header.result_int();
+        result.retryAfter = milliseconds(header, HeaderName::retryAfterMs);
+        return result;
+    }
+
+    routing::AttemptResult resultOfFailure(ExchangeFailure failure)
+    {
+        using routing::Outcome;
+        using routing::RefusalReason;
+        switch (failure) {
+        case ExchangeFailure::ConnectFailed:
+            return failedAttempt(Outcome::NotRun, RefusalReason::UpstreamUnreachable);
+        case ExchangeFailure::TimedOut:
+            return failedAttempt(Outcome::Unknown, RefusalReason::UpstreamTimeout);
+        case ExchangeFailure::Cancelled:
+            return failedAttempt(Outcome::Unknown, RefusalReason::Cancelled);
+        case ExchangeFailure::ConnectionLost:
+        case ExchangeFailure::Silent:
+        case ExchangeFailure::Mismatched:
+            return failedAttempt(Outcome::Unknown, RefusalReason::UpstreamConnectionLost);
+        }
+        return failedAttempt(Outcome::Unknown, RefusalReason::UpstreamConnectionLost);
+    }
+
 }
 
 EntryCall::EntryCall(EntryHandler& handler, ServerSession::Pointer session, routing::CallRequest call)
@@ -56,15 +86,20 @@
     m_attempt = attempt;
     m_attemptStartedAt = MonotonicClock::now();
     m_exchange = std::make_shared<UpstreamExchange>(m_handler.m_pool, m_handler.m_limits);
+    auto request = forwardedRequest(m_session->request(), m_call, attempt, m_attemptStartedAt, m_handler.hybridNow());
+    m_exchange->start(targetOf(attempt), std::move(request),
+        [self = shared_from_this()](std::optional<ExchangeFailure> failure) { self->onHeader(failure); });
+}
+
+ExchangeTarget EntryCall::targetOf(const routing::SendAttempt& attempt) const
+{
     ExchangeTarget target;
     target.endpoint = attempt.calls;
     target.headerDeadline = attempt.deadline;
     target.silence = m_handler.m_limits.silence;
     target.requestId = m_call.id;
     target.fresh = attempt.freshConnection;
-    auto request = forwardedRequest(m_session->request(), m_call, attempt, m_attemptStartedAt, m_handler.hybridNow());
-    m_exchange->start(std::move(target), std::move(request),
-        [self = shared_from_this()](std::optional<ExchangeFailure> failure) { self->onHeader(failure); });
+    return target;
 }
 
 void EntryCall::onHeader(std::optional<ExchangeFailure> failure)
@@ -73,7 +108,7 @@
         return;
     if (!failure && m_handler.m_hooks.onHybridTime)
         m_handler.m_hooks.onHybridTime(hybridTimeOf(m_exchange->header()));
-    auto result = failure ? resultOfFailure(*failure) : resultOfHeader();
+    auto result = failure ? resultOfFailure(*failure) : resultOfHeader(*m_exchange);
     const auto now = MonotonicClock::now();
     result.latency = now - m_attemptStartedAt;
     const auto command = m_decision->onAttemptFinished(result, now);
@@ -83,36 +118,6 @@
     perform(command);
 }
 
-routing::AttemptResult EntryCall::resultOfHeader() const
-{
-    const auto& header = m_exchange->header();
-    routing::AttemptResult result;
-    result.outcome = outcomeOf(header).value_or(routing::Outcome::Unknown);
-    result.reason = reasonOf(header);
-    result.status = header.result_int();
-    result.retryAfter = milliseconds(header, HeaderName::retryAfterMs);
-    return result;
-}
-
-routing::AttemptResult EntryCall::resultOfFailure(ExchangeFailure failure) const
-{
-    using routing::Outcome;
-    using routing::RefusalReason;
-    switch (failure) {
-    case ExchangeFailure::ConnectFailed:
-        return failedAttempt(Outcome::NotRun, RefusalReason::UpstreamUnreachable);
-    case ExchangeFailure::TimedOut:
-        return failedAttempt(Outcome::Unknown, RefusalReason::UpstreamTimeout);
-    case ExchangeFailure::Cancelled:
-        return failedAttempt(Outcome::Unknown, RefusalReason::Cancelled);
-    case ExchangeFailure::ConnectionLost:
-    case ExchangeFailure::Silent:
-    case ExchangeFailure::Mismatched:
-        return failedAttempt(Outcome::Unknown, RefusalReason::UpstreamConnectionLost);
-    }
-    return failedAttempt(Outcome::Unknown, RefusalReason::UpstreamConnectionLost);
-}
-
 void EntryCall::awaitLedger(const routing::AwaitLedger& await)
 {
     m_ledgerTimer.expires_at(await.deadline);
@@ -165,11 +170,46 @@
     const unsigned status = m_exchange->header().result_int();
     const auto outcome = outcomeOf(m_exchange->header()).value_or(routing::Outcome::Unknown);
     const auto reason = reasonOf(m_exchange->header());
-    m_session->relay(m_exchange, headerForCaller(), [self = shared_from_this(), status, outcome, reason](bool whole) {
+    m_session->relay(answerBody(), headerForCaller(), [self = shared_from_this(), status, outcome, reason](bool whole) {
         self->observe(status, outcome, reason, whole);
     });
 }
 
+std::shared_ptr<BodySource> EntryCall::answerBody()
+{
+    const bool wholeAsked = m_session->request().count(http::field::range) == 0;
+    const auto body = resumableBodyOf(*m_exchange);
+    if (!wholeAsked || !body || m_session->request().method() != http::verb::get)
+        return m_exchange;
+    return std::make_shared<ResumingBody>(m_exchange, *body,
+        [self = shared_from_this()](const ResumableBody& it, std::uint64_t from, auto handOver) { self->askRest(it, from, std::move(handOver)); });
+}
+
+void EntryCall::askRest(const ResumableBody& body, std::uint64_t from, std::function<void(ResumingBody::ExchangePointer)> handOver)
+{
+    const auto now = MonotonicClock::now();
+    const auto attempt = m_decision->resume(now);
+    if (!attempt) {
+        handOver(nullptr);
+        return;
+    }
+    Request request { m_session->request() };
+    request.set(http::field::range, "bytes=" + std::to_string(from) + "-");
+    request.set(http::field::if_range, body.entityTag);
+    auto rest = std::make_shared<UpstreamExchange>(m_handler.m_pool, m_handler.m_limits);
+    rest->start(targetOf(*attempt), forwardedRequest(request, m_call, *attempt, now, m_handler.hybridNow()),
+        [self = shared_from_this(), rest, body, from, now, handOver = std::move(handOver)](std::optional<ExchangeFailure> failure) {
+            auto result = failure ? resultOfFailure(*failure) : resultOfHeader(*rest);
+            const auto endedAt = MonotonicClock::now();
+            result.latency = endedAt - now;
+            self->m_decision->onResumed(result, endedAt);
+            const bool fits = !failure && isRestOf(body, from, rest->header());
+            if (!failure && !fits)
+                rest->cancel();
+            handOver(fits ? rest : nullptr);
+        });
+}
+
 void EntryCall::onCallerGone()
 {
     if (std::exchange(m_answered, true))
--- a/packages/gateway/src/internal/EntryCall.h
+++ b/packages/gateway/src/internal/EntryCall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "internal/EntryHandler.h"
+#include "internal/ResumingBody.h"
 #include "internal/UpstreamExchange.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -24,10 +25,11 @@
     void reportKeyOutcome();
     void answer(const routing::Refusal&);
     void relayAnswer();
+    std::shared_ptr<BodySource> answerBody();
+    void askRest(const ResumableBody&, std::uint64_t from, std::function<void(ResumingBody::ExchangePointer)>);
+    ExchangeTarget targetOf(const routing::SendAttempt&) const;
     void onHeader(std::optional<ExchangeFailure>);
     void onCallerGone();
-    routing::AttemptResult resultOfHeader() const;
-    routing::AttemptResult resultOfFailure(ExchangeFailure) const;
     ResponseHeader headerForCaller() const;
     void observe(unsigned status, routing::Outcome, std::optional<routing::RefusalReason>, bool whole);
 
--- a/packages/gateway/src/internal/ServerSession.cpp
+++ b/packages/gateway/src/internal/ServerSession.cpp
@@ -216,16 +216,16 @@
     respond(std::move(response), std::move(done));
 }
 
-void ServerSession::relay(std::shared_ptr<UpstreamExchange> exchange, ResponseHeader header, AnswerDone done)
+void ServerSession::relay(std::shared_ptr<BodySource> source, ResponseHeader header, AnswerDone done)
 {
     beginAnswer();
     m_answerDone = std::move(done);
     RelayFraming framing;
     framing.mayChunk = request().version() >= 11;
-    framing.headerOnly = request().method() == http::verb::head || exchange->bodyIsDone();
-    const bool lengthIsKnown = framing.headerOnly || exchange->contentLength().has_value();
+    framing.headerOnly = request().method() == http::verb::head || source->bodyIsDone();
+    const bool lengthIsKnown = framing.headerOnly || source->contentLength().has_value();
     framing.keepAlive = m_requestKeepsAlive && !m_closeAnnounced && (framing.mayChunk || lengthIsKnown);
-    auto relay = std::make_shared<BodyRelay>(m_stream, m_limits, std::move(exchange));
+    auto relay = std::make_shared<BodyRelay>(m_stream, m_limits, std::move(source));
     auto begin = [self = shared_from_this(), relay, framing, header = std::move(header)]() mutable {
         relay->start(std::move(header), framing, [self, keepAlive = framing.keepAlive](bool whole) { self->endAnswer(keepAlive, whole); });
     };
--- a/packages/gateway/src/internal/ServerSession.h
+++ b/packages/gateway/src/internal/ServerSession.h
@@ -3,8 +3,8 @@
 #include "carobpath/foundation/Time.h"
 #include "carobpath/gateway/GatewayLimits.h"
 #include "carobpath/routing/Outcome.h"
+#include "internal/BodySource.h"
 #include "internal/HttpTypes.h"
-#include "internal/UpstreamExchange.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -41,9 +41,9 @@
     /// Writes a refusal with its outcome, reason and time to come back.
     void refuse(const routing::Refusal&, std::string_view requestId, AnswerDone = nullptr);
 
-    /// Writes the answer of an exchange, piece by piece as it comes.
+    /// Writes an answer, piece by piece as it comes.
     /// Closes the connection where the body is cut short, so that the caller can see it.
-    void relay(std::shared_ptr<UpstreamExchange>, ResponseHeader, AnswerDone);
+    void relay(std::shared_ptr<BodySource>, ResponseHeader, AnswerDone);
 
     /// Says that the answer is still being worked on (status 102), from time to time, until the answer begins.
     void sendInterimAnswers();
--- a/packages/gateway/src/internal/UpstreamExchange.h
+++ b/packages/gateway/src/internal/UpstreamExchange.h
@@ -3,6 +3,7 @@
 #include "carobpath/foundation/Endpoint.h"
 #include "carobpath/foundation/Identifier.h"
 #include "carobpath/foundation/Time.h"
+#include "internal/BodySource.h"
 #include "internal/ConnectionPool.h"
 #include "internal/HttpTypes.h"
 
@@ -18,21 +19,6 @@
 
 namespace carobpath::gateway::Detail {
 
-/// How an exchange with another process failed.
-enum class ExchangeFailure : std::uint8_t {
-    /// No connection; no byte was sent.
-    ConnectFailed,
-    /// The connection broke, or the answer was cut short or made no sense.
-    ConnectionLost,
-    /// Nothing came for longer than the silence limit, while the deadline has not passed.
-    Silent,
-    /// The deadline passed.
-    TimedOut,
-    /// The answer names another request.
-    Mismatched,
-    Cancelled,
-};
-
 /// What one exchange needs to know besides the request.
 struct ExchangeTarget {
     Endpoint endpoint;
@@ -48,12 +34,10 @@
 
 /// One request and its answer on one connection. The connection goes back to the pool only after a complete answer
 /// to the request; otherwise it is closed. Keeps itself alive while an operation runs.
-class UpstreamExchange : public std::enable_shared_from_this<UpstreamExchange> {
+class UpstreamExchange : public BodySource, public std::enable_shared_from_this<UpstreamExchange> {
 public:
     /// Called once: with nothing when the header is there, else with the failure.
     using HeaderHandler = std::function<void(std::optional<ExchangeFailure>)>;
-    /// Called for each piece of the body; an empty piece is the end.
-    using BodyHandler = std::function<void(std::optional<ExchangeFailure>, std::string_view piece)>;
 
     UpstreamExchange(ConnectionPool&, const GatewayLimits&);
 
@@ -61,21 +45,13 @@
 
     /// Valid once the header handler was called without a failure.
     const ResponseHeader& header() const { return m_parser->get().base(); }
-    std::optional<std::uint64_t> contentLength() const;
-    /// True where the answer has no body by its nature.
-    bool bodyIsDone() const { return m_parser->is_done(); }
-
-    /// Reads the next piece of the body; it stays valid until the next call.
-    void readBody(BodyHandler);
-
-    /// Gives up on the body; a short rest is read so that the connection can be used again.
-    void discard();
-
-    /// Closes the connection; a handler that waits is called with \c Cancelled.
-    void cancel();
 
-    /// True where the other end broke the exchange off, false where it was complete or cancelled.
-    bool failed() const { return m_failed; }
+    std::optional<std::uint64_t> contentLength() const override;
+    bool bodyIsDone() const override { return m_parser->is_done(); }
+    void readBody(BodyHandler) override;
+    void discard() override;
+    void cancel() override;
+    bool failed() const override { return m_failed; }
 
 private:
     static constexpr std::size_t s_pieceBytes = 16ULL * 1024;
--- a/packages/routing/include/carobpath/routing/CallDecision.h
+++ b/packages/routing/include/carobpath/routing/CallDecision.h
@@ -4,6 +4,7 @@
 #include "carobpath/routing/Call.h"
 #include "carobpath/routing/LedgerVerdict.h"
 #include "carobpath/routing/RouteTable.h"
+#include "carobpath/routing/UpstreamPicker.h"
 #include "carobpath/routing/UpstreamStatistics.h"
 
 #include <memory>
@@ -43,6 +44,12 @@
     /// The caller went away: nothing is answered, and the session cancels the running attempt.
     void onCallerGone(MonotonicTime now);
 
+    /// The body of the answer that is being relayed was cut short. A call that may be repeated goes on with the rest from
+    /// another upstream of the same version, within the retry budget.
+    /// \returns where to ask for the rest; its end is reported by \c onResumed.
+    std::optional<SendAttempt> resume(MonotonicTime now);
+    void onResumed(const AttemptResult&, MonotonicTime now);
+
     /// Nothing where the call was refused before a route was found.
     const publication::Route* route() const { return m_route; }
     MonotonicTime deadline() const { return m_deadline; }
@@ -69,6 +76,7 @@
     std::optional<Refusal> refusalAtArrival(MonotonicTime now);
     void drawVersion();
     std::optional<SendAttempt> nextAttempt(MonotonicTime now);
+    SendAttempt attemptAt(const UpstreamChoice&, const VersionName&, MonotonicTime deadline) const;
     MonotonicTime attemptDeadline(MonotonicTime now) const;
     CallCommand send(SendAttempt, MonotonicTime now);
     CallCommand sendFirst(MonotonicTime now);
@@ -95,6 +103,8 @@
     std::optional<Attempt> m_attempt;
     std::vector<NodeName> m_tried;
     std::optional<CallCommand> m_final;
+    /// Version of the last attempt; the rest of a body comes from no other.
+    VersionName m_version;
 };
 
 }
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -128,23 +128,52 @@
                 continue;
             m_attempt = Attempt { choice->node, share.next == version, now };
             m_state->picker.onSent(choice->node, choice->probe, now);
-            SendAttempt it;
-            it.number = static_cast<std::uint32_t>(m_tried.size() + 1);
-            it.node = choice->node;
-            it.calls = choice->calls;
-            it.service = m_route->service;
-            it.route = m_route->name;
-            it.version = version;
-            it.deadline = attemptDeadline(now);
-            it.repeatability = m_route->repeatability;
-            it.trafficClass = m_route->trafficClass;
-            it.freshConnection = choice->freshConnection;
-            return it;
+            m_version = version;
+            return attemptAt(*choice, version, attemptDeadline(now));
         }
     }
     return std::nullopt;
 }
 
+SendAttempt CallDecision::attemptAt(const UpstreamChoice& choice, const VersionName& version, MonotonicTime deadline) const
+{
+    SendAttempt it;
+    it.number = static_cast<std::uint32_t>(m_tried.size() + 1);
+    it.node = choice.node;
+    it.calls = choice.calls;
+    it.service = m_route->service;
+    it.route = m_route->name;
+    it.version = version;
+    it.deadline = deadline;
+    it.repeatability = m_route->repeatability;
+    it.trafficClass = m_route->trafficClass;
+    it.freshConnection = choice.freshConnection;
+    return it;
+}
+
+std::optional<SendAttempt> CallDecision::resume(MonotonicTime now)
+{
+    const bool relayed = m_final && std::holds_alternative<RelayAnswer>(*m_final);
+    if (!relayed || m_attempt || !repeatable() || !m_request.bodyReplayable || m_tried.size() >= s_maxAttempts)
+        return std::nullopt;
+    const auto choice = m_state->picker.pick(m_route->service, m_version, PickConstraints { m_tried, false, false }, now);
+    if (!choice || !m_state->budget.tryWithdraw(now))
+        return std::nullopt;
+    m_state->picker.onSent(choice->node, choice->probe, now);
+    m_attempt = Attempt { choice->node, false, now };
+    auto attempt = attemptAt(*choice, m_version, now + m_route->timeout);
+    m_tried.push_back(choice->node);
+    return attempt;
+}
+
+void CallDecision::onResumed(const AttemptResult& result, MonotonicTime now)
+{
+    if (!m_attempt)
+        return;
+    m_state->observe({ m_attempt->node, reachabilityOf(result), now });
+    closeAttempt(signOf(result), result.latency, result.retryAfter.value_or(std::chrono::milliseconds {}), now);
+}
+
 MonotonicTime CallDecision::attemptDeadline(MonotonicTime now) const
 {
     const auto mean = m_state->picker.meanLatency();
