Routing: an owner past the retention reads on at once; each claim is answered

An owner whose place in a stream was trimmed took the answer for a failed read and refused claims for 100 ms. A claim whose call ended while it waited was never answered, so whoever waited for it kept its handler for good.

--- a/packages/routing/include/carobpath/routing/IdempotencyLedger.h
+++ b/packages/routing/include/carobpath/routing/IdempotencyLedger.h
@@ -23,7 +23,8 @@
     LedgerCommands onAppended(Partition, const std::string& batch, publication::Offset, MonotonicTime now);
     /// The log refused or did not answer: the batch may be there or not.
     LedgerCommands onAppendFailed(Partition, const std::string& batch, MonotonicTime now);
-    /// An answer to a read. One whose \c from was trimmed comes as a page without records whose \c first says so.
+    /// An answer to a read. One whose \c from was trimmed comes as a page without records whose \c first says so; it is
+    /// read on from there.
     LedgerCommands onRead(Partition, const IntentPage&, MonotonicTime now);
     LedgerCommands onReadFailed(Partition, MonotonicTime now);
     /// To be called at \c nextTick or later.
--- a/packages/routing/include/carobpath/routing/LedgerCommand.h
+++ b/packages/routing/include/carobpath/routing/LedgerCommand.h
@@ -42,7 +42,7 @@
     publication::Offset from = 0;
 };
 
-/// Answer the claim of the request.
+/// Answer the claim of the request. Each claim is answered once, also one whose call has ended meanwhile.
 struct AnswerClaim {
     RequestId request;
     LedgerVerdict verdict;
--- a/packages/routing/src/PartitionOwner.cpp
+++ b/packages/routing/src/PartitionOwner.cpp
@@ -79,7 +79,8 @@
 void PartitionOwner::onCallEnded(const IntentEnd& end, LedgerCommands& commands, MonotonicTime now)
 {
     m_usedAt = now;
-    m_claims.erase(end.request);
+    if (m_claims.erase(end.request) > 0)
+        commands.emplace_back(AnswerClaim { end.request, unavailable() });
     if (end.outcome == Outcome::Unknown)
         return;
     queue({ kindOf(end.outcome), end.key, end.request }, now);
@@ -185,7 +186,7 @@
     if (batchIsSettled()) {
         settle(commands, now);
         advance(commands, now);
-    } else if (!atEnd && m_fold.next() > before) {
+    } else if (m_fold.next() > before) {
         read(commands, now);
     } else if (!atEnd || m_batchOffset) {
         // A page that does not reach the record: an old answer, or records withheld.
--- a/packages/routing/tests/FakeIntentLog.h
+++ b/packages/routing/tests/FakeIntentLog.h
@@ -21,6 +21,9 @@
     IntentPage read(Partition partition, publication::Offset from)
     {
         const auto& stream = m_streams[partition];
+        // What was trimmed is answered by where the kept records start.
+        if (from < stream.first)
+            return { stream.first, stream.first, {} };
         IntentPage page { stream.first, stream.next, {} };
         for (const auto& it : stream.records) {
             if (it.offset >= from && it.offset >= stream.first && page.records.size() < m_pageSize)
--- a/packages/routing/tests/IdempotencyLedgerTests.cpp
+++ b/packages/routing/tests/IdempotencyLedgerTests.cpp
@@ -213,6 +213,34 @@
     BOOST_TEST((fixture.answer("b") == LedgerAnswer::Granted));
 }
 
+BOOST_AUTO_TEST_CASE(An_owner_that_was_idle_past_the_retention_grants_without_delay)
+{
+    LedgerFixture fixture;
+    fixture.claim("a");
+    fixture.end("a", Outcome::NotRun);
+    fixture.wait(1s);
+    const auto partition = partitionOf(LedgerFixture::key());
+    for (int i = 0; i < 5; ++i)
+        fixture.log.append(partition, encodeIntents({ "other-" + std::to_string(i), {} }));
+    fixture.log.trimBefore(partition, 5);
+    fixture.claim("b");
+    BOOST_TEST((fixture.answer("b") == LedgerAnswer::Granted));
+}
+
+BOOST_AUTO_TEST_CASE(A_claim_whose_call_ended_while_it_waited_is_answered_too)
+{
+    LedgerFixture fixture;
+    fixture.claim("first");
+    std::string sibling = "key-0";
+    for (int i = 1; partitionOf(LedgerFixture::key(sibling.c_str())) != partitionOf(LedgerFixture::key()); ++i)
+        sibling = "key-" + std::to_string(i);
+    // The partition was written to a moment ago, so this claim waits for its next commit.
+    fixture.claim("second", sibling.c_str());
+    BOOST_TEST(!fixture.answer("second").has_value());
+    fixture.end("second", Outcome::NotRun, sibling.c_str());
+    BOOST_TEST((fixture.answer("second") == LedgerAnswer::Unavailable));
+}
+
 BOOST_AUTO_TEST_CASE(Claims_that_come_together_share_one_append)
 {
     LedgerFixture fixture;
