--- a/bench/routing.cmake
+++ b/bench/routing.cmake
@@ -6,6 +6,7 @@
     carobpath_set_warnings(${target})
 endfunction()
 
+carobpath_add_routing_bench(balance)
 carobpath_add_routing_bench(decision_cost)
 carobpath_add_routing_bench(idempotency)
 carobpath_add_routing_bench(overload)
--- a/bench/routing/BackendModel.h
+++ b/bench/routing/BackendModel.h
@@ -49,6 +49,8 @@
             startNext();
     }
 
+    std::size_t held() const { return m_running.size() + m_waiting.size(); }
+
     /// Requests that reached the server, refused ones too.
     std::uint64_t offered() const { return m_offered; }
 
--- a/bench/routing/OverloadRun.h
+++ b/bench/routing/OverloadRun.h
@@ -16,6 +16,8 @@
     BackendSize backend;
     std::chrono::microseconds hop { 500 };
     std::chrono::milliseconds timeout { 1000 };
+    /// The first upstream takes this many times as long for a call as the others.
+    int firstIsSlower = 1;
     /// Calls offered as a multiple of what the upstreams can serve.
     double load = 2;
 };
@@ -41,8 +43,11 @@
         : m_case(std::move(it))
         , m_random(seed)
     {
-        for (std::size_t i = 0; i < m_case.upstreams; ++i)
-            m_backends.push_back(std::make_unique<BackendModel>(m_queue, m_case.backend, seed * 100 + i));
+        for (std::size_t i = 0; i < m_case.upstreams; ++i) {
+            auto size = m_case.backend;
+            size.meanService *= i == 0 ? m_case.firstIsSlower : 1;
+            m_backends.push_back(std::make_unique<BackendModel>(m_queue, size, seed * 100 + i));
+        }
     }
     virtual ~OverloadRun() = default;
     OverloadRun(const OverloadRun&) = delete;
@@ -54,6 +59,7 @@
         m_queue.runUntil(m_queue.now() + s_warmUp);
         m_counts = {};
         const auto offeredBefore = offered();
+        const auto firstBefore = offeredTo(0);
         m_queue.runUntil(m_queue.now() + s_measured);
         const auto calls = static_cast<double>(m_counts.calls);
         const auto perCall = [calls](std::uint64_t n) { return static_cast<double>(n) / calls; };
@@ -63,7 +69,8 @@
             { "refused", perCall(m_counts.refused) }, { "late", perCall(m_counts.late) },
             { "answer p50 ms", quantile(m_counts.answerMilliseconds, 0.5) },
             { "answer p99 ms", quantile(m_counts.answerMilliseconds, 0.99) },
-            { "refusal p99 ms", quantile(m_counts.refusalMilliseconds, 0.99) } };
+            { "refusal p99 ms", quantile(m_counts.refusalMilliseconds, 0.99) },
+            { "to first", static_cast<double>(offeredTo(0) - firstBefore) / static_cast<double>(offered() - offeredBefore) } };
     }
 
 protected:
@@ -85,6 +92,7 @@
     const OverloadCase& overloadCase() const { return m_case; }
     EventQueue& queue() { return m_queue; }
     BackendModel& backend(std::size_t index) { return *m_backends[index]; }
+    std::uint64_t offeredTo(std::size_t index) const { return m_backends[index]->offered(); }
     std::mt19937_64& random() { return m_random; }
 
 private:
--- a/packages/routing/include/carobpath/routing/CallDecision.h
+++ b/packages/routing/include/carobpath/routing/CallDecision.h
@@ -13,6 +13,7 @@
 namespace carobpath::routing {
 
 class EntryState;
+struct UpstreamChoice;
 
 /// Decides one call at its entry node: where it is sent, whether it is sent again, and what its caller is told.
 ///
@@ -70,7 +71,8 @@
     void drawVersion();
     std::optional<SendAttempt> nextAttempt(MonotonicTime now);
     MonotonicTime attemptDeadline(MonotonicTime now) const;
-    CallCommand send(SendAttempt, MonotonicTime now);
+    SendAttempt makeAttempt(const UpstreamChoice&, const VersionName&, MonotonicTime now) const;
+    CallCommand send(SendAttempt);
     CallCommand sendFirst(MonotonicTime now);
     std::optional<CallCommand> retry(const AttemptResult&, MonotonicTime now);
     bool mayRunElsewhere(const AttemptResult&, MonotonicTime now) const;
--- a/packages/routing/include/carobpath/routing/PartitionOwner.h
+++ b/packages/routing/include/carobpath/routing/PartitionOwner.h
@@ -72,7 +72,7 @@
     void read(LedgerCommands&, MonotonicTime now);
     void fail(LedgerCommands&, MonotonicTime now);
     void giveUp(LedgerCommands&, MonotonicTime before, MonotonicTime now);
-    void settle(LedgerCommands&, MonotonicTime now);
+    void settle(LedgerCommands&);
     void resetOverfull(MonotonicTime now);
     bool batchIsSettled() const;
 
--- a/packages/routing/include/carobpath/routing/UpstreamPicker.h
+++ b/packages/routing/include/carobpath/routing/UpstreamPicker.h
@@ -61,7 +61,7 @@
     std::optional<UpstreamChoice> pick(
         const ServiceName&, const VersionName&, const PickConstraints&, MonotonicTime now);
 
-    void onSent(const NodeName&, bool probe, MonotonicTime now);
+    void onSent(const NodeName&, bool probe);
     /// \param rest time for which the upstream asked to be left alone, where it did.
     void onFinished(const NodeName&, AttemptSign, std::chrono::nanoseconds latency, std::chrono::milliseconds rest,
         MonotonicTime now);
--- a/packages/routing/include/carobpath/routing/UpstreamStatistics.h
+++ b/packages/routing/include/carobpath/routing/UpstreamStatistics.h
@@ -50,7 +50,7 @@
         NotServing,
     };
 
-    void onSent(MonotonicTime now, bool probe);
+    void onSent(bool probe);
     void onFinished(AttemptSign, std::chrono::nanoseconds latency, std::chrono::milliseconds rest, MonotonicTime now);
     /// A new entry of the node's own was seen.
     void onRevision(const Revision&);
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -107,7 +107,7 @@
 CallCommand CallDecision::sendFirst(MonotonicTime now)
 {
     if (auto attempt = nextAttempt(now))
-        return send(std::move(*attempt), now);
+        return send(std::move(*attempt));
     return refuse(RefusalReason::NoUpstream);
 }
 
@@ -119,32 +119,37 @@
         versions.push_back(*share.next);
     // A call that was not drawn for the next version never goes there: it is unproved beyond its share.
     versions.push_back(share.current);
-    PickConstraints constraints { m_tried, repeatable() && m_request.bodyReplayable && m_tried.empty(), false };
+    const bool mayProbe = repeatable() && m_request.bodyReplayable && m_tried.empty();
     for (const bool lastResort : { false, true }) {
-        constraints.lastResort = lastResort;
         for (const auto& version : versions) {
+            const PickConstraints constraints { m_tried, mayProbe, lastResort };
             const auto choice = m_state->picker.pick(m_route->service, version, constraints, now);
             if (!choice)
                 continue;
             m_attempt = Attempt { choice->node, share.next == version, now };
-            m_state->picker.onSent(choice->node, choice->probe, now);
-            SendAttempt it;
-            it.number = static_cast<std::uint32_t>(m_tried.size() + 1);
-            it.node = choice->node;
-            it.calls = choice->calls;
-            it.service = m_route->service;
-            it.route = m_route->name;
-            it.version = version;
-            it.deadline = attemptDeadline(now);
-            it.repeatability = m_route->repeatability;
-            it.trafficClass = m_route->trafficClass;
-            it.freshConnection = choice->freshConnection;
-            return it;
+            m_state->picker.onSent(choice->node, choice->probe);
+            return makeAttempt(*choice, version, now);
         }
     }
     return std::nullopt;
 }
 
+SendAttempt CallDecision::makeAttempt(const UpstreamChoice& choice, const VersionName& version, MonotonicTime now) const
+{
+    SendAttempt it;
+    it.number = static_cast<std::uint32_t>(m_tried.size() + 1);
+    it.node = choice.node;
+    it.calls = choice.calls;
+    it.service = m_route->service;
+    it.route = m_route->name;
+    it.version = version;
+    it.deadline = attemptDeadline(now);
+    it.repeatability = m_route->repeatability;
+    it.trafficClass = m_route->trafficClass;
+    it.freshConnection = choice.freshConnection;
+    return it;
+}
+
 MonotonicTime CallDecision::attemptDeadline(MonotonicTime now) const
 {
     const auto mean = m_state->picker.meanLatency();
@@ -155,7 +160,7 @@
     return std::min(m_deadline, now + std::max<MonotonicClock::duration>(part, *mean * latencyFactor));
 }
 
-CallCommand CallDecision::send(SendAttempt attempt, MonotonicTime)
+CallCommand CallDecision::send(SendAttempt attempt)
 {
     m_phase = Phase::Attempting;
     m_tried.push_back(attempt.node);
@@ -207,7 +212,7 @@
     if (!attempt)
         return std::nullopt;
     if (putNoLoad(result) || m_state->budget.tryWithdraw(now))
-        return send(std::move(*attempt), now);
+        return send(std::move(*attempt));
     closeAttempt(AttemptSign::Abandoned, {}, {}, now);
     if (result.outcome == Outcome::Ran)
         return std::nullopt;
--- a/packages/routing/src/PartitionOwner.cpp
+++ b/packages/routing/src/PartitionOwner.cpp
@@ -184,7 +184,7 @@
     m_failures = 0;
     const bool atEnd = m_fold.next() >= page.next;
     if (batchIsSettled()) {
-        settle(commands, now);
+        settle(commands);
         advance(commands, now);
     } else if (m_fold.next() > before) {
         read(commands, now);
@@ -205,7 +205,7 @@
     m_pausedUntil = now + s_overfullPause;
 }
 
-void PartitionOwner::settle(LedgerCommands& commands, MonotonicTime)
+void PartitionOwner::settle(LedgerCommands& commands)
 {
     for (const auto& it : m_batch->intents) {
         const auto claim = it.kind == IntentKind::Claim ? m_claims.find(it.request) : m_claims.end();
--- a/packages/routing/src/UpstreamPicker.cpp
+++ b/packages/routing/src/UpstreamPicker.cpp
@@ -188,11 +188,11 @@
     return latency * (1 + it.statistics->inFlight()) * it.hintFactor * (1 + errorFactor * it.statistics->errorRate());
 }
 
-void UpstreamPicker::onSent(const NodeName& node, bool probe, MonotonicTime now)
+void UpstreamPicker::onSent(const NodeName& node, bool probe)
 {
     const auto it = m_statistics.find(node);
     if (it != m_statistics.end())
-        it->second.onSent(now, probe);
+        it->second.onSent(probe);
 }
 
 void UpstreamPicker::onFinished(const NodeName& node, AttemptSign sign, std::chrono::nanoseconds latency,
--- a/packages/routing/src/UpstreamStatistics.cpp
+++ b/packages/routing/src/UpstreamStatistics.cpp
@@ -17,7 +17,7 @@
 
 }
 
-void UpstreamStatistics::onSent(MonotonicTime, bool probe)
+void UpstreamStatistics::onSent(bool probe)
 {
     ++m_inFlight;
     m_probeRunning = m_probeRunning || probe;
--- a/packages/routing/tests/CallDecisionTests.cpp
+++ b/packages/routing/tests/CallDecisionTests.cpp
@@ -163,6 +163,21 @@
     BOOST_TEST(exhausted > 100);
 }
 
+BOOST_AUTO_TEST_CASE(Attempts_that_reached_no_server_cost_no_budget)
+{
+    EntryFixture fixture { threeNodes() };
+    for (int i = 0; i < 200; ++i) {
+        std::shared_ptr<CallDecision> call;
+        startOf(fixture, call, makeCall("POST", "/bookings"));
+        // Each node's refusal is forgotten before the next call.
+        fixture.now += UpstreamStatistics::s_notServingTime;
+        const auto reason = i % 2 == 0 ? RefusalReason::Draining : RefusalReason::UpstreamUnreachable;
+        const auto command = call->onAttemptFinished(ended(Outcome::NotRun, reason, 503), fixture.now - UpstreamStatistics::s_notServingTime);
+        BOOST_REQUIRE(std::holds_alternative<SendAttempt>(command));
+        call->onAttemptFinished(answered(200), fixture.now);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(The_deadline_ends_a_call_with_what_is_known_of_it)
 {
     EntryFixture fixture { threeNodes() };
--- a/packages/routing/tests/UpstreamPickerTests.cpp
+++ b/packages/routing/tests/UpstreamPickerTests.cpp
@@ -32,7 +32,7 @@
         void call(const char* node, AttemptSign sign, std::chrono::nanoseconds latency = 5ms,
             std::chrono::milliseconds rest = {}, bool probe = false)
         {
-            picker.onSent(NodeName { node }, probe, now);
+            picker.onSent(NodeName { node }, probe);
             picker.onFinished(NodeName { node }, sign, latency, rest, now);
         }
         std::map<std::string, double> shares(int picks = 4000)
@@ -152,7 +152,7 @@
     const auto probe = fixture.pick(mayProbe);
     BOOST_TEST(probe->node.value() == "bad");
     BOOST_TEST(probe->probe);
-    fixture.picker.onSent(probe->node, true, fixture.now);
+    fixture.picker.onSent(probe->node, true);
     BOOST_TEST(fixture.pick(mayProbe)->node.value() == "good");
 
     // A failed trial ejects for twice as long, a good one ends it.
