--- a/packages/distribution/src/ExchangeMessages.cpp
+++ b/packages/distribution/src/ExchangeMessages.cpp
@@ -67,8 +67,10 @@
         m_fetch.onEnded(false, now, m_random);
     else
         ++m_counters.exchangesFailed;
-    if (!ended.peer.empty())
+    if (!ended.peer.empty()) {
         m_members.onExchangeFailed(ended.peer, now);
+        m_gate.onFailed(ended.peer);
+    }
     settle(now, commands);
     return commands;
 }
@@ -90,6 +92,8 @@
         return commands;
     ++m_counters.wholeFetched;
     m_joining = false;
+    // Roles and witnesses must not be chosen among the few nodes known before.
+    m_viewAt = now - s_viewInterval;
     membership::MembershipUpdate update;
     update.records = state.records;
     m_members.merge(update, now);
@@ -121,6 +125,7 @@
     const auto merged = m_members.merge(message.membership, now);
     PushNews news;
     news.records = merged.urgent;
+    m_isViewUrgent = m_isViewUrgent || !merged.urgent.empty();
     push(news, message.sender, commands);
     pushNotices(m_evidence.merge(message.evidence), message.sender, commands);
     const bool hadDelta = message.delta != nullptr;
@@ -179,9 +184,15 @@
 
 void Exchange::tellWitnesses(const Endpoint& except, Commands& commands)
 {
-    for (const auto* it : m_tree.witnesses()) {
-        if (it->addresses.peer != except)
-            commands.emplace_back(SendPush { it->addresses.peer, header() });
+    for (const auto* witnesses : { &m_tree.ownWitnesses(), &m_tree.otherWitnesses() }) {
+        std::size_t told = 0;
+        for (const auto* it : *witnesses) {
+            if (it->liveness == membership::Liveness::Dead || told == FloorGate::s_told)
+                continue;
+            ++told;
+            if (it->entry.addresses.peer != except)
+                commands.emplace_back(SendPush { it->entry.addresses.peer, header() });
+        }
     }
 }
 
--- a/packages/moves/src/MoveJudge.cpp
+++ b/packages/moves/src/MoveJudge.cpp
@@ -16,9 +16,8 @@
 
     constexpr std::array<Badness, 2> allBadness { Badness::Failed, Badness::Slow };
     constexpr std::uint64_t mostCallsNeeded = 30;
-    /// Chance of doubting a version that is no worse: at a raise, which waits for a while, and at the end.
-    constexpr double raiseChance = 0.01;
-    constexpr double verdictChance = 0.0003;
+    /// Chance of doubting a version that is no worse: at a raise, which then waits.
+    constexpr double raiseChance = 0.002;
 
     /// How much evidence a member asks for.
     struct EvidenceNeed {
@@ -28,10 +27,14 @@
         double exposureFactor = 0;
         /// Calls on each route at the last stage without which a move is not held as proved.
         std::uint64_t fewestLastCalls = 0;
+        /// Value of \c logEvidence above which a move is not done.
+        double doubtEvidence = 0;
+        /// Chance of doubting a version that is no worse at the end.
+        double verdictChance = 0;
     };
 
-    constexpr EvidenceNeed needToFinish { 3, 4, 3 };
-    constexpr EvidenceNeed needToTakeBack { 2, 3, 8 };
+    constexpr EvidenceNeed needToFinish { 3, 4, 3, 7, 0.0001 };
+    constexpr EvidenceNeed needToTakeBack { 3, 3, 8, 6, 0.0002 };
 
     const EvidenceNeed& needOf(ThinEvidencePolicy policy)
     {
@@ -112,10 +115,15 @@
     const auto fresh = evidence.sum(std::max(progress.entered, freshFrom), endWindow);
     it.calls = evidence.sum(progress.entered, endWindow).to.answered();
     it.callsNeeded = callsNeeded(calls / std::max(1U, endWindow), progress.stage);
-    const auto chance = progress.stage == m_plan.lastStage() ? verdictChance : raiseChance;
+    const bool isLast = progress.stage == m_plan.lastStage();
+    const auto& need = needOf(m_entry.move.onThinEvidence);
+    const auto chance = isLast ? need.verdictChance : raiseChance;
     for (const auto badness : allBadness) {
         const auto slowClass = evidence.slowClass();
-        if (isWorse(frequencyOf(fresh.from, badness, slowClass), frequencyOf(fresh.to, badness, slowClass), badness, chance))
+        const bool isExcessive = isExcessLarge(evidence, badness, slowClass, std::max(1U, endWindow) - 1);
+        if (isLast && isExcessive && logEvidence(evidence, badness, slowClass, endWindow) >= need.doubtEvidence)
+            it.wait = WaitReason::Doubt;
+        if (isWorse(frequencyOf(all.from, badness, slowClass), frequencyOf(fresh.from, badness, slowClass), frequencyOf(fresh.to, badness, slowClass), badness, chance))
             it.wait = WaitReason::Doubt;
     }
     if (it.wait == WaitReason::None && fresh.to.refused >= fewestRefused && refusedPart(fresh.to) > refusedPart(fresh.from) + refusedExcess)
@@ -162,7 +170,8 @@
         const auto slowClass = evidence.slowClass();
         for (const auto badness : allBadness) {
             const auto value = logEvidence(evidence, badness, slowClass, window + 1);
-            if (value >= limit && isExcessLarge(evidence, badness, slowClass, window))
+            const bool isProved = value >= limit && isExcessLarge(evidence, badness, slowClass, window);
+            if (isProved || isSuspectAgain(evidence, badness, slowClass, window))
                 return MoveVerdict { MoveOutcome::TakenBack, reasonOf(badness), name, figures(evidence.sum(0, window + 1), badness, slowClass, value, limit) };
         }
     }
