--- a/packages/gateway/src/internal/ServerSession.cpp
+++ b/packages/gateway/src/internal/ServerSession.cpp
@@ -44,6 +44,13 @@
         return ec == http::error::header_limit || ec == http::error::body_limit || ec == http::error::buffer_overflow;
     }
 
+    routing::RefusalReason refusalReason(boost::system::error_code ec)
+    {
+        if (ec == http::error::header_limit)
+            return routing::RefusalReason::HeaderTooLarge;
+        return isTooLarge(ec) ? routing::RefusalReason::RequestTooLarge : routing::RefusalReason::MalformedRequest;
+    }
+
     bool isMalformed(boost::system::error_code ec)
     {
         return ec.category() == http::make_error_code(http::error::bad_method).category()
@@ -121,8 +128,7 @@
     }
     m_state = State::Handling;
     m_requestKeepsAlive = false;
-    const auto reason = isTooLarge(ec) ? routing::RefusalReason::RequestTooLarge : routing::RefusalReason::MalformedRequest;
-    refuse(routing::Refusal { routing::Outcome::NotRun, reason, std::nullopt }, {});
+    refuse(routing::Refusal { routing::Outcome::NotRun, refusalReason(ec), std::nullopt }, {});
 }
 
 void ServerSession::watchForClose()
--- a/packages/routing/include/carobpath/routing/Outcome.h
+++ b/packages/routing/include/carobpath/routing/Outcome.h
@@ -20,6 +20,7 @@
 /// Why a node refused or gave up on a call. Carried in the response header \c Carobpath-Reason.
 enum class RefusalReason : std::uint8_t {
     MalformedRequest,
+    HeaderTooLarge,
     RequestTooLarge,
     UnknownHost,
     UnknownRoute,
--- a/packages/routing/src/Outcome.cpp
+++ b/packages/routing/src/Outcome.cpp
@@ -22,6 +22,7 @@
 
     constexpr std::array reasonRows {
         ReasonRow { RefusalReason::MalformedRequest, "malformed-request", 400 },
+        ReasonRow { RefusalReason::HeaderTooLarge, "header-too-large", 431 },
         ReasonRow { RefusalReason::RequestTooLarge, "request-too-large", 413 },
         ReasonRow { RefusalReason::UnknownHost, "unknown-host", 404 },
         ReasonRow { RefusalReason::UnknownRoute, "unknown-route", 404 },
--- a/tests/process/harness/Fleet.cpp
+++ b/tests/process/harness/Fleet.cpp
@@ -1,8 +1,10 @@
 #include "Fleet.h"
 
 #include "Eventually.h"
+#include "Objects.h"
 
 #include <algorithm>
+#include <map>
 
 namespace carobpath::harness {
 
@@ -10,6 +12,13 @@
 
     constexpr std::size_t maximumSeeds = 3;
 
+    bool isReadyUpstream(const nlohmann::json& node, const std::string& version)
+    {
+        if (!node.contains("upstream") || node["liveness"] != "alive")
+            return false;
+        return node["upstream"]["version"] == version && node["upstream"]["state"] == "ready";
+    }
+
 }
 
 Fleet::Fleet(const std::vector<std::string>& members)
@@ -54,10 +63,26 @@
     return endpoints;
 }
 
-Operator Fleet::operatorOf(const std::string& member)
+const TestMember& Fleet::member(const std::string& name) const
 {
-    const auto it = std::find_if(m_members.begin(), m_members.end(), [&](const auto& candidate) { return candidate.name == member; });
-    return { m_directory, *it, m_members, m_log.endpoint(), adminEndpoints() };
+    return *std::find_if(m_members.begin(), m_members.end(), [&](const auto& it) { return it.name == name; });
+}
+
+Operator Fleet::operatorOf(const std::string& name)
+{
+    return { m_directory, member(name), m_members, m_log.endpoint(), adminEndpoints() };
+}
+
+Publisher Fleet::publisherOf(const std::string& name) { return { member(name), m_log.endpoint() }; }
+
+void Fleet::publishBooking()
+{
+    waitUntilInForce(publisherOf("petra").publish(objects::booking()));
+    std::map<std::string, std::size_t> count;
+    for (const auto& options : m_backendOptions)
+        ++count[options.version];
+    for (const auto& [version, upstreams] : count)
+        waitUntilUpstreams(version, upstreams);
 }
 
 void Fleet::waitUntilInForce(std::uint64_t offset)
@@ -67,7 +92,7 @@
             continue;
         eventually(instance.node->name() + " has offset " + std::to_string(offset) + " in force", [&] {
             const auto status = instance.node->adminJson("/v1/status");
-            return status.is_object() && status["configuration"].value("offset", std::int64_t { -1 }) >= static_cast<std::int64_t>(offset);
+            return status.is_object() && status["configuration"].is_object() && status["configuration"]["offset"] >= offset;
         });
     }
 }
@@ -82,7 +107,7 @@
             if (!status.is_object())
                 return false;
             const auto& nodes = status["nodes"];
-            const auto known = std::count_if(nodes.begin(), nodes.end(), [&](const auto& it) { return it.value("version", "") == version; });
+            const auto known = std::count_if(nodes.begin(), nodes.end(), [&](const auto& it) { return isReadyUpstream(it, version); });
             return static_cast<std::size_t>(known) >= count;
         });
     }
@@ -96,6 +121,16 @@
     return count;
 }
 
+std::vector<EventLine> Fleet::runs() const
+{
+    std::vector<EventLine> all;
+    for (const auto& instance : m_instances) {
+        const auto runs = instance.backend->runs();
+        all.insert(all.end(), runs.begin(), runs.end());
+    }
+    return all;
+}
+
 std::vector<std::string> Fleet::adminEndpoints() const
 {
     std::vector<std::string> endpoints;
--- a/tests/process/harness/Fleet.h
+++ b/tests/process/harness/Fleet.h
@@ -2,6 +2,7 @@
 
 #include "NodeProcess.h"
 #include "Operator.h"
+#include "Publisher.h"
 #include "Standins.h"
 
 #include <memory>
@@ -38,8 +39,12 @@
     void restartBackend(std::size_t i);
 
     Operator operatorOf(const std::string& member);
+    Publisher publisherOf(const std::string& member);
 
-    /// Waits until each running node has the configuration offset in force and is ready.
+    /// Publishes Petra's booking service, and waits until it is in force and every backend server is known.
+    void publishBooking();
+
+    /// Waits until each running node has the configuration offset, or a later one, in force.
     void waitUntilInForce(std::uint64_t offset);
 
     /// Waits until each running node knows this many upstreams of the version.
@@ -48,6 +53,9 @@
     /// \returns how often calls whose path contains the text were run, over all backend servers.
     std::size_t runsOf(const std::string& pathPart) const;
 
+    /// \returns the executed events of every backend server.
+    std::vector<EventLine> runs() const;
+
     /// \returns the admin addresses of every node.
     std::vector<std::string> adminEndpoints() const;
     /// \returns the callers' addresses of every node.
@@ -55,6 +63,7 @@
 
 private:
     std::vector<std::string> seeds() const;
+    const TestMember& member(const std::string& name) const;
 
     TemporaryDirectory m_directory;
     LogStandin m_log { m_directory };
