--- a/packages/foundation/include/carobpath/foundation/EventNames.h
+++ b/packages/foundation/include/carobpath/foundation/EventNames.h
@@ -38,11 +38,12 @@
     inline constexpr EventName callRefused { "call-refused" };
     inline constexpr EventName callRetried { "call-retried" };
     inline constexpr EventName callAborted { "call-aborted" };
+    inline constexpr EventName backendCrashed { "backend-crashed" };
     inline constexpr EventName fingerprintQuarantined { "fingerprint-quarantined" };
     inline constexpr EventName connectionSuspected { "connection-suspected" };
 
     inline constexpr EventName moveStarted { "move-started" };
-    inline constexpr EventName moveShareRaised { "move-share-raised" };
+    inline constexpr EventName moveShareChanged { "move-share-changed" };
     inline constexpr EventName moveTakenBack { "move-taken-back" };
     inline constexpr EventName moveDone { "move-done" };
     inline constexpr EventName moveWithdrawn { "move-withdrawn" };
--- a/packages/node/src/internal/MoveDriver.cpp
+++ b/packages/node/src/internal/MoveDriver.cpp
@@ -33,10 +33,10 @@
 
 }
 
-MoveDriver::MoveDriver(NodeContext& context, publication::HttpLogClient& log, publication::KeyPair fleetKey, std::function<void()> onNotice)
+MoveDriver::MoveDriver(NodeContext& context, publication::HttpLogClient& log, const publication::KeyPair& fleetKey, std::function<void()> onNotice)
     : m_context(context)
     , m_log(log)
-    , m_fleetKey(std::move(fleetKey))
+    , m_fleetKey(fleetKey)
     , m_onNotice(std::move(onNotice))
     , m_engine(context.settings.name, context.incarnation, context.random())
     , m_timer(context.io)
@@ -108,7 +108,7 @@
 
 void MoveDriver::perform(const moves::ShareChanged& command)
 {
-    m_context.events.record(Event(event::moveShareRaised)
+    m_context.events.record(Event(event::moveShareChanged)
                                 .with("move", command.move)
                                 .with("service", command.service)
                                 .with("share", command.share.nextShare));
