--- a/packages/moves/src/MoveJudge.cpp
+++ b/packages/moves/src/MoveJudge.cpp
@@ -17,7 +17,7 @@
     constexpr std::array<Badness, 2> allBadness { Badness::Failed, Badness::Slow };
     constexpr std::uint64_t mostCallsNeeded = 30;
     /// Chance of doubting a version that is no worse: at a raise, which then waits.
-    constexpr double raiseChance = 0.002;
+    constexpr double raiseChance = 0.01;
 
     /// How much evidence a member asks for.
     struct EvidenceNeed {
@@ -34,7 +34,7 @@
     };
 
     constexpr EvidenceNeed needToFinish { 3, 4, 3, 7, 0.0001 };
-    constexpr EvidenceNeed needToTakeBack { 3, 3, 8, 6, 0.0002 };
+    constexpr EvidenceNeed needToTakeBack { 3, 3, 8, 4.5, 0.0005 };
 
     const EvidenceNeed& needOf(ThinEvidencePolicy policy)
     {
