Moves: the verdict is due at most 4 s before the deadline

Cause: badness in the last seconds before the verdict is not seen. An append takes a tenth of a second, so 10 s was more than needed.

--- a/packages/moves/src/MovePlan.cpp
+++ b/packages/moves/src/MovePlan.cpp
@@ -18,8 +18,8 @@
     constexpr std::uint32_t longestWarmUpWindows = 2;
     constexpr milliseconds longestInstanceWarmUp { 10000 };
     constexpr milliseconds shortestVerdictMargin { 1000 };
-    constexpr milliseconds longestVerdictMargin { 10000 };
-    constexpr int verdictMarginParts = 20;
+    constexpr milliseconds longestVerdictMargin { 4000 };
+    constexpr int verdictMarginParts = 50;
 
     std::vector<double> sharesOf(std::uint32_t raises)
     {
