--- a/packages/moves/tests/MoveEngineTests.cpp
+++ b/packages/moves/tests/MoveEngineTests.cpp
@@ -93,6 +93,22 @@
     BOOST_TEST(engine.report(MoveName { "m" }, at(20s))->share == 0.0);
 }
 
+BOOST_AUTO_TEST_CASE(Of_two_unfinished_moves_on_one_service_the_later_one_splits_its_calls)
+{
+    MoveEngine engine(NodeName { "n1" }, { 1 }, std::mt19937_64 { 1 });
+    auto both = *oneMove(160s);
+    auto later = both.set.moves.begin()->second;
+    later.move.name = MoveName { "a" };
+    later.move.to = VersionName { "booking-3" };
+    later.publishedAt = 6;
+    both.set.moves[later.move.name] = later;
+    engine.onConfiguration(std::make_shared<const publication::ConfigurationVersion>(both), at(0ms));
+    engine.tick(at(1s));
+    BOOST_TEST(engine.share(booking, at(1s)).next->value() == "booking-3");
+    BOOST_TEST(engine.share(booking, at(1s)).nextShare > 0.0);
+    BOOST_TEST(engine.report(MoveName { "m" }, at(1s))->share == 0.0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- /dev/null
+++ b/packages/moves/tests/MovePropertyTests.cpp
@@ -0,0 +1,192 @@
+#include "FakeFleet.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <iostream>
+
+/// Properties over generated evidence, with a fixed seed.
+namespace carobpath::moves {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    constexpr std::uint64_t seed = 20261203;
+    constexpr auto length = 160s;
+    const MoveId move { MoveName { "to-2" }, 5 };
+    const VersionName newVersion { "booking-2" };
+    const VersionName oldVersion { "booking-1" };
+
+    template <typename Property>
+    bool holds(Property&& property)
+    {
+        rc::detail::TestParams params;
+        params.seed = seed;
+        const auto result = rc::detail::checkTestable(std::forward<Property>(property), rc::detail::TestMetadata {}, params);
+        std::cout << "seed " << seed << ": ";
+        rc::detail::printResultMessage(result, std::cout);
+        std::cout << std::endl;
+        return result.template is<rc::detail::SuccessResult>();
+    }
+
+    int below(int end)
+    {
+        return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, end));
+    }
+
+    /// One entry of one of three observers; counts grow with the revision, as an observer's do.
+    EvidenceEntry anyEntry()
+    {
+        EvidenceEntry it;
+        const auto sequence = 1 + static_cast<std::uint64_t>(below(5));
+        it.observer = NodeName { "n" + std::to_string(below(3)) };
+        it.revision = { { 1 + static_cast<std::uint64_t>(below(3)) }, sequence };
+        it.move = move.name;
+        it.movePublishedAt = move.publishedAt;
+        it.route = RouteName { "book" };
+        it.version = below(2) == 0 ? oldVersion : newVersion;
+        it.window = MovePlan::evidenceWindow(static_cast<std::uint32_t>(below(4)), false);
+        it.counts.succeeded = sequence * (10 + it.revision.incarnation.value);
+        it.counts.failed = it.version == newVersion ? sequence / 4 : 0;
+        return it;
+    }
+
+    EvidenceUpdate anyUpdate()
+    {
+        EvidenceUpdate it;
+        for (auto n = below(12); n > 0; --n)
+            it.entries.push_back(anyEntry());
+        return it;
+    }
+
+    std::vector<EvidenceEntry> mergedOf(const std::vector<EvidenceUpdate>& updates)
+    {
+        EvidenceBook it(NodeName { "reader" }, { 1 });
+        it.retain({ move }, 5);
+        for (const auto& update : updates)
+            it.merge(update);
+        EvidenceCursor cursor;
+        return it.changedSince(cursor).entries;
+    }
+
+    /// The broken merge: what arrives last stays.
+    std::map<std::pair<NodeName, std::uint32_t>, std::uint64_t> lastArrivalOf(const std::vector<EvidenceUpdate>& updates)
+    {
+        std::map<std::pair<NodeName, std::uint32_t>, std::uint64_t> result;
+        for (const auto& update : updates) {
+            for (const auto& it : update.entries)
+                result[{ it.observer, it.window }] = it.counts.succeeded;
+        }
+        return result;
+    }
+
+    EvidenceUpdate asUpdate(std::vector<EvidenceEntry> entries)
+    {
+        return { std::move(entries), {} };
+    }
+
+    /// A judge with random evidence in the windows up to the one given.
+    MoveJudge anyJudge(std::uint32_t lastWindow, publication::ThinEvidencePolicy policy)
+    {
+        MoveJudge judge(FakeFleet::entry(length, policy));
+        for (std::uint32_t w = 0; w <= lastWindow; ++w) {
+            for (const auto& version : { oldVersion, newVersion }) {
+                EvidenceGrowth it { move, RouteName { "book" }, version, MovePlan::evidenceWindow(w, below(4) == 0), {} };
+                it.counts.succeeded = static_cast<std::uint64_t>(below(60));
+                it.counts.failed = static_cast<std::uint64_t>(below(4) == 0 ? below(6) : 0);
+                it.counts.latency.at(static_cast<std::size_t>(below(8))) = it.counts.succeeded;
+                judge.add(it);
+            }
+        }
+        return judge;
+    }
+
+}
+
+BOOST_AUTO_TEST_SUITE(Properties)
+
+BOOST_AUTO_TEST_CASE(Merging_is_commutative_associative_and_idempotent_and_keeping_the_last_arrival_is_not)
+{
+    BOOST_TEST(holds([] {
+        const auto a = anyUpdate();
+        const auto b = anyUpdate();
+        const auto c = anyUpdate();
+        const auto all = mergedOf({ a, b, c });
+        RC_ASSERT(mergedOf({ c, b, a }) == all);
+        RC_ASSERT(mergedOf({ a, b, b, c, a }) == all);
+        RC_ASSERT(mergedOf({ asUpdate(mergedOf({ a, b })), c }) == all);
+        RC_ASSERT(mergedOf({ a, asUpdate(mergedOf({ b, c })) }) == all);
+    }));
+    BOOST_TEST(!holds([] {
+        const auto a = anyUpdate();
+        const auto b = anyUpdate();
+        RC_ASSERT(lastArrivalOf({ a, b }) == lastArrivalOf({ b, a }));
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(The_share_does_not_fall_with_time_where_no_evidence_comes)
+{
+    BOOST_TEST(holds([] {
+        const auto policy = below(2) == 0 ? publication::ThinEvidencePolicy::Finish : publication::ThinEvidencePolicy::TakeBack;
+        const auto lastWindow = static_cast<std::uint32_t>(below(12));
+        const auto judge = anyJudge(lastWindow, policy);
+        double share = 0;
+        for (auto t = judge.plan().windowStart(lastWindow); t < judge.plan().verdictDueAt(); t += 500ms) {
+            const auto it = judge.assess(t);
+            RC_ASSERT(it.share >= share);
+            share = it.share;
+        }
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(The_share_depends_on_the_evidence_and_not_on_its_order)
+{
+    BOOST_TEST(holds([] {
+        std::vector<EvidenceUpdate> updates { anyUpdate(), anyUpdate(), anyUpdate(), anyUpdate() };
+        const auto now = FakeFleet::at(1s * below(160));
+        std::vector<double> shares;
+        for (int order = 0; order < 2; ++order) {
+            MoveJudge judge(FakeFleet::entry(length, publication::ThinEvidencePolicy::TakeBack));
+            EvidenceBook book(NodeName { "reader" }, { 1 });
+            book.retain({ move }, 5);
+            for (const auto& update : updates) {
+                for (const auto& growth : book.merge(update))
+                    judge.add(growth);
+            }
+            shares.push_back(judge.assess(now.wall).share);
+            std::reverse(updates.begin(), updates.end());
+        }
+        RC_ASSERT(shares[0] == shares[1]);
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(A_move_that_was_taken_back_never_gets_a_call_again_whatever_evidence_comes)
+{
+    BOOST_TEST(holds([] {
+        MoveEngine engine(NodeName { "reader" }, { 1 }, std::mt19937_64 { seed });
+        auto version = std::make_shared<publication::ConfigurationVersion>();
+        const auto entry = FakeFleet::entry(length, publication::ThinEvidencePolicy::Finish);
+        version->stamp.offset = 5;
+        version->set.services[entry.move.service] = { { entry.move.service, entry.move.member, oldVersion, {} }, oldVersion, 1 };
+        version->set.moves[entry.move.name] = entry;
+        engine.onConfiguration(version, FakeFleet::at(0ms));
+        const auto noticeAt = below(20);
+        for (int i = 0; i < 20; ++i) {
+            const auto now = FakeFleet::at(8s * i);
+            auto update = anyUpdate();
+            if (i == noticeAt)
+                update.notices.push_back({ move.name, move.publishedAt, NodeName { "n1" }, { publication::MoveOutcome::TakenBack, publication::MoveReason::ErrorRate, {}, {} } });
+            engine.merge(update, now);
+            for (const auto& command : engine.tick(now)) {
+                if (const auto* append = std::get_if<AppendVerdict>(&command))
+                    RC_ASSERT(i < noticeAt || append->verdict.outcome == publication::MoveOutcome::TakenBack);
+            }
+            RC_ASSERT(i < noticeAt || engine.share(entry.move.service, now).nextShare == 0.0);
+        }
+    }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
