Compare tables record by record, and stop sending news that peers have

Cause: after a herd or a healed cut, all nodes' entries are news at once.

Ruled out: a larger budget for news alone; the transmissions stay redundant.

Change: a record that a peer sends back counts as two transmissions, and a comparison sends the hashes of the records in the differing buckets, so that just the records that lack are sent; it may run once a second, or every 3 s while news are under way.

--- a/packages/distribution/include/carobpath/distribution/EvidenceNews.h
+++ b/packages/distribution/include/carobpath/distribution/EvidenceNews.h
@@ -50,6 +50,7 @@
         friend auto operator<=>(const NoticeKey&, const NoticeKey&) = default;
     };
 
+    static EntryKey keyOf(const moves::EvidenceEntry&);
     std::vector<moves::TakeBackNotice> remember(const std::vector<moves::TakeBackNotice>&);
 
     EvidencePort m_port;
--- a/packages/distribution/include/carobpath/distribution/Exchange.h
+++ b/packages/distribution/include/carobpath/distribution/Exchange.h
@@ -91,15 +91,15 @@
     static constexpr std::chrono::milliseconds s_pauseGap { 2500 };
     static constexpr std::chrono::milliseconds s_gateInterval { 300 };
     /// Shortest time between two comparisons of buckets, with and without news under way.
-    static constexpr std::chrono::milliseconds s_compareInterval { 2000 };
-    static constexpr std::chrono::milliseconds s_compareIntervalBusy { 10000 };
+    static constexpr std::chrono::milliseconds s_compareInterval { 1000 };
+    static constexpr std::chrono::milliseconds s_compareIntervalBusy { 3000 };
     /// Every so many exchanges, a seed or a dead peer is tried, so that two halves of the fleet find each other.
     static constexpr std::uint32_t s_healEvery = 8;
     /// Random peers that a notice is pushed to besides the neighbours.
     static constexpr std::size_t s_noticeFanOut = 2;
     static constexpr std::size_t s_membershipBudget = 4096;
     static constexpr std::size_t s_evidenceBudget = 2048;
-    static constexpr std::size_t s_compareBudget = 16384;
+    static constexpr std::size_t s_compareBudget = 32768;
     /// Largest delta that is sent unasked.
     static constexpr std::size_t s_deltaBudget = 262144;
     static constexpr std::size_t s_maxOutstanding = 256;
@@ -180,7 +180,7 @@
     void hearFloor(const PeerMessage&);
     void takeDelta(const PeerMessage&, MonotonicTime now, Commands&);
     void compareStamps(const PeerMessage&, bool deltaExpected, MonotonicTime now);
-    void answerBuckets(const PeerMessage&, bool askBack, Commands&);
+    void answerComparison(const PeerMessage&, Commands&);
     void adopted(Adoption, const publication::ConfigurationPointer& before, const Endpoint& source, MonotonicTime now, Commands&);
     bool comparisonDue(const PeerMessage& request, MonotonicTime now);
     bool holdsNewerThan(const std::optional<publication::ConfigurationStamp>&) const;
--- a/packages/distribution/include/carobpath/distribution/PeerMessage.h
+++ b/packages/distribution/include/carobpath/distribution/PeerMessage.h
@@ -23,8 +23,9 @@
     bool joining = false;
     /// Hash over the sender's membership.
     std::uint64_t membershipDigest = 0;
-    /// Set to find out which records differ.
+    /// Set to find out which buckets differ, and which of their records.
     std::optional<membership::TableDigest::Buckets> membershipBuckets;
+    std::optional<membership::RecordSummary> membershipSummary;
     membership::MembershipUpdate membership;
     moves::EvidenceUpdate evidence;
     std::shared_ptr<const Delta> delta;
--- a/packages/distribution/src/EvidenceNews.cpp
+++ b/packages/distribution/src/EvidenceNews.cpp
@@ -1,6 +1,7 @@
 #include "carobpath/distribution/EvidenceNews.h"
 
 #include "carobpath/distribution/PeerMessage.h"
+#include "carobpath/membership/MembershipTable.h"
 
 namespace carobpath::distribution {
 
@@ -29,10 +30,15 @@
             break;
     }
     for (const auto& it : changes.entries)
-        m_entries.put(EntryKey { it.observer, it.revision.incarnation, it.move, it.movePublishedAt, it.route, it.version, it.window }, it);
+        m_entries.put(keyOf(it), it);
     return remember(changes.notices);
 }
 
+EvidenceNews::EntryKey EvidenceNews::keyOf(const moves::EvidenceEntry& it)
+{
+    return { it.observer, it.revision.incarnation, it.move, it.movePublishedAt, it.route, it.version, it.window };
+}
+
 bool EvidenceNews::collectionDue(MonotonicTime now) const
 {
     return now - m_collectedAt >= s_collectInterval;
@@ -42,6 +48,8 @@
 {
     if (update.entries.empty() && update.notices.empty())
         return {};
+    for (const auto& it : update.entries)
+        m_entries.heardAgain(keyOf(it), membership::MembershipTable::s_savedByEcho);
     if (m_port.merge)
         m_port.merge(update);
     return remember(update.notices);
--- a/packages/distribution/src/ExchangeMessages.cpp
+++ b/packages/distribution/src/ExchangeMessages.cpp
@@ -41,7 +41,7 @@
         if (news.delta && encodedSize(*news.delta) <= s_deltaBudget)
             pushTo(reply.sender, news, commands);
     }
-    answerBuckets(reply, true, commands);
+    answerComparison(reply, commands);
     settle(now, commands);
     return commands;
 }
@@ -50,7 +50,7 @@
 {
     Commands commands;
     take(message, now, commands);
-    answerBuckets(message, false, commands);
+    answerComparison(message, commands);
     settle(now, commands);
     return commands;
 }
@@ -234,17 +234,21 @@
     commands.emplace_back(SendPush { to, std::move(message) });
 }
 
-void Exchange::answerBuckets(const PeerMessage& message, bool askBack, Commands& commands)
+void Exchange::answerComparison(const PeerMessage& message, Commands& commands)
 {
-    if (!message.membershipBuckets)
-        return;
     PeerMessage answer = header();
-    answer.membership.records = m_members.recordsInDifferingBuckets(*message.membershipBuckets, s_compareBudget);
-    if (askBack)
-        answer.membershipBuckets = m_members.digest().buckets();
-    if (!askBack && answer.membership.records.empty())
-        return;
-    commands.emplace_back(SendPush { message.sender, std::move(answer) });
+    if (message.membershipBuckets) {
+        const auto differing = m_members.digest().differing(*message.membershipBuckets);
+        if (differing != 0)
+            answer.membershipSummary = m_members.summaryOf(differing, true);
+    }
+    if (message.membershipSummary) {
+        answer.membership.records = m_members.recordsLackingIn(*message.membershipSummary, s_compareBudget);
+        if (message.membershipSummary->answerWanted)
+            answer.membershipSummary = m_members.summaryOf(message.membershipSummary->buckets, false);
+    }
+    if (answer.membershipSummary || !answer.membership.records.empty())
+        commands.emplace_back(SendPush { message.sender, std::move(answer) });
 }
 
 bool Exchange::comparisonDue(const PeerMessage& request, MonotonicTime now)
--- a/packages/membership/include/carobpath/membership/MembershipTable.h
+++ b/packages/membership/include/carobpath/membership/MembershipTable.h
@@ -31,6 +31,8 @@
     static constexpr std::chrono::minutes s_tombstoneLifetime { 120 };
     /// Shortest time between two revisions that were made for a change of load alone.
     static constexpr std::chrono::seconds s_loadHintInterval { 30 };
+    /// Transmissions of news that are left out for each peer that is seen to have them already.
+    static constexpr std::uint32_t s_savedByEcho = 2;
     /// Calls to a node that fail in a row before this node suspects it.
     static constexpr std::uint32_t s_failedCallsToSuspect = 3;
 
@@ -62,9 +64,12 @@
     /// \returns news for one message, bounded by bytes.
     MembershipUpdate takeNews(std::size_t budget);
     bool hasNews() const { return m_recordNews.size() > 0; }
+    std::size_t newsWaiting() const { return m_recordNews.size(); }
     const TableDigest& digest() const { return m_digest; }
-    /// \returns the records in the buckets that differ, bounded by bytes.
-    std::vector<NodeRecord> recordsInDifferingBuckets(const TableDigest::Buckets& theirs, std::size_t budget) const;
+    /// \returns the hashes of the records in the buckets.
+    RecordSummary summaryOf(std::uint64_t buckets, bool answerWanted) const;
+    /// \returns the records that a summary lacks, bounded by bytes.
+    std::vector<NodeRecord> recordsLackingIn(const RecordSummary&, std::size_t budget) const;
     /// \returns every record that is still spread.
     std::vector<NodeRecord> allRecords() const;
 
@@ -92,6 +97,7 @@
     bool suspect(const NodeName&, MonotonicTime now);
     void store(Known&, const NodeRecord&, MonotonicTime now);
     void spread(const NodeName&);
+    bool isIn(std::uint64_t buckets, const NodeName&, const Known&) const;
     void ageTombstones(MonotonicTime now);
     void recountLivePeers();
     std::uint32_t transmissions() const;
--- a/packages/membership/include/carobpath/membership/MembershipUpdate.h
+++ b/packages/membership/include/carobpath/membership/MembershipUpdate.h
@@ -2,6 +2,7 @@
 
 #include "carobpath/membership/NodeEntry.h"
 
+#include <cstdint>
 #include <vector>
 
 namespace carobpath::membership {
@@ -31,6 +32,17 @@
     bool empty() const { return records.empty() && suspicions.empty(); }
 };
 
+/// The hashes of all records in some buckets of a table, so that the receiver sends just the records that lack there.
+struct RecordSummary {
+    /// The buckets, one bit each.
+    std::uint64_t buckets = 0;
+    std::vector<std::uint64_t> hashes;
+    /// Whether the receiver shall send its own summary of the same buckets.
+    bool answerWanted = false;
+
+    friend bool operator==(const RecordSummary&, const RecordSummary&) = default;
+};
+
 /// \returns about the number of bytes that a record takes in a message.
 std::size_t encodedSize(const NodeRecord&);
 std::size_t encodedSize(const Suspicion&);
--- a/packages/membership/include/carobpath/membership/RumorQueue.h
+++ b/packages/membership/include/carobpath/membership/RumorQueue.h
@@ -28,6 +28,14 @@
         m_rumors.insert_or_assign(key, Rumor { std::move(item), 0 });
     }
 
+    /// A peer sent what is held here already: it has spread that far, so it is sent fewer times.
+    void heardAgain(const Key& key, std::uint32_t transmissionsSaved)
+    {
+        const auto it = m_rumors.find(key);
+        if (it != m_rumors.end())
+            it->second.sent += transmissionsSaved;
+    }
+
     void erase(const Key& key) { m_rumors.erase(key); }
     std::size_t size() const { return m_rumors.size(); }
 
@@ -40,6 +48,10 @@
         std::vector<Item> items;
         std::size_t used = 0;
         for (const auto& it : leastSentFirst()) {
+            if (it->second.sent >= transmissions) {
+                m_rumors.erase(it);
+                continue;
+            }
             const std::size_t size = sizeOf(it->second.item);
             if (used + size > budget)
                 break;
--- a/packages/membership/include/carobpath/membership/TableDigest.h
+++ b/packages/membership/include/carobpath/membership/TableDigest.h
@@ -20,6 +20,10 @@
     /// One hash over the whole table.
     std::uint64_t whole() const;
 
+    /// \returns the hash of one record.
+    static std::uint64_t hashOf(const NodeRecord&);
+    /// \returns the buckets that differ, one bit each.
+    std::uint64_t differing(const Buckets& theirs) const;
     /// \returns the bucket that holds a node.
     static std::size_t bucketOf(const NodeName&);
 
--- a/packages/membership/src/MembershipTable.cpp
+++ b/packages/membership/src/MembershipTable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <unordered_set>
 
 namespace carobpath::membership {
 
@@ -180,8 +181,11 @@
 {
     const auto it = m_nodes.find(record.entry.name);
     if (it != m_nodes.end()) {
-        if (!isNewer(record, it->second.record))
+        if (!isNewer(record, it->second.record)) {
+            if (!isNewer(it->second.record, record))
+                m_recordNews.heardAgain(record.entry.name, s_savedByEcho);
             return false;
+        }
         if (it->second.spread)
             m_digest.toggle(it->second.record);
         store(it->second, record, now);
@@ -311,13 +315,28 @@
     return update;
 }
 
-std::vector<NodeRecord> MembershipTable::recordsInDifferingBuckets(const TableDigest::Buckets& theirs, std::size_t budget) const
+bool MembershipTable::isIn(std::uint64_t buckets, const NodeName& name, const Known& known) const
+{
+    return known.spread && ((buckets >> TableDigest::bucketOf(name)) & 1U) != 0;
+}
+
+RecordSummary MembershipTable::summaryOf(std::uint64_t buckets, bool answerWanted) const
+{
+    RecordSummary summary { buckets, {}, answerWanted };
+    for (const auto& [name, known] : m_nodes) {
+        if (isIn(buckets, name, known))
+            summary.hashes.push_back(TableDigest::hashOf(known.record));
+    }
+    return summary;
+}
+
+std::vector<NodeRecord> MembershipTable::recordsLackingIn(const RecordSummary& summary, std::size_t budget) const
 {
+    const std::unordered_set<std::uint64_t> theirs(summary.hashes.begin(), summary.hashes.end());
     std::vector<NodeRecord> records;
     std::size_t used = 0;
     for (const auto& [name, known] : m_nodes) {
-        const std::size_t bucket = TableDigest::bucketOf(name);
-        if (!known.spread || theirs[bucket] == m_digest.buckets()[bucket])
+        if (!isIn(summary.buckets, name, known) || theirs.contains(TableDigest::hashOf(known.record)))
             continue;
         used += encodedSize(known.record);
         if (used > budget)
--- a/packages/membership/src/TableDigest.cpp
+++ b/packages/membership/src/TableDigest.cpp
@@ -6,18 +6,24 @@
 
 namespace carobpath::membership {
 
-namespace {
-
-    std::uint64_t hashOf(const NodeRecord& record)
-    {
-        const auto& revision = record.entry.revision;
-        std::string text = std::to_string(revision.incarnation.value);
-        text += '.';
-        text += std::to_string(revision.sequence);
-        text += record.dead ? 'd' : 'a';
-        return rendezvousScore(text, record.entry.name.value());
-    }
+std::uint64_t TableDigest::hashOf(const NodeRecord& record)
+{
+    const auto& revision = record.entry.revision;
+    std::string text = std::to_string(revision.incarnation.value);
+    text += '.';
+    text += std::to_string(revision.sequence);
+    text += record.dead ? 'd' : 'a';
+    return rendezvousScore(text, record.entry.name.value());
+}
 
+std::uint64_t TableDigest::differing(const Buckets& theirs) const
+{
+    std::uint64_t mask = 0;
+    for (std::size_t i = 0; i < s_buckets; ++i) {
+        if (m_buckets[i] != theirs[i])
+            mask |= std::uint64_t { 1 } << i;
+    }
+    return mask;
 }
 
 void TableDigest::toggle(const NodeRecord& record)
--- a/packages/membership/tests/MembershipTableTests.cpp
+++ b/packages/membership/tests/MembershipTableTests.cpp
@@ -197,8 +197,13 @@
     merge(entry("b", 1, 1));
     BOOST_TEST(table.digest().whole() != other.digest().whole());
 
-    const auto differing = table.recordsInDifferingBuckets(other.digest().buckets(), budget);
-    BOOST_TEST(std::any_of(differing.begin(), differing.end(), [](const auto& it) { return it.entry.name.value() == "b"; }));
+    const auto buckets = table.digest().differing(other.digest().buckets());
+    const auto lacking = table.recordsLackingIn(other.summaryOf(buckets, false), budget);
+    BOOST_REQUIRE(lacking.size() == 1U);
+    BOOST_TEST(lacking[0].entry.name.value() == "b");
+    other.merge({ lacking, {} }, now);
+    BOOST_TEST(table.digest().whole() == other.digest().whole());
+    BOOST_TEST(table.digest().differing(other.digest().buckets()) == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(The_table_is_bounded_and_makes_room_by_forgetting_tombstones)
--- a/packages/peer/schema/Peer.capnp
+++ b/packages/peer/schema/Peer.capnp
@@ -57,6 +57,12 @@
   observer @3 :Text;
 }
 
+struct RecordSummary {
+  buckets @0 :UInt64;
+  hashes @1 :List(UInt64);
+  answerWanted @2 :Bool;
+}
+
 struct EvidenceEntry {
   observer @0 :Text;
   incarnation @1 :UInt64;
@@ -111,6 +117,7 @@
   delta @11 :Delta;
   hybridMilliseconds @12 :UInt64;
   hybridCounter @13 :UInt32;
+  membershipSummary @14 :RecordSummary;
 }
 
 struct WholeState {
--- a/packages/peer/src/internal/MessageConversions.cpp
+++ b/packages/peer/src/internal/MessageConversions.cpp
@@ -57,6 +57,29 @@
         return buckets;
     }
 
+    void writeSummary(const membership::RecordSummary& summary, schema::RecordSummary::Builder to)
+    {
+        to.setBuckets(summary.buckets);
+        auto hashes = to.initHashes(sizeOf(summary.hashes));
+        for (unsigned i = 0; i < hashes.size(); ++i)
+            hashes.set(i, summary.hashes[i]);
+        to.setAnswerWanted(summary.answerWanted);
+    }
+
+    Result<membership::RecordSummary> readSummary(schema::RecordSummary::Reader from)
+    {
+        const auto hashes = from.getHashes();
+        if (hashes.size() > maxListLength)
+            return malformed(MessageFault::TooManyEntries);
+        membership::RecordSummary summary;
+        summary.buckets = from.getBuckets();
+        summary.answerWanted = from.getAnswerWanted();
+        summary.hashes.reserve(hashes.size());
+        for (const auto it : hashes)
+            summary.hashes.push_back(it);
+        return summary;
+    }
+
     Result<Endpoint> readSender(schema::Endpoint::Reader from)
     {
         if (from.getAddress().size() == 0 || from.getAddress().size() > maxNameLength || from.getPort() == 0)
@@ -80,6 +103,8 @@
     to.setMembershipDigest(message.membershipDigest);
     if (message.membershipBuckets)
         writeBuckets(*message.membershipBuckets, to.initMembershipBuckets(sizeOf(*message.membershipBuckets)));
+    if (message.membershipSummary)
+        writeSummary(*message.membershipSummary, to.initMembershipSummary());
     writeNews(message, to);
     to.setHybridMilliseconds(message.hybridMilliseconds);
     to.setHybridCounter(message.hybridCounter);
@@ -101,6 +126,9 @@
     if (from.hasMembershipBuckets()) {
         BOOST_LEAF_ASSIGN(message.membershipBuckets, readBuckets(from.getMembershipBuckets()));
     }
+    if (from.hasMembershipSummary()) {
+        BOOST_LEAF_ASSIGN(message.membershipSummary, readSummary(from.getMembershipSummary()));
+    }
     auto news = readNews(from, message);
     if (!news)
         return news.error();
--- a/packages/peer/tests/ConversionTests.cpp
+++ b/packages/peer/tests/ConversionTests.cpp
@@ -66,6 +66,7 @@
         message.stamp = publication::ConfigurationStamp { 4, {} };
         message.floor = publication::ConfigurationStamp { 3, {} };
         message.membershipBuckets.emplace();
+        message.membershipSummary = membership::RecordSummary { 5, { 1, 2, 3 }, true };
         message.membership.records.push_back(nodeRecord());
         message.membership.suspicions.push_back({ NodeName { "a" }, Revision { Incarnation { 1 }, 2 }, NodeName { "b" } });
         message.evidence.entries.push_back(evidenceEntry());
@@ -113,6 +114,7 @@
     BOOST_TEST((message.from == sent.from && message.sender == sent.sender));
     BOOST_TEST((message.stamp == sent.stamp && message.floor == sent.floor));
     BOOST_TEST((message.membershipBuckets == sent.membershipBuckets));
+    BOOST_TEST((message.membershipSummary == sent.membershipSummary));
     BOOST_TEST((message.membership.records == sent.membership.records));
     BOOST_TEST((message.membership.suspicions == sent.membership.suspicions));
     BOOST_TEST((message.evidence.entries == sent.evidence.entries));
