Measure what two nodes add to a call

Cause: the budget of 0.53 ms at p99 needs a figure of its own run. Change: carobpath-bench-latency sends one open-loop load straight to a backend stand-in and through two node processes, and prints latency, what was added, and processor time a call of each node. Conclusion: the command stands.

--- /dev/null
+++ b/bench/latency_bench.cpp
@@ -0,0 +1,161 @@
+#include "Fleet.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cxxopts.hpp>
+#include <nlohmann/json.hpp>
+
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <sstream>
+#include <string>
+#include <unistd.h>
+#include <vector>
+
+/// Measures what the two node processes on the path add to a call: the same open-loop load goes first straight to the
+/// backend server, then through a node whose own backend server does not serve the version, so that each call crosses
+/// to the node beside another one.
+namespace {
+
+using namespace carobpath::harness;
+using namespace std::chrono_literals;
+
+struct Row {
+    double rate = 0;
+    nlohmann::json direct;
+    nlohmann::json meshed;
+    /// Processor time of the two nodes in seconds for each call.
+    double entrySecondsPerCall = 0;
+    double admittingSecondsPerCall = 0;
+};
+
+struct BenchOptions {
+    std::vector<double> rates;
+    std::chrono::seconds duration { 5 };
+};
+
+BackendOptions servingBackend()
+{
+    BackendOptions options;
+    options.slots = 64;
+    options.connections = 1000;
+    options.waiting = 64;
+    options.work = 0ms;
+    return options;
+}
+
+BackendOptions idleBackend()
+{
+    BackendOptions options;
+    options.version = "booking-2";
+    return options;
+}
+
+/// \returns user and system time of a process, from /proc.
+double processorSeconds(int pid)
+{
+    std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
+    std::string text((std::istreambuf_iterator<char>(stat)), {});
+    std::istringstream fields(text.substr(text.rfind(')') + 2));
+    std::vector<std::string> values((std::istream_iterator<std::string>(fields)), {});
+    constexpr std::size_t userTicks = 11;
+    constexpr std::size_t systemTicks = 12;
+    const double ticks = std::stod(values.at(userTicks)) + std::stod(values.at(systemTicks));
+    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+nlohmann::json loadOn(const Fleet& fleet, const std::string& target, double rate, std::chrono::seconds duration)
+{
+    LoadOptions options;
+    options.targets = { target };
+    options.calls = { "1 GET booking.petra.example /catalog" };
+    options.rate = rate;
+    options.duration = duration;
+    LoadRun run(fleet.directory(), options);
+    return run.summary();
+}
+
+Row measure(Fleet& fleet, double rate, std::chrono::seconds duration)
+{
+    Row row;
+    row.rate = rate;
+    row.direct = loadOn(fleet, fleet.backend(1).endpoint(), rate, duration);
+    const int entry = fleet.node(0).process().id();
+    const int admitting = fleet.node(1).process().id();
+    const double entryBefore = processorSeconds(entry);
+    const double admittingBefore = processorSeconds(admitting);
+    row.meshed = loadOn(fleet, fleet.node(0).callers(), rate, duration);
+    const double calls = row.meshed["calls"].get<double>();
+    row.entrySecondsPerCall = (processorSeconds(entry) - entryBefore) / calls;
+    row.admittingSecondsPerCall = (processorSeconds(admitting) - admittingBefore) / calls;
+    return row;
+}
+
+void printRow(const Row& row)
+{
+    const auto added = [&](const char* key) { return row.meshed[key].get<double>() - row.direct[key].get<double>(); };
+    std::printf("%8.0f  %7.3f %7.3f %7.3f  %7.3f %7.3f %7.3f  %7.3f %7.3f %7.3f  %6.0f %6.0f  %llu/%llu\n", row.rate,
+        row.direct["p50Ms"].get<double>(), row.direct["p99Ms"].get<double>(), row.direct["p999Ms"].get<double>(),
+        row.meshed["p50Ms"].get<double>(), row.meshed["p99Ms"].get<double>(), row.meshed["p999Ms"].get<double>(),
+        added("p50Ms"), added("p99Ms"), added("p999Ms"), row.entrySecondsPerCall * 1e6, row.admittingSecondsPerCall * 1e6,
+        row.meshed["succeeded"].get<unsigned long long>(), row.meshed["calls"].get<unsigned long long>());
+    std::fflush(stdout);
+}
+
+nlohmann::json toJson(const Row& row)
+{
+    return {
+        { "rate", row.rate },
+        { "direct", row.direct },
+        { "meshed", row.meshed },
+        { "entryMicrosecondsPerCall", row.entrySecondsPerCall * 1e6 },
+        { "admittingMicrosecondsPerCall", row.admittingSecondsPerCall * 1e6 },
+    };
+}
+
+std::vector<Row> run(const BenchOptions& options)
+{
+    Fleet fleet;
+    fleet.add("amman-a", idleBackend());
+    fleet.add("amman-a", servingBackend());
+    fleet.publishBooking();
+    loadOn(fleet, fleet.node(0).callers(), 200, 2s);
+    std::printf("calls/s    direct p50/p99/p99.9 ms    two nodes p50/p99/p99.9 ms  added p50/p99/p99.9 ms    us a call: entry, admitting  answered\n");
+    std::vector<Row> rows;
+    for (const double rate : options.rates) {
+        rows.push_back(measure(fleet, rate, options.duration));
+        printRow(rows.back());
+    }
+    return rows;
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    try {
+        cxxopts::Options options("carobpath-bench-latency", "Latency and processor time that two nodes add to a call");
+        options.add_options()("rates", "calls a second", cxxopts::value<std::vector<double>>()->default_value("1,100,1000,2000,4000,6000"));
+        options.add_options()("seconds", "of each load", cxxopts::value<int>()->default_value("5"));
+        options.add_options()("json", "print JSON after the table");
+        options.add_options()("help", "print this help");
+        const auto arguments = options.parse(argc, argv);
+        if (arguments.count("help") != 0) {
+            std::cout << options.help();
+            return 0;
+        }
+        BenchOptions bench { arguments["rates"].as<std::vector<double>>(), std::chrono::seconds { arguments["seconds"].as<int>() } };
+        const auto rows = run(bench);
+        if (arguments.count("json") != 0) {
+            nlohmann::json all = nlohmann::json::array();
+            for (const auto& row : rows)
+                all.push_back(toJson(row));
+            std::cout << all.dump(2) << '\n';
+        }
+        return 0;
+    } catch (const std::exception& e) {
+        std::fprintf(stderr, "carobpath-bench-latency: %s\n", e.what());
+        return 1;
+    }
+}
