--- a/bench/latency_bench.cpp
+++ b/bench/latency_bench.cpp
@@ -1,16 +1,12 @@
 #include "Fleet.h"
+#include "ProcessUsage.h"
 
-#include <boost/asio/ip/tcp.hpp>
 #include <cxxopts.hpp>
 #include <nlohmann/json.hpp>
 
 #include <cstdio>
-#include <fstream>
 #include <iostream>
-#include <iterator>
-#include <sstream>
 #include <string>
-#include <unistd.h>
 #include <vector>
 
 /// Measures what the two node processes on the path add to a call: the same open-loop load goes first straight to the
@@ -19,6 +15,7 @@
 namespace {
 
 using namespace carobpath::harness;
+using carobpath::bench::usageOf;
 using namespace std::chrono_literals;
 
 struct Row {
@@ -52,19 +49,6 @@
     return options;
 }
 
-/// \returns user and system time of a process, from /proc.
-double processorSeconds(int pid)
-{
-    std::ifstream stat("/proc/" + std::to_string(pid) + "/stat");
-    std::string text((std::istreambuf_iterator<char>(stat)), {});
-    std::istringstream fields(text.substr(text.rfind(')') + 2));
-    std::vector<std::string> values((std::istream_iterator<std::string>(fields)), {});
-    constexpr std::size_t userTicks = 11;
-    constexpr std::size_t systemTicks = 12;
-    const double ticks = std::stod(values.at(userTicks)) + std::stod(values.at(systemTicks));
-    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
 nlohmann::json loadOn(const Fleet& fleet, const std::string& target, double rate, std::chrono::seconds duration)
 {
     LoadOptions options;
@@ -83,12 +67,12 @@
     row.direct = loadOn(fleet, fleet.backend(1).endpoint(), rate, duration);
     const int entry = fleet.node(0).process().id();
     const int admitting = fleet.node(1).process().id();
-    const double entryBefore = processorSeconds(entry);
-    const double admittingBefore = processorSeconds(admitting);
+    const double entryBefore = usageOf(entry).processorSeconds;
+    const double admittingBefore = usageOf(admitting).processorSeconds;
     row.meshed = loadOn(fleet, fleet.node(0).callers(), rate, duration);
     const double calls = row.meshed["calls"].get<double>();
-    row.entrySecondsPerCall = (processorSeconds(entry) - entryBefore) / calls;
-    row.admittingSecondsPerCall = (processorSeconds(admitting) - admittingBefore) / calls;
+    row.entrySecondsPerCall = (usageOf(entry).processorSeconds - entryBefore) / calls;
+    row.admittingSecondsPerCall = (usageOf(admitting).processorSeconds - admittingBefore) / calls;
     return row;
 }
 
