Bound the faults of a file, and try changed records

A file of 200,000 wrong items gave as many lines; 1,000 are reported now. 3,000 signed records changed by one byte are never taken for the record; a retry with a new id is shown to take effect twice.

--- a/bench/publication/FoldCost.cpp
+++ b/bench/publication/FoldCost.cpp
@@ -44,7 +44,7 @@
     std::vector<std::string> logOf(int services)
     {
         std::vector<std::string> log;
-        log.reserve(static_cast<std::size_t>(services + records));
+        log.reserve(static_cast<std::size_t>(services) + records);
         for (int i = 0; i < services; ++i)
             log.push_back(recordOf(log.size(), serviceChanges(i)));
         for (int i = 0; i < records; ++i) {
--- a/packages/publication/include/carobpath/publication/Bounds.h
+++ b/packages/publication/include/carobpath/publication/Bounds.h
@@ -34,6 +34,9 @@
 /// Room kept in the set for the verdict of each unfinished move.
 inline constexpr std::size_t verdictBytes = 2 * kibibyte;
 
+/// Faults that are reported of one object file.
+inline constexpr std::size_t reportedFaults = 1000;
+
 /// Record ids that a fold remembers so that a repeated append takes effect once.
 inline constexpr std::size_t rememberedRecords = 1024;
 /// Deletions that a fold remembers so that an edit that crossed a deletion counts as stale.
--- a/packages/publication/src/Fault.cpp
+++ b/packages/publication/src/Fault.cpp
@@ -13,7 +13,7 @@
     };
 
     constexpr std::array kindRows {
-        KindRow { FaultKind::StaleBase, "stale-base", "was changed by a record that the author had not seen" },
+        KindRow { FaultKind::StaleBase, "stale-base", "was changed after the record's base" },
         KindRow { FaultKind::BaseTooOld, "base-too-old", "the record's base is too old; read the log again" },
         KindRow { FaultKind::BaseInFuture, "base-in-future", "the record's base lies behind the record itself" },
         KindRow { FaultKind::EmptyRecord, "empty-record", "the record changes nothing" },
--- a/packages/publication/src/ObjectFile.cpp
+++ b/packages/publication/src/ObjectFile.cpp
@@ -93,6 +93,8 @@
             if (!list.IsSequence())
                 return add(Detail::markOf(list, m_file), ObjectFaultKind::WrongType, std::string { key.key }, "must be a list");
             for (const auto& item : list) {
+                if (m_result.faults.size() >= bounds::reportedFaults)
+                    return;
                 if (m_result.objects.size() >= bounds::changesPerRecord)
                     return add(Detail::markOf(item, m_file), ObjectFaultKind::TooLarge, std::string { key.key }, "holds more objects than one record may");
                 readObject(item, key.kind, false);
--- a/packages/publication/tests/ObjectFileTests.cpp
+++ b/packages/publication/tests/ObjectFileTests.cpp
@@ -1,4 +1,5 @@
 #include "Samples.h"
+#include "carobpath/publication/Bounds.h"
 #include "carobpath/publication/ObjectFile.h"
 
 #include <boost/test/unit_test.hpp>
@@ -107,6 +108,15 @@
     BOOST_TEST(describe(file.faults.front()) == "/nowhere/f.yaml: unreadable-file: can't be opened");
 }
 
+BOOST_AUTO_TEST_CASE(The_faults_of_a_hostile_file_are_bounded)
+{
+    std::string yaml = "services:\n";
+    for (int i = 0; i < 5000; ++i)
+        yaml += "- 5\n";
+    BOOST_TEST(readObjects(yaml, "f.yaml", options).faults.size() == bounds::reportedFaults);
+    BOOST_TEST(faultsOf("services: " + std::string(200000, '[')).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(A_fault_is_described_in_one_line_with_its_place)
 {
     const auto file = readObjects("routes:\n  - {name: r, service: s, path-prefix: /}", "f.yaml", options);
--- a/packages/publication/tests/PublisherTests.cpp
+++ b/packages/publication/tests/PublisherTests.cpp
@@ -112,6 +112,20 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(A_retry_with_a_new_id_would_take_effect_a_second_time)
+{
+    const std::vector<Change> startMove { PutMove { move("m", "booking", "booking-2") } };
+    Fixture it;
+    it.log.appendFaults = { LogFault::AnswerLost };
+    it.log.readFaults.assign(1000, LogFault::Down);
+    it.log.readFaults.front() = LogFault::None;
+    BOOST_REQUIRE(textOf(it.publish(startMove, 7)) == "unknown");
+    it.log.readFaults.clear();
+    const auto newId = it.publish(startMove, 8);
+    BOOST_TEST(textOf(newId) == "published");
+    BOOST_TEST(it.timesInForce(7) + it.timesInForce(8) == 2);
+}
+
 BOOST_AUTO_TEST_CASE(A_result_that_cannot_be_known_is_called_unknown_and_a_second_run_with_the_id_is_safe)
 {
     for (const auto fault : { LogFault::AnswerLost, LogFault::RequestLost }) {
--- a/packages/publication/tests/RecordTests.cpp
+++ b/packages/publication/tests/RecordTests.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <array>
+#include <random>
 
 namespace carobpath::publication {
 
@@ -80,6 +81,7 @@
         { "\xff", CodecFault::NotJson },
         { std::string(100000, '['), CodecFault::NotJson },
         { "[]", CodecFault::WrongShape },
+        { std::string(300000, '[') + std::string(300000, ']'), CodecFault::WrongShape },
         { "{\"kind\":\"other\"}", CodecFault::WrongShape },
         { "{\"body\":{},\"kind\":\"publish\",\"signature\":\"\"}", CodecFault::WrongShape },
         { " " + good, CodecFault::NotCanonical },
@@ -93,6 +95,20 @@
         BOOST_TEST((faultOf(row.text) == row.fault), row.text.substr(0, 60));
 }
 
+BOOST_AUTO_TEST_CASE(No_change_of_a_signed_record_by_a_byte_is_taken_for_the_record)
+{
+    std::mt19937_64 random { 7 };
+    const auto keys = trustedKeys();
+    const std::array<std::string, 3> texts { encodeRecord(Record { everyChange() }), encodeRecord(Record { verdictRecord("m", 4, MoveOutcome::TakenBack) }), encodeRecord(Record { checkpoint() }) };
+    for (int i = 0; i < 3000; ++i) {
+        std::string text = texts.at(random() % texts.size());
+        auto& byte = text.at(random() % text.size());
+        byte = static_cast<char>(byte ^ static_cast<char>(1 + random() % 255));
+        const auto record = decodeRecord(text);
+        BOOST_TEST((!record || !verify(record.value(), keys)));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(A_publish_record_past_its_bound_is_refused_though_a_checkpoint_may_be_larger)
 {
     auto record = everyChange();
