--- a/packages/routing/include/carobpath/routing/CallDecision.h
+++ b/packages/routing/include/carobpath/routing/CallDecision.h
@@ -4,7 +4,6 @@
 #include "carobpath/routing/Call.h"
 #include "carobpath/routing/LedgerVerdict.h"
 #include "carobpath/routing/RouteTable.h"
-#include "carobpath/routing/UpstreamPicker.h"
 #include "carobpath/routing/UpstreamStatistics.h"
 
 #include <memory>
@@ -14,6 +13,7 @@
 namespace carobpath::routing {
 
 class EntryState;
+struct UpstreamChoice;
 
 /// Decides one call at its entry node: where it is sent, whether it is sent again, and what its caller is told.
 ///
@@ -78,7 +78,7 @@
     std::optional<SendAttempt> nextAttempt(MonotonicTime now);
     SendAttempt attemptAt(const UpstreamChoice&, const VersionName&, MonotonicTime deadline) const;
     MonotonicTime attemptDeadline(MonotonicTime now) const;
-    CallCommand send(SendAttempt, MonotonicTime now);
+    CallCommand send(SendAttempt);
     CallCommand sendFirst(MonotonicTime now);
     std::optional<CallCommand> retry(const AttemptResult&, MonotonicTime now);
     bool mayRunElsewhere(const AttemptResult&, MonotonicTime now) const;
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -107,7 +107,7 @@
 CallCommand CallDecision::sendFirst(MonotonicTime now)
 {
     if (auto attempt = nextAttempt(now))
-        return send(std::move(*attempt), now);
+        return send(std::move(*attempt));
     return refuse(RefusalReason::NoUpstream);
 }
 
@@ -119,15 +119,15 @@
         versions.push_back(*share.next);
     // A call that was not drawn for the next version never goes there: it is unproved beyond its share.
     versions.push_back(share.current);
-    PickConstraints constraints { m_tried, repeatable() && m_request.bodyReplayable && m_tried.empty(), false };
+    const bool mayProbe = repeatable() && m_request.bodyReplayable && m_tried.empty();
     for (const bool lastResort : { false, true }) {
-        constraints.lastResort = lastResort;
         for (const auto& version : versions) {
+            const PickConstraints constraints { m_tried, mayProbe, lastResort };
             const auto choice = m_state->picker.pick(m_route->service, version, constraints, now);
             if (!choice)
                 continue;
             m_attempt = Attempt { choice->node, share.next == version, now };
-            m_state->picker.onSent(choice->node, choice->probe, now);
+            m_state->picker.onSent(choice->node, choice->probe);
             m_version = version;
             return attemptAt(*choice, version, attemptDeadline(now));
         }
@@ -159,7 +159,7 @@
     const auto choice = m_state->picker.pick(m_route->service, m_version, PickConstraints { m_tried, false, false }, now);
     if (!choice || !m_state->budget.tryWithdraw(now))
         return std::nullopt;
-    m_state->picker.onSent(choice->node, choice->probe, now);
+    m_state->picker.onSent(choice->node, choice->probe);
     m_attempt = Attempt { choice->node, false, now };
     auto attempt = attemptAt(*choice, m_version, now + m_route->timeout);
     m_tried.push_back(choice->node);
@@ -184,7 +184,7 @@
     return std::min(m_deadline, now + std::max<MonotonicClock::duration>(part, *mean * latencyFactor));
 }
 
-CallCommand CallDecision::send(SendAttempt attempt, MonotonicTime)
+CallCommand CallDecision::send(SendAttempt attempt)
 {
     m_phase = Phase::Attempting;
     m_tried.push_back(attempt.node);
@@ -236,7 +236,7 @@
     if (!attempt)
         return std::nullopt;
     if (putNoLoad(result) || m_state->budget.tryWithdraw(now))
-        return send(std::move(*attempt), now);
+        return send(std::move(*attempt));
     closeAttempt(AttemptSign::Abandoned, {}, {}, now);
     if (result.outcome == Outcome::Ran)
         return std::nullopt;
