--- a/packages/routing/include/carobpath/routing/AdmissionController.h
+++ b/packages/routing/include/carobpath/routing/AdmissionController.h
@@ -10,6 +10,7 @@
 #include "carobpath/routing/SeenRequests.h"
 #include "carobpath/routing/ServiceTimes.h"
 
+#include <deque>
 #include <functional>
 #include <optional>
 #include <vector>
@@ -42,6 +43,9 @@
     static constexpr std::chrono::milliseconds s_shortestRetryAfter { 50 };
     static constexpr std::chrono::milliseconds s_longestRetryAfter { 5000 };
 
+    /// Crashes that are kept until they are taken.
+    static constexpr std::size_t s_maxCrashes = 16;
+
     explicit AdmissionController(AdmissionPolicy policy = {});
 
     /// A request that arrived before is refused as \c DuplicateInProgress, with an outcome of \c Unknown; that command
@@ -70,7 +74,7 @@
     std::uint32_t limit() const { return m_limit.value(); }
     /// \returns the earliest deadline of a waiting call.
     std::optional<MonotonicTime> nextTick() const { return m_queue.earliestDeadline(); }
-    /// \returns the requests that may have crashed the backend server, once after each crash.
+    /// \returns the requests that may have crashed the backend server, once for each crash, the earliest first.
     std::optional<std::vector<Fingerprint>> takeCrash();
 
 private:
@@ -101,7 +105,8 @@
     SeenRequests m_seen;
     FingerprintChecks m_fingerprints;
     CrashDetector m_crashes;
-    std::optional<std::vector<Fingerprint>> m_crash;
+    /// Crashes that were not taken yet.
+    std::deque<std::vector<Fingerprint>> m_foundCrashes;
     RunningCalls m_running;
 };
 
--- a/packages/routing/src/AdmissionController.cpp
+++ b/packages/routing/src/AdmissionController.cpp
@@ -203,11 +203,18 @@
 
 void AdmissionController::noteCrash(CrashDetector::Finding finding)
 {
-    if (finding)
-        m_crash = std::move(finding);
+    if (finding && m_foundCrashes.size() < s_maxCrashes)
+        m_foundCrashes.push_back(std::move(*finding));
 }
 
-std::optional<std::vector<Fingerprint>> AdmissionController::takeCrash() { return std::exchange(m_crash, std::nullopt); }
+std::optional<std::vector<Fingerprint>> AdmissionController::takeCrash()
+{
+    if (m_foundCrashes.empty())
+        return std::nullopt;
+    auto crash = std::move(m_foundCrashes.front());
+    m_foundCrashes.pop_front();
+    return crash;
+}
 
 void AdmissionController::setFingerprintChecks(FingerprintChecks checks) { m_fingerprints = std::move(checks); }
 
--- a/packages/routing/src/CrashQuarantine.cpp
+++ b/packages/routing/src/CrashQuarantine.cpp
@@ -148,9 +148,10 @@
 void CrashQuarantine::onTick(Now now)
 {
     const auto isOver = [&](WallTime at) { return at + s_reportTime <= now.wall; };
-    std::erase_if(m_reports, [&](const auto& it) { return isOver(it.second.at); });
-    std::erase_if(m_acquittals, [&](const auto& it) { return isOver(it.second.at); });
-    judge(now);
+    const auto reports = std::erase_if(m_reports, [&](const auto& it) { return isOver(it.second.at); });
+    const auto acquittals = std::erase_if(m_acquittals, [&](const auto& it) { return isOver(it.second.at); });
+    if (reports + acquittals > 0)
+        judge(now);
 }
 
 CrashUpdate CrashQuarantine::takeUpdate() { return std::exchange(m_outgoing, {}); }
--- a/packages/routing/tests/CrashDetectorTests.cpp
+++ b/packages/routing/tests/CrashDetectorTests.cpp
@@ -119,6 +119,21 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(Crashes_that_follow_each_other_are_taken_one_by_one)
+{
+    CrashFixture fixture { 2 };
+    fixture.lose(0);
+    fixture.lose(1);
+    fixture.controller.setUpstream(makeUpstream(membership::UpstreamState::Cold), fixture.now);
+    const auto again = fixture.request();
+    fixture.arrive(again);
+    fixture.finish(again.id, BackendResult::ConnectionLost);
+    fixture.controller.setUpstream(std::nullopt, fixture.now);
+    BOOST_TEST(fixture.suspects() == 2U);
+    BOOST_TEST(fixture.suspects() == 1U);
+    BOOST_TEST(fixture.suspects() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(One_suspect_is_not_run_beside_another)
 {
     AdmissionFixture fixture;
