--- a/packages/routing/include/carobpath/routing/AdmissionController.h
+++ b/packages/routing/include/carobpath/routing/AdmissionController.h
@@ -10,7 +10,6 @@
 #include "carobpath/routing/SeenRequests.h"
 #include "carobpath/routing/ServiceTimes.h"
 
-#include <deque>
 #include <functional>
 #include <optional>
 #include <vector>
@@ -43,9 +42,6 @@
     static constexpr std::chrono::milliseconds s_shortestRetryAfter { 50 };
     static constexpr std::chrono::milliseconds s_longestRetryAfter { 5000 };
 
-    /// Crashes that are kept until they are taken.
-    static constexpr std::size_t s_maxCrashes = 16;
-
     explicit AdmissionController(AdmissionPolicy policy = {});
 
     /// A request that arrived before is refused as \c DuplicateInProgress, with an outcome of \c Unknown; that command
@@ -75,7 +71,7 @@
     /// \returns the earliest deadline of a waiting call.
     std::optional<MonotonicTime> nextTick() const { return m_queue.earliestDeadline(); }
     /// \returns the requests that may have crashed the backend server, once for each crash, the earliest first.
-    std::optional<std::vector<Fingerprint>> takeCrash();
+    std::optional<std::vector<Fingerprint>> takeCrash() { return m_crashes.takeCrash(); }
 
 private:
     std::optional<Refusal> refusalAtArrival(const AdmissionRequest&, MonotonicTime now);
@@ -89,8 +85,6 @@
     bool isSuspect(const AdmissionRequest&) const;
     bool runsBesideSuspect(const AdmissionRequest&) const;
     void learn(const AdmissionResult&, const RunningCall&, std::uint32_t inFlight, MonotonicTime now);
-    void watchForCrash(const AdmissionResult&, const RunningCall&, MonotonicTime now);
-    void noteCrash(CrashDetector::Finding);
     std::uint32_t slotsFor(QueueClass) const;
     std::chrono::nanoseconds expectedWait(QueueClass, MonotonicTime now) const;
     Refusal overloaded(const AdmissionRequest&, MonotonicTime now) const;
@@ -105,8 +99,6 @@
     SeenRequests m_seen;
     FingerprintChecks m_fingerprints;
     CrashDetector m_crashes;
-    /// Crashes that were not taken yet.
-    std::deque<std::vector<Fingerprint>> m_foundCrashes;
     RunningCalls m_running;
 };
 
--- a/packages/routing/include/carobpath/routing/CrashDetector.h
+++ b/packages/routing/include/carobpath/routing/CrashDetector.h
@@ -2,11 +2,12 @@
 
 #include "carobpath/foundation/Time.h"
 #include "carobpath/routing/CrashReport.h"
+#include "carobpath/routing/RunningCalls.h"
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <set>
-#include <span>
 #include <vector>
 
 namespace carobpath::routing {
@@ -20,18 +21,17 @@
     static constexpr std::chrono::milliseconds s_confirmWithin { 3000 };
     /// Time in which several requests must be lost to be one crash by themselves.
     static constexpr std::chrono::milliseconds s_burst { 500 };
+    /// Crashes that are kept until they are taken.
+    static constexpr std::size_t s_maxCrashes = 16;
 
-    using Finding = std::optional<std::vector<Fingerprint>>;
-
-    /// \param running requests that are still in flight.
-    /// \returns the suspects, if this makes it a crash; the same for the functions below.
-    Finding onConnectionLost(Fingerprint lost, std::span<const Fingerprint> running, MonotonicTime now);
-    Finding onConnectFailed(MonotonicTime now);
+    /// \param ended the call that ended so.
+    /// \param running calls that are still in flight.
+    void onResult(BackendResult, const RunningCall& ended, const RunningCalls& running, MonotonicTime now);
     /// The server announced itself as cold, or its announcement lapsed.
-    Finding onRestarted(MonotonicTime now);
-    /// \param dispatchedAt moment at which the answered request was sent. One that was sent before the first loss may
-    /// have been answered just before the crash.
-    void onAnswered(Fingerprint, MonotonicTime dispatchedAt, MonotonicTime now);
+    void onRestarted(MonotonicTime now);
+
+    /// \returns the requests that may have crashed the server, once for each crash, the earliest first.
+    std::optional<std::vector<Fingerprint>> takeCrash();
 
 private:
     struct Suspicion {
@@ -41,9 +41,12 @@
         std::uint32_t lost = 0;
     };
 
-    Finding confirm(MonotonicTime now);
+    void onLost(Fingerprint, const RunningCalls& running, MonotonicTime now);
+    void onAnswered(const RunningCall&, MonotonicTime now);
+    void confirm(MonotonicTime now);
 
     std::optional<Suspicion> m_suspicion;
+    std::deque<std::vector<Fingerprint>> m_crashes;
 };
 
 }
--- a/packages/routing/src/AdmissionController.cpp
+++ b/packages/routing/src/AdmissionController.cpp
@@ -177,43 +177,7 @@
     m_health.onResult(result.result, now);
     if (wasDown && !m_health.isDown() && m_upstream)
         m_limit.restart(*m_upstream);
-    watchForCrash(result, running, now);
-}
-
-void AdmissionController::watchForCrash(const AdmissionResult& result, const RunningCall& running, MonotonicTime now)
-{
-    const auto fingerprint = running.request.fingerprint;
-    switch (result.result) {
-    case BackendResult::Answered:
-    case BackendResult::ServerError:
-        m_crashes.onAnswered(fingerprint, running.dispatchedAt, now);
-        break;
-    case BackendResult::ConnectionLost:
-        noteCrash(m_crashes.onConnectionLost(fingerprint, m_running.fingerprints(), now));
-        break;
-    case BackendResult::ConnectFailed:
-        noteCrash(m_crashes.onConnectFailed(now));
-        break;
-    case BackendResult::Refused:
-    case BackendResult::TimedOut:
-    case BackendResult::Cancelled:
-        break;
-    }
-}
-
-void AdmissionController::noteCrash(CrashDetector::Finding finding)
-{
-    if (finding && m_foundCrashes.size() < s_maxCrashes)
-        m_foundCrashes.push_back(std::move(*finding));
-}
-
-std::optional<std::vector<Fingerprint>> AdmissionController::takeCrash()
-{
-    if (m_foundCrashes.empty())
-        return std::nullopt;
-    auto crash = std::move(m_foundCrashes.front());
-    m_foundCrashes.pop_front();
-    return crash;
+    m_crashes.onResult(result.result, running, m_running, now);
 }
 
 void AdmissionController::setFingerprintChecks(FingerprintChecks checks) { m_fingerprints = std::move(checks); }
@@ -266,7 +230,7 @@
         && m_upstream->service == upstream->service
         && (upstream->state != UpstreamState::Cold || m_upstream->state == UpstreamState::Cold);
     if (m_upstream && !sameServer)
-        noteCrash(m_crashes.onRestarted(now));
+        m_crashes.onRestarted(now);
     const bool sameVersion = m_upstream && upstream && m_upstream->version == upstream->version;
     m_upstream = std::move(upstream);
     if (m_upstream && sameServer) {
--- a/packages/routing/src/CrashQuarantine.cpp
+++ b/packages/routing/src/CrashQuarantine.cpp
@@ -25,6 +25,8 @@
 
 void CrashQuarantine::onCrash(std::vector<Fingerprint> suspects, Now now)
 {
+    if (suspects.empty())
+        return;
     if (suspects.size() > s_maxSuspects)
         suspects.resize(s_maxSuspects);
     ++m_revision.sequence;
