--- a/packages/routing/include/carobpath/routing/AdmissionController.h
+++ b/packages/routing/include/carobpath/routing/AdmissionController.h
@@ -70,8 +70,8 @@
     std::uint32_t limit() const { return m_limit.value(); }
     /// \returns the earliest deadline of a waiting call.
     std::optional<MonotonicTime> nextTick() const { return m_queue.earliestDeadline(); }
-    /// \returns the requests that may have crashed the backend server, once after each crash.
-    std::optional<std::vector<Fingerprint>> takeCrash();
+    /// \returns the requests that may have crashed the backend server, once for each crash, the earliest first.
+    std::optional<std::vector<Fingerprint>> takeCrash() { return m_crashes.takeCrash(); }
 
 private:
     std::optional<Refusal> refusalAtArrival(const AdmissionRequest&, MonotonicTime now);
@@ -85,8 +85,6 @@
     bool isSuspect(const AdmissionRequest&) const;
     bool runsBesideSuspect(const AdmissionRequest&) const;
     void learn(const AdmissionResult&, const RunningCall&, std::uint32_t inFlight, MonotonicTime now);
-    void watchForCrash(const AdmissionResult&, const RunningCall&, MonotonicTime now);
-    void noteCrash(CrashDetector::Finding);
     std::uint32_t slotsFor(QueueClass) const;
     std::chrono::nanoseconds expectedWait(QueueClass, MonotonicTime now) const;
     Refusal overloaded(const AdmissionRequest&, MonotonicTime now) const;
@@ -101,7 +99,6 @@
     SeenRequests m_seen;
     FingerprintChecks m_fingerprints;
     CrashDetector m_crashes;
-    std::optional<std::vector<Fingerprint>> m_crash;
     RunningCalls m_running;
 };
 
