Send news that change all the time in turn

Cause: among news sent equally often, the first by name went first. Evidence changes each second, so its counts start anew each second, and the entries of the observers last by name were starved; a queue of eight such items sent one of them only.

Change: an item keeps its place when it is replaced, and goes to the end when it is sent. Shown failing first: the new test saw 1 of 8 items with the former queue.

The age is now bound by the budget of a message.

--- a/bench/distribution_bench.cpp
+++ b/bench/distribution_bench.cpp
@@ -1,6 +1,6 @@
 // Measures how configuration, membership and evidence spread: decision objects of 100, 300 and 1,000 nodes over an
 // in-memory exchange under a virtual clock. Bytes are those of the real encoding.
-// Usage: carobpath-bench-distribution [--json] [--sizes N,N,...] [--seed N] [--cut-minutes N]
+// Usage: carobpath-bench-distribution [--json] [--sizes N,N,...] [--seed N] [--cut-minutes N] [--changes N]
 #include "Fleet.h"
 
 #include "internal/Conversions.h"
@@ -28,7 +28,6 @@
     /// A call or a return of Cap'n Proto RPC around the message, its acknowledgement, and the headers of TCP and IP.
     constexpr std::size_t callOverhead = 260;
     constexpr seconds restTime { 60 };
-    constexpr int changesMeasured = 10;
     constexpr int changesWhileCut = 20;
     /// 3,200 changes a day.
     constexpr milliseconds changeInterval { 27000 };
@@ -49,9 +48,10 @@
         double halfLogReadsPerSecond = 0;
         double halfBytes = 0;
         double halfWholesServed = 0;
-        milliseconds cutConfiguration {};
-        milliseconds cutMembership {};
+        milliseconds cutConfiguration { -1 };
+        milliseconds cutMembership { -1 };
         milliseconds evidenceMedianAge {};
+        milliseconds evidenceTailAge {};
         double evidenceBytes = 0;
         milliseconds noticeTime {};
         std::size_t violations = 0;
@@ -71,12 +71,19 @@
         return time.value_or(milliseconds { -1 });
     }
 
+    struct Settings {
+        std::uint64_t seed = 1;
+        int changes = 10;
+        /// Length of the cut; 0 leaves the part out.
+        minutes cutTime { 60 };
+    };
+
     /// Measures one fleet, one part after the other.
     class Measurement {
     public:
-        Measurement(std::size_t nodes, std::uint64_t seed, minutes cutTime)
-            : m_fleet(options(nodes, seed))
-            , m_cutTime(cutTime)
+        Measurement(std::size_t nodes, const Settings& settings)
+            : m_fleet(options(nodes, settings.seed))
+            , m_settings(settings)
         {
             m_figures.nodes = nodes;
         }
@@ -90,7 +97,8 @@
             part("evidence", &Measurement::measureEvidence);
             part("notice", &Measurement::measureNotice);
             part("half", &Measurement::measureHalf);
-            part("cut", &Measurement::measureCut);
+            if (m_settings.cutTime > minutes { 0 })
+                part("cut", &Measurement::measureCut);
             m_figures.violations = m_fleet.violations().size();
             m_figures.wallSeconds = std::chrono::duration<double>(MonotonicClock::now() - begin).count();
             return m_figures;
@@ -161,7 +169,7 @@
             std::vector<milliseconds> times;
             const auto bytes = m_fleet.bytesSent();
             const auto begin = m_fleet.now();
-            for (int i = 0; i < changesMeasured; ++i) {
+            for (int i = 0; i < m_settings.changes; ++i) {
                 const auto next = m_fleet.now() + changeInterval;
                 const auto offset = m_fleet.publish();
                 times.push_back(orLimit(m_fleet.runUntil([&] { return m_fleet.allServe(offset); }, minutes { 1 })));
@@ -193,6 +201,7 @@
             }
             std::sort(ages.begin(), ages.end());
             m_figures.evidenceMedianAge = seconds { ages[ages.size() / 2] };
+            m_figures.evidenceTailAge = seconds { ages[ages.size() * 95 / 100] };
             m_fleet.run(seconds { 60 });
         }
 
@@ -266,7 +275,7 @@
             m_fleet.cut(domains - 1, true);
             for (int i = 0; i < changesWhileCut; ++i) {
                 m_fleet.publish();
-                m_fleet.run(std::chrono::duration_cast<milliseconds>(m_cutTime) / changesWhileCut);
+                m_fleet.run(std::chrono::duration_cast<milliseconds>(m_settings.cutTime) / changesWhileCut);
             }
             const auto offset = m_fleet.publish();
             m_fleet.run(seconds { 10 });
@@ -278,7 +287,7 @@
         }
 
         Fleet m_fleet;
-        minutes m_cutTime;
+        Settings m_settings;
         Figures m_figures;
     };
 
@@ -306,6 +315,7 @@
         { "domain cut: all known after", "ms", [](const Figures& it) { return static_cast<double>(it.cutMembership.count()); } },
         { "one move: bytes", "B/s a node", [](const Figures& it) { return it.evidenceBytes; } },
         { "one move: median age of evidence", "ms", [](const Figures& it) { return static_cast<double>(it.evidenceMedianAge.count()); } },
+        { "one move: 95th percentile of that age", "ms", [](const Figures& it) { return static_cast<double>(it.evidenceTailAge.count()); } },
         { "take-back notice everywhere", "ms", [](const Figures& it) { return static_cast<double>(it.noticeTime.count()); } },
         { "violations", "", [](const Figures& it) { return static_cast<double>(it.violations); } },
         { "wall time of the run", "s", [](const Figures& it) { return it.wallSeconds; } },
@@ -340,25 +350,26 @@
     int measure(int argc, char** argv)
     {
         bool json = false;
-        std::uint64_t seed = 1;
+        Settings settings;
         std::string sizes = "100,300,1000";
-        minutes cutTime { 60 };
         for (int i = 1; i < argc; ++i) {
             if (std::strcmp(argv[i], "--json") == 0)
                 json = true;
             else if (std::strcmp(argv[i], "--sizes") == 0 && i + 1 < argc)
                 sizes = argv[++i];
             else if (std::strcmp(argv[i], "--seed") == 0 && i + 1 < argc)
-                seed = std::stoull(argv[++i]);
+                settings.seed = std::stoull(argv[++i]);
             else if (std::strcmp(argv[i], "--cut-minutes") == 0 && i + 1 < argc)
-                cutTime = minutes { std::stol(argv[++i]) };
+                settings.cutTime = minutes { std::stol(argv[++i]) };
+            else if (std::strcmp(argv[i], "--changes") == 0 && i + 1 < argc)
+                settings.changes = std::stoi(argv[++i]);
         }
         std::vector<Figures> all;
         std::istringstream list(sizes);
         for (std::string size; std::getline(list, size, ',');)
-            all.push_back(Measurement(std::stoull(size), seed, cutTime).run());
+            all.push_back(Measurement(std::stoull(size), settings).run());
         if (json)
-            printJson(all, seed);
+            printJson(all, settings.seed);
         else
             printTable(all);
         const bool holds = std::all_of(all.begin(), all.end(), [](const Figures& it) { return it.violations == 0 && it.convergenceLongest <= budget; });
--- a/packages/membership/include/carobpath/membership/RumorQueue.h
+++ b/packages/membership/include/carobpath/membership/RumorQueue.h
@@ -4,12 +4,13 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
+#include <tuple>
 #include <vector>
 
 namespace carobpath::membership {
 
-/// News that are sent a bounded number of times each, those sent least first.
+/// News that are sent a bounded number of times each: those sent least first, and among them the one that waited
+/// longest. An item that is replaced keeps its place, so that one that changes all the time is not overtaken for ever.
 /// \tparam Key what a later item replaces.
 template <typename Key, typename Item>
 class RumorQueue {
@@ -25,7 +26,11 @@
     {
         if (!m_rumors.contains(key) && m_rumors.size() >= m_capacity)
             dropMostSent();
-        m_rumors.insert_or_assign(key, Rumor { std::move(item), 0 });
+        const auto [it, isNew] = m_rumors.try_emplace(key);
+        it->second.item = std::move(item);
+        it->second.sent = 0;
+        if (isNew)
+            it->second.place = ++m_lastPlace;
     }
 
     /// A peer sent what is held here already: it has spread that far, so it is sent fewer times.
@@ -57,6 +62,7 @@
                 break;
             used += size;
             items.push_back(it->second.item);
+            it->second.place = ++m_lastPlace;
             if (++it->second.sent >= transmissions)
                 m_rumors.erase(it);
         }
@@ -67,6 +73,7 @@
     struct Rumor {
         Item item;
         std::uint32_t sent = 0;
+        std::uint64_t place = 0;
     };
     using Rumors = std::map<Key, Rumor>;
 
@@ -76,7 +83,9 @@
         order.reserve(m_rumors.size());
         for (auto it = m_rumors.begin(); it != m_rumors.end(); ++it)
             order.push_back(it);
-        std::stable_sort(order.begin(), order.end(), [](const auto& a, const auto& b) { return a->second.sent < b->second.sent; });
+        std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
+            return std::tie(a->second.sent, a->second.place) < std::tie(b->second.sent, b->second.place);
+        });
         return order;
     }
 
@@ -88,6 +97,7 @@
     }
 
     std::size_t m_capacity;
+    std::uint64_t m_lastPlace = 0;
     Rumors m_rumors;
 };
 
--- a/packages/membership/tests/MembershipTableTests.cpp
+++ b/packages/membership/tests/MembershipTableTests.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+
 namespace carobpath::membership {
 
 namespace {
@@ -253,6 +255,20 @@
     BOOST_TEST(table.takeNews(4096).empty());
 }
 
+BOOST_AUTO_TEST_CASE(News_that_change_all_the_time_are_all_sent_in_turn)
+{
+    constexpr int keys = 8;
+    RumorQueue<int, int> queue(keys);
+    std::set<int> sent;
+    for (int round = 0; round < keys; ++round) {
+        for (int key = 0; key < keys; ++key)
+            queue.put(key, key);
+        for (const int it : queue.take(1, 4, [](int) { return std::size_t { 1 }; }))
+            sent.insert(it);
+    }
+    BOOST_TEST(sent.size() == static_cast<std::size_t>(keys));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
