--- a/packages/distribution/src/PeerMessage.cpp
+++ b/packages/distribution/src/PeerMessage.cpp
@@ -1,11 +1,13 @@
 #include "carobpath/distribution/PeerMessage.h"
 
+#include <algorithm>
+
 namespace carobpath::distribution {
 
 namespace {
 
     constexpr std::size_t entryFixedSize = 128;
-    constexpr std::size_t evidenceFixedSize = 112;
+    constexpr std::size_t evidenceFixedSize = 96;
     constexpr std::size_t wordSize = 8;
 
     std::size_t textSize(const std::string& text)
@@ -70,7 +72,11 @@
 
 std::size_t encodedSize(const moves::EvidenceEntry& it)
 {
-    return evidenceFixedSize + it.counts.latency.size() * wordSize + textSize(it.observer.value())
+    const auto isUsed = [](std::uint64_t count) { return count != 0; };
+    const auto first = std::find_if(it.counts.latency.begin(), it.counts.latency.end(), isUsed);
+    const auto last = std::find_if(it.counts.latency.rbegin(), it.counts.latency.rend(), isUsed).base();
+    const auto classes = static_cast<std::size_t>(first == it.counts.latency.end() ? 0 : last - first);
+    return evidenceFixedSize + classes * wordSize + textSize(it.observer.value())
         + textSize(it.move.value()) + textSize(it.route.value()) + textSize(it.version.value());
 }
 
--- a/packages/peer/tests/ConversionTests.cpp
+++ b/packages/peer/tests/ConversionTests.cpp
@@ -153,7 +153,7 @@
 
     const auto encoded = [](capnp::MallocMessageBuilder& it) { return static_cast<double>(it.sizeInWords() * sizeof(capnp::word)); };
     BOOST_TEST(static_cast<double>(encodedSize(nodeRecord())) == encoded(records), boost::test_tools::tolerance(0.4));
-    BOOST_TEST(static_cast<double>(distribution::encodedSize(evidenceEntry())) == encoded(evidence), boost::test_tools::tolerance(0.4));
+    BOOST_TEST(static_cast<double>(distribution::encodedSize(evidenceEntry())) == encoded(evidence), boost::test_tools::tolerance(0.1));
     BOOST_TEST(static_cast<double>(distribution::encodedSize(*delta())) == encoded(deltas), boost::test_tools::tolerance(0.6));
 }
 
