--- a/bench/routing.cmake
+++ b/bench/routing.cmake
@@ -6,6 +6,8 @@
     carobpath_set_warnings(${target})
 endfunction()
 
+carobpath_add_routing_bench(balance)
+carobpath_add_routing_bench(decision_cost)
 carobpath_add_routing_bench(idempotency)
 carobpath_add_routing_bench(overload)
 carobpath_add_routing_bench(queue_order)
--- a/packages/gateway/include/carobpath/gateway/GatewayHooks.h
+++ b/packages/gateway/include/carobpath/gateway/GatewayHooks.h
@@ -9,6 +9,8 @@
 #include <chrono>
 #include <functional>
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace carobpath::gateway {
 
@@ -43,11 +45,15 @@
     /// Records an idempotency key before its call is sent.
     std::function<void(const routing::AwaitLedger&, const RequestId&, LedgerHandler)> claimKey;
     /// The call that holds a key has ended. One that has not run opens the key again.
-    std::function<void(const IdempotencyKey&, const RequestId&, routing::Outcome)> endKey;
+    std::function<void(const IdempotencyKey&, const RouteName&, const RequestId&, routing::Outcome)> endKey;
     /// Called before a dispatched call reaches the backend server.
     std::function<void(const routing::AdmissionRequest&)> onDispatched;
     std::function<void(const BackendObservation&)> onBackend;
     std::function<void(const CallObservation&)> onCall;
+    /// Reads the hybrid clock as text, for a message to another node.
+    std::function<std::string()> hybridNow;
+    /// A message from another node came with this reading.
+    std::function<void(std::string_view)> onHybridTime;
 };
 
 }
--- a/packages/gateway/src/internal/EntryHandler.h
+++ b/packages/gateway/src/internal/EntryHandler.h
@@ -22,13 +22,11 @@
 
     void handle(const ServerSession::Pointer&);
 
-    /// Calls that have no final answer yet.
-    std::size_t inFlight() const { return m_inFlight; }
-
 private:
     friend class EntryCall;
 
     RequestId nextRequestId();
+    std::string hybridNow() const { return m_hooks.hybridNow ? m_hooks.hybridNow() : std::string {}; }
 
     boost::asio::io_context& m_context;
     routing::EntryRouter& m_router;
@@ -38,7 +36,6 @@
     NodeName m_node;
     Incarnation m_incarnation;
     std::uint64_t m_sequence = 0;
-    std::size_t m_inFlight = 0;
 };
 
 }
--- a/packages/gateway/src/internal/ForwardedHeader.cpp
+++ b/packages/gateway/src/internal/ForwardedHeader.cpp
@@ -17,6 +17,8 @@
 
     constexpr int hexBase = 16;
     constexpr std::size_t fingerprintDigits = 16;
+    /// The admitting node gives up this much before the entry node, so that its typed answer still arrives.
+    constexpr std::chrono::milliseconds answerMargin { 5 };
     constexpr std::chrono::milliseconds longestDeadline { 24 * 3600 * 1000 };
 
     template <typename Number>
@@ -89,7 +91,7 @@
     return std::chrono::milliseconds { *n };
 }
 
-std::shared_ptr<const Request> forwardedRequest(const Request& request, const routing::CallRequest& call, const routing::SendAttempt& attempt, MonotonicTime now)
+std::shared_ptr<const Request> forwardedRequest(const Request& request, const routing::CallRequest& call, const routing::SendAttempt& attempt, MonotonicTime now, const std::string& hybridTime)
 {
     auto copy = cleanCopy(request);
     copy->set(HeaderName::requestId, call.id.value());
@@ -99,6 +101,8 @@
     copy->set(HeaderName::fingerprint, hex(call.fingerprint));
     copy->set(HeaderName::trafficClass, publication::toString(attempt.trafficClass));
     copy->set(HeaderName::repeatability, publication::toString(attempt.repeatability));
+    if (!hybridTime.empty())
+        copy->set(HeaderName::hybridTime, hybridTime);
     return copy;
 }
 
@@ -115,7 +119,7 @@
     const bool named = !admission.id.empty() && !admission.route.empty() && !admission.version.empty();
     if (!named || !timeLeft || !fingerprint || !trafficClass || !repeatability)
         return std::nullopt;
-    admission.deadline = now + *timeLeft;
+    admission.deadline = now + std::max(*timeLeft - answerMargin, *timeLeft / 2);
     admission.fingerprint = *fingerprint;
     admission.trafficClass = *trafficClass;
     admission.repeatability = *repeatability;
@@ -140,6 +144,8 @@
     return routing::refusalReasonFromString(value(header, HeaderName::reason));
 }
 
+std::string_view hybridTimeOf(const http::fields& fields) { return value(fields, HeaderName::hybridTime); }
+
 std::uint64_t fingerprintOf(const Request& request)
 {
     std::string key { request.method_string() };
--- a/packages/peer/src/internal/PeerService.h
+++ b/packages/peer/src/internal/PeerService.h
@@ -16,7 +16,8 @@
     kj::Promise<void> deliver(DeliverContext) override;
     kj::Promise<void> fetchWhole(FetchWholeContext) override;
     kj::Promise<void> claim(ClaimContext) override;
-    kj::Promise<void> release(ReleaseContext) override;
+    kj::Promise<void> endClaim(EndClaimContext) override;
+    kj::Promise<void> reportCrashes(ReportCrashesContext) override;
 
 private:
     kj::Promise<void> refuse(MessageError) const;
--- a/packages/publication/tests/RecordTests.cpp
+++ b/packages/publication/tests/RecordTests.cpp
@@ -43,7 +43,7 @@
         state.next = 3;
         state.records.push_back({ petra, recordId(1), 1, true });
         state.deletions.push_back({ { ObjectKind::Route, "r" }, 2 });
-        return sign(CheckpointRecord { recordId(1, "node-1"), NodeName { "node-1" }, state, {} }, fleetKey());
+        return sign(CheckpointRecord { recordId(1, "node-1"), NodeName { "node-1" }, WallTime {}, state, {} }, fleetKey());
     }
 
 }
@@ -115,6 +115,15 @@
     BOOST_TEST(!verify(byMember, trustedKeys()));
 }
 
+BOOST_AUTO_TEST_CASE(A_client_without_a_key_of_the_fleet_takes_records_of_nodes_alone_unchecked)
+{
+    TrustedKeys keys;
+    BOOST_TEST(!verify(verdictRecord("m", 4, MoveOutcome::Done), keys));
+    keys.trustAnyFleet();
+    BOOST_TEST(verify(verdictRecord("m", 4, MoveOutcome::Done), keys));
+    BOOST_TEST(!verify(everyChange(), keys));
+}
+
 BOOST_AUTO_TEST_CASE(Keys_and_ids_survive_the_way_to_text_and_back)
 {
     const auto pair = KeyPair::generate();
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -13,8 +13,6 @@
     constexpr int attemptDivisor = 2;
     /// It gets this multiple of the mean latency at least, so that a slow call is not cut short by that.
     constexpr int latencyFactor = 10;
-    /// An attempt that was cut by the call's deadline sooner than this says nothing about its upstream.
-    constexpr std::chrono::milliseconds silenceTime { 250 };
     constexpr std::chrono::milliseconds duplicateRetryAfter { 500 };
 
     RefusalReason reasonOf(RouteMiss miss)
@@ -109,7 +107,7 @@
 CallCommand CallDecision::sendFirst(MonotonicTime now)
 {
     if (auto attempt = nextAttempt(now))
-        return send(std::move(*attempt), now);
+        return send(std::move(*attempt));
     return refuse(RefusalReason::NoUpstream);
 }
 
@@ -121,32 +119,61 @@
         versions.push_back(*share.next);
     // A call that was not drawn for the next version never goes there: it is unproved beyond its share.
     versions.push_back(share.current);
-    PickConstraints constraints { m_tried, repeatable() && m_request.bodyReplayable && m_tried.empty(), false };
+    const bool mayProbe = repeatable() && m_request.bodyReplayable && m_tried.empty();
     for (const bool lastResort : { false, true }) {
-        constraints.lastResort = lastResort;
         for (const auto& version : versions) {
+            const PickConstraints constraints { m_tried, mayProbe, lastResort };
             const auto choice = m_state->picker.pick(m_route->service, version, constraints, now);
             if (!choice)
                 continue;
             m_attempt = Attempt { choice->node, share.next == version, now };
-            m_state->picker.onSent(choice->node, choice->probe, now);
-            SendAttempt it;
-            it.number = static_cast<std::uint32_t>(m_tried.size() + 1);
-            it.node = choice->node;
-            it.calls = choice->calls;
-            it.service = m_route->service;
-            it.route = m_route->name;
-            it.version = version;
-            it.deadline = attemptDeadline(now);
-            it.repeatability = m_route->repeatability;
-            it.trafficClass = m_route->trafficClass;
-            it.freshConnection = choice->freshConnection;
-            return it;
+            m_state->picker.onSent(choice->node, choice->probe);
+            m_version = version;
+            return attemptAt(*choice, version, attemptDeadline(now));
         }
     }
     return std::nullopt;
 }
 
+SendAttempt CallDecision::attemptAt(const UpstreamChoice& choice, const VersionName& version, MonotonicTime deadline) const
+{
+    SendAttempt it;
+    it.number = static_cast<std::uint32_t>(m_tried.size() + 1);
+    it.node = choice.node;
+    it.calls = choice.calls;
+    it.service = m_route->service;
+    it.route = m_route->name;
+    it.version = version;
+    it.deadline = deadline;
+    it.repeatability = m_route->repeatability;
+    it.trafficClass = m_route->trafficClass;
+    it.freshConnection = choice.freshConnection;
+    return it;
+}
+
+std::optional<SendAttempt> CallDecision::resume(MonotonicTime now)
+{
+    const bool relayed = m_final && std::holds_alternative<RelayAnswer>(*m_final);
+    if (!relayed || m_attempt || !repeatable() || !m_request.bodyReplayable || m_tried.size() >= s_maxAttempts)
+        return std::nullopt;
+    const auto choice = m_state->picker.pick(m_route->service, m_version, PickConstraints { m_tried, false, false }, now);
+    if (!choice || !m_state->budget.tryWithdraw(now))
+        return std::nullopt;
+    m_state->picker.onSent(choice->node, choice->probe);
+    m_attempt = Attempt { choice->node, false, now };
+    auto attempt = attemptAt(*choice, m_version, now + m_route->timeout);
+    m_tried.push_back(choice->node);
+    return attempt;
+}
+
+void CallDecision::onResumed(const AttemptResult& result, MonotonicTime now)
+{
+    if (!m_attempt)
+        return;
+    m_state->observe({ m_attempt->node, reachabilityOf(result), now });
+    closeAttempt(signOf(result), result.latency, result.retryAfter.value_or(std::chrono::milliseconds {}), now);
+}
+
 MonotonicTime CallDecision::attemptDeadline(MonotonicTime now) const
 {
     const auto mean = m_state->picker.meanLatency();
@@ -157,7 +184,7 @@
     return std::min(m_deadline, now + std::max<MonotonicClock::duration>(part, *mean * latencyFactor));
 }
 
-CallCommand CallDecision::send(SendAttempt attempt, MonotonicTime)
+CallCommand CallDecision::send(SendAttempt attempt)
 {
     m_phase = Phase::Attempting;
     m_tried.push_back(attempt.node);
@@ -209,7 +236,7 @@
     if (!attempt)
         return std::nullopt;
     if (putNoLoad(result) || m_state->budget.tryWithdraw(now))
-        return send(std::move(*attempt), now);
+        return send(std::move(*attempt));
     closeAttempt(AttemptSign::Abandoned, {}, {}, now);
     if (result.outcome == Outcome::Ran)
         return std::nullopt;
--- a/packages/routing/src/PartitionOwner.cpp
+++ b/packages/routing/src/PartitionOwner.cpp
@@ -79,7 +79,8 @@
 void PartitionOwner::onCallEnded(const IntentEnd& end, LedgerCommands& commands, MonotonicTime now)
 {
     m_usedAt = now;
-    m_claims.erase(end.request);
+    if (m_claims.erase(end.request) > 0)
+        commands.emplace_back(AnswerClaim { end.request, unavailable() });
     if (end.outcome == Outcome::Unknown)
         return;
     queue({ kindOf(end.outcome), end.key, end.request }, now);
@@ -183,9 +184,9 @@
     m_failures = 0;
     const bool atEnd = m_fold.next() >= page.next;
     if (batchIsSettled()) {
-        settle(commands, now);
+        settle(commands);
         advance(commands, now);
-    } else if (!atEnd && m_fold.next() > before) {
+    } else if (m_fold.next() > before) {
         read(commands, now);
     } else if (!atEnd || m_batchOffset) {
         // A page that does not reach the record: an old answer, or records withheld.
@@ -204,7 +205,7 @@
     m_pausedUntil = now + s_overfullPause;
 }
 
-void PartitionOwner::settle(LedgerCommands& commands, MonotonicTime)
+void PartitionOwner::settle(LedgerCommands& commands)
 {
     for (const auto& it : m_batch->intents) {
         const auto claim = it.kind == IntentKind::Claim ? m_claims.find(it.request) : m_claims.end();
