Keep the count of live peers instead of counting them

Cause: each node walked its whole table twice in each membership tick, twice a second, to count live peers and to age tombstones.

Change: tombstones stand in a list of their own, and the count follows from it.

--- a/packages/membership/include/carobpath/membership/MembershipTable.h
+++ b/packages/membership/include/carobpath/membership/MembershipTable.h
@@ -76,14 +76,12 @@
     /// \returns the view for routing; the same pointer until something changed.
     std::shared_ptr<const MembershipView> view();
     /// Known nodes other than this one that are neither dead nor leaving.
-    std::size_t livePeers() const { return m_livePeers; }
+    std::size_t livePeers() const { return m_nodes.size() - m_endedAt.size() - 1; }
     const NodeRecord* find(const NodeName&) const;
 
 private:
     struct Known {
         NodeRecord record;
-        /// When the entry became a tombstone.
-        std::optional<MonotonicTime> endedAt;
         /// False for a tombstone in the second half of its life.
         bool spread = true;
         std::uint32_t failedCalls = 0;
@@ -99,7 +97,6 @@
     void spread(const NodeName&);
     bool isIn(std::uint64_t buckets, const NodeName&, const Known&) const;
     void ageTombstones(MonotonicTime now);
-    void recountLivePeers();
     std::uint32_t transmissions() const;
 
     NodeEntry m_self;
@@ -111,7 +108,8 @@
     RumorQueue<NodeName, NodeName> m_recordNews { s_maxNodes };
     RumorQueue<Suspicion, Suspicion> m_suspicionNews { 256 };
     std::shared_ptr<const MembershipView> m_view;
-    std::size_t m_livePeers = 0;
+    /// The tombstones, and when the entries became ones.
+    std::map<NodeName, MonotonicTime> m_endedAt;
 };
 
 /// \returns whether a node takes no more work and no more part in elections.
--- a/packages/membership/src/MembershipTable.cpp
+++ b/packages/membership/src/MembershipTable.cpp
@@ -172,8 +172,6 @@
         ++result.newSuspicions;
         m_view.reset();
     }
-    if (result.newRecords > 0)
-        recountLivePeers();
     return result;
 }
 
@@ -202,9 +200,9 @@
     known.record = record;
     known.spread = true;
     known.failedCalls = 0;
-    known.endedAt.reset();
+    m_endedAt.erase(record.entry.name);
     if (hasEnded(record))
-        known.endedAt = now;
+        m_endedAt.emplace(record.entry.name, now);
     m_digest.toggle(known.record);
     m_suspicions.clear(record.entry.name);
     spread(record.entry.name);
@@ -235,26 +233,22 @@
 
 bool MembershipTable::makeRoom()
 {
-    auto oldest = m_nodes.end();
-    for (auto it = m_nodes.begin(); it != m_nodes.end(); ++it) {
-        if (!it->second.endedAt || it->first == m_self.name)
-            continue;
-        if (oldest == m_nodes.end() || *it->second.endedAt < *oldest->second.endedAt)
-            oldest = it;
-    }
-    if (oldest == m_nodes.end())
+    const auto oldest = std::min_element(m_endedAt.begin(), m_endedAt.end(), [](const auto& x, const auto& y) { return x.second < y.second; });
+    if (oldest == m_endedAt.end())
         return false;
-    if (oldest->second.spread)
-        m_digest.toggle(oldest->second.record);
-    m_recordNews.erase(oldest->first);
-    m_nodes.erase(oldest);
+    const auto it = m_nodes.find(oldest->first);
+    if (it->second.spread)
+        m_digest.toggle(it->second.record);
+    m_recordNews.erase(it->first);
+    m_nodes.erase(it);
+    m_endedAt.erase(oldest);
     return true;
 }
 
 std::vector<NodeRecord> MembershipTable::tick(MonotonicTime now)
 {
     std::vector<NodeRecord> deaths;
-    const std::size_t observersNeeded = std::clamp<std::size_t>(m_livePeers, 1, SuspicionTable::s_observersNeeded);
+    const std::size_t observersNeeded = std::clamp<std::size_t>(livePeers(), 1, SuspicionTable::s_observersNeeded);
     for (const auto& name : m_suspicions.subjects()) {
         const auto revision = m_suspicions.dueForDeath(name, observersNeeded, now);
         const NodeRecord* held = find(name);
@@ -268,29 +262,25 @@
     if (!m_suspicions.expire(now).empty())
         m_view.reset();
     ageTombstones(now);
-    recountLivePeers();
     return deaths;
 }
 
 void MembershipTable::ageTombstones(MonotonicTime now)
 {
-    for (auto it = m_nodes.begin(); it != m_nodes.end();) {
-        Known& known = it->second;
-        if (!known.endedAt || it->first == m_self.name) {
-            ++it;
-            continue;
-        }
-        const auto age = now - *known.endedAt;
-        if (known.spread && age >= s_tombstoneLifetime / 2) {
-            m_digest.toggle(known.record);
-            known.spread = false;
+    for (auto it = m_endedAt.begin(); it != m_endedAt.end();) {
+        const auto node = m_nodes.find(it->first);
+        const auto age = now - it->second;
+        if (node->second.spread && age >= s_tombstoneLifetime / 2) {
+            m_digest.toggle(node->second.record);
+            node->second.spread = false;
             m_recordNews.erase(it->first);
         }
         if (age < s_tombstoneLifetime) {
             ++it;
             continue;
         }
-        it = m_nodes.erase(it);
+        m_nodes.erase(node);
+        it = m_endedAt.erase(it);
         m_view.reset();
     }
 }
@@ -302,7 +292,7 @@
 
 std::uint32_t MembershipTable::transmissions() const
 {
-    return std::max<std::uint32_t>(minTransmissions, std::bit_width(m_livePeers));
+    return std::max<std::uint32_t>(minTransmissions, std::bit_width(livePeers()));
 }
 
 MembershipUpdate MembershipTable::takeNews(std::size_t budget)
@@ -373,13 +363,6 @@
     return m_view;
 }
 
-void MembershipTable::recountLivePeers()
-{
-    m_livePeers = std::count_if(m_nodes.begin(), m_nodes.end(), [this](const auto& it) {
-        return it.first != m_self.name && !hasEnded(it.second.record);
-    });
-}
-
 const NodeRecord* MembershipTable::find(const NodeName& name) const
 {
     const auto it = m_nodes.find(name);
