Try seeds less often after a node's first rounds

Cause: each eighth exchange of each node went to one of a few seeds, so a seed's share grew with the fleet: the busiest of 300 nodes sent and received 12.5 KB/s at rest.

Ruled out: seeds every 64th round from the start; groups that formed in the first seconds did not find each other, and 14 tests failed to settle.

Change: every eighth round goes to a dead peer where there is one; a seed every eighth of the first 64 rounds, then every 64th.

--- a/packages/distribution/include/carobpath/distribution/Exchange.h
+++ b/packages/distribution/include/carobpath/distribution/Exchange.h
@@ -93,8 +93,13 @@
     /// Shortest time between two comparisons of buckets, with and without news under way.
     static constexpr std::chrono::milliseconds s_compareInterval { 1000 };
     static constexpr std::chrono::milliseconds s_compareIntervalBusy { 3000 };
-    /// Every so many exchanges, a seed or a dead peer is tried, so that two halves of the fleet find each other.
-    static constexpr std::uint32_t s_healEvery = 8;
+    /// Every so many exchanges a dead peer is tried, so that two halves of the fleet find each other.
+    static constexpr std::uint32_t s_deadPeerEvery = 8;
+    /// The same for a seed, for halves that never knew each other; rare after a node's first rounds, since all nodes share
+    /// few seeds.
+    static constexpr std::uint32_t s_seedEvery = 64;
+    static constexpr std::uint32_t s_seedEveryAtFirst = 8;
+    static constexpr std::uint32_t s_firstRounds = 64;
     /// Random peers that a notice is pushed to besides the neighbours.
     static constexpr std::size_t s_noticeFanOut = 2;
     static constexpr std::size_t s_membershipBudget = 4096;
--- a/packages/distribution/src/Exchange.cpp
+++ b/packages/distribution/src/Exchange.cpp
@@ -90,13 +90,14 @@
         return;
     }
     sendExchange(peer->addresses.peer, peer->name, commands);
-    if (++m_exchangeRound % s_healEvery != 0)
+    ++m_exchangeRound;
+    const std::uint32_t seedEvery = m_exchangeRound <= s_firstRounds ? s_seedEveryAtFirst : s_seedEvery;
+    if (m_exchangeRound % seedEvery == 0)
+        sendExchangeToSeed(commands);
+    if (m_exchangeRound % s_deadPeerEvery != 0)
         return;
-    const auto* dead = m_tree.randomDeadPeer(m_random);
-    if (dead && m_exchangeRound % (2 * s_healEvery) == 0)
+    if (const auto* dead = m_tree.randomDeadPeer(m_random))
         sendExchange(dead->addresses.peer, dead->name, commands);
-    else
-        sendExchangeToSeed(commands);
 }
 
 void Exchange::sendExchangeToSeed(Commands& commands)
