Close a socket that is still connecting with its connection

Cause: a call to a peer behind a cut times out after 1.5 s, while the system tries to connect for about two minutes; each such socket was held until then. The call's end now closes it.

--- a/packages/peer/src/internal/PeerConnection.cpp
+++ b/packages/peer/src/internal/PeerConnection.cpp
@@ -95,6 +95,7 @@
         return;
     }
     const auto socket = std::make_shared<tcp::socket>(m_runtime->context());
+    m_connectingSocket = socket;
     const auto number = ++m_sessionNumber;
     socket->async_connect(tcp::endpoint(address, m_endpoint.port), [self = weak_from_this(), socket, number](const boost::system::error_code& result) {
         const auto it = self.lock();
@@ -106,6 +107,7 @@
 void PeerConnection::onConnected(const boost::system::error_code& ec, const std::shared_ptr<tcp::socket>& socket)
 {
     m_isConnecting = false;
+    m_connectingSocket.reset();
     if (ec) {
         close(PeerFault::ConnectFailed);
         return;
@@ -194,6 +196,10 @@
     ++m_sessionNumber;
     m_isConnecting = false;
     m_connectTimer.cancel();
+    if (const auto socket = std::exchange(m_connectingSocket, nullptr)) {
+        boost::system::error_code ec;
+        socket->close(ec);
+    }
     m_connectNotBefore = MonotonicClock::now() + m_backoff.next(*m_random);
     const auto calls = std::exchange(m_calls, {});
     const auto session = std::exchange(m_session, nullptr);
--- a/packages/peer/src/internal/PeerConnection.h
+++ b/packages/peer/src/internal/PeerConnection.h
@@ -74,6 +74,8 @@
     /// Counts the sessions, so that a late event of an earlier one is told apart.
     std::uint64_t m_sessionNumber = 0;
     bool m_isConnecting = false;
+    /// The socket while it connects; closed with the connection, since the system may try for minutes.
+    std::shared_ptr<boost::asio::ip::tcp::socket> m_connectingSocket;
 };
 
 }
