--- a/tests/process/demo/Demo.cpp
+++ b/tests/process/demo/Demo.cpp
@@ -121,7 +121,7 @@
     const auto end = std::chrono::steady_clock::now() + moveBound;
     double lastShare = -1;
     while (std::chrono::steady_clock::now() < end) {
-        const auto report = m_fleet.node(0).adminJson("/v1/moves/" + name);
+        auto report = m_fleet.node(0).adminJson("/v1/moves/" + name);
         if (report.is_object()) {
             const double share = report.value("share", 0.0);
             if (share != lastShare)
