--- a/packages/routing/include/carobpath/routing/CallDecision.h
+++ b/packages/routing/include/carobpath/routing/CallDecision.h
@@ -27,6 +27,8 @@
 public:
     /// Places that one call is sent to at most.
     static constexpr std::uint32_t s_maxAttempts = 4;
+    /// Backend servers that one call may lose its connection to: the request itself may be what ends them.
+    static constexpr std::uint32_t s_maxBackendLosses = 2;
 
     CallDecision(std::shared_ptr<EntryState>, CallRequest, MonotonicTime arrivedAt);
     ~CallDecision();
@@ -102,6 +104,7 @@
     Outcome m_outcome = Outcome::NotRun;
     std::optional<Attempt> m_attempt;
     std::vector<NodeName> m_tried;
+    std::uint32_t m_backendLosses = 0;
     std::optional<CallCommand> m_final;
     /// Version of the last attempt; the rest of a body comes from no other.
     VersionName m_version;
--- a/packages/routing/src/AttemptClass.cpp
+++ b/packages/routing/src/AttemptClass.cpp
@@ -71,6 +71,11 @@
     }
 }
 
+bool isBackendLoss(const AttemptResult& result)
+{
+    return result.outcome == Outcome::Unknown && result.status != 0 && reasonOf(result) == RefusalReason::UpstreamConnectionLost;
+}
+
 bool putNoLoad(const AttemptResult& result)
 {
     if (result.outcome != Outcome::NotRun)
--- a/packages/routing/src/AttemptClass.h
+++ b/packages/routing/src/AttemptClass.h
@@ -18,6 +18,10 @@
 /// \returns whether another upstream may do better.
 bool otherUpstreamMayHelp(const AttemptResult&);
 
+/// \returns whether a node reports that its backend server's connection broke while it ran the request, as it does when
+/// the backend server crashes.
+bool isBackendLoss(const AttemptResult&);
+
 /// \returns whether the attempt put no load on any backend server, so that a retry cannot multiply load.
 bool putNoLoad(const AttemptResult&);
 
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -206,6 +206,8 @@
 void CallDecision::recordAttempt(const AttemptResult& result, MonotonicTime now)
 {
     m_outcome = stronger(m_outcome, result.outcome);
+    if (isBackendLoss(result))
+        ++m_backendLosses;
     if (signOf(result) != AttemptSign::Abandoned)
         m_state->observe({ m_attempt->node, reachabilityOf(result), now });
     // A failure on the next version is not answered by another one there.
@@ -224,6 +226,8 @@
 {
     if (!repeatable() && result.outcome != Outcome::NotRun)
         return false;
+    if (m_backendLosses >= s_maxBackendLosses)
+        return false;
     return otherUpstreamMayHelp(result) && m_request.bodyReplayable && m_tried.size() < s_maxAttempts
         && now < m_deadline;
 }
--- a/packages/routing/tests/CallDecisionTests.cpp
+++ b/packages/routing/tests/CallDecisionTests.cpp
@@ -133,6 +133,18 @@
     BOOST_TEST(refusalOf(command).retryAfter.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(A_call_ends_after_two_backend_servers_broke_while_they_ran_it)
+{
+    EntryFixture fixture { threeNodes() };
+    std::shared_ptr<CallDecision> call;
+    auto command = startOf(fixture, call, makeCall("GET", "/catalog"));
+    const auto broken = ended(Outcome::Unknown, RefusalReason::UpstreamConnectionLost, 502);
+    command = call->onAttemptFinished(broken, fixture.now);
+    BOOST_TEST((nextOf(command) == Next::SendAgain));
+    command = call->onAttemptFinished(broken, fixture.now);
+    BOOST_TEST((nextOf(command) == Next::RefuseUnknown));
+}
+
 BOOST_AUTO_TEST_CASE(A_body_that_was_not_kept_is_not_sent_again)
 {
     EntryFixture fixture { threeNodes() };
--- a/tests/process/harness/Standins.cpp
+++ b/tests/process/harness/Standins.cpp
@@ -19,7 +19,7 @@
             "--name", options.name, "--service", options.service, "--version", options.version,
             "--slots", std::to_string(options.slots), "--connections", std::to_string(options.connections),
             "--waiting", std::to_string(options.waiting), "--cold-start-ms", std::to_string(options.coldStart.count()),
-            "--work-ms", std::to_string(options.work.count())
+            "--work-ms", std::to_string(options.work.count()), "--drain-ms", std::to_string(options.drain.count())
         };
         if (!options.admin.empty())
             arguments.insert(arguments.end(), { "--admin", options.admin });
--- a/tests/process/harness/Standins.h
+++ b/tests/process/harness/Standins.h
@@ -56,6 +56,8 @@
     int waiting = 6;
     std::chrono::milliseconds coldStart { 0 };
     std::chrono::milliseconds work { 2 };
+    /// How long it refuses calls after SIGTERM before it exits.
+    std::chrono::milliseconds drain { 300 };
 };
 
 /// A backend server.
--- a/tests/process/tests/FaultTests.cpp
+++ b/tests/process/tests/FaultTests.cpp
@@ -159,6 +159,13 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(One_call_that_crashes_backend_servers_is_sent_to_no_more_than_two)
+{
+    const auto answer = call(fleet.node(0).callers(), get("/crash-mark"));
+    BOOST_TEST(answer.outcome() == "unknown");
+    BOOST_TEST(fleet.runsOf("/crash-mark") <= 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(Silent_connections)
