--- a/bench/move_experiment.cpp
+++ b/bench/move_experiment.cpp
@@ -1,4 +1,5 @@
 /// Plays moves of good and bad versions with many seeds and prints what became of them.
+#include "carobpath/publication/EnumText.h"
 #include "moves/Cases.h"
 #include "moves/Experiment.h"
 #include "moves/Summary.h"
@@ -8,6 +9,7 @@
 #include <atomic>
 #include <cstdio>
 #include <iostream>
+#include <optional>
 #include <thread>
 
 namespace carobpath::bench {
@@ -20,6 +22,8 @@
         std::string member;
         std::string policy;
         std::size_t threads = 3;
+        /// Replaces the member's own setting where given.
+        std::optional<publication::ThinEvidencePolicy> onThinEvidence;
         bool json = false;
         bool failures = false;
     };
@@ -49,7 +53,8 @@
         const auto work = [&] {
             for (auto i = next++; i < options.seeds; i = next++) {
                 std::mt19937_64 random { seedOf(i) };
-                const auto scenario = drawScenario(kind, member, random);
+                auto scenario = drawScenario(kind, member, random);
+                scenario.onThinEvidence = options.onThinEvidence.value_or(scenario.onThinEvidence);
                 results[i] = runMove(scenario, policy, random());
             }
         };
@@ -98,11 +103,12 @@
     add("member", "petra or akwapim", cxxopts::value<std::string>()->default_value(""));
     add("policy", "ours or fixed-step", cxxopts::value<std::string>()->default_value(""));
     add("threads", "threads", cxxopts::value<std::size_t>()->default_value("3"));
+    add("thin-evidence", "finish or take-back, in place of the member's setting", cxxopts::value<std::string>()->default_value(""));
     add("json", "one JSON object a line");
     add("failures", "name the seeds that missed on standard error");
     const auto given = parser.parse(argc, argv);
     run({ given["seeds"].as<std::size_t>(), given["case"].as<std::string>(), given["member"].as<std::string>(),
-        given["policy"].as<std::string>(), given["threads"].as<std::size_t>(), given.count("json") != 0, given.count("failures") != 0 });
+        given["policy"].as<std::string>(), given["threads"].as<std::size_t>(), publication::thinEvidencePolicyFromString(given["thin-evidence"].as<std::string>()), given.count("json") != 0, given.count("failures") != 0 });
     return 0;
 }
 
