Let callers say the width of a download; read runs that were written before an answer

Cause: the queue's thin-first order had nothing to order by, since no header carried a width; and a process test once counted 0 runs of a call that was answered, because the line of the run had not been read yet. Ruled out: a call that was answered without a run; a second look found the run. Change: Carobpath-Width goes from the caller to the admission queue; the harness asks the backend server how many runs it has written and waits until it has read that many.

--- a/packages/gateway/src/internal/ForwardedHeader.cpp
+++ b/packages/gateway/src/internal/ForwardedHeader.cpp
@@ -16,6 +16,7 @@
 namespace {
 
     constexpr int hexBase = 16;
+    constexpr std::uint32_t widestCall = 1000;
     constexpr std::size_t fingerprintDigits = 16;
     /// The admitting node gives up this much before the entry node, so that its typed answer still arrives.
     constexpr std::chrono::milliseconds answerMargin { 5 };
@@ -53,6 +54,13 @@
         return std::to_string(std::max<std::int64_t>(0, left.count()));
     }
 
+    /// \returns the parts that the caller fetches at a time; 1 where it says nothing that makes sense.
+    std::uint32_t widthOf(const http::fields& fields)
+    {
+        const auto width = number<std::uint32_t>(value(fields, HeaderName::width), 10);
+        return width ? std::clamp<std::uint32_t>(*width, 1, widestCall) : 1;
+    }
+
     bool isOwnField(std::string_view name)
     {
         const auto size = HeaderName::prefix.size();
@@ -99,6 +107,7 @@
     copy->set(HeaderName::version, attempt.version.value());
     copy->set(HeaderName::deadline, millisecondsLeft(attempt.deadline, now));
     copy->set(HeaderName::fingerprint, hex(call.fingerprint));
+    copy->set(HeaderName::width, std::to_string(widthOf(request)));
     copy->set(HeaderName::trafficClass, publication::toString(attempt.trafficClass));
     copy->set(HeaderName::repeatability, publication::toString(attempt.repeatability));
     if (!hybridTime.empty())
@@ -119,6 +128,7 @@
     const bool named = !admission.id.empty() && !admission.route.empty() && !admission.version.empty();
     if (!named || !timeLeft || !fingerprint || !trafficClass || !repeatability)
         return std::nullopt;
+    admission.width = widthOf(request);
     admission.deadline = now + std::max(*timeLeft - answerMargin, *timeLeft / 2);
     admission.fingerprint = *fingerprint;
     admission.trafficClass = *trafficClass;
--- a/packages/gateway/src/internal/HttpTypes.h
+++ b/packages/gateway/src/internal/HttpTypes.h
@@ -23,6 +23,7 @@
     inline constexpr std::string_view version = "Carobpath-Version";
     inline constexpr std::string_view deadline = "Carobpath-Deadline-Ms";
     inline constexpr std::string_view callerTimeout = "Carobpath-Timeout-Ms";
+    inline constexpr std::string_view width = "Carobpath-Width";
     inline constexpr std::string_view fingerprint = "Carobpath-Fingerprint";
     inline constexpr std::string_view trafficClass = "Carobpath-Traffic-Class";
     inline constexpr std::string_view repeatability = "Carobpath-Repeatability";
--- a/tests/process/harness/Standins.cpp
+++ b/tests/process/harness/Standins.cpp
@@ -1,5 +1,6 @@
 #include "Standins.h"
 
+#include "Eventually.h"
 #include "Programs.h"
 
 #include <stdexcept>
@@ -8,6 +9,9 @@
 
 namespace {
 
+    /// A frozen or killed backend server has no more to say than what was read.
+    constexpr std::chrono::milliseconds countsBound { 1'000 };
+
     std::string errorFile(const TemporaryDirectory& directory, const std::string& name)
     {
         return (directory.path() / (name + ".err")).string();
@@ -84,7 +88,24 @@
 {
 }
 
-std::vector<EventLine> BackendStandin::runs() const { return constProcess().events("executed"); }
+std::vector<EventLine> BackendStandin::runs() const
+{
+    waitForLines();
+    return constProcess().events("executed");
+}
+
+// An answer may be here before the line that was written ahead of it has been read.
+void BackendStandin::waitForLines() const
+{
+    CallerRequest request;
+    request.target = "/counts";
+    request.timeout = countsBound;
+    const auto answer = call(control(), request);
+    if (answer.status != 200)
+        return;
+    const auto executed = nlohmann::json::parse(answer.body)["executed"].get<std::size_t>();
+    eventually("each run of " + endpoint() + " is read", [&] { return constProcess().events("executed").size() >= executed; });
+}
 
 std::size_t BackendStandin::runsOf(const std::string& pathPart) const
 {
--- a/tests/process/harness/Standins.h
+++ b/tests/process/harness/Standins.h
@@ -26,6 +26,9 @@
     /// \returns the stand-in's counters.
     nlohmann::json counts() const;
 
+protected:
+    const std::string& control() const { return m_control; }
+
 private:
     Process m_process;
     std::string m_endpoint;
@@ -72,6 +75,7 @@
     std::vector<EventLine> runs() const;
 
 private:
+    void waitForLines() const;
     const Process& constProcess() const { return const_cast<BackendStandin*>(this)->process(); }
 };
 
