Know a crash at once, and tell it before the call is answered

A lone lost connection became a crash only with the next call or heartbeat, and its news left with the next tick, 100 ms later; the caller was faster. Ruled out: holding the caller's answer back until all nodes have confirmed; an answer must not wait for other nodes. Change: after a broken connection the admitting node makes one new connection to the backend server beside it; where it is refused, the crash is certain and its report goes to four random nodes at once, before the call is answered. At more than five nodes the report takes a second hop, so a caller that sends again within that time can still reach a node that does not know.

--- a/packages/gateway/include/carobpath/gateway/GatewayHooks.h
+++ b/packages/gateway/include/carobpath/gateway/GatewayHooks.h
@@ -49,6 +49,9 @@
     /// Called before a dispatched call reaches the backend server.
     std::function<void(const routing::AdmissionRequest&)> onDispatched;
     std::function<void(const BackendObservation&)> onBackend;
+    /// The backend server broke a connection and takes no new one: it has crashed. Called before the call whose
+    /// connection broke is answered, so that the news is on its way before the caller can send the request again.
+    std::function<void()> onBackendCrash;
     std::function<void(const CallObservation&)> onCall;
     /// Reads the hybrid clock as text, for a message to another node.
     std::function<std::string()> hybridNow;
--- a/packages/gateway/src/internal/AdmissionHandler.cpp
+++ b/packages/gateway/src/internal/AdmissionHandler.cpp
@@ -2,6 +2,10 @@
 
 #include "internal/AdmittedCall.h"
 #include "internal/ForwardedHeader.h"
+#include "internal/SocketOptions.h"
+
+#include <boost/asio/error.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 
 #include <type_traits>
 #include <utility>
@@ -11,6 +15,8 @@
 namespace {
 
     constexpr std::chrono::milliseconds tickInterval { 20 };
+    /// On the same instance an answer takes microseconds.
+    constexpr std::chrono::milliseconds probeTimeout { 20 };
 
     const RequestId& idOf(const routing::AdmissionCommand& command)
     {
@@ -25,6 +31,7 @@
     , m_pool(pool)
     , m_limits(limits)
     , m_hooks(hooks)
+    , m_context(context)
     , m_tick(context)
 {
 }
@@ -71,6 +78,25 @@
     perform(m_controller.onFinished(result, MonotonicClock::now()));
 }
 
+void AdmissionHandler::probeBackend(std::function<void()> probed)
+{
+    const auto endpoint = m_backend ? toTcp(*m_backend) : std::nullopt;
+    if (!endpoint) {
+        probed();
+        return;
+    }
+    auto stream = std::make_shared<boost::beast::tcp_stream>(m_context);
+    stream->expires_after(probeTimeout);
+    stream->async_connect(*endpoint, [this, stream, probed = std::move(probed)](boost::system::error_code ec) {
+        if (ec == boost::asio::error::connection_refused) {
+            m_controller.onProbeRefused(MonotonicClock::now());
+            if (m_hooks.onBackendCrash)
+                m_hooks.onBackendCrash();
+        }
+        probed();
+    });
+}
+
 void AdmissionHandler::start()
 {
     scheduleTick();
--- a/packages/gateway/src/internal/AdmissionHandler.h
+++ b/packages/gateway/src/internal/AdmissionHandler.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <memory>
 #include <unordered_map>
 
@@ -39,11 +40,14 @@
 
     void scheduleTick();
     void finish(const routing::AdmissionResult&);
+    /// Finds out whether the backend server still takes connections, then calls back.
+    void probeBackend(std::function<void()> probed);
 
     routing::AdmissionController& m_controller;
     ConnectionPool& m_pool;
     const GatewayLimits& m_limits;
     const GatewayHooks& m_hooks;
+    boost::asio::io_context& m_context;
     boost::asio::steady_timer m_tick;
     std::optional<Endpoint> m_backend;
     std::unordered_map<RequestId, std::shared_ptr<AdmittedCall>> m_calls;
--- a/packages/gateway/src/internal/AdmittedCall.cpp
+++ b/packages/gateway/src/internal/AdmittedCall.cpp
@@ -108,6 +108,8 @@
 {
     if (failure == ExchangeFailure::Cancelled)
         m_session->abandon();
+    else if (failure == ExchangeFailure::ConnectionLost)
+        m_handler.probeBackend([self = shared_from_this(), failure] { self->m_session->refuse(refusalOf(failure), self->m_request.id.value()); });
     else
         m_session->refuse(refusalOf(failure), m_request.id.value());
     finish(resultOf(failure));
--- a/packages/node/src/internal/QuarantineDriver.cpp
+++ b/packages/node/src/internal/QuarantineDriver.cpp
@@ -40,19 +40,30 @@
 void QuarantineDriver::onPeerUpdate(const routing::CrashUpdate& update)
 {
     m_quarantine.merge(update, NodeContext::now());
+    spreadNews();
 }
 
-void QuarantineDriver::onTick(routing::AdmissionController& controller)
+void QuarantineDriver::takeCrashes(routing::AdmissionController& controller)
 {
-    const auto now = NodeContext::now();
-    if (auto suspects = controller.takeCrash()) {
+    while (auto suspects = controller.takeCrash()) {
         m_context.events.record(Event(event::backendCrashed).with("suspects", suspects->size()));
-        m_quarantine.onCrash(std::move(*suspects), now);
+        m_quarantine.onCrash(std::move(*suspects), NodeContext::now());
     }
-    m_quarantine.onTick(now);
+    spreadNews();
+}
+
+void QuarantineDriver::spreadNews()
+{
     const auto news = m_quarantine.takeUpdate();
     if (!news.empty())
         sendToRandomNodes(news, s_fanOut);
+}
+
+void QuarantineDriver::onTick(routing::AdmissionController& controller)
+{
+    const auto now = NodeContext::now();
+    m_quarantine.onTick(now);
+    takeCrashes(controller);
     if (now.monotonic - m_snapshotAt < s_snapshotInterval)
         return;
     m_snapshotAt = now.monotonic;
--- a/packages/node/src/internal/QuarantineDriver.h
+++ b/packages/node/src/internal/QuarantineDriver.h
@@ -33,11 +33,14 @@
 
     /// To be called ten times a second.
     void onTick(routing::AdmissionController&);
+    /// Takes crashes that the controller has found and spreads them at once.
+    void takeCrashes(routing::AdmissionController&);
 
 private:
     static constexpr std::size_t s_fanOut = 4;
     static constexpr std::chrono::seconds s_snapshotInterval { 5 };
 
+    void spreadNews();
     void sendToRandomNodes(const routing::CrashUpdate&, std::size_t count);
     std::vector<Endpoint> otherNodes() const;
 
--- a/packages/routing/include/carobpath/routing/AdmissionController.h
+++ b/packages/routing/include/carobpath/routing/AdmissionController.h
@@ -59,6 +59,8 @@
     void setFingerprintChecks(FingerprintChecks);
     /// What the health endpoint said; a hint that decides nothing alone.
     void onHealthHint(bool healthy, MonotonicTime now);
+    /// After a lost connection, a new one to the backend server was refused: it has crashed.
+    void onProbeRefused(MonotonicTime now);
     /// Refuses what waits and all that comes; what is in flight ends.
     AdmissionCommands drain(MonotonicTime now);
 
--- a/packages/routing/include/carobpath/routing/CrashDetector.h
+++ b/packages/routing/include/carobpath/routing/CrashDetector.h
@@ -29,6 +29,8 @@
     void onResult(BackendResult, const RunningCall& ended, const RunningCalls& running, MonotonicTime now);
     /// The server announced itself as cold, or its announcement lapsed.
     void onRestarted(MonotonicTime now);
+    /// A connection that was made to find out was refused.
+    void onProbeRefused(MonotonicTime now);
 
     /// \returns the requests that may have crashed the server, once for each crash, the earliest first.
     std::optional<std::vector<Fingerprint>> takeCrash();
--- a/packages/routing/src/AdmissionController.cpp
+++ b/packages/routing/src/AdmissionController.cpp
@@ -249,6 +249,8 @@
 
 void AdmissionController::onHealthHint(bool healthy, MonotonicTime now) { m_health.onHealthHint(healthy, now); }
 
+void AdmissionController::onProbeRefused(MonotonicTime now) { m_crashes.onProbeRefused(now); }
+
 AdmissionCommands AdmissionController::drain(MonotonicTime)
 {
     AdmissionCommands commands;
--- a/packages/routing/src/CrashDetector.cpp
+++ b/packages/routing/src/CrashDetector.cpp
@@ -64,6 +64,8 @@
 
 void CrashDetector::onRestarted(MonotonicTime now) { confirm(now); }
 
+void CrashDetector::onProbeRefused(MonotonicTime now) { confirm(now); }
+
 void CrashDetector::confirm(MonotonicTime now)
 {
     if (!m_suspicion)
