--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -60,6 +60,7 @@
 void measureRest(Fleet& fleet, std::chrono::seconds time, Row& row)
 {
     std::vector<double> before;
+    before.reserve(fleet.instances().size());
     for (const auto& it : fleet.instances())
         before.push_back(usageOf(it.node->process().id()).processorSeconds);
     const auto readsBefore = logReads(fleet);
@@ -107,6 +108,7 @@
     row.nodes = nodes;
     measureRest(fleet, rest, row);
     std::vector<double> times;
+    times.reserve(changes);
     for (int i = 0; i < changes; ++i)
         times.push_back(convergenceOf(fleet, "booking-extra-" + std::to_string(i)).count());
     row.convergenceMean = Milliseconds { mean(times) };
--- a/bench/latency_bench.cpp
+++ b/bench/latency_bench.cpp
@@ -18,10 +18,21 @@
 using carobpath::bench::usageOf;
 using namespace std::chrono_literals;
 
+constexpr double microsecondsPerSecond = 1e6;
+
+/// What one load came to; latencies in milliseconds.
+struct LoadFigures {
+    double p50 = 0;
+    double p99 = 0;
+    double p999 = 0;
+    std::uint64_t calls = 0;
+    std::uint64_t succeeded = 0;
+};
+
 struct Row {
     double rate = 0;
-    nlohmann::json direct;
-    nlohmann::json meshed;
+    LoadFigures direct;
+    LoadFigures meshed;
     /// Processor time of the two nodes in seconds for each call.
     double entrySecondsPerCall = 0;
     double admittingSecondsPerCall = 0;
@@ -49,7 +60,7 @@
     return options;
 }
 
-nlohmann::json loadOn(const Fleet& fleet, const std::string& target, double rate, std::chrono::seconds duration)
+LoadFigures loadOn(const Fleet& fleet, const std::string& target, double rate, std::chrono::seconds duration)
 {
     LoadOptions options;
     options.targets = { target };
@@ -57,7 +68,14 @@
     options.rate = rate;
     options.duration = duration;
     LoadRun run(fleet.directory(), options);
-    return run.summary();
+    const auto summary = run.summary();
+    LoadFigures figures;
+    figures.p50 = summary["p50Ms"].get<double>();
+    figures.p99 = summary["p99Ms"].get<double>();
+    figures.p999 = summary["p999Ms"].get<double>();
+    figures.calls = summary["calls"].get<std::uint64_t>();
+    figures.succeeded = summary["succeeded"].get<std::uint64_t>();
+    return figures;
 }
 
 Row measure(Fleet& fleet, double rate, std::chrono::seconds duration)
@@ -70,7 +88,7 @@
     const double entryBefore = usageOf(entry).processorSeconds;
     const double admittingBefore = usageOf(admitting).processorSeconds;
     row.meshed = loadOn(fleet, fleet.node(0).callers(), rate, duration);
-    const double calls = row.meshed["calls"].get<double>();
+    const auto calls = static_cast<double>(row.meshed.calls);
     row.entrySecondsPerCall = (usageOf(entry).processorSeconds - entryBefore) / calls;
     row.admittingSecondsPerCall = (usageOf(admitting).processorSeconds - admittingBefore) / calls;
     return row;
@@ -78,23 +96,29 @@
 
 void printRow(const Row& row)
 {
-    const auto added = [&](const char* key) { return row.meshed[key].get<double>() - row.direct[key].get<double>(); };
+    const auto& direct = row.direct;
+    const auto& meshed = row.meshed;
     std::printf("%8.0f  %7.3f %7.3f %7.3f  %7.3f %7.3f %7.3f  %7.3f %7.3f %7.3f  %6.0f %6.0f  %llu/%llu\n", row.rate,
-        row.direct["p50Ms"].get<double>(), row.direct["p99Ms"].get<double>(), row.direct["p999Ms"].get<double>(),
-        row.meshed["p50Ms"].get<double>(), row.meshed["p99Ms"].get<double>(), row.meshed["p999Ms"].get<double>(),
-        added("p50Ms"), added("p99Ms"), added("p999Ms"), row.entrySecondsPerCall * 1e6, row.admittingSecondsPerCall * 1e6,
-        row.meshed["succeeded"].get<unsigned long long>(), row.meshed["calls"].get<unsigned long long>());
+        direct.p50, direct.p99, direct.p999, meshed.p50, meshed.p99, meshed.p999,
+        meshed.p50 - direct.p50, meshed.p99 - direct.p99, meshed.p999 - direct.p999,
+        row.entrySecondsPerCall * microsecondsPerSecond, row.admittingSecondsPerCall * microsecondsPerSecond,
+        static_cast<unsigned long long>(meshed.succeeded), static_cast<unsigned long long>(meshed.calls));
     std::fflush(stdout);
 }
 
+nlohmann::json toJson(const LoadFigures& it)
+{
+    return { { "p50Ms", it.p50 }, { "p99Ms", it.p99 }, { "p999Ms", it.p999 }, { "calls", it.calls }, { "succeeded", it.succeeded } };
+}
+
 nlohmann::json toJson(const Row& row)
 {
     return {
         { "rate", row.rate },
-        { "direct", row.direct },
-        { "meshed", row.meshed },
-        { "entryMicrosecondsPerCall", row.entrySecondsPerCall * 1e6 },
-        { "admittingMicrosecondsPerCall", row.admittingSecondsPerCall * 1e6 },
+        { "direct", toJson(row.direct) },
+        { "meshed", toJson(row.meshed) },
+        { "entryMicrosecondsPerCall", row.entrySecondsPerCall * microsecondsPerSecond },
+        { "admittingMicrosecondsPerCall", row.admittingSecondsPerCall * microsecondsPerSecond },
     };
 }
 
