Write a short answer at once, so that each hop wakes once

Cause: at 1,000 calls/s two nodes added 2.4 ms at p99. A profile of the entry node shows no hot spot of its own: kernel wake-ups lead. strace counted 3 sendmsg, 8 epoll_wait and 2 peeks a call: header and body of an answer went out apart, so each hop woke twice. Ruled out: metrics and timers, which are below 1% of the profile. Change: where the first piece of a body is here with its header, both are written in one go, with the end; a pooled connection is looked at once, not twice.

--- a/packages/gateway/src/internal/BodyRelay.cpp
+++ b/packages/gateway/src/internal/BodyRelay.cpp
@@ -32,8 +32,11 @@
     m_message.keep_alive(framing.keepAlive);
     m_serializer.emplace(m_message);
     m_stream.expires_after(m_limits.callerIdle);
+    // A short answer goes out in one write, so that its reader wakes once.
     if (framing.headerOnly)
         writeHeaderOnly();
+    else if (m_source->hasBufferedBody())
+        readPiece();
     else
         writeHeader();
 }
@@ -77,17 +80,27 @@
 {
     m_message.body().data = const_cast<char*>(piece.data());
     m_message.body().size = piece.size();
-    m_message.body().more = true;
+    const bool last = m_source->bodyIsDone();
+    m_message.body().more = !last;
     m_stream.expires_after(m_limits.callerIdle);
-    http::async_write(m_stream, *m_serializer, [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
-        if (ec && ec != http::error::need_buffer) {
+    http::async_write(m_stream, *m_serializer, [self = shared_from_this(), last](boost::system::error_code ec, std::size_t) {
+        if (ec && ec != http::error::need_buffer)
             self->finish(false);
-            return;
-        }
-        self->readPiece();
+        else
+            self->onPieceWritten(last);
     });
 }
 
+void BodyRelay::onPieceWritten(bool last)
+{
+    if (!last) {
+        readPiece();
+        return;
+    }
+    // Reading the end gives the connection back.
+    m_source->readBody([self = shared_from_this()](std::optional<ExchangeFailure> failure, std::string_view) { self->finish(!failure); });
+}
+
 void BodyRelay::writeEnd()
 {
     m_message.body().data = nullptr;
--- a/packages/gateway/src/internal/BodyRelay.h
+++ b/packages/gateway/src/internal/BodyRelay.h
@@ -41,6 +41,7 @@
     void writeHeader();
     void readPiece();
     void writePiece(std::string_view);
+    void onPieceWritten(bool last);
     void writeEnd();
     void finish(bool whole);
 
--- a/packages/gateway/src/internal/BodySource.h
+++ b/packages/gateway/src/internal/BodySource.h
@@ -32,8 +32,10 @@
     virtual ~BodySource() = default;
 
     virtual std::optional<std::uint64_t> contentLength() const = 0;
-    /// True where the answer has no body by its nature.
+    /// True where no further piece comes, be it that the answer has no body by its nature.
     virtual bool bodyIsDone() const = 0;
+    /// True where the next piece is here already, so that reading it does not wait.
+    virtual bool hasBufferedBody() const = 0;
     /// Reads the next piece of the body; it stays valid until the next call.
     virtual void readBody(BodyHandler) = 0;
     /// Gives up on the body; a short rest is read so that the connection can be used again.
--- a/packages/gateway/src/internal/ConnectionPool.cpp
+++ b/packages/gateway/src/internal/ConnectionPool.cpp
@@ -27,8 +27,7 @@
         auto connection = std::move(connections.back());
         connections.pop_back();
         const bool expired = now - connection->usedAt > m_limits.pooledIdle;
-        auto& socket = connection->stream.socket();
-        if (!expired && !isClosedByPeer(socket) && !hasUnexpectedBytes(socket))
+        if (!expired && isOpenAndQuiet(connection->stream.socket()))
             return connection;
         connection->stream.close();
     }
--- a/packages/gateway/src/internal/ResumingBody.h
+++ b/packages/gateway/src/internal/ResumingBody.h
@@ -34,7 +34,8 @@
     ResumingBody(ExchangePointer, ResumableBody, AskRest);
 
     std::optional<std::uint64_t> contentLength() const override { return m_body.length; }
-    bool bodyIsDone() const override { return false; }
+    bool bodyIsDone() const override { return m_exchange->bodyIsDone(); }
+    bool hasBufferedBody() const override { return m_exchange->hasBufferedBody(); }
     void readBody(BodyHandler) override;
     void discard() override { m_exchange->discard(); }
     void cancel() override;
--- a/packages/gateway/src/internal/SocketOptions.cpp
+++ b/packages/gateway/src/internal/SocketOptions.cpp
@@ -52,9 +52,9 @@
     return peek(socket) == PeekResult::Closed;
 }
 
-bool hasUnexpectedBytes(boost::asio::ip::tcp::socket& socket)
+bool isOpenAndQuiet(boost::asio::ip::tcp::socket& socket)
 {
-    return peek(socket) == PeekResult::Bytes;
+    return peek(socket) == PeekResult::Nothing;
 }
 
 std::optional<boost::asio::ip::tcp::endpoint> toTcp(const Endpoint& endpoint)
--- a/packages/gateway/src/internal/SocketOptions.h
+++ b/packages/gateway/src/internal/SocketOptions.h
@@ -16,8 +16,8 @@
 /// \returns true where the other end has closed, or the socket is broken. Reads nothing.
 bool isClosedByPeer(boost::asio::ip::tcp::socket&);
 
-/// \returns true where bytes wait that nobody asked for.
-bool hasUnexpectedBytes(boost::asio::ip::tcp::socket&);
+/// \returns true where the connection is open and no bytes wait on it. Reads nothing.
+bool isOpenAndQuiet(boost::asio::ip::tcp::socket&);
 
 /// \returns nothing where the address is no IP number.
 std::optional<boost::asio::ip::tcp::endpoint> toTcp(const Endpoint&);
--- a/packages/gateway/src/internal/UpstreamExchange.h
+++ b/packages/gateway/src/internal/UpstreamExchange.h
@@ -48,6 +48,7 @@
 
     std::optional<std::uint64_t> contentLength() const override;
     bool bodyIsDone() const override { return m_parser->is_done(); }
+    bool hasBufferedBody() const override { return !m_parser->is_done() && m_connection->buffer.size() > 0; }
     void readBody(BodyHandler) override;
     void discard() override;
     void cancel() override;
