Keep one backoff, in foundation; drop a client setting that nothing reads

Cause: full-jitter backoff stood three times (publication, distribution, the daemon's reader of the log), and the client's fleet-key was checked and read by nobody. Result: the test programs of foundation, publication, distribution, peer, node and client pass.

--- a/packages/distribution/include/carobpath/distribution/WholeFetch.h
+++ b/packages/distribution/include/carobpath/distribution/WholeFetch.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "carobpath/distribution/Backoff.h"
+#include "carobpath/foundation/Backoff.h"
 #include "carobpath/foundation/Endpoint.h"
 #include "carobpath/publication/ConfigurationSet.h"
 
--- a/packages/foundation/include/carobpath/foundation/ClientSettings.h
+++ b/packages/foundation/include/carobpath/foundation/ClientSettings.h
@@ -31,9 +31,6 @@
 
     std::vector<MemberSettings> members;
 
-    /// Empty where the client speaks to no peer address.
-    HexKey fleetKey;
-
     /// Ed25519 public key that the records of nodes are checked with; empty for a client that takes them unchecked.
     HexKey fleetPublicKey;
 
--- a/packages/foundation/src/ClientSettings.cpp
+++ b/packages/foundation/src/ClientSettings.cpp
@@ -36,9 +36,6 @@
         it.list(
             "members", memberSettingsReader(), { 0, maximumMembers }, [](auto& s) -> auto& { return s.members; },
             "The members of the consortium.");
-        it.optional(
-            "fleet-key", hexKeySetting(), [](auto& s) -> auto& { return s.fleetKey; },
-            "Secret of the fleet; needed only where the client asks a peer address.");
         it.optional(
             "fleet-public-key", hexKeySetting(), [](auto& s) -> auto& { return s.fleetPublicKey; },
             "Ed25519 public key of the fleet that the records of nodes are checked with; without it they are taken unchecked.");
--- a/packages/node/src/internal/LogReader.h
+++ b/packages/node/src/internal/LogReader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "carobpath/foundation/Backoff.h"
 #include "carobpath/publication/FoldFollower.h"
 #include "carobpath/publication/LogService.h"
 
@@ -65,7 +66,6 @@
     static constexpr std::size_t s_batchRecords = 256;
     static constexpr std::chrono::milliseconds s_retryBase { 100 };
     static constexpr std::chrono::milliseconds s_retryCap { 5'000 };
-    static constexpr int s_mostDoublings = 6;
 
     void read()
     {
@@ -107,7 +107,7 @@
 
     void onAnswer()
     {
-        m_failures = 0;
+        m_backoff.reset();
         if (!std::exchange(m_available, true))
             m_hooks.onAvailable(true);
     }
@@ -116,9 +116,7 @@
     {
         if (std::exchange(m_available, false))
             m_hooks.onAvailable(false);
-        const auto bound = std::min(s_retryCap, s_retryBase * (1 << std::min(m_failures, s_mostDoublings)));
-        ++m_failures;
-        readAfter(std::chrono::milliseconds { std::uniform_int_distribution<std::int64_t>(1, bound.count())(m_random) });
+        readAfter(m_backoff.next(m_random));
     }
 
     /// A log without a usable checkpoint is asked again, but not at once.
@@ -148,7 +146,7 @@
     LogReaderHooks m_hooks;
     std::mt19937_64 m_random;
     boost::asio::steady_timer m_retry;
-    int m_failures = 0;
+    Backoff m_backoff { s_retryBase, s_retryCap };
     bool m_available = true;
     bool m_enabled = false;
     bool m_reading = false;
--- a/packages/peer/src/internal/PeerConnection.h
+++ b/packages/peer/src/internal/PeerConnection.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Peer.capnp.h"
-#include "carobpath/distribution/Backoff.h"
+#include "carobpath/foundation/Backoff.h"
 #include "carobpath/foundation/Time.h"
 #include "carobpath/peer/PeerClient.h"
 
@@ -65,7 +65,7 @@
     std::shared_ptr<PeerRuntime> m_runtime;
     Endpoint m_endpoint;
     std::shared_ptr<std::mt19937_64> m_random;
-    distribution::Backoff m_backoff { PeerClient::s_reconnectBase, PeerClient::s_reconnectCap };
+    Backoff m_backoff { PeerClient::s_reconnectBase, PeerClient::s_reconnectCap };
     boost::asio::steady_timer m_connectTimer;
     MonotonicTime m_connectNotBefore;
     MonotonicTime m_lastUsed;
--- a/packages/publication/include/carobpath/publication/Publisher.h
+++ b/packages/publication/include/carobpath/publication/Publisher.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "carobpath/foundation/Backoff.h"
 #include "carobpath/foundation/Time.h"
-#include "carobpath/publication/Backoff.h"
 #include "carobpath/publication/FoldFollower.h"
 
 #include <chrono>
@@ -130,6 +130,7 @@
     TrustedKeys m_keys;
     FoldFollower m_log;
     PublisherOptions m_options;
+    std::mt19937_64 m_random;
     Backoff m_backoff;
     MonotonicTime m_giveUpAt;
     Step m_step = Step::Reading;
--- a/packages/publication/src/Publisher.cpp
+++ b/packages/publication/src/Publisher.cpp
@@ -49,7 +49,8 @@
     , m_keys(keys)
     , m_log(std::move(keys))
     , m_options(options)
-    , m_backoff(options.firstRetry, options.longestRetry, random)
+    , m_random(random)
+    , m_backoff(options.firstRetry, options.longestRetry)
 {
 }
 
@@ -143,7 +144,7 @@
     if (now >= m_giveUpAt)
         return giveUp();
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(m_giveUpAt - now);
-    return WaitFor { std::min(left, m_backoff.next()) };
+    return WaitFor { std::min(left, m_backoff.next(m_random)) };
 }
 
 PublishCommand Publisher::giveUp() const
--- a/packages/publication/tests/HttpLogClientTests.cpp
+++ b/packages/publication/tests/HttpLogClientTests.cpp
@@ -1,5 +1,4 @@
 #include "FakeLogServer.h"
-#include "carobpath/publication/Backoff.h"
 #include "carobpath/publication/HttpLogClient.h"
 
 #include <boost/test/unit_test.hpp>
@@ -190,18 +189,6 @@
     BOOST_TEST(called == 0);
 }
 
-BOOST_AUTO_TEST_CASE(Backoff_delays_stay_under_a_ceiling_that_doubles_and_is_reset)
-{
-    Backoff backoff { 100ms, 1s, std::mt19937_64 { 5 } };
-    auto ceiling = 100ms;
-    for (int i = 0; i < 20; ++i) {
-        BOOST_TEST((backoff.next() <= ceiling));
-        ceiling = std::min<std::chrono::milliseconds>(1s, ceiling * 2);
-    }
-    backoff.reset();
-    BOOST_TEST((backoff.next() <= 100ms));
-}
-
 BOOST_AUTO_TEST_SUITE_END()
 
 }
