Take the conversion of settings out of the assembly of a node

Change: internal/SettingsConversions holds what turns settings into the terms of the slices; nothing else changes.

--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -1,8 +1,8 @@
 #include "internal/NodeAssembly.h"
 
 #include "carobpath/foundation/EventNames.h"
-#include "carobpath/node/BadKeySetting.h"
 #include "carobpath/publication/Codec.h"
+#include "internal/SettingsConversions.h"
 #include "internal/StatusJson.h"
 
 #include <boost/system/system_error.hpp>
@@ -26,54 +26,6 @@
         return Incarnation { static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count()) };
     }
 
-    gateway::GatewayLimits limitsOf(const NodeSettings& settings)
-    {
-        using std::chrono::duration_cast;
-        using std::chrono::milliseconds;
-        gateway::GatewayLimits limits;
-        limits.headerBytes = static_cast<std::uint32_t>(settings.limits.headerBytes);
-        limits.bodyBytes = settings.limits.bodyBytes;
-        limits.connections = static_cast<std::uint32_t>(settings.limits.callerConnections);
-        limits.requestTimeout = duration_cast<milliseconds>(settings.timeouts.callerHeader);
-        limits.callerIdle = duration_cast<milliseconds>(settings.timeouts.callerIdle);
-        limits.connectTimeout = duration_cast<milliseconds>(settings.timeouts.connect);
-        limits.bodyProgress = duration_cast<milliseconds>(settings.timeouts.progress);
-        return limits;
-    }
-
-    publication::HttpLogClientOptions logOptionsOf(const NodeSettings& settings)
-    {
-        using std::chrono::duration_cast;
-        using std::chrono::milliseconds;
-        publication::HttpLogClientOptions options;
-        options.endpoints = settings.log.endpoints;
-        options.connectTimeout = duration_cast<milliseconds>(settings.timeouts.connect);
-        options.answerTimeout = duration_cast<milliseconds>(settings.timeouts.log);
-        return options;
-    }
-
-    Result<publication::KeyPair> fleetKeyOf(const NodeSettings& settings)
-    {
-        auto key = publication::KeyPair::fromHex(settings.fleetKey.digits);
-        if (!key)
-            return boost::leaf::new_error(BadKeySetting { "fleet-key" });
-        return key;
-    }
-
-    Result<publication::TrustedKeys> trustedKeysOf(const NodeSettings& settings)
-    {
-        publication::TrustedKeys keys;
-        for (const auto& member : settings.members) {
-            const auto key = publication::publicKeyFromHex(member.publicKey.digits);
-            if (!key)
-                return boost::leaf::new_error(BadKeySetting { "members." + member.name.value() });
-            keys.addMember(member.name, *key);
-        }
-        BOOST_LEAF_AUTO(fleet, fleetKeyOf(settings));
-        keys.addFleet(fleet.publicKey());
-        return keys;
-    }
-
     std::vector<NodeName> aliveNodes(const membership::MembershipView& view)
     {
         std::vector<NodeName> names;
--- /dev/null
+++ b/packages/node/src/internal/SettingsConversions.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "carobpath/foundation/NodeSettings.h"
+#include "carobpath/foundation/Result.h"
+#include "carobpath/gateway/GatewayLimits.h"
+#include "carobpath/publication/HttpLogClient.h"
+#include "carobpath/publication/Keys.h"
+
+/// The node's settings in the terms of the slices that they are for.
+namespace carobpath::node::Detail {
+
+gateway::GatewayLimits limitsOf(const NodeSettings&);
+
+publication::HttpLogClientOptions logOptionsOf(const NodeSettings&);
+
+/// Fails with \c BadKeySetting.
+Result<publication::KeyPair> fleetKeyOf(const NodeSettings&);
+
+/// \returns the keys of the members and of the fleet. Fails with \c BadKeySetting.
+Result<publication::TrustedKeys> trustedKeysOf(const NodeSettings&);
+
+}
