--- a/tools/install.sh
+++ b/tools/install.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 
 packages=(
-    g++ cmake ninja-build ccache clang-format clang-tidy
+    g++ cmake ninja-build ccache clang-format clang-tidy git curl
     libboost1.81-dev libboost-test1.81-dev
     libcapnp-dev capnproto
     prometheus-cpp-dev libyaml-cpp-dev libcxxopts-dev liblog4cxx-dev
