Drop event names and a hook that nothing uses

Cause: reading the whole change once more found 17 names of events that no process ever writes, and the gateway's hook onDispatched, which nobody sets; a reader would look for both on the time line in vain. Ruled out: writing those events now; which of them operators need is a matter of its own. Change: the names and the hook are gone; what processes write stays as it was.

--- a/packages/foundation/include/carobpath/foundation/EventNames.h
+++ b/packages/foundation/include/carobpath/foundation/EventNames.h
@@ -19,41 +19,22 @@
     inline constexpr EventName stopped { "stopped" };
 
     inline constexpr EventName configurationInForce { "configuration-in-force" };
-    inline constexpr EventName configurationRefused { "configuration-refused" };
     inline constexpr EventName recordRejected { "record-rejected" };
     inline constexpr EventName checkpointWritten { "checkpoint-written" };
-    inline constexpr EventName digestMismatch { "digest-mismatch" };
-    inline constexpr EventName wholeSetFetched { "whole-set-fetched" };
 
     inline constexpr EventName logUnavailable { "log-unavailable" };
     inline constexpr EventName logAvailable { "log-available" };
 
-    inline constexpr EventName peerJoined { "peer-joined" };
-    inline constexpr EventName peerSuspected { "peer-suspected" };
-    inline constexpr EventName peerLost { "peer-lost" };
     inline constexpr EventName upstreamAnnounced { "upstream-announced" };
-    inline constexpr EventName upstreamDraining { "upstream-draining" };
     inline constexpr EventName upstreamGone { "upstream-gone" };
 
     inline constexpr EventName callRefused { "call-refused" };
-    inline constexpr EventName callRetried { "call-retried" };
-    inline constexpr EventName callAborted { "call-aborted" };
     inline constexpr EventName backendCrashed { "backend-crashed" };
-    inline constexpr EventName fingerprintQuarantined { "fingerprint-quarantined" };
-    inline constexpr EventName connectionSuspected { "connection-suspected" };
 
-    inline constexpr EventName moveStarted { "move-started" };
     inline constexpr EventName moveShareChanged { "move-share-changed" };
     inline constexpr EventName moveTakenBack { "move-taken-back" };
-    inline constexpr EventName moveDone { "move-done" };
-    inline constexpr EventName moveWithdrawn { "move-withdrawn" };
     inline constexpr EventName verdictRecorded { "verdict-recorded" };
 
-    inline constexpr EventName clockClamped { "clock-clamped" };
-
-    inline constexpr EventName recordPublished { "record-published" };
-    inline constexpr EventName appendUncertain { "append-uncertain" };
-
 }
 
 }
--- a/packages/gateway/include/carobpath/gateway/GatewayHooks.h
+++ b/packages/gateway/include/carobpath/gateway/GatewayHooks.h
@@ -46,8 +46,6 @@
     std::function<void(const routing::AwaitLedger&, const RequestId&, LedgerHandler)> claimKey;
     /// The call that holds a key has ended. One that has not run opens the key again.
     std::function<void(const IdempotencyKey&, const RouteName&, const RequestId&, routing::Outcome)> endKey;
-    /// Called before a dispatched call reaches the backend server.
-    std::function<void(const routing::AdmissionRequest&)> onDispatched;
     std::function<void(const BackendObservation&)> onBackend;
     /// The backend server broke a connection and takes no new one: it has crashed. Called before the call whose
     /// connection broke is answered, so that the news is on its way before the caller can send the request again.
--- a/packages/gateway/src/internal/AdmittedCall.cpp
+++ b/packages/gateway/src/internal/AdmittedCall.cpp
@@ -76,8 +76,6 @@
         onFailure(ExchangeFailure::ConnectFailed);
         return;
     }
-    if (m_handler.m_hooks.onDispatched)
-        m_handler.m_hooks.onDispatched(m_request);
     m_exchange = std::make_shared<UpstreamExchange>(m_handler.m_pool, m_handler.m_limits);
     ExchangeTarget target;
     target.endpoint = *backend;
