--- a/bench/routing/NodeRun.h
+++ b/bench/routing/NodeRun.h
@@ -122,6 +122,7 @@
         call->sentAt = queue().now();
         AdmissionRequest request;
         request.id = call->id;
+        request.service = send.service;
         request.version = send.version;
         request.repeatability = send.repeatability;
         request.deadline = send.deadline;
--- a/bench/routing/decision_cost_bench.cpp
+++ b/bench/routing/decision_cost_bench.cpp
@@ -110,6 +110,7 @@
         controller.setUpstream(makeView(1, 1)->nodes.front().entry.upstream, now);
         return microsecondsEach(20000, [&](int i) {
             AdmissionRequest request;
+            request.service = serviceName(0);
             request.id = RequestId { std::to_string(i) };
             request.version = VersionName { "v1" };
             request.deadline = now + 1s;
--- a/packages/distribution/include/carobpath/distribution/Exchange.h
+++ b/packages/distribution/include/carobpath/distribution/Exchange.h
@@ -108,6 +108,7 @@
     /// Largest delta that is sent unasked.
     static constexpr std::size_t s_deltaBudget = 262144;
     static constexpr std::size_t s_maxOutstanding = 256;
+    static constexpr std::size_t s_maxSeeds = 64;
 
     /// \param self the entry of this node; its revision names this life of the process.
     Exchange(membership::NodeEntry self, std::vector<Endpoint> seeds, SetDigest, EvidencePort, std::mt19937_64, MonotonicTime now);
@@ -132,6 +133,9 @@
     /// This node has read the log to its end.
     Commands onLogEnd(MonotonicTime now);
 
+    /// More nodes to join by, found after the start. The newest are kept.
+    void addSeeds(const std::vector<Endpoint>&);
+
     /// The backend server beside this node announced itself, or is gone.
     Commands setUpstream(std::optional<membership::Upstream>, MonotonicTime now);
     /// This node is stopping.
--- a/packages/distribution/src/Exchange.cpp
+++ b/packages/distribution/src/Exchange.cpp
@@ -216,6 +216,18 @@
     return commands;
 }
 
+void Exchange::addSeeds(const std::vector<Endpoint>& seeds)
+{
+    for (const auto& it : seeds) {
+        if (it == m_members.self().addresses.peer)
+            continue;
+        std::erase(m_seeds, it);
+        m_seeds.push_back(it);
+    }
+    if (m_seeds.size() > s_maxSeeds)
+        m_seeds.erase(m_seeds.begin(), m_seeds.end() - s_maxSeeds);
+}
+
 Commands Exchange::setUpstream(std::optional<membership::Upstream> upstream, MonotonicTime now)
 {
     Commands commands;
--- a/packages/foundation/include/carobpath/foundation/EventNames.h
+++ b/packages/foundation/include/carobpath/foundation/EventNames.h
@@ -17,15 +17,21 @@
     inline constexpr EventName notReady { "not-ready" };
     inline constexpr EventName draining { "draining" };
     inline constexpr EventName stopped { "stopped" };
+    inline constexpr EventName settingsReloaded { "settings-reloaded" };
+    inline constexpr EventName settingsRefused { "settings-refused" };
 
     inline constexpr EventName configurationInForce { "configuration-in-force" };
+    inline constexpr EventName configurationRefused { "configuration-refused" };
     inline constexpr EventName recordRejected { "record-rejected" };
     inline constexpr EventName checkpointWritten { "checkpoint-written" };
 
     inline constexpr EventName logUnavailable { "log-unavailable" };
     inline constexpr EventName logAvailable { "log-available" };
 
+    inline constexpr EventName directoryFailed { "directory-failed" };
+
     inline constexpr EventName upstreamAnnounced { "upstream-announced" };
+    inline constexpr EventName announcementRefused { "announcement-refused" };
     inline constexpr EventName upstreamGone { "upstream-gone" };
 
     inline constexpr EventName callRefused { "call-refused" };
--- a/packages/foundation/include/carobpath/foundation/Log.h
+++ b/packages/foundation/include/carobpath/foundation/Log.h
@@ -31,6 +31,9 @@
 /// Sends logs as JSON lines to standard error. Call once, before the first log line.
 void startLogging(const LogSettings&);
 
+/// Changes the level of a process that logs already.
+void setLogLevel(LogLevel);
+
 /// A named source of log lines. Cheap to copy.
 class Logger {
 public:
--- a/packages/foundation/include/carobpath/foundation/NodeSettings.h
+++ b/packages/foundation/include/carobpath/foundation/NodeSettings.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,8 +27,26 @@
         Endpoint calls;
         Endpoint peer;
         Endpoint admin;
+        /// Where readiness and announcements are served apart from the admin address.
+        std::optional<Endpoint> readiness;
+        std::optional<Endpoint> announcements;
     } listen;
 
+    PlatformKind platform = PlatformKind::Own;
+
+    /// The backend server that belongs beside the node.
+    struct Backend {
+        ServiceName service;
+        std::optional<Endpoint> address;
+    } backend;
+
+    /// What all nodes together may send again to one service's backend servers.
+    struct Retries {
+        double partOfCalls = 0;
+        double slack = 0;
+        std::chrono::microseconds window {};
+    } retries;
+
     /// The platform's log.
     struct Log {
         std::vector<Endpoint> endpoints;
@@ -62,6 +81,7 @@
 
     struct Drain {
         std::chrono::microseconds grace {};
+        std::chrono::microseconds accept {};
     } drain;
 
     LogLevel logLevel = LogLevel::Info;
--- a/packages/foundation/include/carobpath/foundation/SettingParsers.h
+++ b/packages/foundation/include/carobpath/foundation/SettingParsers.h
@@ -2,6 +2,7 @@
 
 #include "carobpath/foundation/Endpoint.h"
 #include "carobpath/foundation/Log.h"
+#include "carobpath/foundation/PlatformKind.h"
 #include "carobpath/foundation/SettingsFault.h"
 
 #include <chrono>
@@ -50,7 +51,7 @@
 /// "IP:PORT" with an IPv4 number or an IPv6 number in brackets; host names are refused.
 Parsed<Endpoint> parseEndpoint(std::string_view text);
 
-/// A whole number and one of the units us, ms, s, m, h, such as "250ms".
+/// A number and one of the units us, ms, s, m, h, such as "250ms" or "2.5s".
 Parsed<std::chrono::microseconds> parseDuration(std::string_view text, Bounds<std::chrono::microseconds>);
 
 /// A whole number of bytes, or with one of the units KiB, MiB, such as "64KiB".
@@ -58,6 +59,11 @@
 
 Parsed<std::int64_t> parseInteger(std::string_view text, Bounds<std::int64_t>);
 
+/// A number, with a fraction or not.
+Parsed<double> parseDecimal(std::string_view text, Bounds<double>);
+
+Parsed<PlatformKind> parsePlatformKind(std::string_view text);
+
 /// 64 hexadecimal digits.
 Parsed<HexKey> parseHexKey(std::string_view text);
 
@@ -69,6 +75,9 @@
 /// \returns the shortest text of a whole number and a unit, such as "5s".
 std::string durationText(std::chrono::microseconds);
 
+/// \returns the shortest text that reads as the number.
+std::string decimalText(double);
+
 /// \returns the shortest text of a whole number and a unit, such as "64KiB".
 std::string sizeText(std::uint64_t bytes);
 
--- a/packages/foundation/include/carobpath/foundation/SettingsFault.h
+++ b/packages/foundation/include/carobpath/foundation/SettingsFault.h
@@ -20,6 +20,7 @@
     BadDuration,
     BadSize,
     BadInteger,
+    BadDecimal,
     BadChoice,
     BadKey,
     Conflict,
--- a/packages/foundation/include/carobpath/foundation/SettingsReader.h
+++ b/packages/foundation/include/carobpath/foundation/SettingsReader.h
@@ -28,6 +28,8 @@
 SettingType<LogLevel> logLevelSetting();
 SettingType<std::chrono::microseconds> durationSetting(std::chrono::microseconds lowest, std::chrono::microseconds highest);
 SettingType<std::uint64_t> sizeSetting(std::uint64_t lowest, std::uint64_t highest);
+SettingType<double> decimalSetting(double lowest, double highest);
+SettingType<PlatformKind> platformKindSetting();
 SettingType<std::int64_t> integerSetting(std::int64_t lowest, std::int64_t highest);
 
 namespace Detail {
--- a/packages/foundation/src/Log.cpp
+++ b/packages/foundation/src/Log.cpp
@@ -57,6 +57,11 @@
     log4cxx::MDC::put("node", settings.node);
 }
 
+void setLogLevel(LogLevel level)
+{
+    log4cxx::Logger::getRootLogger()->setLevel(backendLevel(level));
+}
+
 struct Logger::Backend {
     log4cxx::LoggerPtr logger;
 };
--- a/packages/foundation/src/NodeSettings.cpp
+++ b/packages/foundation/src/NodeSettings.cpp
@@ -43,6 +43,38 @@
         it.withDefault(
             "listen.admin", endpointSetting(), "127.0.0.1:8003", [](auto& s) -> auto& { return s.listen.admin; },
             "Address for operators, metrics and the backend server beside the node.");
+        it.optional(
+            "listen.readiness", endpointSetting(), [](auto& s) -> auto& { return s.listen.readiness.emplace(); },
+            "Address where readiness is asked for, where it is apart from the admin address.");
+        it.optional(
+            "listen.announcements", endpointSetting(), [](auto& s) -> auto& { return s.listen.announcements.emplace(); },
+            "Address where the backend server announces itself, where it is apart from the admin address.");
+    }
+
+    void declarePlatform(Reader& it)
+    {
+        it.withDefault(
+            "platform", platformKindSetting(), "own", [](auto& s) -> auto& { return s.platform; },
+            "Whose names and calls the node speaks towards callers, backend servers and the log.");
+        it.optional(
+            "backend.service", Detail::identifierSetting<ServiceName>(), [](auto& s) -> auto& { return s.backend.service; },
+            "Service of the backend server beside the node; announcements of another are refused.");
+        it.optional(
+            "backend.address", endpointSetting(), [](auto& s) -> auto& { return s.backend.address.emplace(); },
+            "Address of the backend server beside the node; announcements of another are refused.");
+    }
+
+    void declareRetries(Reader& it)
+    {
+        it.withDefault(
+            "retries.part-of-calls", decimalSetting(0, 1), "0.2", [](auto& s) -> auto& { return s.retries.partOfCalls; },
+            "Part of a service's calls that all nodes together may send again.");
+        it.withDefault(
+            "retries.slack", decimalSetting(0, 1'000'000), "200", [](auto& s) -> auto& { return s.retries.slack; },
+            "Calls that all nodes together may send again in one window besides.");
+        it.withDefault(
+            "retries.window", durationSetting(1s, 1h), "10s", [](auto& s) -> auto& { return s.retries.window; },
+            "Window over which calls that are sent again are counted.");
     }
 
     void declareLog(Reader& it)
@@ -70,8 +102,8 @@
             "fleet-key-file", pathSetting(), [](auto& s) -> auto& { return s.fleetKeyFile; },
             "File that holds the fleet key. A relative path starts at the settings file.");
         it.list(
-            "members", memberSettingsReader(), { 1, maximumMembers }, [](auto& s) -> auto& { return s.members; },
-            "The members of the consortium.");
+            "members", memberSettingsReader(), { 0, maximumMembers }, [](auto& s) -> auto& { return s.members; },
+            "The members of the consortium; one at least where the platform is carobpath's own.");
     }
 
     void declareLimits(Reader& it)
@@ -120,12 +152,28 @@
         }
     }
 
+    // Where members publish, their records are checked; an operator who writes to the fleet's store signs nothing.
+    void reportMissingTrust(SettingsDocument& document)
+    {
+        if (!document.isMapping())
+            return;
+        if (!document.find("fleet-key") && !document.find("fleet-key-file"))
+            document.addFault("fleet-key", {}, SettingsFaultKind::MissingKey, "is required, or fleet-key-file");
+        const auto* members = document.find("members");
+        if (!members)
+            document.addFault("members", {}, SettingsFaultKind::MissingKey, "is required");
+        else if (members->shape == SettingsValue::Shape::Sequence && members->size == 0)
+            document.addFault("members", members->mark, SettingsFaultKind::OutOfBounds, "has 0 items, allowed are 1 to " + std::to_string(maximumMembers) + " items");
+    }
+
     const Reader& reader()
     {
         static const auto it = [] {
             Reader made;
             declareIdentity(made);
             declareListeners(made);
+            declarePlatform(made);
+            declareRetries(made);
             declareLog(made);
             declareTrust(made);
             declareLimits(made);
@@ -133,6 +181,9 @@
             made.withDefault(
                 "drain.grace", durationSetting(0s, 1h), "30s", [](auto& s) -> auto& { return s.drain.grace; },
                 "What is in flight may end within it after SIGTERM.");
+            made.withDefault(
+                "drain.accept", durationSetting(0s, 1h), "0s", [](auto& s) -> auto& { return s.drain.accept; },
+                "Connections are still accepted for it after SIGTERM, while readiness is denied already.");
             made.withDefault(
                 "log-level", logLevelSetting(), "info", [](auto& s) -> auto& { return s.logLevel; },
                 "Lowest level of the log lines on standard error.");
@@ -148,8 +199,8 @@
     SettingsDocument document(yaml, file);
     NodeSettings settings = reader().read(document);
     Detail::resolveKeyFile(document, "fleet-key", "fleet-key-file", settings.fleetKey, settings.fleetKeyFile);
-    if (document.isMapping() && !document.find("fleet-key") && !document.find("fleet-key-file"))
-        document.addFault("fleet-key", {}, SettingsFaultKind::MissingKey, "is required, or fleet-key-file");
+    if (settings.platform == PlatformKind::Own)
+        reportMissingTrust(document);
     reportUnspecifiedAddresses(document, settings);
     reportRepeatedMembers(document, settings.members);
     if (document.hasFaults())
--- a/packages/foundation/src/SettingParsers.cpp
+++ b/packages/foundation/src/SettingParsers.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <array>
+#include <array>
 #include <charconv>
+#include <cmath>
 #include <limits>
 #include <optional>
 
@@ -59,6 +61,29 @@
         return "0" + std::string(units.back().text);
     }
 
+    /// The same, with a decimal fraction allowed; what is below one unit of the result is cut off.
+    template <std::size_t count>
+    std::optional<std::uint64_t> decimalAmount(std::string_view text, const std::array<Unit, count>& units)
+    {
+        const auto point = text.find('.');
+        if (point == std::string_view::npos)
+            return amount(text, units);
+        const auto unitAt = text.find_first_not_of("0123456789", point + 1);
+        const auto fraction = text.substr(point + 1, unitAt == std::string_view::npos ? unitAt : unitAt - point - 1);
+        constexpr std::size_t mostDigits = 6;
+        if (fraction.empty() || fraction.size() > mostDigits || unitAt == std::string_view::npos)
+            return std::nullopt;
+        const std::string unit { text.substr(unitAt) };
+        const auto whole = amount(std::string { text.substr(0, point) } + unit, units);
+        const auto part = amount(std::string { fraction } + unit, units);
+        if (!whole || !part)
+            return std::nullopt;
+        std::uint64_t scale = 1;
+        for (std::size_t i = 0; i < fraction.size(); ++i)
+            scale *= 10;
+        return *whole + *part / scale;
+    }
+
     std::string outside(const std::string& lowest, const std::string& highest)
     {
         return "must be from " + lowest + " to " + highest;
@@ -111,9 +136,9 @@
 
 Parsed<std::chrono::microseconds> parseDuration(std::string_view text, Bounds<std::chrono::microseconds> bounds)
 {
-    const auto number = amount(text, durationUnits);
+    const auto number = decimalAmount(text, durationUnits);
     if (!number)
-        return SettingProblem { SettingsFaultKind::BadDuration, "must be a whole number with a unit of us, ms, s, m or h, such as 250ms" };
+        return SettingProblem { SettingsFaultKind::BadDuration, "must be a number with a unit of us, ms, s, m or h, such as 250ms or 2.5s" };
     const std::chrono::microseconds duration(static_cast<std::int64_t>(*number));
     if (duration < bounds.lowest || duration > bounds.highest)
         return SettingProblem { SettingsFaultKind::OutOfBounds, outside(durationText(bounds.lowest), durationText(bounds.highest)) };
@@ -141,6 +166,24 @@
     return number;
 }
 
+Parsed<double> parseDecimal(std::string_view text, Bounds<double> bounds)
+{
+    double number = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (ec != std::errc {} || end != text.data() + text.size() || !std::isfinite(number))
+        return SettingProblem { SettingsFaultKind::BadDecimal, "must be a number, such as 0.2" };
+    if (number < bounds.lowest || number > bounds.highest)
+        return SettingProblem { SettingsFaultKind::OutOfBounds, outside(decimalText(bounds.lowest), decimalText(bounds.highest)) };
+    return number;
+}
+
+Parsed<PlatformKind> parsePlatformKind(std::string_view text)
+{
+    if (const auto kind = platformKindFromText(text))
+        return *kind;
+    return SettingProblem { SettingsFaultKind::BadChoice, "must be one of own, fleet" };
+}
+
 Parsed<HexKey> parseHexKey(std::string_view text)
 {
     HexKey key { std::string(text) };
@@ -176,4 +219,11 @@
 
 std::string sizeText(std::uint64_t bytes) { return amountText(bytes, sizeUnits); }
 
+std::string decimalText(double number)
+{
+    std::array<char, 32> text {};
+    const auto end = std::to_chars(text.data(), text.data() + text.size(), number).ptr;
+    return std::string(text.data(), end);
+}
+
 }
--- a/packages/foundation/src/SettingsFault.cpp
+++ b/packages/foundation/src/SettingsFault.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    constexpr std::array<EnumRow<SettingsFaultKind>, 15> kindTexts { {
+    constexpr std::array<EnumRow<SettingsFaultKind>, 16> kindTexts { {
         { SettingsFaultKind::UnreadableFile, "unreadable-file" },
         { SettingsFaultKind::Syntax, "syntax" },
         { SettingsFaultKind::UnknownKey, "unknown-key" },
@@ -19,6 +19,7 @@
         { SettingsFaultKind::BadDuration, "bad-duration" },
         { SettingsFaultKind::BadSize, "bad-size" },
         { SettingsFaultKind::BadInteger, "bad-integer" },
+        { SettingsFaultKind::BadDecimal, "bad-decimal" },
         { SettingsFaultKind::BadChoice, "bad-choice" },
         { SettingsFaultKind::BadKey, "bad-key" },
         { SettingsFaultKind::Conflict, "conflict" },
--- a/packages/foundation/src/SettingsReader.cpp
+++ b/packages/foundation/src/SettingsReader.cpp
@@ -68,6 +68,14 @@
         [=](std::string_view text) { return parseSize(text, { lowest, highest }); } };
 }
 
+SettingType<double> decimalSetting(double lowest, double highest)
+{
+    return { "decimal", decimalText(lowest) + " to " + decimalText(highest),
+        [=](std::string_view text) { return parseDecimal(text, { lowest, highest }); } };
+}
+
+SettingType<PlatformKind> platformKindSetting() { return { "platform", "own, fleet", parsePlatformKind }; }
+
 SettingType<std::int64_t> integerSetting(std::int64_t lowest, std::int64_t highest)
 {
     return { "integer", std::to_string(lowest) + " to " + std::to_string(highest),
--- a/packages/gateway/include/carobpath/gateway/Gateway.h
+++ b/packages/gateway/include/carobpath/gateway/Gateway.h
@@ -4,6 +4,7 @@
 #include "carobpath/foundation/Identifier.h"
 #include "carobpath/foundation/Incarnation.h"
 #include "carobpath/foundation/Result.h"
+#include "carobpath/gateway/Dialect.h"
 #include "carobpath/gateway/GatewayHooks.h"
 #include "carobpath/gateway/GatewayLimits.h"
 #include "carobpath/routing/Admission.h"
@@ -26,6 +27,16 @@
     int systemError = 0;
 };
 
+/// The backend server beside a node.
+struct Backend {
+    /// Where it takes the node's requests.
+    Endpoint endpoint;
+    /// Its own name for this run of it; empty where it has none.
+    std::string instance;
+
+    friend bool operator==(const Backend&, const Backend&) = default;
+};
+
 /// The HTTP sessions of a node: callers' calls in, calls to other nodes out, forwarded calls in, calls to the backend
 /// server out. Makes no decision: it asks the router and the admission controller. Runs on one thread.
 class Gateway {
@@ -39,12 +50,15 @@
     Endpoint callersEndpoint() const;
     Endpoint callsEndpoint() const;
 
-    /// Where the backend server beside this node listens.
-    void setBackend(std::optional<Endpoint>);
+    /// The backend server beside this node; calls that are dispatched without one are refused.
+    void setBackend(std::optional<Backend>);
 
     /// Carries out what the admission controller decided outside of a call.
     void perform(const routing::AdmissionCommands&);
 
+    /// Answers from now on say that their connections close.
+    void announceClose();
+
     /// Accepts no new connections. Open ones go on, so that a request which is on its way is answered.
     void stopAccepting();
 
@@ -72,6 +86,9 @@
     Builder& node(NodeName, Incarnation);
     Builder& callers(Endpoint);
     Builder& calls(Endpoint);
+    /// Service of the backend server beside this node, which upstreams are told of calls that enter here.
+    Builder& service(ServiceName);
+    Builder& dialect(Dialect);
     Builder& limits(const GatewayLimits&);
     Builder& hooks(GatewayHooks);
 
@@ -86,6 +103,8 @@
     Incarnation m_incarnation;
     Endpoint m_callers;
     Endpoint m_calls;
+    ServiceName m_service;
+    Dialect m_dialect;
     GatewayLimits m_limits;
     GatewayHooks m_hooks;
 };
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -22,14 +22,15 @@
 class Gateway::Implementation {
 public:
     Implementation(boost::asio::io_context& context, routing::EntryRouter& router, routing::AdmissionController& controller,
-        NodeName node, Incarnation incarnation, const GatewayLimits& chosenLimits, GatewayHooks chosenHooks)
-        : limits(chosenLimits)
+        Detail::EntryIdentity identity, Dialect chosenDialect, const GatewayLimits& chosenLimits, GatewayHooks chosenHooks)
+        : dialect(std::move(chosenDialect))
+        , limits(chosenLimits)
         , hooks(std::move(chosenHooks))
         , pool(context, limits)
-        , entry(context, router, pool, limits, hooks, std::move(node), incarnation)
-        , admission(context, controller, pool, limits, hooks)
-        , callers(std::make_shared<Detail::Listener>(context, limits, [this](const auto& session) { entry.handle(session); }))
-        , calls(std::make_shared<Detail::Listener>(context, limits, [this](const auto& session) { admission.handle(session); }))
+        , entry(context, router, pool, limits, hooks, dialect, std::move(identity))
+        , admission(context, controller, pool, limits, hooks, dialect)
+        , callers(std::make_shared<Detail::Listener>(context, limits, dialect, [this](const auto& session) { entry.handle(session); }))
+        , calls(std::make_shared<Detail::Listener>(context, limits, ownDialect, [this](const auto& session) { admission.handle(session); }))
         , sweep(context)
     {
     }
@@ -56,6 +57,9 @@
         });
     }
 
+    Dialect dialect;
+    /// Of calls between nodes.
+    Dialect ownDialect;
     GatewayLimits limits;
     GatewayHooks hooks;
     Detail::ConnectionPool pool;
@@ -78,10 +82,16 @@
 
 Endpoint Gateway::callsEndpoint() const { return m_implementation->calls->endpoint(); }
 
-void Gateway::setBackend(std::optional<Endpoint> endpoint) { m_implementation->admission.setBackend(std::move(endpoint)); }
+void Gateway::setBackend(std::optional<Backend> backend) { m_implementation->admission.setBackend(std::move(backend)); }
 
 void Gateway::perform(const routing::AdmissionCommands& commands) { m_implementation->admission.perform(commands); }
 
+void Gateway::announceClose()
+{
+    m_implementation->callers->announceClose();
+    m_implementation->calls->announceClose();
+}
+
 void Gateway::stopAccepting()
 {
     m_implementation->callers->stopAccepting();
@@ -131,6 +141,18 @@
     return *this;
 }
 
+Gateway::Builder& Gateway::Builder::service(ServiceName service)
+{
+    m_service = std::move(service);
+    return *this;
+}
+
+Gateway::Builder& Gateway::Builder::dialect(Dialect dialect)
+{
+    m_dialect = std::move(dialect);
+    return *this;
+}
+
 Gateway::Builder& Gateway::Builder::limits(const GatewayLimits& limits)
 {
     m_limits = limits;
@@ -145,7 +167,7 @@
 
 Result<Gateway> Gateway::Builder::build()
 {
-    auto implementation = std::make_unique<Implementation>(m_context, m_router, m_controller, m_node, m_incarnation, m_limits, m_hooks);
+    auto implementation = std::make_unique<Implementation>(m_context, m_router, m_controller, Detail::EntryIdentity { m_node, m_incarnation, m_service }, m_dialect, m_limits, m_hooks);
     BOOST_LEAF_CHECK(implementation->listen(m_callers, m_calls));
     return Gateway { std::move(implementation) };
 }
--- a/packages/gateway/src/internal/AdmissionHandler.cpp
+++ b/packages/gateway/src/internal/AdmissionHandler.cpp
@@ -26,16 +26,24 @@
 }
 
 AdmissionHandler::AdmissionHandler(boost::asio::io_context& context, routing::AdmissionController& controller, ConnectionPool& pool,
-    const GatewayLimits& limits, const GatewayHooks& hooks)
+    const GatewayLimits& limits, const GatewayHooks& hooks, const Dialect& dialect)
     : m_controller(controller)
     , m_pool(pool)
     , m_limits(limits)
     , m_hooks(hooks)
+    , m_dialect(dialect)
     , m_context(context)
     , m_tick(context)
 {
 }
 
+void AdmissionHandler::setBackend(std::optional<Backend> backend)
+{
+    if (m_backend && m_backend != backend)
+        m_pool.closeOlder(m_backend->endpoint, MonotonicClock::now());
+    m_backend = std::move(backend);
+}
+
 void AdmissionHandler::handle(const ServerSession::Pointer& session)
 {
     const auto now = MonotonicClock::now();
@@ -80,7 +88,7 @@
 
 void AdmissionHandler::probeBackend(std::function<void()> probed)
 {
-    const auto endpoint = m_backend ? toTcp(*m_backend) : std::nullopt;
+    const auto endpoint = m_backend ? toTcp(m_backend->endpoint) : std::nullopt;
     if (!endpoint) {
         probed();
         return;
--- a/packages/gateway/src/internal/AdmissionHandler.h
+++ b/packages/gateway/src/internal/AdmissionHandler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carobpath/foundation/Endpoint.h"
+#include "carobpath/gateway/Gateway.h"
 #include "carobpath/gateway/GatewayHooks.h"
 #include "carobpath/gateway/GatewayLimits.h"
 #include "carobpath/routing/AdmissionController.h"
@@ -21,10 +22,10 @@
 /// and carries its commands out.
 class AdmissionHandler {
 public:
-    AdmissionHandler(boost::asio::io_context&, routing::AdmissionController&, ConnectionPool&, const GatewayLimits&, const GatewayHooks&);
+    AdmissionHandler(boost::asio::io_context&, routing::AdmissionController&, ConnectionPool&, const GatewayLimits&, const GatewayHooks&, const Dialect&);
 
-    /// Where the backend server listens; calls dispatched without one are refused.
-    void setBackend(std::optional<Endpoint> endpoint) { m_backend = std::move(endpoint); }
+    /// Connections to the backend server before it are used no more.
+    void setBackend(std::optional<Backend>);
 
     void handle(const ServerSession::Pointer&);
 
@@ -47,9 +48,10 @@
     ConnectionPool& m_pool;
     const GatewayLimits& m_limits;
     const GatewayHooks& m_hooks;
+    const Dialect& m_dialect;
     boost::asio::io_context& m_context;
     boost::asio::steady_timer m_tick;
-    std::optional<Endpoint> m_backend;
+    std::optional<Backend> m_backend;
     std::unordered_map<RequestId, std::shared_ptr<AdmittedCall>> m_calls;
     bool m_stopped = false;
 };
--- a/packages/gateway/src/internal/AdmittedCall.cpp
+++ b/packages/gateway/src/internal/AdmittedCall.cpp
@@ -38,17 +38,28 @@
         return routing::Refusal { Outcome::Unknown, RefusalReason::UpstreamConnectionLost, std::nullopt };
     }
 
-    bool isTypedRefusal(const ResponseHeader& header)
+    /// Another server has the address by now, and has not run the request (RFC 9110, section 15.5.20).
+    bool isMisdirected(const ResponseHeader& header)
     {
+        return header.result() == http::status::misdirected_request;
+    }
+
+    bool isTypedRefusal(const ResponseHeader& header, const Dialect& dialect)
+    {
+        if (isMisdirected(header) || (!dialect.notExecuted.empty() && header.count(dialect.notExecuted) > 0))
+            return true;
         return header.result() == http::status::service_unavailable && outcomeOf(header) == routing::Outcome::NotRun;
     }
 
     routing::Refusal refusalOfBackend(const ResponseHeader& header)
     {
-        const bool draining = reasonOf(header) == routing::RefusalReason::Draining;
         routing::Refusal refusal;
         refusal.outcome = routing::Outcome::NotRun;
-        refusal.reason = draining ? routing::RefusalReason::Draining : routing::RefusalReason::UpstreamRefused;
+        refusal.reason = routing::RefusalReason::UpstreamRefused;
+        if (isMisdirected(header))
+            refusal.reason = routing::RefusalReason::NoUpstream;
+        else if (reasonOf(header) == routing::RefusalReason::Draining)
+            refusal.reason = routing::RefusalReason::Draining;
         refusal.retryAfter = milliseconds(header, HeaderName::retryAfterMs);
         return refusal;
     }
@@ -68,7 +79,7 @@
     m_session->sendInterimAnswers();
 }
 
-void AdmittedCall::dispatch(const std::optional<Endpoint>& backend)
+void AdmittedCall::dispatch(const std::optional<Backend>& backend)
 {
     m_dispatched = true;
     m_dispatchedAt = MonotonicClock::now();
@@ -78,10 +89,11 @@
     }
     m_exchange = std::make_shared<UpstreamExchange>(m_handler.m_pool, m_handler.m_limits);
     ExchangeTarget target;
-    target.endpoint = *backend;
+    target.endpoint = backend->endpoint;
     target.headerDeadline = m_request.deadline;
     target.requestId = m_request.id;
-    m_exchange->start(std::move(target), backendRequest(m_session->request(), m_request, m_dispatchedAt),
+    target.requestIdField = m_handler.m_dialect.backendRequestId;
+    m_exchange->start(std::move(target), backendRequest(m_session->request(), m_request, m_handler.m_dialect, backend->instance, m_dispatchedAt),
         [self = shared_from_this()](std::optional<ExchangeFailure> failure) { self->onHeader(failure); });
 }
 
@@ -96,7 +108,7 @@
     m_latency = MonotonicClock::now() - m_dispatchedAt;
     if (failure)
         onFailure(*failure);
-    else if (isTypedRefusal(m_exchange->header()))
+    else if (isTypedRefusal(m_exchange->header(), m_handler.m_dialect))
         refuseForBackend();
     else
         relay();
--- a/packages/gateway/src/internal/AdmittedCall.h
+++ b/packages/gateway/src/internal/AdmittedCall.h
@@ -19,7 +19,7 @@
     void wait();
 
     /// Sends the call to the backend server.
-    void dispatch(const std::optional<Endpoint>& backend);
+    void dispatch(const std::optional<Backend>&);
 
     /// Answers with a refusal of this node.
     void reject(const routing::Refusal&);
--- a/packages/gateway/src/internal/ConnectionPool.cpp
+++ b/packages/gateway/src/internal/ConnectionPool.cpp
@@ -17,6 +17,11 @@
     return std::make_shared<Connection>(m_context);
 }
 
+std::chrono::milliseconds ConnectionPool::idleLimit(const Connection& connection) const
+{
+    return std::min(m_limits.pooledIdle, connection.idleLimit.value_or(m_limits.pooledIdle));
+}
+
 ConnectionPointer ConnectionPool::take(const Endpoint& endpoint, MonotonicTime now)
 {
     const auto it = m_idle.find(endpoint);
@@ -26,7 +31,7 @@
     while (!connections.empty()) {
         auto connection = std::move(connections.back());
         connections.pop_back();
-        const bool expired = now - connection->usedAt > m_limits.pooledIdle;
+        const bool expired = now - connection->usedAt > idleLimit(*connection);
         if (!expired && isOpenAndQuiet(connection->stream.socket()))
             return connection;
         connection->stream.close();
@@ -63,7 +68,7 @@
 {
     for (auto it = m_idle.begin(); it != m_idle.end();) {
         std::erase_if(it->second.connections, [&](const ConnectionPointer& connection) {
-            if (now - connection->usedAt <= m_limits.pooledIdle)
+            if (now - connection->usedAt <= idleLimit(*connection))
                 return false;
             connection->stream.close();
             return true;
--- a/packages/gateway/src/internal/ConnectionPool.h
+++ b/packages/gateway/src/internal/ConnectionPool.h
@@ -8,7 +8,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -25,6 +27,8 @@
     boost::beast::flat_buffer buffer;
     MonotonicTime madeAt;
     MonotonicTime usedAt;
+    /// Time that the other end lets it stand unused; nothing where it did not say.
+    std::optional<std::chrono::milliseconds> idleLimit;
     /// True once an exchange was completed on it.
     bool reused = false;
 };
@@ -57,6 +61,8 @@
         MonotonicTime suspectUpTo {};
     };
 
+    std::chrono::milliseconds idleLimit(const Connection&) const;
+
     boost::asio::io_context& m_context;
     const GatewayLimits& m_limits;
     std::unordered_map<Endpoint, Idle> m_idle;
--- a/packages/gateway/src/internal/EntryCall.cpp
+++ b/packages/gateway/src/internal/EntryCall.cpp
@@ -149,7 +149,7 @@
         return;
     reportKeyOutcome();
     m_session->refuse(refusal, m_call.id.value(), [self = shared_from_this(), refusal](bool whole) {
-        self->observe(routing::httpStatus(refusal.reason), refusal.outcome, refusal.reason, whole);
+        self->observe(self->m_handler.m_dialect.refusalStatus(refusal), refusal.outcome, refusal.reason, whole);
     });
 }
 
--- a/packages/gateway/src/internal/EntryHandler.cpp
+++ b/packages/gateway/src/internal/EntryHandler.cpp
@@ -14,6 +14,7 @@
 namespace {
 
     constexpr std::size_t longestIdempotencyKey = 256;
+    constexpr std::size_t longestRequestId = 128;
 
     std::string hostWithoutPort(std::string_view host)
     {
@@ -24,9 +25,11 @@
         return name;
     }
 
-    std::optional<IdempotencyKey> idempotencyKey(const Request& request)
+    std::optional<IdempotencyKey> idempotencyKey(const Request& request, const std::string& field)
     {
-        const auto it = request.find(HeaderName::idempotencyKey);
+        if (field.empty())
+            return std::nullopt;
+        const auto it = request.find(field);
         if (it == request.end() || it->value().empty())
             return std::nullopt;
         return IdempotencyKey { std::string { it->value() } };
@@ -44,36 +47,44 @@
 }
 
 EntryHandler::EntryHandler(boost::asio::io_context& context, routing::EntryRouter& router, ConnectionPool& pool,
-    const GatewayLimits& limits, const GatewayHooks& hooks, NodeName node, Incarnation incarnation)
+    const GatewayLimits& limits, const GatewayHooks& hooks, const Dialect& dialect, EntryIdentity identity)
     : m_context(context)
     , m_router(router)
     , m_pool(pool)
     , m_limits(limits)
     , m_hooks(hooks)
-    , m_node(std::move(node))
-    , m_incarnation(incarnation)
+    , m_dialect(dialect)
+    , m_identity(std::move(identity))
 {
 }
 
-RequestId EntryHandler::nextRequestId()
+std::optional<RequestId> EntryHandler::idOf(const Request& request)
 {
+    if (!m_dialect.callerRequestId.empty()) {
+        const std::string_view given = request[m_dialect.callerRequestId];
+        if (given.empty() || given.size() > longestRequestId)
+            return std::nullopt;
+        return RequestId { std::string { given } };
+    }
     ++m_sequence;
-    return RequestId { m_node.value() + "." + std::to_string(m_incarnation.value) + "." + std::to_string(m_sequence) };
+    return RequestId { m_identity.node.value() + "." + std::to_string(m_identity.incarnation.value) + "." + std::to_string(m_sequence) };
 }
 
 void EntryHandler::handle(const ServerSession::Pointer& session)
 {
     const Request& request = session->request();
     routing::CallRequest call;
-    call.id = nextRequestId();
+    const auto id = idOf(request);
+    call.id = id.value_or(RequestId {});
+    call.callerService = m_identity.service;
     call.host = hostWithoutPort(request[http::field::host]);
     call.method = std::string { request.method_string() };
     const std::string_view target = request.target();
     call.path = std::string { target.substr(0, target.find('?')) };
-    call.idempotencyKey = idempotencyKey(request);
-    call.callerTimeout = milliseconds(request, HeaderName::callerTimeout);
+    call.idempotencyKey = idempotencyKey(request, m_dialect.idempotencyKey);
+    call.callerTimeout = milliseconds(request, m_dialect.callerTimeout);
     call.fingerprint = fingerprintOf(request);
-    if (isMalformed(request, call)) {
+    if (!id || isMalformed(request, call)) {
         session->refuse(routing::Refusal { routing::Outcome::NotRun, routing::RefusalReason::MalformedRequest, std::nullopt }, call.id.value());
         return;
     }
--- a/packages/gateway/src/internal/EntryHandler.h
+++ b/packages/gateway/src/internal/EntryHandler.h
@@ -2,6 +2,7 @@
 
 #include "carobpath/foundation/Identifier.h"
 #include "carobpath/foundation/Incarnation.h"
+#include "carobpath/gateway/Dialect.h"
 #include "carobpath/gateway/GatewayHooks.h"
 #include "carobpath/gateway/GatewayLimits.h"
 #include "carobpath/routing/EntryRouter.h"
@@ -15,17 +16,26 @@
 
 namespace carobpath::gateway::Detail {
 
+/// Who answers callers here.
+struct EntryIdentity {
+    NodeName node;
+    Incarnation incarnation;
+    /// Service of the backend server beside the node; empty where there is none.
+    ServiceName service;
+};
+
 /// Takes callers' calls: asks the router where each goes, and carries its commands out.
 class EntryHandler {
 public:
-    EntryHandler(boost::asio::io_context&, routing::EntryRouter&, ConnectionPool&, const GatewayLimits&, const GatewayHooks&, NodeName, Incarnation);
+    EntryHandler(boost::asio::io_context&, routing::EntryRouter&, ConnectionPool&, const GatewayLimits&, const GatewayHooks&, const Dialect&, EntryIdentity);
 
     void handle(const ServerSession::Pointer&);
 
 private:
     friend class EntryCall;
 
-    RequestId nextRequestId();
+    /// \returns the caller's id, or a new one where it gave none; nothing where the dialect wants one.
+    std::optional<RequestId> idOf(const Request&);
     std::string hybridNow() const { return m_hooks.hybridNow ? m_hooks.hybridNow() : std::string {}; }
 
     boost::asio::io_context& m_context;
@@ -33,8 +43,8 @@
     ConnectionPool& m_pool;
     const GatewayLimits& m_limits;
     const GatewayHooks& m_hooks;
-    NodeName m_node;
-    Incarnation m_incarnation;
+    const Dialect& m_dialect;
+    EntryIdentity m_identity;
     std::uint64_t m_sequence = 0;
 };
 
--- a/packages/gateway/src/internal/ForwardedHeader.cpp
+++ b/packages/gateway/src/internal/ForwardedHeader.cpp
@@ -104,12 +104,15 @@
     auto copy = cleanCopy(request);
     copy->set(HeaderName::requestId, call.id.value());
     copy->set(HeaderName::route, attempt.route.value());
+    copy->set(HeaderName::service, attempt.service.value());
     copy->set(HeaderName::version, attempt.version.value());
     copy->set(HeaderName::deadline, millisecondsLeft(attempt.deadline, now));
     copy->set(HeaderName::fingerprint, hex(call.fingerprint));
     copy->set(HeaderName::width, std::to_string(widthOf(request)));
     copy->set(HeaderName::trafficClass, publication::toString(attempt.trafficClass));
     copy->set(HeaderName::repeatability, publication::toString(attempt.repeatability));
+    if (!call.callerService.empty())
+        copy->set(HeaderName::callerService, call.callerService.value());
     if (!hybridTime.empty())
         copy->set(HeaderName::hybridTime, hybridTime);
     return copy;
@@ -120,12 +123,13 @@
     routing::AdmissionRequest admission;
     admission.id = RequestId { std::string { value(request, HeaderName::requestId) } };
     admission.route = RouteName { std::string { value(request, HeaderName::route) } };
+    admission.service = ServiceName { std::string { value(request, HeaderName::service) } };
     admission.version = VersionName { std::string { value(request, HeaderName::version) } };
     const auto timeLeft = milliseconds(request, HeaderName::deadline);
     const auto fingerprint = number<std::uint64_t>(value(request, HeaderName::fingerprint), hexBase);
     const auto trafficClass = publication::trafficClassFromString(value(request, HeaderName::trafficClass));
     const auto repeatability = publication::repeatabilityFromString(value(request, HeaderName::repeatability));
-    const bool named = !admission.id.empty() && !admission.route.empty() && !admission.version.empty();
+    const bool named = !admission.id.empty() && !admission.route.empty() && !admission.service.empty() && !admission.version.empty();
     if (!named || !timeLeft || !fingerprint || !trafficClass || !repeatability)
         return std::nullopt;
     admission.width = widthOf(request);
@@ -136,11 +140,17 @@
     return admission;
 }
 
-std::shared_ptr<const Request> backendRequest(const Request& request, const routing::AdmissionRequest& admission, MonotonicTime now)
+std::shared_ptr<const Request> backendRequest(const Request& request, const routing::AdmissionRequest& admission,
+    const Dialect& dialect, const std::string& instance, MonotonicTime now)
 {
     auto copy = cleanCopy(request);
-    copy->set(HeaderName::requestId, admission.id.value());
-    copy->set(HeaderName::deadline, millisecondsLeft(admission.deadline, now));
+    copy->set(dialect.backendRequestId, admission.id.value());
+    copy->set(dialect.backendDeadline, millisecondsLeft(admission.deadline, now));
+    if (!dialect.backendInstance.empty() && !instance.empty())
+        copy->set(dialect.backendInstance, instance);
+    const auto callerService = value(request, HeaderName::callerService);
+    if (!dialect.callerService.empty() && !callerService.empty())
+        copy->set(dialect.callerService, callerService);
     return copy;
 }
 
--- a/packages/gateway/src/internal/ForwardedHeader.h
+++ b/packages/gateway/src/internal/ForwardedHeader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carobpath/foundation/Time.h"
+#include "carobpath/gateway/Dialect.h"
 #include "carobpath/routing/Admission.h"
 #include "carobpath/routing/Call.h"
 #include "internal/HttpTypes.h"
@@ -19,7 +20,8 @@
 std::optional<routing::AdmissionRequest> admissionRequest(const Request&, MonotonicTime now);
 
 /// \returns the request as the backend server gets it: without the fields that only nodes read.
-std::shared_ptr<const Request> backendRequest(const Request&, const routing::AdmissionRequest&, MonotonicTime now);
+/// \param instance the run of the backend server that the request is meant for; empty where it has no name.
+std::shared_ptr<const Request> backendRequest(const Request&, const routing::AdmissionRequest&, const Dialect&, const std::string& instance, MonotonicTime now);
 
 /// \returns the milliseconds in a header field, or nothing where it is absent or no number.
 std::optional<std::chrono::milliseconds> milliseconds(const http::fields&, std::string_view name);
--- a/packages/gateway/src/internal/HttpTypes.h
+++ b/packages/gateway/src/internal/HttpTypes.h
@@ -20,9 +20,10 @@
 namespace HeaderName {
     inline constexpr std::string_view requestId = "Carobpath-Request-Id";
     inline constexpr std::string_view route = "Carobpath-Route";
+    inline constexpr std::string_view service = "Carobpath-Service";
     inline constexpr std::string_view version = "Carobpath-Version";
     inline constexpr std::string_view deadline = "Carobpath-Deadline-Ms";
-    inline constexpr std::string_view callerTimeout = "Carobpath-Timeout-Ms";
+    inline constexpr std::string_view callerService = "Carobpath-Caller-Service";
     inline constexpr std::string_view width = "Carobpath-Width";
     inline constexpr std::string_view fingerprint = "Carobpath-Fingerprint";
     inline constexpr std::string_view trafficClass = "Carobpath-Traffic-Class";
@@ -31,7 +32,6 @@
     inline constexpr std::string_view outcome = "Carobpath-Outcome";
     inline constexpr std::string_view reason = "Carobpath-Reason";
     inline constexpr std::string_view retryAfterMs = "Carobpath-Retry-After-Ms";
-    inline constexpr std::string_view idempotencyKey = "Idempotency-Key";
     inline constexpr std::string_view prefix = "carobpath-";
 }
 
--- a/packages/gateway/src/internal/Listener.cpp
+++ b/packages/gateway/src/internal/Listener.cpp
@@ -15,10 +15,11 @@
 
 }
 
-Listener::Listener(boost::asio::io_context& context, const GatewayLimits& limits, ServerSession::RequestHandler handler)
+Listener::Listener(boost::asio::io_context& context, const GatewayLimits& limits, const Dialect& dialect, ServerSession::RequestHandler handler)
     : m_acceptor(context)
     , m_acceptTimer(context)
     , m_limits(limits)
+    , m_dialect(dialect)
     , m_handler(std::move(handler))
 {
 }
@@ -73,8 +74,10 @@
         forgetClosed();
     if (m_sessions.size() >= m_limits.connections)
         return;
-    auto session = std::make_shared<ServerSession>(std::move(socket), m_limits, m_handler);
+    auto session = std::make_shared<ServerSession>(std::move(socket), m_limits, m_dialect, m_handler);
     m_sessions.push_back(session);
+    if (m_announcesClose)
+        session->announceClose();
     session->start();
 }
 
@@ -94,11 +97,20 @@
     }
 }
 
+void Listener::announceClose()
+{
+    m_announcesClose = true;
+    forEachSession([](ServerSession& it) { it.announceClose(); });
+}
+
 void Listener::stopAccepting()
 {
-    m_acceptor.close();
+    if (!m_acceptor.is_open())
+        return;
+    boost::system::error_code ec;
+    m_acceptor.close(ec);
     m_acceptTimer.cancel();
-    forEachSession([](ServerSession& it) { it.announceClose(); });
+    announceClose();
 }
 
 void Listener::closeIdle()
--- a/packages/gateway/src/internal/Listener.h
+++ b/packages/gateway/src/internal/Listener.h
@@ -16,7 +16,7 @@
 /// Accepts connections on one address and starts a session for each.
 class Listener : public std::enable_shared_from_this<Listener> {
 public:
-    Listener(boost::asio::io_context&, const GatewayLimits&, ServerSession::RequestHandler);
+    Listener(boost::asio::io_context&, const GatewayLimits&, const Dialect&, ServerSession::RequestHandler);
 
     /// \returns the error of the system where the address cannot be listened on.
     boost::system::error_code listen(const Endpoint&);
@@ -24,6 +24,9 @@
     /// Where it listens; the port is the real one where 0 was asked for.
     Endpoint endpoint() const;
 
+    /// Answers say that their connections close, those of connections that are yet to come too.
+    void announceClose();
+
     /// Accepts no more connections. Those that are open go on; their next answers say that they close.
     void stopAccepting();
 
@@ -43,9 +46,11 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_acceptTimer;
     const GatewayLimits& m_limits;
+    const Dialect& m_dialect;
     ServerSession::RequestHandler m_handler;
     std::vector<std::weak_ptr<ServerSession>> m_sessions;
     std::size_t m_forgetAt = 64;
+    bool m_announcesClose = false;
 };
 
 }
--- a/packages/gateway/src/internal/ServerSession.cpp
+++ b/packages/gateway/src/internal/ServerSession.cpp
@@ -10,6 +10,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <array>
+#include <cstdio>
 #include <string>
 #include <utility>
 
@@ -34,9 +36,14 @@
         return body.dump() + "\n";
     }
 
-    std::chrono::seconds roundedUp(std::chrono::milliseconds time)
+    /// \returns seconds, rounded up where the reader takes whole ones only.
+    std::string retryAfterText(std::chrono::milliseconds time, bool fractional)
     {
-        return std::chrono::ceil<std::chrono::seconds>(time);
+        if (!fractional)
+            return std::to_string(std::chrono::ceil<std::chrono::seconds>(time).count());
+        std::array<char, 32> text {};
+        std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(time).count());
+        return text.data();
     }
 
     bool isTooLarge(boost::system::error_code ec)
@@ -59,10 +66,11 @@
 
 }
 
-ServerSession::ServerSession(boost::asio::ip::tcp::socket&& socket, const GatewayLimits& limits, RequestHandler handler)
+ServerSession::ServerSession(boost::asio::ip::tcp::socket&& socket, const GatewayLimits& limits, const Dialect& dialect, RequestHandler handler)
     : m_stream(std::move(socket))
     , m_interimTimer(m_stream.get_executor())
     , m_limits(limits)
+    , m_dialect(dialect)
     , m_handler(std::move(handler))
 {
 }
@@ -208,14 +216,14 @@
 
 void ServerSession::refuse(const routing::Refusal& refusal, std::string_view requestId, AnswerDone done)
 {
-    Response response { static_cast<http::status>(routing::httpStatus(refusal.reason)), 11 };
+    Response response { static_cast<http::status>(m_dialect.refusalStatus(refusal)), 11 };
     response.set(http::field::content_type, "application/json");
     response.set(HeaderName::outcome, routing::toString(refusal.outcome));
     response.set(HeaderName::reason, routing::toString(refusal.reason));
     if (!requestId.empty())
         response.set(HeaderName::requestId, requestId);
     if (refusal.retryAfter) {
-        response.set(http::field::retry_after, std::to_string(roundedUp(*refusal.retryAfter).count()));
+        response.set(http::field::retry_after, retryAfterText(*refusal.retryAfter, m_dialect.fractionalRetryAfter));
         response.set(HeaderName::retryAfterMs, std::to_string(refusal.retryAfter->count()));
     }
     response.body() = refusalBody(refusal);
--- a/packages/gateway/src/internal/ServerSession.h
+++ b/packages/gateway/src/internal/ServerSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carobpath/foundation/Time.h"
+#include "carobpath/gateway/Dialect.h"
 #include "carobpath/gateway/GatewayLimits.h"
 #include "carobpath/routing/Outcome.h"
 #include "internal/BodySource.h"
@@ -27,7 +28,7 @@
     /// Called once the answer is out; false where it was cut short.
     using AnswerDone = std::function<void(bool whole)>;
 
-    ServerSession(boost::asio::ip::tcp::socket&&, const GatewayLimits&, RequestHandler);
+    ServerSession(boost::asio::ip::tcp::socket&&, const GatewayLimits&, const Dialect&, RequestHandler);
 
     void start();
 
@@ -86,6 +87,7 @@
     boost::beast::tcp_stream m_stream;
     boost::asio::steady_timer m_interimTimer;
     const GatewayLimits& m_limits;
+    const Dialect& m_dialect;
     RequestHandler m_handler;
     boost::beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
--- a/packages/gateway/src/internal/UpstreamExchange.cpp
+++ b/packages/gateway/src/internal/UpstreamExchange.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace carobpath::gateway::Detail {
@@ -19,6 +20,27 @@
         return header.result_int() >= 100 && header.result_int() < 200;
     }
 
+    /// Part of the other end's idle time after which a connection is not used again, so that it is not closed meanwhile.
+    constexpr double usableIdlePart = 0.8;
+
+    /// \returns the time that the connection may stand unused, from "Keep-Alive: timeout=SECONDS"; nothing where the
+    /// other end does not say.
+    std::optional<std::chrono::milliseconds> idleLimitOf(const ResponseHeader& header)
+    {
+        constexpr std::string_view key = "timeout=";
+        const std::string_view text = header[http::field::keep_alive];
+        const auto at = text.find(key);
+        if (at == std::string_view::npos)
+            return std::nullopt;
+        const auto digits = text.substr(at + key.size());
+        std::int64_t seconds = 0;
+        if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec != std::errc {})
+            return std::nullopt;
+        constexpr std::int64_t longest = 3600;
+        const auto milliseconds = usableIdlePart * 1000 * static_cast<double>(std::min(seconds, longest));
+        return std::chrono::milliseconds { static_cast<std::int64_t>(milliseconds) };
+    }
+
 }
 
 UpstreamExchange::UpstreamExchange(ConnectionPool& pool, const GatewayLimits& limits)
@@ -118,7 +140,7 @@
 
 bool UpstreamExchange::answersRequest() const
 {
-    const auto it = header().find(HeaderName::requestId);
+    const auto it = header().find(m_target.requestIdField);
     return it == header().end() || it->value() == m_target.requestId.value();
 }
 
@@ -183,6 +205,7 @@
         return;
     if (m_parser->keep_alive() && !m_cancelled) {
         m_connection->stream.expires_never();
+        m_connection->idleLimit = idleLimitOf(header());
         m_pool.give(m_target.endpoint, m_connection, MonotonicClock::now());
     } else {
         m_connection->stream.close();
--- a/packages/gateway/src/internal/UpstreamExchange.h
+++ b/packages/gateway/src/internal/UpstreamExchange.h
@@ -28,6 +28,8 @@
     std::optional<std::chrono::milliseconds> silence;
     /// An answer that names another request than this one is refused.
     RequestId requestId;
+    /// Field that names the request in the answer.
+    std::string requestIdField { HeaderName::requestId };
     /// True where an unused connection must not be taken.
     bool fresh = false;
 };
--- /dev/null
+++ b/packages/membership/src/DirectoryPlan.cpp
@@ -0,0 +1,51 @@
+#include "carobpath/membership/DirectoryPlan.h"
+
+#include <algorithm>
+
+namespace carobpath::membership {
+
+DirectoryStep DirectoryPlan::next(MonotonicTime now)
+{
+    if (m_running || now < m_dueAt)
+        return DirectoryStep::Nothing;
+    m_running = true;
+    return m_registered ? DirectoryStep::List : DirectoryStep::Register;
+}
+
+void DirectoryPlan::onRegistered(MonotonicTime now)
+{
+    m_running = false;
+    m_registered = true;
+    m_backoff.reset();
+    m_dueAt = now;
+}
+
+void DirectoryPlan::onListed(MonotonicTime now)
+{
+    m_running = false;
+    m_backoff.reset();
+    m_dueAt = now + spread(m_alone ? s_loneInterval : s_settledInterval);
+}
+
+void DirectoryPlan::onFailed(MonotonicTime now)
+{
+    m_running = false;
+    m_dueAt = now + m_backoff.next(m_random);
+}
+
+void DirectoryPlan::onPeers(std::size_t alive, MonotonicTime now)
+{
+    const bool wasAlone = m_alone;
+    m_alone = alive == 0;
+    if (m_alone && !wasAlone)
+        m_dueAt = std::min(m_dueAt, now);
+    if (!m_alone && wasAlone && m_registered && !m_running)
+        m_dueAt = now + spread(s_settledInterval);
+}
+
+std::chrono::milliseconds DirectoryPlan::spread(std::chrono::milliseconds time)
+{
+    return std::chrono::milliseconds { std::uniform_int_distribution<std::int64_t>(time.count() / 2, time.count())(m_random) };
+}
+
+}
--- a/packages/moves/include/carobpath/moves/VersionShare.h
+++ b/packages/moves/include/carobpath/moves/VersionShare.h
@@ -8,6 +8,7 @@
 
 /// How the calls of one service are split at this moment. Without a move all go to \c current.
 struct VersionShare {
+    /// Empty where every version but \c next serves.
     VersionName current;
     std::optional<VersionName> next;
     /// Part of the calls that go to \c next, from 0 to 1.
--- a/packages/node/include/carobpath/node/Announcement.h
+++ b/packages/node/include/carobpath/node/Announcement.h
@@ -1,23 +1,14 @@
 #pragma once
 
-#include "carobpath/foundation/Endpoint.h"
 #include "carobpath/foundation/Result.h"
-#include "carobpath/membership/NodeEntry.h"
+#include "carobpath/membership/Announcement.h"
 
-#include <cstdint>
 #include <string>
 #include <string_view>
 
 namespace carobpath::node {
 
-/// What a backend server says of itself to the node beside it.
-struct Announcement {
-    membership::Upstream upstream;
-    /// Where it takes the node's requests.
-    Endpoint backend;
-
-    friend bool operator==(const Announcement&, const Announcement&) = default;
-};
+using membership::Announcement;
 
 /// Why an announcement was refused.
 enum class AnnouncementFaultKind : std::uint8_t {
--- a/packages/node/include/carobpath/node/Daemon.h
+++ b/packages/node/include/carobpath/node/Daemon.h
@@ -2,6 +2,7 @@
 
 #include "carobpath/foundation/NodeSettings.h"
 #include "carobpath/foundation/Result.h"
+#include "carobpath/foundation/SettingsFault.h"
 #include "carobpath/node/BadKeySetting.h"
 
 #include <boost/asio/io_context.hpp>
@@ -27,6 +28,12 @@
     /// Takes no new work, lets what is in flight end within the grace of the settings, then calls back once.
     void stop(std::function<void()> stopped);
 
+    /// The settings file was read again. What can change while running is in force at once; the rest is reported as
+    /// waiting for the next start.
+    void onSettingsRead(const NodeSettings&);
+    /// The settings file was read again and is wrong; what is in force stays.
+    void onSettingsRefused(const SettingsFaults&);
+
 private:
     class Implementation;
     explicit Daemon(std::unique_ptr<Implementation>);
--- a/packages/node/include/carobpath/node/UpstreamMonitor.h
+++ b/packages/node/include/carobpath/node/UpstreamMonitor.h
@@ -7,15 +7,41 @@
 
 namespace carobpath::node {
 
+/// What became of an announcement.
+enum class AnnouncementVerdict : std::uint8_t {
+    /// It says something else than the one before.
+    Changed,
+    /// A heartbeat.
+    Unchanged,
+    /// It is of a run that has ended, or was overtaken by a later one.
+    Late,
+    /// It is not of the backend server beside this node.
+    Foreign,
+};
+
+/// The backend server that belongs beside a node. Empty parts are not checked.
+struct ExpectedBackend {
+    ServiceName service;
+    std::optional<Endpoint> endpoint;
+};
+
 /// Keeps what the backend server beside this node announced. An announcement is a heartbeat too: it lapses.
 /// Whether the backend server does its work is not decided here but by the calls that it is sent.
 class UpstreamMonitor {
 public:
-    /// Announcements come once a second; after this time without one the backend server is gone or frozen.
+    /// Announcements come every second or two; after this time without one the backend server is gone or frozen.
     static constexpr std::chrono::seconds s_heartbeatTimeout { 5 };
 
-    /// \returns true where something else was announced than before.
-    bool onAnnouncement(const Announcement&, MonotonicTime now);
+    explicit UpstreamMonitor(ExpectedBackend expected = {})
+        : m_expected(std::move(expected))
+    {
+    }
+
+    AnnouncementVerdict onAnnouncement(const Announcement&, MonotonicTime now);
+
+    /// The backend server says that this run of it ends.
+    /// \returns whether it was the run that is held; it is then forgotten, and no late announcement brings it back.
+    bool onDeparture(const membership::BackendRun&);
 
     /// \returns true where the last announcement has lapsed by now.
     bool onTick(MonotonicTime now);
@@ -24,8 +50,14 @@
     const std::optional<Announcement>& announcement() const { return m_announcement; }
 
 private:
+    bool isForeign(const Announcement&) const;
+    bool isLate(const Announcement&) const;
+
+    ExpectedBackend m_expected;
     std::optional<Announcement> m_announcement;
     MonotonicTime m_announcedAt;
+    /// The run that departed last.
+    std::optional<membership::BackendRun> m_departed;
 };
 
 }
--- a/packages/node/src/Daemon.cpp
+++ b/packages/node/src/Daemon.cpp
@@ -30,4 +30,14 @@
     m_implementation->stop(std::move(stopped));
 }
 
+void Daemon::onSettingsRead(const NodeSettings& settings)
+{
+    m_implementation->onSettingsRead(settings);
+}
+
+void Daemon::onSettingsRefused(const SettingsFaults& faults)
+{
+    m_implementation->onSettingsRefused(faults);
+}
+
 }
--- /dev/null
+++ b/packages/node/src/internal/FleetDriver.cpp
@@ -0,0 +1,160 @@
+#include "internal/FleetDriver.h"
+
+#include "carobpath/platform/AnnouncementDocument.h"
+#include "carobpath/platform/ConfigurationDocument.h"
+#include "carobpath/platform/FleetDialect.h"
+#include "internal/SettingsConversions.h"
+
+#include <utility>
+
+namespace carobpath::node::Detail {
+
+namespace {
+
+    constexpr std::chrono::milliseconds longPoll { 28'000 };
+    constexpr unsigned statusOk = 200;
+    constexpr unsigned statusBadRequest = 400;
+    constexpr unsigned statusNotFound = 404;
+    constexpr unsigned statusConflict = 409;
+    constexpr unsigned statusUnavailable = 503;
+
+    gateway::AdminResponse answer(unsigned status)
+    {
+        return gateway::AdminResponse { status, "application/json", "{}" };
+    }
+
+}
+
+FleetDriver::FleetDriver(NodeContext& context, UpstreamDriver& upstream, FleetHooks hooks)
+    : m_context(context)
+    , m_upstream(upstream)
+    , m_hooks(std::move(hooks))
+    , m_store(context.io.get_executor(), storeOptionsOf(context.settings))
+{
+}
+
+Result<void> FleetDriver::listen()
+{
+    const auto& addresses = m_context.settings.listen;
+    if (addresses.readiness) {
+        BOOST_LEAF_AUTO(server, gateway::AdminServer::listen(m_context.io, *addresses.readiness, [this](const auto& request) { return answerReadiness(request); }));
+        m_readiness.emplace(std::move(server));
+    }
+    if (addresses.announcements) {
+        BOOST_LEAF_AUTO(server, gateway::AdminServer::listen(m_context.io, *addresses.announcements, [this](const auto& request) { return answerAnnouncement(request); }));
+        m_announcements.emplace(std::move(server));
+    }
+    return {};
+}
+
+void FleetDriver::start(const Endpoint& peer)
+{
+    m_reader = std::make_shared<Reader>(m_context.io, m_store, std::string { platform::operatorStream }, longPoll, readerHooks(), m_context.random());
+    m_directory = std::make_shared<DirectoryDriver>(m_context, m_store, peer, m_hooks.onPeersFound);
+    m_reader->start();
+    m_directory->start();
+}
+
+void FleetDriver::leave()
+{
+    m_directory->leave();
+}
+
+void FleetDriver::stop()
+{
+    m_reader->stop();
+    m_directory->stop();
+    if (m_readiness)
+        m_readiness->stop();
+    if (m_announcements)
+        m_announcements->stop();
+}
+
+void FleetDriver::onView(const membership::MembershipView& view)
+{
+    if (m_directory)
+        m_directory->onView(view);
+}
+
+KeyedReaderHooks FleetDriver::readerHooks()
+{
+    KeyedReaderHooks hooks;
+    hooks.onRecord = [this](const publication::KeyedRecord& record) { onOrder(record); };
+    hooks.onEnd = [this] { m_hooks.onStoreRead(); };
+    hooks.onAvailable = [this](bool available, const publication::LogFailure& failure) {
+        m_hooks.onStoreAvailable(available);
+        Event it(available ? event::logAvailable : event::logUnavailable);
+        if (!available)
+            it.with("error", publication::toString(failure.error)).with("status", failure.status);
+        m_context.events.record(it);
+    };
+    return hooks;
+}
+
+void FleetDriver::onOrder(const publication::KeyedRecord& record)
+{
+    if (record.key != platform::configurationKey || !record.value)
+        return;
+    boost::leaf::try_handle_all(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(configuration, platform::readConfiguration(*record.value));
+            m_hooks.onConfiguration(configuration);
+            return {};
+        },
+        [&](const platform::DocumentFault& fault) {
+            m_context.events.record(Event(event::configurationRefused)
+                                        .with("offset", record.offset)
+                                        .with("fault", platform::toString(fault.kind))
+                                        .with("field", fault.field));
+        },
+        [&] { m_context.events.record(Event(event::configurationRefused).with("offset", record.offset)); });
+}
+
+gateway::AdminResponse FleetDriver::answerReadiness(const gateway::AdminRequest& request) const
+{
+    if (request.target != platform::readinessTarget)
+        return answer(statusNotFound);
+    return answer(m_hooks.ready() ? statusOk : statusUnavailable);
+}
+
+gateway::AdminResponse FleetDriver::answerAnnouncement(const gateway::AdminRequest& request)
+{
+    const auto instance = platform::instanceOfTarget(request.target);
+    if (!instance)
+        return answer(statusNotFound);
+    const bool departs = request.method == "DELETE";
+    if (!departs && request.method != "PUT")
+        return answer(statusNotFound);
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<gateway::AdminResponse> {
+            if (departs)
+                return depart(*instance, request.body);
+            return announce(*instance, request.body);
+        },
+        [&](const platform::DocumentFault& fault) {
+            m_context.events.record(Event(event::announcementRefused)
+                                        .with("instance", *instance)
+                                        .with("fault", platform::toString(fault.kind))
+                                        .with("field", fault.field));
+            return answer(statusBadRequest);
+        },
+        [] { return answer(statusBadRequest); });
+}
+
+Result<gateway::AdminResponse> FleetDriver::announce(const std::string& instance, const std::string& body)
+{
+    BOOST_LEAF_AUTO(announcement, platform::readAnnouncement(instance, body));
+    const auto verdict = m_upstream.onAnnouncement(announcement);
+    const bool taken = verdict == AnnouncementVerdict::Changed || verdict == AnnouncementVerdict::Unchanged;
+    return answer(taken ? statusOk : statusConflict);
+}
+
+Result<gateway::AdminResponse> FleetDriver::depart(const std::string& instance, const std::string& body)
+{
+    BOOST_LEAF_AUTO(run, platform::readDeparture(instance, body));
+    // A run that is not held is gone already, which is what the caller wants.
+    m_upstream.onDeparture(run);
+    return answer(statusOk);
+}
+
+}
--- /dev/null
+++ b/packages/node/src/internal/FleetDriver.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "carobpath/gateway/AdminServer.h"
+#include "carobpath/platform/StoreClient.h"
+#include "carobpath/publication/ConfigurationSet.h"
+#include "internal/DirectoryDriver.h"
+#include "internal/KeyedReader.h"
+#include "internal/NodeContext.h"
+#include "internal/UpstreamDriver.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace carobpath::node::Detail {
+
+/// What a node that runs in the shared fleet tells the rest of the node.
+struct FleetHooks {
+    std::function<void(const publication::ConfigurationPointer&)> onConfiguration;
+    /// The operator's stream was read to its end.
+    std::function<void()> onStoreRead;
+    std::function<void(const std::vector<Endpoint>& peers)> onPeersFound;
+    std::function<bool()> ready;
+    std::function<void(bool)> onStoreAvailable;
+};
+
+/// The node's ends towards the shared fleet: its store, its readiness questions and its backend servers' announcements.
+class FleetDriver {
+public:
+    FleetDriver(NodeContext&, UpstreamDriver&, FleetHooks);
+
+    /// Fails with \c gateway::ListenFailure.
+    Result<void> listen();
+    /// \param peer where this node listens for peers.
+    void start(const Endpoint& peer);
+    /// The node is asked to stop: its directory entry goes.
+    void leave();
+    void stop();
+
+    void onView(const membership::MembershipView&);
+
+private:
+    using Reader = KeyedReader<platform::StoreClient>;
+
+    KeyedReaderHooks readerHooks();
+    void onOrder(const publication::KeyedRecord&);
+    gateway::AdminResponse answerReadiness(const gateway::AdminRequest&) const;
+    gateway::AdminResponse answerAnnouncement(const gateway::AdminRequest&);
+    /// Both fail with \c platform::DocumentFault.
+    Result<gateway::AdminResponse> announce(const std::string& instance, const std::string& body);
+    Result<gateway::AdminResponse> depart(const std::string& instance, const std::string& body);
+
+    NodeContext& m_context;
+    UpstreamDriver& m_upstream;
+    FleetHooks m_hooks;
+    platform::StoreClient m_store;
+    std::shared_ptr<Reader> m_reader;
+    std::shared_ptr<DirectoryDriver> m_directory;
+    std::optional<gateway::AdminServer> m_readiness;
+    std::optional<gateway::AdminServer> m_announcements;
+};
+
+}
--- a/packages/node/src/internal/NodeAssembly.h
+++ b/packages/node/src/internal/NodeAssembly.h
@@ -9,6 +9,7 @@
 #include "carobpath/routing/EntryRouter.h"
 #include "internal/AdminApi.h"
 #include "internal/CheckpointDriver.h"
+#include "internal/FleetDriver.h"
 #include "internal/LedgerDriver.h"
 #include "internal/LogReader.h"
 #include "internal/MoveDriver.h"
@@ -37,11 +38,22 @@
     /// See \c Daemon::stop.
     void stop(std::function<void()> stopped);
 
+    /// See \c Daemon::onSettingsRead and \c Daemon::onSettingsRefused.
+    void onSettingsRead(const NodeSettings&);
+    void onSettingsRefused(const SettingsFaults&);
+
 private:
     using Reader = LogReader<publication::HttpLogClient>;
 
     Result<void> listen();
+    Result<void> listenForAdmin();
     Result<void> startReader();
+    Result<void> startFleet();
+    FleetHooks fleetHooks();
+    /// \param nodes that share the bound of retries.
+    routing::EntryPolicy entryPolicy(std::size_t nodes) const;
+    bool inFleet() const { return m_settings.platform == PlatformKind::Fleet; }
+    bool serving() const { return m_ready && !m_draining; }
     Result<void> startPeers();
     gateway::GatewayHooks gatewayHooks();
     LogReaderHooks readerHooks();
@@ -60,7 +72,8 @@
     void scheduleTick();
     void tick();
     void slowTick();
-    void scheduleDrainCheck(MonotonicTime closeIdleAt, MonotonicTime giveUpAt);
+    void scheduleDrainCheck();
+    void checkDrain();
     void finishStop();
 
     NodeSettings m_settings;
@@ -81,6 +94,8 @@
     std::optional<gateway::Gateway> m_gateway;
     std::optional<gateway::AdminServer> m_admin;
     std::optional<UpstreamDriver> m_upstream;
+    /// Either this or the reader of the log, by the platform of the settings.
+    std::optional<FleetDriver> m_fleet;
     std::shared_ptr<Reader> m_reader;
     std::shared_ptr<peer::PeerRuntime> m_peerRuntime;
     std::shared_ptr<peer::ExchangeRunner> m_peers;
@@ -91,6 +106,10 @@
     boost::asio::steady_timer m_drain;
     std::function<void()> m_stopped;
     MonotonicTime m_slowTickAt;
+    /// Moments of the stop: no new connections, idle ones closed, the end whatever is in flight.
+    MonotonicTime m_stopAcceptingAt;
+    MonotonicTime m_closeIdleAt;
+    MonotonicTime m_giveUpAt;
     bool m_ready = false;
     bool m_draining = false;
 };
--- a/packages/node/src/internal/SettingsConversions.cpp
+++ b/packages/node/src/internal/SettingsConversions.cpp
@@ -30,8 +30,35 @@
     return options;
 }
 
+platform::StoreClientOptions storeOptionsOf(const NodeSettings& settings)
+{
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    platform::StoreClientOptions options;
+    options.endpoints = settings.log.endpoints;
+    options.connectTimeout = duration_cast<milliseconds>(settings.timeouts.connect);
+    options.answerTimeout = duration_cast<milliseconds>(settings.timeouts.log);
+    return options;
+}
+
+ExpectedBackend expectedBackendOf(const NodeSettings& settings)
+{
+    return ExpectedBackend { settings.backend.service, settings.backend.address };
+}
+
+routing::FleetRetryBound retryBoundOf(const NodeSettings& settings)
+{
+    routing::FleetRetryBound bound;
+    bound.partOfCalls = settings.retries.partOfCalls;
+    bound.slack = settings.retries.slack;
+    bound.window = std::chrono::duration_cast<std::chrono::milliseconds>(settings.retries.window);
+    return bound;
+}
+
 Result<publication::KeyPair> fleetKeyOf(const NodeSettings& settings)
 {
+    if (settings.platform == PlatformKind::Fleet)
+        return publication::KeyPair::generate();
     auto key = publication::KeyPair::fromHex(settings.fleetKey.digits);
     if (!key)
         return boost::leaf::new_error(BadKeySetting { "fleet-key" });
--- a/packages/node/src/internal/SettingsConversions.h
+++ b/packages/node/src/internal/SettingsConversions.h
@@ -3,8 +3,11 @@
 #include "carobpath/foundation/NodeSettings.h"
 #include "carobpath/foundation/Result.h"
 #include "carobpath/gateway/GatewayLimits.h"
+#include "carobpath/node/UpstreamMonitor.h"
+#include "carobpath/platform/StoreClient.h"
 #include "carobpath/publication/HttpLogClient.h"
 #include "carobpath/publication/Keys.h"
+#include "carobpath/routing/RetryBudget.h"
 
 /// The node's settings in the terms of the slices that they are for.
 namespace carobpath::node::Detail {
@@ -13,7 +16,13 @@
 
 publication::HttpLogClientOptions logOptionsOf(const NodeSettings&);
 
-/// Fails with \c BadKeySetting.
+platform::StoreClientOptions storeOptionsOf(const NodeSettings&);
+
+ExpectedBackend expectedBackendOf(const NodeSettings&);
+
+routing::FleetRetryBound retryBoundOf(const NodeSettings&);
+
+/// \returns the key of the settings; a new one where nothing is signed. Fails with \c BadKeySetting.
 Result<publication::KeyPair> fleetKeyOf(const NodeSettings&);
 
 /// \returns the keys of the members and of the fleet. Fails with \c BadKeySetting.
--- a/packages/node/src/internal/UpstreamDriver.cpp
+++ b/packages/node/src/internal/UpstreamDriver.cpp
@@ -6,45 +6,81 @@
 
 namespace carobpath::node::Detail {
 
-UpstreamDriver::UpstreamDriver(NodeContext& context, routing::AdmissionController& controller, gateway::Gateway& gateway,
-    std::function<void(std::optional<membership::Upstream>)> spread)
+UpstreamDriver::UpstreamDriver(NodeContext& context, ExpectedBackend expected, routing::AdmissionController& controller,
+    gateway::Gateway& gateway, std::function<void(std::optional<membership::Upstream>)> spread)
     : m_context(context)
     , m_controller(controller)
     , m_gateway(gateway)
     , m_spread(std::move(spread))
+    , m_monitor(std::move(expected))
 {
 }
 
-Result<void> UpstreamDriver::onAnnouncement(std::string_view body)
+AnnouncementVerdict UpstreamDriver::onAnnouncement(const Announcement& announcement)
 {
-    BOOST_LEAF_AUTO(announcement, parseAnnouncement(body));
-    if (!m_monitor.onAnnouncement(announcement, MonotonicClock::now()))
-        return {};
-    m_context.events.record(Event(event::upstreamAnnounced)
+    const auto verdict = m_monitor.onAnnouncement(announcement, MonotonicClock::now());
+    if (verdict == AnnouncementVerdict::Unchanged)
+        return verdict;
+    const bool taken = verdict == AnnouncementVerdict::Changed;
+    m_context.events.record(Event(taken ? event::upstreamAnnounced : event::announcementRefused)
                                 .with("service", announcement.upstream.service)
                                 .with("version", announcement.upstream.version)
                                 .with("state", membership::toString(announcement.upstream.state))
+                                .with("instance", announcement.run.instance)
                                 .with("backend", announcement.backend));
-    apply();
-    return {};
+    if (taken)
+        apply();
+    return verdict;
 }
 
-void UpstreamDriver::onTick()
+bool UpstreamDriver::onDeparture(const membership::BackendRun& run)
 {
-    if (m_monitor.onTick(MonotonicClock::now())) {
-        m_context.events.record(Event(event::upstreamGone));
+    if (!m_monitor.onDeparture(run))
+        return false;
+    forget();
+    return true;
+}
+
+void UpstreamDriver::onConfiguration(const publication::ConfigurationPointer& configuration)
+{
+    m_configuration = configuration;
+    const auto& held = m_monitor.announcement();
+    if (held && held->upstream.connections == 0)
         apply();
-    }
+}
+
+void UpstreamDriver::onTick()
+{
+    if (m_monitor.onTick(MonotonicClock::now()))
+        forget();
     m_spread(m_controller.upstream());
 }
 
+void UpstreamDriver::forget()
+{
+    m_context.events.record(Event(event::upstreamGone));
+    apply();
+}
+
+std::uint32_t UpstreamDriver::connectionsOf(const membership::Upstream& upstream) const
+{
+    if (upstream.connections > 0)
+        return upstream.connections;
+    if (!m_configuration)
+        return upstream.slots;
+    const auto& services = m_configuration->set.services;
+    const auto it = services.find(upstream.service);
+    return it == services.end() || it->second.service.connections == 0 ? upstream.slots : it->second.service.connections;
+}
+
 void UpstreamDriver::apply()
 {
     std::optional<membership::Upstream> upstream;
-    std::optional<Endpoint> backend;
+    std::optional<gateway::Backend> backend;
     if (const auto& it = m_monitor.announcement()) {
         upstream = it->upstream;
-        backend = it->backend;
+        upstream->connections = connectionsOf(*upstream);
+        backend = gateway::Backend { it->backend, it->run.instance };
     }
     m_gateway.setBackend(std::move(backend));
     m_gateway.perform(m_controller.setUpstream(std::move(upstream), MonotonicClock::now()));
--- a/packages/node/src/internal/UpstreamDriver.h
+++ b/packages/node/src/internal/UpstreamDriver.h
@@ -7,7 +7,6 @@
 
 #include <functional>
 #include <optional>
-#include <string_view>
 
 namespace carobpath::node::Detail {
 
@@ -15,10 +14,12 @@
 class UpstreamDriver {
 public:
     /// \param spread tells the other nodes of the upstream.
-    UpstreamDriver(NodeContext&, routing::AdmissionController&, gateway::Gateway&, std::function<void(std::optional<membership::Upstream>)> spread);
+    UpstreamDriver(NodeContext&, ExpectedBackend, routing::AdmissionController&, gateway::Gateway&, std::function<void(std::optional<membership::Upstream>)> spread);
 
-    /// Takes the body of an announcement. Fails with \c AnnouncementFault.
-    Result<void> onAnnouncement(std::string_view body);
+    AnnouncementVerdict onAnnouncement(const Announcement&);
+    /// \returns whether it was the backend server that is held.
+    bool onDeparture(const membership::BackendRun&);
+    void onConfiguration(const publication::ConfigurationPointer&);
 
     /// Forgets a lapsed announcement and spreads the state and the load that calls showed.
     void onTick();
@@ -28,12 +29,16 @@
 
 private:
     void apply();
+    void forget();
+    /// \returns the connections that the backend server accepts: what it said, else what its service allows.
+    std::uint32_t connectionsOf(const membership::Upstream&) const;
 
     NodeContext& m_context;
     routing::AdmissionController& m_controller;
     gateway::Gateway& m_gateway;
     std::function<void(std::optional<membership::Upstream>)> m_spread;
     UpstreamMonitor m_monitor;
+    publication::ConfigurationPointer m_configuration;
 };
 
 }
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -23,12 +23,53 @@
 constexpr int exitUsage = 2;
 constexpr int exitCannotStart = 4;
 
-void run(boost::asio::io_context& context, std::unique_ptr<node::Daemon> daemon)
+/// Reads the settings anew at each SIGHUP, until its context stops.
+class Reloader {
+public:
+    Reloader(boost::asio::io_context& context, node::Daemon& daemon, std::string settingsFile)
+        : m_signals(context, SIGHUP)
+        , m_daemon(daemon)
+        , m_settingsFile(std::move(settingsFile))
+    {
+        wait();
+    }
+
+private:
+    void wait()
+    {
+        m_signals.async_wait([this](boost::system::error_code ec, int) {
+            if (ec)
+                return;
+            reload();
+            wait();
+        });
+    }
+
+    void reload()
+    {
+        boost::leaf::try_handle_all(
+            [&]() -> Result<void> {
+                BOOST_LEAF_AUTO(settings, loadNodeSettings(m_settingsFile));
+                setLogLevel(settings.logLevel);
+                m_daemon.onSettingsRead(settings);
+                return {};
+            },
+            [&](const SettingsFaults& faults) { m_daemon.onSettingsRefused(faults); },
+            [&] { m_daemon.onSettingsRefused(SettingsFaults {}); });
+    }
+
+    boost::asio::signal_set m_signals;
+    node::Daemon& m_daemon;
+    std::string m_settingsFile;
+};
+
+void run(boost::asio::io_context& context, node::Daemon& daemon, const std::string& settingsFile)
 {
+    const Reloader reloader(context, daemon, settingsFile);
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([&](boost::system::error_code ec, int) {
         if (!ec)
-            daemon->stop([&context] { context.stop(); });
+            daemon.stop([&context] { context.stop(); });
     });
     context.run();
 }
@@ -41,7 +82,7 @@
             startLogging(LogSettings { settings.logLevel, settings.name.value() });
             boost::asio::io_context context { 1 };
             BOOST_LEAF_AUTO(daemon, node::Daemon::start(context, settings, std::cout));
-            run(context, std::move(daemon));
+            run(context, *daemon, settingsFile);
             return exitOk;
         },
         [](const SettingsFaults& faults) {
--- a/packages/peer/include/carobpath/peer/ExchangeRunner.h
+++ b/packages/peer/include/carobpath/peer/ExchangeRunner.h
@@ -68,6 +68,8 @@
     void publishConfiguration(publication::ConfigurationPointer);
     /// This node has read the log to its end.
     void reportLogEnd();
+    /// Nodes to join by that were found after the start.
+    void addSeeds(const std::vector<Endpoint>&);
     void setUpstream(std::optional<membership::Upstream>);
     /// A call to another node ended; \c ok says that the node answered, whatever the answer was.
     void reportCall(const NodeName&, bool ok);
--- a/packages/peer/src/ExchangeRunner.cpp
+++ b/packages/peer/src/ExchangeRunner.cpp
@@ -245,6 +245,11 @@
     m_impl->run(m_impl->exchange->onLogEnd(MonotonicClock::now()));
 }
 
+void ExchangeRunner::addSeeds(const std::vector<Endpoint>& seeds)
+{
+    m_impl->exchange->addSeeds(seeds);
+}
+
 void ExchangeRunner::setUpstream(std::optional<membership::Upstream> upstream)
 {
     m_impl->run(m_impl->exchange->setUpstream(std::move(upstream), MonotonicClock::now()));
--- a/packages/publication/src/internal/EndpointPool.h
+++ b/packages/publication/include/carobpath/publication/EndpointPool.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "internal/HttpExchange.h"
+#include "carobpath/publication/HttpExchange.h"
 
 #include <deque>
 #include <memory>
--- /dev/null
+++ b/packages/publication/include/carobpath/publication/KeyedStore.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "carobpath/publication/LogService.h"
+
+#include <concepts>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+/// The interface to streams of the platform's log that keep the newest record of each key for good.
+namespace carobpath::publication {
+
+struct KeyedRecord {
+    Offset offset = 0;
+    std::string key;
+    /// Nothing where the record removes the key.
+    std::optional<std::string> value;
+
+    friend bool operator==(const KeyedRecord&, const KeyedRecord&) = default;
+};
+
+/// Records of a keyed stream. Those of a listing are no snapshot: a record after \c next may be among them.
+struct KeyedBatch {
+    /// Offset from which reading goes on.
+    Offset next = 0;
+    std::vector<KeyedRecord> records;
+
+    friend bool operator==(const KeyedBatch&, const KeyedBatch&) = default;
+};
+
+using KeyedResult = std::variant<KeyedBatch, Trimmed, LogFailure>;
+using KeyedHandler = std::function<void(KeyedResult)>;
+
+/// Reads and writes keyed streams without blocking. Handlers run on the thread of the store's executor, never inside the call.
+template <typename T>
+concept KeyedStore = requires(T& store, std::string stream, KeyedRecord record, Offset from, std::chrono::milliseconds wait)
+{
+    {
+        store.listNewest(stream, KeyedHandler {})
+        } -> std::same_as<void>;
+    {
+        store.readKeyed(stream, from, wait, KeyedHandler {})
+        } -> std::same_as<void>;
+    {
+        store.put(stream, record, AppendHandler {})
+        } -> std::same_as<void>;
+};
+
+}
--- a/packages/publication/include/carobpath/publication/Objects.h
+++ b/packages/publication/include/carobpath/publication/Objects.h
@@ -20,6 +20,8 @@
     VersionName initialVersion;
     /// Host header values, without port, that belong to the service.
     std::vector<std::string> hosts;
+    /// Connections that one backend server accepts from all its clients; 0 where each says so itself.
+    std::uint32_t connections = 0;
 
     friend bool operator==(const Service&, const Service&) = default;
 };
@@ -36,6 +38,14 @@
     Download,
 };
 
+/// One of the services that a route's calls are spread over, in proportion to the weights.
+struct Destination {
+    ServiceName service;
+    std::uint32_t weight = 1;
+
+    friend bool operator==(const Destination&, const Destination&) = default;
+};
+
 /// Sends calls whose host belongs to the service and whose path starts with the prefix to the service.
 /// The longest prefix wins.
 struct Route {
@@ -49,6 +59,16 @@
     TrafficClass trafficClass = TrafficClass::Short;
     /// Time that a call has from its arrival at the first node.
     std::chrono::milliseconds timeout { 5000 };
+    /// Host header values of the route's own, without port; empty for those of its service.
+    std::vector<std::string> hosts;
+    /// Services that share the calls; empty where all go to \c service.
+    std::vector<Destination> destinations;
+    /// Backend servers that one call may be sent to; 0 for the node's own bound.
+    std::uint32_t maxAttempts = 0;
+    /// Time within which an answer is of full use to the caller; 0 where none was named.
+    std::chrono::milliseconds objective { 0 };
+    /// Rank among the routes of a service; 0 goes first.
+    std::uint32_t priority = 0;
 
     friend bool operator==(const Route&, const Route&) = default;
 };
--- a/packages/publication/src/Codec.cpp
+++ b/packages/publication/src/Codec.cpp
@@ -44,6 +44,68 @@
 
 std::string_view toString(CodecFault it) { return enumText(codecFaults, it); }
 
+namespace {
+
+    /// Writes the value unless it is the default.
+    template <typename T>
+    void writeOptional(nlohmann::json& out, const char* key, const T& value)
+    {
+        if (value != T {})
+            out[key] = value;
+    }
+
+    template <typename T>
+    void readOptional(const nlohmann::json& in, const char* key, T& value)
+    {
+        if (const auto it = in.find(key); it != in.end())
+            it->get_to(value);
+    }
+
+}
+
+void to_json(nlohmann::json& out, const Service& it)
+{
+    out = { { "name", it.name }, { "member", it.member }, { "initialVersion", it.initialVersion }, { "hosts", it.hosts } };
+    writeOptional(out, "connections", it.connections);
+}
+
+void from_json(const nlohmann::json& in, Service& it)
+{
+    in.at("name").get_to(it.name);
+    in.at("member").get_to(it.member);
+    in.at("initialVersion").get_to(it.initialVersion);
+    in.at("hosts").get_to(it.hosts);
+    readOptional(in, "connections", it.connections);
+}
+
+void to_json(nlohmann::json& out, const Route& it)
+{
+    out = { { "name", it.name }, { "member", it.member }, { "service", it.service }, { "pathPrefix", it.pathPrefix },
+        { "methods", it.methods }, { "repeatability", it.repeatability }, { "trafficClass", it.trafficClass }, { "timeout", it.timeout } };
+    writeOptional(out, "hosts", it.hosts);
+    writeOptional(out, "destinations", it.destinations);
+    writeOptional(out, "maxAttempts", it.maxAttempts);
+    writeOptional(out, "objective", it.objective);
+    writeOptional(out, "priority", it.priority);
+}
+
+void from_json(const nlohmann::json& in, Route& it)
+{
+    in.at("name").get_to(it.name);
+    in.at("member").get_to(it.member);
+    in.at("service").get_to(it.service);
+    in.at("pathPrefix").get_to(it.pathPrefix);
+    in.at("methods").get_to(it.methods);
+    in.at("repeatability").get_to(it.repeatability);
+    in.at("trafficClass").get_to(it.trafficClass);
+    in.at("timeout").get_to(it.timeout);
+    readOptional(in, "hosts", it.hosts);
+    readOptional(in, "destinations", it.destinations);
+    readOptional(in, "maxAttempts", it.maxAttempts);
+    readOptional(in, "objective", it.objective);
+    readOptional(in, "priority", it.priority);
+}
+
 void to_json(nlohmann::json& out, const MoveEntry& it)
 {
     out = { { "move", it.move }, { "from", it.from }, { "publishedAt", it.publishedAt }, { "changedAt", it.changedAt } };
--- a/packages/publication/src/EndpointPool.cpp
+++ b/packages/publication/src/EndpointPool.cpp
@@ -1,4 +1,4 @@
-#include "internal/EndpointPool.h"
+#include "carobpath/publication/EndpointPool.h"
 
 #include <boost/asio/buffer.hpp>
 
--- a/packages/publication/src/HttpExchange.cpp
+++ b/packages/publication/src/HttpExchange.cpp
@@ -1,4 +1,4 @@
-#include "internal/HttpExchange.h"
+#include "carobpath/publication/HttpExchange.h"
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
--- a/packages/publication/src/HttpLogClient.cpp
+++ b/packages/publication/src/HttpLogClient.cpp
@@ -1,7 +1,7 @@
 #include "carobpath/publication/HttpLogClient.h"
 
 #include "carobpath/foundation/EnumTable.h"
-#include "internal/EndpointPool.h"
+#include "carobpath/publication/EndpointPool.h"
 #include "internal/LogAnswer.h"
 
 #include <boost/asio/post.hpp>
--- a/packages/publication/src/internal/Json.h
+++ b/packages/publication/src/internal/Json.h
@@ -132,8 +132,14 @@
 
 namespace carobpath::publication {
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Service, name, member, initialVersion, hosts)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Route, name, member, service, pathPrefix, methods, repeatability, trafficClass, timeout)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Destination, service, weight)
+
+// Keys whose value is the default are left out, so that sets published before a key existed keep their digest.
+void to_json(nlohmann::json&, const Service&);
+void from_json(const nlohmann::json&, Service&);
+void to_json(nlohmann::json&, const Route&);
+void from_json(const nlohmann::json&, Route&);
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Version, name, member, service)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Move, name, member, service, to, startAt, deadline, onThinEvidence)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(MoveVerdict, outcome, reason, route, evidence)
--- a/packages/routing/include/carobpath/routing/Admission.h
+++ b/packages/routing/include/carobpath/routing/Admission.h
@@ -18,6 +18,8 @@
 struct AdmissionRequest {
     RequestId id;
     RouteName route;
+    /// What the entry node takes the upstream for; a node beside another one refuses.
+    ServiceName service;
     VersionName version;
     publication::Repeatability repeatability = publication::Repeatability::NotRepeatable;
     publication::TrafficClass trafficClass = publication::TrafficClass::Short;
--- a/packages/routing/include/carobpath/routing/Call.h
+++ b/packages/routing/include/carobpath/routing/Call.h
@@ -22,6 +22,8 @@
     std::string method;
     std::string path;
     std::optional<IdempotencyKey> idempotencyKey;
+    /// Service of the backend server beside the entry node; empty where there is none.
+    ServiceName callerService;
     /// Deadline that the caller sent with the call; the route's timeout bounds it.
     std::optional<std::chrono::milliseconds> callerTimeout;
     /// Hash of method, host, path and body start; tells a request that is sent again.
--- a/packages/routing/include/carobpath/routing/CallDecision.h
+++ b/packages/routing/include/carobpath/routing/CallDecision.h
@@ -76,7 +76,9 @@
     };
 
     std::optional<Refusal> refusalAtArrival(MonotonicTime now);
-    void drawVersion();
+    /// Draws the service among the route's destinations, and whether its next version is wanted.
+    void drawDestination();
+    std::uint32_t mostAttempts() const;
     std::optional<SendAttempt> nextAttempt(MonotonicTime now);
     SendAttempt attemptAt(const UpstreamChoice&, const VersionName&, MonotonicTime deadline) const;
     MonotonicTime attemptDeadline(MonotonicTime now) const;
@@ -98,12 +100,15 @@
     std::shared_ptr<const RouteTable> m_table;
     const publication::Route* m_route = nullptr;
     Phase m_phase = Phase::Created;
+    ServiceName m_service;
     bool m_wantsNext = false;
     bool m_keyAsked = false;
     /// The strongest outcome over all attempts: \c NotRun only while each of them was.
     Outcome m_outcome = Outcome::NotRun;
     std::optional<Attempt> m_attempt;
     std::vector<NodeName> m_tried;
+    /// Backend servers that were handed the call, be it that they refused it.
+    std::uint32_t m_backendsReached = 0;
     std::uint32_t m_backendLosses = 0;
     std::optional<CallCommand> m_final;
     /// Version of the last attempt; the rest of a body comes from no other.
--- a/packages/routing/include/carobpath/routing/EntryRouter.h
+++ b/packages/routing/include/carobpath/routing/EntryRouter.h
@@ -5,6 +5,7 @@
 #include "carobpath/routing/Call.h"
 #include "carobpath/routing/CallDecision.h"
 #include "carobpath/routing/NodeObservation.h"
+#include "carobpath/routing/RetryBudget.h"
 
 #include <functional>
 #include <memory>
@@ -21,6 +22,13 @@
 using QuarantineSource
     = std::function<std::optional<std::chrono::milliseconds>(std::uint64_t fingerprint, MonotonicTime now)>;
 
+/// How the entry node deals with calls that go wrong.
+struct EntryPolicy {
+    RetryAllowance retries;
+    /// Whether a call that may be repeated is cut at half of its time, for a second try, where its upstream is silent.
+    bool splitDeadline = true;
+};
+
 /// The entry decision of a node: makes a \c CallDecision for each call and holds what the calls share, which are the
 /// route table, the upstreams and what calls showed of them, and the retry budget.
 class EntryRouter {
@@ -36,6 +44,7 @@
     /// Without a source each service's current version gets all calls.
     void setShareSource(ShareSource);
     void setQuarantineSource(QuarantineSource);
+    void setPolicy(const EntryPolicy&);
     /// A node that is not ready refuses each call as \c NotReady.
     void setReady(bool);
 
--- a/packages/routing/include/carobpath/routing/RouteTable.h
+++ b/packages/routing/include/carobpath/routing/RouteTable.h
@@ -41,15 +41,14 @@
         std::string_view prefix;
         std::vector<Match> routes;
     };
-    /// Groups of one service, longest prefix first.
+    /// Groups of one host, longest prefix first.
     using PrefixGroups = std::vector<PrefixGroup>;
 
-    void addRoute(const publication::Route&);
+    void addRoute(std::string_view host, const publication::Route&);
     void sortGroups();
 
     publication::ConfigurationPointer m_configuration;
-    std::unordered_map<ServiceName, PrefixGroups> m_groups;
-    std::unordered_map<std::string_view, const PrefixGroups*> m_hosts;
+    std::unordered_map<std::string_view, PrefixGroups> m_hosts;
 };
 
 }
--- a/packages/routing/include/carobpath/routing/UpstreamPicker.h
+++ b/packages/routing/include/carobpath/routing/UpstreamPicker.h
@@ -3,7 +3,6 @@
 #include "carobpath/membership/NodeEntry.h"
 #include "carobpath/routing/UpstreamStatistics.h"
 
-#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -14,9 +13,33 @@
 
 namespace carobpath::routing {
 
+/// Which versions of a service a call may go to.
+class VersionFilter {
+public:
+    /// One version alone.
+    VersionFilter(VersionName only)
+        : m_name(std::move(only))
+    {
+    }
+    /// Every version but one; an empty name leaves none out.
+    static VersionFilter anyBut(VersionName name)
+    {
+        VersionFilter it { std::move(name) };
+        it.m_excludes = true;
+        return it;
+    }
+
+    bool takes(const VersionName& version) const { return (version == m_name) != m_excludes; }
+
+private:
+    VersionName m_name;
+    bool m_excludes = false;
+};
+
 /// The node beside the upstream that a call is sent to.
 struct UpstreamChoice {
     NodeName node;
+    VersionName version;
     Endpoint calls;
     bool freshConnection = false;
     /// One call that tries out an upstream after its ejection.
@@ -59,7 +82,7 @@
     void setView(std::shared_ptr<const membership::MembershipView>);
 
     std::optional<UpstreamChoice> pick(
-        const ServiceName&, const VersionName&, const PickConstraints&, MonotonicTime now);
+        const ServiceName&, const VersionFilter&, const PickConstraints&, MonotonicTime now);
 
     void onSent(const NodeName&, bool probe);
     /// \param rest time for which the upstream asked to be left alone, where it did.
@@ -74,6 +97,7 @@
 private:
     struct Candidate {
         NodeName node;
+        VersionName version;
         Endpoint calls;
         FailureDomainName domain;
         bool cold = false;
@@ -95,9 +119,11 @@
     void takeUpView(MonotonicTime now);
     void keepStatistics(const membership::MembershipView&);
     void addCandidate(const membership::KnownNode&);
-    Pools poolsOf(const Candidates&, const PickConstraints&, MonotonicTime now) const;
+    /// \returns the upstreams of the service that the filter takes and the call was not sent to yet.
+    Pool eligible(const ServiceName&, const VersionFilter&, const PickConstraints&) const;
+    static Pools poolsOf(const Pool&, MonotonicTime now);
     const Pool* choosePool(const Pools&, const PickConstraints&);
-    const Candidate* dueProbe(const Candidates&, const PickConstraints&, MonotonicTime now) const;
+    static const Candidate* dueProbe(const Pool&, MonotonicTime now);
     const Candidate* pickFrom(const Pool&, MonotonicTime now);
     const Candidate* betterOfTwo(const Pool&, MonotonicTime now);
     double cost(const Candidate&, MonotonicTime now) const;
@@ -109,7 +135,7 @@
     std::shared_ptr<const membership::MembershipView> m_newView;
     std::optional<MonotonicTime> m_viewTakenAt;
     std::unordered_map<NodeName, UpstreamStatistics> m_statistics;
-    std::map<std::pair<ServiceName, VersionName>, Candidates> m_candidates;
+    std::unordered_map<ServiceName, Candidates> m_candidates;
     double m_meanSeconds = 0;
 };
 
--- a/packages/routing/src/AdmissionController.cpp
+++ b/packages/routing/src/AdmissionController.cpp
@@ -73,7 +73,7 @@
 {
     if (draining())
         return notRun(RefusalReason::Draining, spread(elsewhereRetryAfter, request.id));
-    if (!m_upstream || m_upstream->version != request.version)
+    if (!m_upstream || m_upstream->service != request.service || m_upstream->version != request.version)
         return notRun(RefusalReason::NoUpstream, spread(noUpstreamRetryAfter, request.id));
     if (m_health.isDown() && !m_health.tryTrial(request.repeatability, now))
         return notRun(RefusalReason::UpstreamUnreachable, spread(BackendHealth::s_trialInterval, request.id));
--- a/packages/routing/src/AttemptClass.cpp
+++ b/packages/routing/src/AttemptClass.cpp
@@ -76,6 +76,11 @@
     return result.outcome == Outcome::Unknown && result.status != 0 && reasonOf(result) == RefusalReason::UpstreamConnectionLost;
 }
 
+bool reachedBackend(const AttemptResult& result)
+{
+    return result.outcome != Outcome::NotRun || reasonOf(result) == RefusalReason::UpstreamRefused;
+}
+
 bool putNoLoad(const AttemptResult& result)
 {
     if (result.outcome != Outcome::NotRun)
--- a/packages/routing/src/AttemptClass.h
+++ b/packages/routing/src/AttemptClass.h
@@ -22,6 +22,9 @@
 /// the backend server crashes.
 bool isBackendLoss(const AttemptResult&);
 
+/// \returns whether a backend server was, or may have been, handed the call, be it that it refused.
+bool reachedBackend(const AttemptResult&);
+
 /// \returns whether the attempt put no load on any backend server, so that a retry cannot multiply load.
 bool putNoLoad(const AttemptResult&);
 
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -67,8 +67,8 @@
 {
     if (auto refusal = refusalAtArrival(now))
         return finish(AnswerRefusal { *refusal });
-    m_state->budget.onCall(now);
-    drawVersion();
+    drawDestination();
+    m_state->budgetOf(m_service).onCall(now);
     if (repeatable() || !m_request.idempotencyKey)
         return sendFirst(now);
     m_phase = Phase::AwaitingLedger;
@@ -98,12 +98,18 @@
     return std::nullopt;
 }
 
-void CallDecision::drawVersion()
+void CallDecision::drawDestination()
 {
-    const auto share = m_state->shareOf(m_route->service);
+    m_service = m_state->destinationOf(*m_route);
+    const auto share = m_state->shareOf(m_service);
     m_wantsNext = share.next && m_state->picker.drawUnit() < share.nextShare;
 }
 
+std::uint32_t CallDecision::mostAttempts() const
+{
+    return m_route->maxAttempts > 0 ? m_route->maxAttempts : s_maxAttempts;
+}
+
 CallCommand CallDecision::sendFirst(MonotonicTime now)
 {
     if (auto attempt = nextAttempt(now))
@@ -113,23 +119,23 @@
 
 std::optional<SendAttempt> CallDecision::nextAttempt(MonotonicTime now)
 {
-    const auto share = m_state->shareOf(m_route->service);
-    std::vector<VersionName> versions;
+    const auto share = m_state->shareOf(m_service);
+    std::vector<VersionFilter> versions;
     if (m_wantsNext && share.next)
-        versions.push_back(*share.next);
+        versions.emplace_back(*share.next);
     // A call that was not drawn for the next version never goes there: it is unproved beyond its share.
-    versions.push_back(share.current);
+    versions.push_back(share.current.empty() ? VersionFilter::anyBut(share.next.value_or(VersionName {})) : VersionFilter { share.current });
     const bool mayProbe = repeatable() && m_request.bodyReplayable && m_tried.empty();
     for (const bool lastResort : { false, true }) {
         for (const auto& version : versions) {
             const PickConstraints constraints { m_tried, mayProbe, lastResort };
-            const auto choice = m_state->picker.pick(m_route->service, version, constraints, now);
+            const auto choice = m_state->picker.pick(m_service, version, constraints, now);
             if (!choice)
                 continue;
-            m_attempt = Attempt { choice->node, share.next == version, now };
+            m_attempt = Attempt { choice->node, share.next == choice->version, now };
             m_state->picker.onSent(choice->node, choice->probe);
-            m_version = version;
-            return attemptAt(*choice, version, attemptDeadline(now));
+            m_version = choice->version;
+            return attemptAt(*choice, m_version, attemptDeadline(now));
         }
     }
     return std::nullopt;
@@ -141,7 +147,7 @@
     it.number = static_cast<std::uint32_t>(m_tried.size() + 1);
     it.node = choice.node;
     it.calls = choice.calls;
-    it.service = m_route->service;
+    it.service = m_service;
     it.route = m_route->name;
     it.version = version;
     it.deadline = deadline;
@@ -156,8 +162,8 @@
     const bool relayed = m_final && std::holds_alternative<RelayAnswer>(*m_final);
     if (!relayed || m_attempt || !repeatable() || !m_request.bodyReplayable || m_tried.size() >= s_maxAttempts)
         return std::nullopt;
-    const auto choice = m_state->picker.pick(m_route->service, m_version, PickConstraints { m_tried, false, false }, now);
-    if (!choice || !m_state->budget.tryWithdraw(now))
+    const auto choice = m_state->picker.pick(m_service, m_version, PickConstraints { m_tried, false, false }, now);
+    if (!choice || !m_state->budgetOf(m_service).tryWithdraw(now))
         return std::nullopt;
     m_state->picker.onSent(choice->node, choice->probe);
     m_attempt = Attempt { choice->node, false, now };
@@ -178,7 +184,7 @@
 {
     const auto mean = m_state->picker.meanLatency();
     const bool last = m_tried.size() + 1 >= s_maxAttempts;
-    if (!repeatable() || !m_request.bodyReplayable || !mean || last)
+    if (!m_state->policy.splitDeadline || !repeatable() || !m_request.bodyReplayable || !mean || last)
         return m_deadline;
     const MonotonicClock::duration part = (m_deadline - now) / attemptDivisor;
     return std::min(m_deadline, now + std::max<MonotonicClock::duration>(part, *mean * latencyFactor));
@@ -206,6 +212,8 @@
 void CallDecision::recordAttempt(const AttemptResult& result, MonotonicTime now)
 {
     m_outcome = stronger(m_outcome, result.outcome);
+    if (reachedBackend(result))
+        ++m_backendsReached;
     if (isBackendLoss(result))
         ++m_backendLosses;
     if (signOf(result) != AttemptSign::Abandoned)
@@ -226,7 +234,7 @@
 {
     if (!repeatable() && result.outcome != Outcome::NotRun)
         return false;
-    if (m_backendLosses >= s_maxBackendLosses)
+    if (m_backendLosses >= s_maxBackendLosses || m_backendsReached >= mostAttempts())
         return false;
     return otherUpstreamMayHelp(result) && m_request.bodyReplayable && m_tried.size() < s_maxAttempts
         && now < m_deadline;
@@ -239,7 +247,7 @@
     auto attempt = nextAttempt(now);
     if (!attempt)
         return std::nullopt;
-    if (putNoLoad(result) || m_state->budget.tryWithdraw(now))
+    if (putNoLoad(result) || m_state->budgetOf(m_service).tryWithdraw(now))
         return send(std::move(*attempt));
     closeAttempt(AttemptSign::Abandoned, {}, {}, now);
     if (result.outcome == Outcome::Ran)
--- a/packages/routing/src/EntryRouter.cpp
+++ b/packages/routing/src/EntryRouter.cpp
@@ -28,6 +28,7 @@
 
 void EntryRouter::setShareSource(ShareSource source) { m_state->shareSource = std::move(source); }
 void EntryRouter::setQuarantineSource(QuarantineSource source) { m_state->quarantineSource = std::move(source); }
+void EntryRouter::setPolicy(const EntryPolicy& policy) { m_state->setPolicy(policy); }
 void EntryRouter::setReady(bool ready) { m_state->ready = ready; }
 
 std::shared_ptr<CallDecision> EntryRouter::begin(const CallRequest& request, MonotonicTime now)
--- a/packages/routing/src/EntryState.cpp
+++ b/packages/routing/src/EntryState.cpp
@@ -15,6 +15,27 @@
     return share;
 }
 
+ServiceName EntryState::destinationOf(const publication::Route& route)
+{
+    if (route.destinations.empty())
+        return route.service;
+    auto& turn = turns[route.name];
+    turn.update(route.destinations, picker.drawUnit());
+    return turn.next();
+}
+
+RetryBudget& EntryState::budgetOf(const ServiceName& service)
+{
+    return budgets.try_emplace(service, policy.retries).first->second;
+}
+
+void EntryState::setPolicy(const EntryPolicy& chosen)
+{
+    policy = chosen;
+    for (auto& [service, budget] : budgets)
+        budget.setAllowance(policy.retries);
+}
+
 void EntryState::observe(NodeObservation it)
 {
     if (observations.size() == s_maxObservations)
--- a/packages/routing/src/EntryState.h
+++ b/packages/routing/src/EntryState.h
@@ -4,6 +4,7 @@
 #include "carobpath/routing/RetryBudget.h"
 #include "carobpath/routing/RouteTable.h"
 #include "carobpath/routing/UpstreamPicker.h"
+#include "carobpath/routing/WeightedTurn.h"
 
 #include <deque>
 
@@ -22,12 +23,18 @@
 
     /// \returns the split of the service's calls, without versions that the configuration lacks.
     moves::VersionShare shareOf(const ServiceName&) const;
+    /// \returns the service that takes the next call of the route.
+    ServiceName destinationOf(const publication::Route&);
+    RetryBudget& budgetOf(const ServiceName&);
+    void setPolicy(const EntryPolicy&);
     void observe(NodeObservation);
     /// \returns the time spread by up to a half, so that callers told at one moment do not come back at one moment.
     std::chrono::milliseconds spread(std::chrono::milliseconds);
 
     UpstreamPicker picker;
-    RetryBudget budget;
+    EntryPolicy policy;
+    std::unordered_map<ServiceName, RetryBudget> budgets;
+    std::unordered_map<RouteName, WeightedTurn> turns;
     std::shared_ptr<const RouteTable> table = std::make_shared<RouteTable>();
     ShareSource shareSource;
     QuarantineSource quarantineSource;
--- a/packages/routing/src/RetryBudget.cpp
+++ b/packages/routing/src/RetryBudget.cpp
@@ -4,19 +4,46 @@
 
 namespace carobpath::routing {
 
+namespace {
+
+    /// Part of the fleet's slack that nodes save up, and part that they earn within one window. The rest is left to
+    /// nodes that start again with a full budget.
+    constexpr double savedPart = 0.4;
+    constexpr double earnedPart = 0.2;
+    constexpr double partLeftToInnerCalls = 0.5;
+
+}
+
+RetryAllowance allowanceOf(const FleetRetryBound& bound, std::size_t nodes)
+{
+    const double slack = bound.slack / static_cast<double>(std::max<std::size_t>(nodes, 1));
+    const std::chrono::duration<double> window = bound.window;
+    RetryAllowance it;
+    it.perCall = bound.partOfCalls * (1 - partLeftToInnerCalls);
+    it.perSecond = window.count() > 0 ? slack * earnedPart / window.count() : 0;
+    it.capacity = std::max(1.0, slack * savedPart);
+    return it;
+}
+
+void RetryBudget::setAllowance(const RetryAllowance& allowance)
+{
+    m_allowance = allowance;
+    m_tokens = std::min(m_tokens, allowance.capacity);
+}
+
 void RetryBudget::refill(MonotonicTime now)
 {
     if (now <= m_refilledAt)
         return;
     const std::chrono::duration<double> elapsed = now - m_refilledAt;
-    m_tokens = std::min(s_capacity, m_tokens + elapsed.count() * s_retriesPerSecond);
+    m_tokens = std::min(m_allowance.capacity, m_tokens + elapsed.count() * m_allowance.perSecond);
     m_refilledAt = now;
 }
 
 void RetryBudget::onCall(MonotonicTime now)
 {
     refill(now);
-    m_tokens = std::min(s_capacity, m_tokens + s_retriesPerCall);
+    m_tokens = std::min(m_allowance.capacity, m_tokens + m_allowance.perCall);
 }
 
 bool RetryBudget::tryWithdraw(MonotonicTime now)
--- a/packages/routing/src/RouteTable.cpp
+++ b/packages/routing/src/RouteTable.cpp
@@ -12,6 +12,16 @@
             || std::find(route.methods.begin(), route.methods.end(), method) != route.methods.end();
     }
 
+    /// \returns the hosts whose calls the route takes: its own, else those of its service.
+    const std::vector<std::string>& hostsOf(const publication::ConfigurationSet& set, const publication::Route& route)
+    {
+        static const std::vector<std::string> none;
+        if (!route.hosts.empty())
+            return route.hosts;
+        const auto it = set.services.find(route.service);
+        return it == set.services.end() ? none : it->second.service.hosts;
+    }
+
 }
 
 RouteTable::RouteTable(publication::ConfigurationPointer configuration)
@@ -20,23 +30,20 @@
     if (!m_configuration)
         return;
     const auto& set = m_configuration->set;
-    for (const auto& [name, entry] : set.services)
-        m_groups.try_emplace(name);
-    for (const auto& [name, entry] : set.routes)
-        addRoute(entry.route);
-    sortGroups();
     for (const auto& [name, entry] : set.services) {
         for (const auto& host : entry.service.hosts)
-            m_hosts.try_emplace(host, &m_groups.at(name));
+            m_hosts.try_emplace(host);
     }
+    for (const auto& [name, entry] : set.routes) {
+        for (const auto& host : hostsOf(set, entry.route))
+            addRoute(host, entry.route);
+    }
+    sortGroups();
 }
 
-void RouteTable::addRoute(const publication::Route& route)
+void RouteTable::addRoute(std::string_view host, const publication::Route& route)
 {
-    const auto it = m_groups.find(route.service);
-    if (it == m_groups.end())
-        return;
-    auto& groups = it->second;
+    auto& groups = m_hosts[host];
     auto group = std::find_if(groups.begin(), groups.end(),
         [&](const PrefixGroup& known) { return known.prefix == route.pathPrefix; });
     if (group == groups.end())
@@ -46,7 +53,7 @@
 
 void RouteTable::sortGroups()
 {
-    for (auto& [service, groups] : m_groups) {
+    for (auto& [host, groups] : m_hosts) {
         std::sort(groups.begin(), groups.end(),
             [](const auto& a, const auto& b) { return a.prefix.size() > b.prefix.size(); });
     }
@@ -57,7 +64,7 @@
     const auto groups = m_hosts.find(host);
     if (groups == m_hosts.end())
         return RouteMiss::UnknownHost;
-    for (const auto& group : *groups->second) {
+    for (const auto& group : groups->second) {
         if (!path.starts_with(group.prefix))
             continue;
         for (const auto* route : group.routes) {
--- a/packages/routing/src/UpstreamPicker.cpp
+++ b/packages/routing/src/UpstreamPicker.cpp
@@ -80,65 +80,70 @@
     const auto& upstream = *entry.upstream;
     Candidate it;
     it.node = entry.name;
+    it.version = upstream.version;
     it.calls = entry.addresses.calls;
     it.domain = entry.domain;
     it.cold = upstream.state == membership::UpstreamState::Cold;
     it.suspect = known.liveness == membership::Liveness::Suspect && entry.name != m_ownNode;
     it.hintFactor = hintFactor(upstream);
     it.statistics = &m_statistics.at(entry.name);
-    m_candidates[{ upstream.service, upstream.version }].push_back(std::move(it));
+    m_candidates[upstream.service].push_back(std::move(it));
 }
 
 std::optional<UpstreamChoice> UpstreamPicker::pick(
-    const ServiceName& service, const VersionName& version, const PickConstraints& constraints, MonotonicTime now)
+    const ServiceName& service, const VersionFilter& versions, const PickConstraints& constraints, MonotonicTime now)
 {
     takeUpView(now);
-    const auto found = m_candidates.find({ service, version });
-    if (found == m_candidates.end())
-        return std::nullopt;
-    const auto* probe = dueProbe(found->second, constraints, now);
+    const auto candidates = eligible(service, versions, constraints);
+    const auto* probe = constraints.mayProbe ? dueProbe(candidates, now) : nullptr;
     const auto* chosen = probe;
     if (!chosen) {
-        const auto pools = poolsOf(found->second, constraints, now);
+        const auto pools = poolsOf(candidates, now);
         const auto* pool = choosePool(pools, constraints);
         if (!pool)
             return std::nullopt;
         chosen = pickFrom(*pool, now);
     }
-    return UpstreamChoice { chosen->node, chosen->calls, chosen->statistics->connectionsSuspect(), probe != nullptr };
+    return UpstreamChoice { chosen->node, chosen->version, chosen->calls, chosen->statistics->connectionsSuspect(), probe != nullptr };
 }
 
-const UpstreamPicker::Candidate* UpstreamPicker::dueProbe(
-    const Candidates& candidates, const PickConstraints& constraints, MonotonicTime now) const
+UpstreamPicker::Pool UpstreamPicker::eligible(
+    const ServiceName& service, const VersionFilter& versions, const PickConstraints& constraints) const
 {
-    if (!constraints.mayProbe)
-        return nullptr;
-    for (const auto& it : candidates) {
-        if (!it.suspect && it.statistics->probeDue(now) && !contains(constraints.excluded, it.node))
-            return &it;
+    Pool pool;
+    const auto found = m_candidates.find(service);
+    if (found == m_candidates.end())
+        return pool;
+    for (const auto& it : found->second) {
+        if (versions.takes(it.version) && !contains(constraints.excluded, it.node))
+            pool.push_back(&it);
     }
-    return nullptr;
+    return pool;
 }
 
-UpstreamPicker::Pools UpstreamPicker::poolsOf(
-    const Candidates& candidates, const PickConstraints& constraints, MonotonicTime now) const
+const UpstreamPicker::Candidate* UpstreamPicker::dueProbe(const Pool& candidates, MonotonicTime now)
+{
+    const auto it = std::find_if(candidates.begin(), candidates.end(),
+        [now](const Candidate* candidate) { return !candidate->suspect && candidate->statistics->probeDue(now); });
+    return it == candidates.end() ? nullptr : *it;
+}
+
+UpstreamPicker::Pools UpstreamPicker::poolsOf(const Pool& candidates, MonotonicTime now)
 {
     using Standing = UpstreamStatistics::Standing;
     Pools pools;
-    for (const auto& it : candidates) {
-        if (contains(constraints.excluded, it.node))
-            continue;
-        const auto standing = it.statistics->standing(now);
+    for (const auto* it : candidates) {
+        const auto standing = it->statistics->standing(now);
         if (standing == Standing::NotServing)
             continue;
         if (standing == Standing::Ejected)
-            pools.ejected.push_back(&it);
-        else if (standing == Standing::Doubtful || it.suspect)
-            pools.doubtful.push_back(&it);
-        else if (it.cold)
-            pools.cold.push_back(&it);
+            pools.ejected.push_back(it);
+        else if (standing == Standing::Doubtful || it->suspect)
+            pools.doubtful.push_back(it);
+        else if (it->cold)
+            pools.cold.push_back(it);
         else
-            pools.sound.push_back(&it);
+            pools.sound.push_back(it);
     }
     return pools;
 }
--- /dev/null
+++ b/packages/routing/src/WeightedTurn.cpp
@@ -0,0 +1,39 @@
+#include "carobpath/routing/WeightedTurn.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace carobpath::routing {
+
+void WeightedTurn::update(const std::vector<publication::Destination>& destinations, double phase)
+{
+    if (destinations == m_destinations)
+        return;
+    m_destinations = destinations;
+    m_owed.clear();
+    const double sum = std::accumulate(destinations.begin(), destinations.end(), 0.0, [](double total, const auto& it) { return total + it.weight; });
+    double shift = phase;
+    for (const auto& it : m_destinations) {
+        m_owed.push_back((shift - 0.5) * std::min<double>(it.weight, sum - it.weight));
+        shift = 1 - shift;
+    }
+}
+
+ServiceName WeightedTurn::next()
+{
+    double sum = 0;
+    std::size_t best = m_destinations.size();
+    for (std::size_t i = 0; i < m_destinations.size(); ++i) {
+        const double weight = m_destinations[i].weight;
+        sum += weight;
+        m_owed[i] += weight;
+        if (weight > 0 && (best == m_destinations.size() || m_owed[i] > m_owed[best]))
+            best = i;
+    }
+    if (best == m_destinations.size())
+        return ServiceName {};
+    m_owed[best] -= sum;
+    return m_destinations[best].service;
+}
+
+}
--- a/packages/routing/tests/AdmissionFixture.h
+++ b/packages/routing/tests/AdmissionFixture.h
@@ -39,6 +39,7 @@
     {
         AdmissionRequest it;
         it.id = RequestId { "r" + std::to_string(++requests) };
+        it.service = ServiceName { "booking" };
         it.version = VersionName { "v1" };
         it.trafficClass = trafficClass;
         it.repeatability = repeatability;
--- a/packages/routing/tests/CallHistory.h
+++ b/packages/routing/tests/CallHistory.h
@@ -222,6 +222,7 @@
             call.node = static_cast<std::size_t>(sent->node.value().back() - '0');
             AdmissionRequest request;
             request.id = call.id;
+            request.service = sent->service;
             request.version = sent->version;
             request.repeatability = sent->repeatability;
             request.deadline = sent->deadline;
