Decide ordered moves of seconds on evidence of the same seconds

Ruled out: shorter windows of the same engine, whose stages of 40 to 95 % pass the bound for a version that turns bad late. Change: OrderedMoves holds a small share as large as the sum to the deadline allows, sends all calls for a moment, then has the state written under a condition; a finding of two instances takes it back at once.

--- a/packages/foundation/include/carobpath/foundation/EventNames.h
+++ b/packages/foundation/include/carobpath/foundation/EventNames.h
@@ -37,6 +37,10 @@
     inline constexpr EventName callRefused { "call-refused" };
     inline constexpr EventName backendCrashed { "backend-crashed" };
 
+    inline constexpr EventName moveOrdered { "move-ordered" };
+    inline constexpr EventName orderRefused { "order-refused" };
+    inline constexpr EventName moveRecorded { "move-recorded" };
+    inline constexpr EventName moveRecordFailed { "move-record-failed" };
     inline constexpr EventName moveShareChanged { "move-share-changed" };
     inline constexpr EventName moveTakenBack { "move-taken-back" };
     inline constexpr EventName verdictRecorded { "verdict-recorded" };
--- a/packages/foundation/include/carobpath/foundation/NodeSettings.h
+++ b/packages/foundation/include/carobpath/foundation/NodeSettings.h
@@ -79,6 +79,12 @@
         std::chrono::microseconds logWait {};
     } timeouts;
 
+    /// What a bad version may get between the order of a move and its deadline.
+    struct Exposure {
+        double part = 0;
+        double slack = 0;
+    } exposure;
+
     struct Drain {
         std::chrono::microseconds grace {};
         std::chrono::microseconds accept {};
--- a/packages/foundation/src/NodeSettings.cpp
+++ b/packages/foundation/src/NodeSettings.cpp
@@ -77,6 +77,16 @@
             "Window over which calls that are sent again are counted.");
     }
 
+    void declareExposure(Reader& it)
+    {
+        it.withDefault(
+            "exposure.part", decimalSetting(0, 1), "0.1", [](auto& s) -> auto& { return s.exposure.part; },
+            "Part of a service's calls that an ordered version may get before it is known as good.");
+        it.withDefault(
+            "exposure.slack", decimalSetting(0, 1'000'000), "50", [](auto& s) -> auto& { return s.exposure.slack; },
+            "Calls that it may get besides.");
+    }
+
     void declareLog(Reader& it)
     {
         it.list(
@@ -174,6 +184,7 @@
             declareListeners(made);
             declarePlatform(made);
             declareRetries(made);
+            declareExposure(made);
             declareLog(made);
             declareTrust(made);
             declareLimits(made);
--- a/packages/moves/include/carobpath/moves/EvidenceBook.h
+++ b/packages/moves/include/carobpath/moves/EvidenceBook.h
@@ -27,6 +27,7 @@
     VersionName version;
     std::uint32_t window = 0;
     EvidenceCounts counts;
+    NodeName observer;
 };
 
 /// The newest evidence of each observer, and the node's own counts.
--- /dev/null
+++ b/packages/moves/include/carobpath/moves/OrderedMovePlan.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <chrono>
+
+namespace carobpath::moves {
+
+/// What a bad version of a service may get between the order of a move and its deadline.
+struct ExposureBound {
+    /// Part of all requests that reach the service.
+    double part = 0.1;
+    /// Requests besides.
+    double slack = 50;
+};
+
+/// The time plan of a move that has seconds rather than minutes: a small share until shortly before the deadline, then
+/// all calls for a moment, to see the new version under its whole load, then the verdict.
+///
+/// A version can turn bad at any time, so what bounds the harm is the sum of its calls from the order to the deadline:
+/// the share is as large as that sum leaves it. All times count from the order.
+class OrderedMovePlan {
+public:
+    OrderedMovePlan(std::chrono::milliseconds duration, const ExposureBound&);
+
+    std::chrono::milliseconds deadline() const { return m_duration; }
+    /// When all calls go to the new version.
+    std::chrono::milliseconds fullAt() const;
+    /// When the verdict is written, early enough to stand at the deadline.
+    std::chrono::milliseconds verdictAt() const;
+    /// \param callsPerSecond of the service over the whole fleet; 0 where it is not known yet.
+    double canaryShare(double callsPerSecond) const;
+
+private:
+    std::chrono::milliseconds m_duration;
+    ExposureBound m_bound;
+};
+
+}
--- /dev/null
+++ b/packages/moves/include/carobpath/moves/OrderedMoves.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "carobpath/foundation/Time.h"
+#include "carobpath/moves/EvidenceBook.h"
+#include "carobpath/moves/MoveCommand.h"
+#include "carobpath/moves/OrderedMovePlan.h"
+#include "carobpath/moves/VersionComparison.h"
+#include "carobpath/moves/VersionShare.h"
+
+#include <map>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace carobpath::moves {
+
+/// An operator's order to move a service's calls to another version.
+struct MoveOrder {
+    ServiceName service;
+    VersionName to;
+    std::chrono::milliseconds duration {};
+    /// Offset of the order's record; tells it from other orders of the service.
+    publication::Offset offset = 0;
+};
+
+/// How a move stands in the store.
+enum class OrderedMoveState : std::uint8_t {
+    Running,
+    Done,
+    TakenBack,
+};
+
+/// The store's newest record on the move of a service.
+struct MoveStatus {
+    ServiceName service;
+    VersionName to;
+    /// Offset of the order that it belongs to.
+    publication::Offset order = 0;
+    OrderedMoveState state = OrderedMoveState::Running;
+};
+
+/// Write a move's state to the store, unless the store holds an end of the same order already. Asked for again until
+/// \c OrderedMoves::onStatus tells of it.
+struct WriteStatus {
+    MoveStatus status;
+};
+
+using OrderedMoveCommand = std::variant<WriteStatus, SpreadNotice, ShareChanged>;
+
+/// Decides, on one node, on moves that an operator orders with some ten seconds to the deadline: keeps and merges evidence,
+/// splits calls, finds badness, and has the state written. Time counts on the monotonic clock from the moment at which the
+/// node learnt of the order, since wall clocks step and differ.
+///
+/// All nodes follow the same plan, so that no share need be spread; only a finding is, at once.
+class OrderedMoves {
+public:
+    /// Time between two ranks of writers, so that one of them mostly writes alone.
+    static constexpr std::chrono::milliseconds s_rankStep { 150 };
+    static constexpr std::chrono::milliseconds s_writeRetry { 300 };
+    /// A share older than this is not used: the node was paused, and the version may have been taken back since.
+    static constexpr std::chrono::milliseconds s_longestTickGap { 1'500 };
+
+    OrderedMoves(NodeName self, Incarnation, const ExposureBound&);
+
+    /// Nodes that may write; those held alive.
+    void onNodes(std::vector<NodeName>);
+    /// \param age of the order, where it was given before this node started.
+    void onOrder(const MoveOrder&, std::chrono::milliseconds age, MonotonicTime now);
+    void onStatus(const MoveStatus&);
+    /// Counts a call that this node admitted. Calls of services without a move are left out.
+    void observe(const ServiceName&, const RouteName&, const VersionName&, CallResult, std::chrono::nanoseconds latency, MonotonicTime now);
+    void merge(const EvidenceUpdate&);
+    EvidenceUpdate changedSince(EvidenceCursor&) const;
+    std::vector<OrderedMoveCommand> tick(MonotonicTime now);
+    VersionShare share(const ServiceName&, MonotonicTime now) const;
+    /// \returns whether a move has no end in the store yet.
+    bool unfinished() const;
+
+private:
+    /// Evidence windows: calls while the new version gets a part, and while it gets all.
+    static constexpr std::uint32_t s_canaryWindow = 0;
+    static constexpr std::uint32_t s_fullWindow = 1;
+
+    struct Move {
+        MoveOrder order;
+        OrderedMovePlan plan;
+        MonotonicTime startedAt;
+        /// Of the canary window and of the full one, each against all calls of the old version.
+        VersionComparison canary;
+        VersionComparison full;
+        /// What the store holds of this order.
+        std::optional<OrderedMoveState> recorded;
+        double shownShare = 0;
+        std::optional<OrderedMoveState> wanted;
+        MonotonicTime writeAt;
+    };
+
+    static MoveId idOf(const MoveOrder&);
+    std::chrono::milliseconds elapsed(const Move&, MonotonicTime now) const;
+    bool isTakenBack(const Move&) const;
+    bool isFull(const Move&, MonotonicTime now) const;
+    double shareOf(const Move&, MonotonicTime now) const;
+    std::optional<OrderedMoveState> stateOf(const Move&, MonotonicTime now) const;
+    std::size_t rankFor(const MoveOrder&) const;
+    void add(const std::vector<EvidenceGrowth>&);
+    void find(Move&, std::vector<OrderedMoveCommand>&);
+    void write(Move&, MonotonicTime now, std::vector<OrderedMoveCommand>&);
+    void retain();
+
+    NodeName m_self;
+    ExposureBound m_bound;
+    std::vector<NodeName> m_nodes;
+    EvidenceBook m_book;
+    std::map<ServiceName, Move> m_moves;
+    /// Ends that were read before their orders.
+    std::map<ServiceName, MoveStatus> m_statuses;
+    MonotonicTime m_tickedAt = MonotonicTime::min();
+};
+
+}
--- a/packages/moves/src/EvidenceBook.cpp
+++ b/packages/moves/src/EvidenceBook.cpp
@@ -44,7 +44,7 @@
             own.changed = false;
             own.urgent = false;
             own.publishedAt = now;
-            EvidenceGrowth it { move, key.route, key.version, key.window, {} };
+            EvidenceGrowth it { move, key.route, key.version, key.window, {}, m_self };
             if (store(evidence, key, Revision { m_incarnation, ++m_sequence }, own.counts, it.counts))
                 result.push_back(std::move(it));
         }
@@ -84,7 +84,7 @@
         auto* evidence = isOwn ? nullptr : find(move);
         if (!evidence)
             continue;
-        EvidenceGrowth it { move, entry.route, entry.version, entry.window, {} };
+        EvidenceGrowth it { move, entry.route, entry.version, entry.window, {}, entry.observer };
         if (store(*evidence, SeriesKey { entry.route, entry.version, entry.window, entry.observer }, entry.revision, entry.counts, it.counts))
             result.push_back(std::move(it));
     }
@@ -170,7 +170,7 @@
         return result;
     for (const auto& [key, series] : it->second.series) {
         for (const auto& [incarnation, stored] : series)
-            result.push_back({ move, key.route, key.version, key.window, stored.counts });
+            result.push_back({ move, key.route, key.version, key.window, stored.counts, key.observer });
     }
     return result;
 }
--- /dev/null
+++ b/packages/moves/src/OrderedMoves.cpp
@@ -0,0 +1,245 @@
+#include "carobpath/moves/OrderedMoves.h"
+
+#include "carobpath/foundation/RendezvousHash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carobpath::moves {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    /// Calls that a move is completed on at least.
+    constexpr std::uint64_t fewestCalls = 5;
+    /// Evidence of other nodes is late by about this time.
+    constexpr milliseconds evidenceLag { 1'500 };
+
+    EvidenceCounts countsOf(CallResult result, std::chrono::nanoseconds latency)
+    {
+        EvidenceCounts it;
+        switch (result) {
+        case CallResult::Succeeded:
+            it.succeeded = 1;
+            it.latency.at(latencyClassOf(latency)) = 1;
+            break;
+        case CallResult::Failed:
+            it.failed = 1;
+            break;
+        case CallResult::Refused:
+            it.refused = 1;
+            break;
+        }
+        return it;
+    }
+
+}
+
+OrderedMoves::OrderedMoves(NodeName self, Incarnation incarnation, const ExposureBound& bound)
+    : m_self(std::move(self))
+    , m_bound(bound)
+    , m_book(m_self, incarnation)
+{
+}
+
+MoveId OrderedMoves::idOf(const MoveOrder& order)
+{
+    return { MoveName { order.service.value() }, order.offset };
+}
+
+void OrderedMoves::onNodes(std::vector<NodeName> nodes) { m_nodes = std::move(nodes); }
+
+void OrderedMoves::onOrder(const MoveOrder& order, milliseconds age, MonotonicTime now)
+{
+    const auto held = m_moves.find(order.service);
+    if (held != m_moves.end() && held->second.order.offset >= order.offset)
+        return;
+    Move move { order, OrderedMovePlan { order.duration, m_bound }, now - age, {}, {}, std::nullopt, 0, std::nullopt, now };
+    const auto status = m_statuses.find(order.service);
+    if (status != m_statuses.end() && status->second.order == order.offset)
+        move.recorded = status->second.state;
+    m_moves.insert_or_assign(order.service, std::move(move));
+    retain();
+    for (const auto& growth : m_book.total(idOf(order)))
+        add({ growth });
+}
+
+void OrderedMoves::retain()
+{
+    std::vector<MoveId> active;
+    publication::Offset newest = 0;
+    for (const auto& [service, move] : m_moves) {
+        active.push_back(idOf(move.order));
+        newest = std::max(newest, move.order.offset);
+    }
+    m_book.retain(active, newest);
+}
+
+void OrderedMoves::onStatus(const MoveStatus& status)
+{
+    m_statuses.insert_or_assign(status.service, status);
+    const auto it = m_moves.find(status.service);
+    if (it == m_moves.end() || it->second.order.offset != status.order)
+        return;
+    auto& recorded = it->second.recorded;
+    // The first end that was recorded stands.
+    if (!recorded || *recorded == OrderedMoveState::Running)
+        recorded = status.state;
+}
+
+void OrderedMoves::observe(const ServiceName& service, const RouteName& route, const VersionName& version, CallResult result, std::chrono::nanoseconds latency, MonotonicTime now)
+{
+    const auto it = m_moves.find(service);
+    if (it == m_moves.end() || (it->second.recorded && *it->second.recorded != OrderedMoveState::Running))
+        return;
+    const auto& move = it->second;
+    const auto window = isFull(move, now) ? s_fullWindow : s_canaryWindow;
+    m_book.observe(idOf(move.order), route, version, window, countsOf(result, latency), now);
+}
+
+void OrderedMoves::add(const std::vector<EvidenceGrowth>& growth)
+{
+    for (const auto& it : growth) {
+        const auto found = m_moves.find(ServiceName { it.move.name.value() });
+        if (found == m_moves.end() || idOf(found->second.order) != it.move)
+            continue;
+        auto& move = found->second;
+        if (it.version != move.order.to) {
+            move.canary.addOld(it);
+            move.full.addOld(it);
+        } else if (it.window == s_fullWindow) {
+            move.full.addNew(it);
+        } else {
+            move.canary.addNew(it);
+        }
+    }
+}
+
+void OrderedMoves::merge(const EvidenceUpdate& update) { add(m_book.merge(update)); }
+
+EvidenceUpdate OrderedMoves::changedSince(EvidenceCursor& cursor) const { return m_book.changedSince(cursor); }
+
+milliseconds OrderedMoves::elapsed(const Move& move, MonotonicTime now) const
+{
+    return std::chrono::duration_cast<milliseconds>(now - move.startedAt);
+}
+
+bool OrderedMoves::isTakenBack(const Move& move) const
+{
+    return move.recorded == OrderedMoveState::TakenBack || m_book.notice(idOf(move.order)) != nullptr;
+}
+
+bool OrderedMoves::isFull(const Move& move, MonotonicTime now) const
+{
+    return !isTakenBack(move) && elapsed(move, now) >= move.plan.fullAt() && move.canary.newCalls() >= fewestCalls;
+}
+
+double OrderedMoves::shareOf(const Move& move, MonotonicTime now) const
+{
+    if (isTakenBack(move))
+        return 0;
+    if (isFull(move, now))
+        return 1;
+    const auto seen = std::max(elapsed(move, now) - evidenceLag, milliseconds { 0 });
+    const auto calls = static_cast<double>(move.canary.oldCalls() + move.canary.newCalls());
+    const double rate = seen > evidenceLag ? calls / std::chrono::duration<double>(seen).count() : 0;
+    return move.plan.canaryShare(rate);
+}
+
+VersionShare OrderedMoves::share(const ServiceName& service, MonotonicTime now) const
+{
+    VersionShare it;
+    const auto found = m_moves.find(service);
+    if (found == m_moves.end())
+        return it;
+    const auto& move = found->second;
+    if (move.recorded == OrderedMoveState::Done) {
+        it.current = move.order.to;
+        return it;
+    }
+    it.next = move.order.to;
+    const bool isFresh = m_tickedAt != MonotonicTime::min() && now - m_tickedAt <= s_longestTickGap;
+    it.nextShare = isFresh ? shareOf(move, now) : 0;
+    return it;
+}
+
+bool OrderedMoves::unfinished() const
+{
+    return std::any_of(m_moves.begin(), m_moves.end(), [](const auto& it) {
+        return !it.second.recorded || it.second.recorded == OrderedMoveState::Running;
+    });
+}
+
+std::vector<OrderedMoveCommand> OrderedMoves::tick(MonotonicTime now)
+{
+    std::vector<OrderedMoveCommand> commands;
+    m_tickedAt = now;
+    add(m_book.publishOwn(now));
+    for (auto& [service, move] : m_moves) {
+        find(move, commands);
+        const auto share = shareOf(move, now);
+        if (share != move.shownShare) {
+            move.shownShare = share;
+            commands.emplace_back(ShareChanged { service, idOf(move.order).name, { VersionName {}, move.order.to, share } });
+        }
+        write(move, now, commands);
+    }
+    return commands;
+}
+
+void OrderedMoves::find(Move& move, std::vector<OrderedMoveCommand>& commands)
+{
+    const auto id = idOf(move.order);
+    const bool ended = move.recorded && *move.recorded != OrderedMoveState::Running;
+    if (ended || m_book.notice(id))
+        return;
+    auto finding = move.canary.finding();
+    if (!finding)
+        finding = move.full.finding();
+    if (!finding)
+        return;
+    const publication::MoveVerdict verdict { publication::MoveOutcome::TakenBack, finding->reason, finding->route, finding->evidence };
+    const TakeBackNotice notice { id.name, id.publishedAt, m_self, verdict };
+    if (m_book.addNotice(notice))
+        commands.emplace_back(SpreadNotice { notice });
+}
+
+std::optional<OrderedMoveState> OrderedMoves::stateOf(const Move& move, MonotonicTime now) const
+{
+    if (isTakenBack(move))
+        return OrderedMoveState::TakenBack;
+    if (elapsed(move, now) < move.plan.verdictAt())
+        return OrderedMoveState::Running;
+    if (isFull(move, now))
+        return OrderedMoveState::Done;
+    // Too few calls showed what the new version does.
+    return elapsed(move, now) >= move.plan.deadline() ? OrderedMoveState::TakenBack : OrderedMoveState::Running;
+}
+
+std::size_t OrderedMoves::rankFor(const MoveOrder& order) const
+{
+    const auto key = order.service.value() + '@' + std::to_string(order.offset);
+    const auto own = rendezvousScore(key, m_self.value());
+    return static_cast<std::size_t>(std::count_if(m_nodes.begin(), m_nodes.end(), [&](const NodeName& it) {
+        return it != m_self && rendezvousScore(key, it.value()) > own;
+    }));
+}
+
+void OrderedMoves::write(Move& move, MonotonicTime now, std::vector<OrderedMoveCommand>& commands)
+{
+    const auto state = stateOf(move, now);
+    const bool ended = move.recorded && *move.recorded != OrderedMoveState::Running;
+    if (!state || ended || state == move.recorded)
+        return;
+    if (move.wanted != state) {
+        move.wanted = state;
+        move.writeAt = now + s_rankStep * static_cast<int>(rankFor(move.order));
+    }
+    if (now < move.writeAt)
+        return;
+    move.writeAt = now + s_writeRetry * static_cast<int>(1 + rankFor(move.order));
+    commands.emplace_back(WriteStatus { { move.order.service, move.order.to, move.order.offset, *state } });
+}
+
+}
--- /dev/null
+++ b/packages/moves/tests/OrderedMovesTests.cpp
@@ -0,0 +1,200 @@
+#include "carobpath/moves/OrderedMoves.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+
+namespace carobpath::moves {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    const ServiceName service { "catalog" };
+    const VersionName oldVersion { "v1" };
+    const VersionName newVersion { "v2" };
+    const MonotonicTime start { 1000s };
+
+    MoveOrder order(publication::Offset offset = 5) { return { service, newVersion, 16s, offset }; }
+
+    /// Nodes that share evidence at once, and a store that keeps the first end.
+    struct Fleet {
+        std::vector<OrderedMoves> nodes;
+        std::vector<MoveStatus> written;
+        bool storeIsAway = false;
+        int harmed = 0;
+        int calls = 0;
+
+        explicit Fleet(std::size_t count)
+        {
+            std::vector<NodeName> names;
+            for (std::size_t i = 0; i < count; ++i)
+                names.emplace_back("n" + std::to_string(i));
+            for (const auto& name : names) {
+                nodes.emplace_back(name, Incarnation { 1 }, ExposureBound {});
+                nodes.back().onNodes(names);
+            }
+        }
+
+        void give(const MoveOrder& it, MonotonicTime now)
+        {
+            for (auto& node : nodes)
+                node.onOrder(it, 0ms, now);
+        }
+
+        std::optional<OrderedMoveState> end() const
+        {
+            for (const auto& it : written) {
+                if (it.state != OrderedMoveState::Running)
+                    return it.state;
+            }
+            return std::nullopt;
+        }
+
+        void write(const MoveStatus& status)
+        {
+            if (storeIsAway || end())
+                return;
+            written.push_back(status);
+            for (auto& node : nodes)
+                node.onStatus(status);
+        }
+
+        void spread()
+        {
+            for (const auto& from : nodes) {
+                EvidenceCursor cursor;
+                const auto update = from.changedSince(cursor);
+                for (auto& to : nodes)
+                    to.merge(update);
+            }
+        }
+
+        /// One tick of 100 ms with some calls; \\p fails says whether a call of the new version fails.
+        void tick(MonotonicTime now, const std::function<bool(double share)>& fails)
+        {
+            for (auto& node : nodes) {
+                for (const auto& command : node.tick(now)) {
+                    if (const auto* it = std::get_if<WriteStatus>(&command))
+                        write(it->status);
+                }
+            }
+            spread();
+            for (auto& node : nodes)
+                call(node, now, fails);
+        }
+
+        void call(OrderedMoves& node, MonotonicTime now, const std::function<bool(double)>& fails)
+        {
+            const auto share = node.share(service, now);
+            const double part = share.next ? share.nextShare : (share.current == newVersion ? 1 : 0);
+            for (int i = 0; i < 4; ++i) {
+                const bool isNew = calls++ % 100 < part * 100;
+                const bool failed = isNew && fails(part);
+                harmed += failed ? 1 : 0;
+                node.observe(service, RouteName { "r" }, isNew ? newVersion : oldVersion, failed ? CallResult::Failed : CallResult::Succeeded, 100ms, now);
+            }
+        }
+
+        void run(std::chrono::milliseconds from, std::chrono::milliseconds to, const std::function<bool(double)>& fails)
+        {
+            for (auto at = from; at < to; at += 100ms)
+                tick(start + at, fails);
+        }
+    };
+
+    bool never(double) { return false; }
+    bool always(double) { return true; }
+
+}
+
+BOOST_AUTO_TEST_SUITE(OrderedMoveDecisions)
+
+BOOST_AUTO_TEST_CASE(A_good_version_is_done_before_the_deadline)
+{
+    Fleet fleet { 4 };
+    fleet.give(order(), start);
+    fleet.run(0ms, 15'900ms, never);
+    BOOST_CHECK(fleet.end() == OrderedMoveState::Done);
+    const auto share = fleet.nodes.front().share(service, start + 15'900ms);
+    BOOST_TEST(share.current.value() == "v2");
+    BOOST_TEST(!share.next.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(A_version_that_fails_is_taken_back_and_gets_no_more_calls)
+{
+    Fleet fleet { 4 };
+    fleet.give(order(), start);
+    fleet.run(0ms, 8s, always);
+    BOOST_CHECK(fleet.end() == OrderedMoveState::TakenBack);
+    BOOST_TEST(fleet.nodes.back().share(service, start + 8s).nextShare == 0);
+    BOOST_TEST(fleet.harmed < 50);
+}
+
+BOOST_AUTO_TEST_CASE(A_version_that_fails_under_the_whole_load_alone_is_taken_back_before_the_verdict)
+{
+    Fleet fleet { 4 };
+    fleet.give(order(), start);
+    fleet.run(0ms, 16s, [](double share) { return share > 0.5; });
+    BOOST_CHECK(fleet.end() == OrderedMoveState::TakenBack);
+}
+
+BOOST_AUTO_TEST_CASE(A_version_without_calls_is_not_done)
+{
+    Fleet fleet { 1 };
+    fleet.give(order(), start);
+    for (auto at = 0ms; at < 17s; at += 100ms) {
+        for (const auto& command : fleet.nodes.front().tick(start + at)) {
+            if (const auto* it = std::get_if<WriteStatus>(&command))
+                fleet.write(it->status);
+        }
+    }
+    BOOST_CHECK(fleet.end() == OrderedMoveState::TakenBack);
+}
+
+BOOST_AUTO_TEST_CASE(An_end_is_written_once_the_store_is_back)
+{
+    Fleet fleet { 4 };
+    fleet.give(order(), start);
+    fleet.storeIsAway = true;
+    fleet.run(0ms, 18s, always);
+    BOOST_CHECK(!fleet.end());
+    fleet.storeIsAway = false;
+    fleet.run(18s, 20s, always);
+    BOOST_CHECK(fleet.end() == OrderedMoveState::TakenBack);
+}
+
+BOOST_AUTO_TEST_CASE(A_node_that_starts_again_takes_the_recorded_end_over)
+{
+    OrderedMoves node { NodeName { "n0" }, Incarnation { 2 }, ExposureBound {} };
+    node.onStatus({ service, newVersion, 5, OrderedMoveState::TakenBack });
+    node.onOrder(order(), 12s, start);
+    node.tick(start);
+    BOOST_TEST(node.share(service, start).nextShare == 0);
+    BOOST_TEST(!node.unfinished());
+}
+
+BOOST_AUTO_TEST_CASE(A_later_order_of_the_service_begins_anew)
+{
+    Fleet fleet { 2 };
+    fleet.give(order(), start);
+    fleet.run(0ms, 8s, always);
+    fleet.written.clear();
+    for (auto& node : fleet.nodes)
+        node.onOrder(order(9), 0ms, start + 20s);
+    fleet.run(20s, 36s, never);
+    BOOST_CHECK(fleet.end() == OrderedMoveState::Done);
+}
+
+BOOST_AUTO_TEST_CASE(A_node_that_was_paused_sends_nothing_to_the_new_version_before_its_next_tick)
+{
+    OrderedMoves node { NodeName { "n0" }, Incarnation { 1 }, ExposureBound {} };
+    node.onOrder(order(), 0ms, start);
+    node.tick(start);
+    BOOST_TEST(node.share(service, start + 1s).nextShare > 0);
+    BOOST_TEST(node.share(service, start + 5s).nextShare == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
--- /dev/null
+++ b/packages/moves/tests/VersionComparisonTests.cpp
@@ -0,0 +1,100 @@
+#include "carobpath/moves/VersionComparison.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace carobpath::moves {
+
+namespace {
+
+    EvidenceGrowth growth(const char* observer, std::uint64_t succeeded, std::uint64_t failed, std::size_t latencyClass = 7, const char* route = "r")
+    {
+        EvidenceGrowth it;
+        it.route = RouteName { route };
+        it.observer = NodeName { observer };
+        it.counts.succeeded = succeeded;
+        it.counts.failed = failed;
+        it.counts.latency.at(latencyClass) = succeeded;
+        return it;
+    }
+
+    publication::MoveReason reasonOf(const VersionComparison& comparison)
+    {
+        const auto finding = comparison.finding();
+        return finding ? finding->reason : publication::MoveReason::None;
+    }
+
+}
+
+BOOST_AUTO_TEST_SUITE(VersionComparisons)
+
+BOOST_AUTO_TEST_CASE(Failures_on_several_instances_speak_against_the_new_version)
+{
+    VersionComparison it;
+    it.addOld(growth("o", 200, 2));
+    it.addNew(growth("a", 3, 3));
+    it.addNew(growth("b", 3, 2));
+    BOOST_CHECK(reasonOf(it) == publication::MoveReason::ErrorRate);
+}
+
+BOOST_AUTO_TEST_CASE(One_failing_instance_of_many_does_not)
+{
+    VersionComparison it;
+    it.addOld(growth("o", 200, 2));
+    it.addNew(growth("a", 0, 8));
+    it.addNew(growth("b", 9, 0));
+    it.addNew(growth("c", 9, 0));
+    BOOST_CHECK(reasonOf(it) == publication::MoveReason::None);
+}
+
+BOOST_AUTO_TEST_CASE(A_version_with_one_instance_is_judged_by_it)
+{
+    VersionComparison it;
+    it.addOld(growth("o", 200, 2));
+    it.addNew(growth("a", 6, 6));
+    BOOST_CHECK(reasonOf(it) == publication::MoveReason::ErrorRate);
+}
+
+BOOST_AUTO_TEST_CASE(A_fault_that_hits_both_versions_alike_does_not_speak_against_the_new_one)
+{
+    VersionComparison it;
+    it.addOld(growth("o", 60, 40));
+    it.addNew(growth("a", 6, 4));
+    it.addNew(growth("b", 6, 4));
+    BOOST_CHECK(reasonOf(it) == publication::MoveReason::None);
+}
+
+BOOST_AUTO_TEST_CASE(A_version_that_is_several_times_slower_is_found)
+{
+    VersionComparison it;
+    it.addOld(growth("o", 100, 0, 7));
+    it.addNew(growth("a", 5, 0, 10));
+    it.addNew(growth("b", 5, 0, 10));
+    BOOST_CHECK(reasonOf(it) == publication::MoveReason::Latency);
+}
+
+BOOST_AUTO_TEST_CASE(A_cold_start_that_doubles_the_latency_is_not_badness)
+{
+    VersionComparison it;
+    it.addOld(growth("o", 100, 0, 7));
+    it.addNew(growth("a", 5, 0, 8));
+    it.addNew(growth("b", 5, 0, 8));
+    BOOST_CHECK(reasonOf(it) == publication::MoveReason::None);
+}
+
+BOOST_AUTO_TEST_CASE(Badness_on_one_route_alone_is_found_and_named)
+{
+    VersionComparison it;
+    it.addOld(growth("o", 500, 2, 7, "good"));
+    it.addOld(growth("o", 50, 0, 7, "bad"));
+    for (const char* observer : { "a", "b" }) {
+        it.addNew(growth(observer, 30, 0, 7, "good"));
+        it.addNew(growth(observer, 1, 2, 7, "bad"));
+    }
+    const auto finding = it.finding();
+    BOOST_REQUIRE(finding.has_value());
+    BOOST_TEST(finding->route.value() == "bad");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
--- a/packages/node/src/internal/DirectoryDriver.cpp
+++ b/packages/node/src/internal/DirectoryDriver.cpp
@@ -39,7 +39,7 @@
 
 void DirectoryDriver::leave()
 {
-    m_store.put(directoryStream, { 0, m_context.settings.name.value(), std::nullopt }, [](const publication::AppendResult&) {
+    m_store.put(directoryStream, { 0, m_context.settings.name.value(), std::nullopt }, std::nullopt, [](const publication::AppendResult&) {
         // An entry that stays costs others one failed connection; the node's next run overwrites it.
     });
 }
@@ -77,7 +77,7 @@
 void DirectoryDriver::registerSelf()
 {
     const publication::KeyedRecord entry { 0, m_context.settings.name.value(), toString(m_peer) };
-    m_store.put(directoryStream, entry, [self = shared_from_this()](const publication::AppendResult& result) {
+    m_store.put(directoryStream, entry, std::nullopt, [self = shared_from_this()](const publication::AppendResult& result) {
         if (const auto* failure = std::get_if<publication::LogFailure>(&result))
             self->fail("register", *failure);
         else
--- a/packages/node/src/internal/FleetDriver.cpp
+++ b/packages/node/src/internal/FleetDriver.cpp
@@ -30,6 +30,7 @@
     , m_upstream(upstream)
     , m_hooks(std::move(hooks))
     , m_store(context.io.get_executor(), storeOptionsOf(context.settings))
+    , m_moves(std::make_shared<OrderedMoveDriver>(context, m_store, m_hooks.onNotice))
 {
 }
 
@@ -53,6 +54,7 @@
     m_directory = std::make_shared<DirectoryDriver>(m_context, m_store, peer, m_hooks.onPeersFound);
     m_reader->start();
     m_directory->start();
+    m_moves->start();
 }
 
 void FleetDriver::leave()
@@ -64,6 +66,7 @@
 {
     m_reader->stop();
     m_directory->stop();
+    m_moves->stop();
     if (m_readiness)
         m_readiness->stop();
     if (m_announcements)
@@ -93,8 +96,16 @@
 
 void FleetDriver::onOrder(const publication::KeyedRecord& record)
 {
-    if (record.key != platform::configurationKey || !record.value)
+    if (!record.value)
         return;
+    if (platform::isMoveKey(record.key))
+        m_moves->onOrder(record);
+    else if (record.key == platform::configurationKey)
+        onConfigurationRecord(record);
+}
+
+void FleetDriver::onConfigurationRecord(const publication::KeyedRecord& record)
+{
     boost::leaf::try_handle_all(
         [&]() -> Result<void> {
             BOOST_LEAF_AUTO(configuration, platform::readConfiguration(*record.value));
--- a/packages/node/src/internal/FleetDriver.h
+++ b/packages/node/src/internal/FleetDriver.h
@@ -6,6 +6,7 @@
 #include "internal/DirectoryDriver.h"
 #include "internal/KeyedReader.h"
 #include "internal/NodeContext.h"
+#include "internal/OrderedMoveDriver.h"
 #include "internal/UpstreamDriver.h"
 
 #include <functional>
@@ -21,6 +22,8 @@
     std::function<void()> onStoreRead;
     std::function<void(const std::vector<Endpoint>& peers)> onPeersFound;
     std::function<bool()> ready;
+    /// A finding about a move must be spread at once.
+    std::function<void()> onNotice;
     std::function<void(bool)> onStoreAvailable;
 };
 
@@ -29,6 +32,8 @@
 public:
     FleetDriver(NodeContext&, UpstreamDriver&, FleetHooks);
 
+    OrderedMoveDriver& moves() const { return *m_moves; }
+
     /// Fails with \c gateway::ListenFailure.
     Result<void> listen();
     /// \param peer where this node listens for peers.
@@ -44,6 +49,7 @@
 
     KeyedReaderHooks readerHooks();
     void onOrder(const publication::KeyedRecord&);
+    void onConfigurationRecord(const publication::KeyedRecord&);
     gateway::AdminResponse answerReadiness(const gateway::AdminRequest&) const;
     gateway::AdminResponse answerAnnouncement(const gateway::AdminRequest&);
     /// Both fail with \c platform::DocumentFault.
@@ -56,6 +62,7 @@
     platform::StoreClient m_store;
     std::shared_ptr<Reader> m_reader;
     std::shared_ptr<DirectoryDriver> m_directory;
+    std::shared_ptr<OrderedMoveDriver> m_moves;
     std::optional<gateway::AdminServer> m_readiness;
     std::optional<gateway::AdminServer> m_announcements;
 };
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -76,7 +76,7 @@
     BOOST_LEAF_CHECK(inFleet() ? startFleet() : startReader());
     m_router.setPolicy(entryPolicy(1));
     m_router.setOwnNode(m_settings.name, m_settings.failureDomain);
-    m_router.setShareSource([this](const ServiceName& service) { return m_moves->engine().share(service, NodeContext::now()); });
+    m_router.setShareSource([this](const ServiceName& service) { return shareOf(service); });
     BOOST_LEAF_CHECK(startPeers());
     m_ledger.setPeers(&m_peers->client());
     m_quarantine.setPeers(&m_peers->client());
@@ -137,10 +137,28 @@
     hooks.onStoreRead = [this] { m_peers->reportLogEnd(); };
     hooks.onPeersFound = [this](const std::vector<Endpoint>& peers) { m_peers->addSeeds(peers); };
     hooks.ready = [this] { return serving(); };
+    hooks.onNotice = [this] { m_peers->notifyEvidence(); };
     hooks.onStoreAvailable = [this](bool available) { m_metrics.setLogAvailable(available); };
     return hooks;
 }
 
+moves::VersionShare NodeAssembly::shareOf(const ServiceName& service) const
+{
+    if (m_fleet)
+        return m_fleet->moves().engine().share(service, MonotonicClock::now());
+    return m_moves->engine().share(service, NodeContext::now());
+}
+
+distribution::EvidencePort NodeAssembly::evidencePort()
+{
+    if (m_fleet) {
+        auto& engine = m_fleet->moves().engine();
+        return distribution::evidencePortOf<moves::EvidenceCursor>(engine, [&engine](const moves::EvidenceUpdate& update) { engine.merge(update); });
+    }
+    auto& engine = m_moves->engine();
+    return distribution::evidencePortOf<moves::EvidenceCursor>(engine, [&engine](const moves::EvidenceUpdate& update) { engine.merge(update, NodeContext::now()); });
+}
+
 routing::EntryPolicy NodeAssembly::entryPolicy(std::size_t nodes) const
 {
     routing::EntryPolicy policy;
@@ -165,8 +183,7 @@
                       .listen(m_settings.listen.peer)
                       .seeds(m_settings.seeds)
                       .random(m_context.random())
-                      .evidence(distribution::evidencePortOf<moves::EvidenceCursor>(m_moves->engine(),
-                          [this](const moves::EvidenceUpdate& update) { m_moves->engine().merge(update, NodeContext::now()); }))
+                      .evidence(evidencePort())
                       .callbacks(peerCallbacks())
                       .build();
     } catch (const boost::system::system_error& error) {
@@ -257,7 +274,7 @@
     status.reader = m_reader && m_reader->enabled();
     status.configuration = m_configuration;
     status.view = m_view;
-    status.share = [this](const ServiceName& service) { return m_moves->engine().share(service, NodeContext::now()); };
+    status.share = [this](const ServiceName& service) { return shareOf(service); };
     return statusJson(status);
 }
 
@@ -295,6 +312,8 @@
     m_router.setPolicy(entryPolicy(alive.size()));
     if (m_fleet)
         m_fleet->onView(*view);
+    if (m_fleet)
+        m_fleet->moves().engine().onNodes(alive);
     m_moves->engine().onNodes(std::move(alive));
 }
 
@@ -322,7 +341,10 @@
 {
     m_metrics.onBackend(observation);
     m_quarantine.onBackend(observation);
-    m_moves->onBackend(m_upstream->service(), observation);
+    if (m_fleet)
+        m_fleet->moves().onBackend(m_upstream->service(), observation);
+    else
+        m_moves->onBackend(m_upstream->service(), observation);
 }
 
 void NodeAssembly::scheduleTick()
--- a/packages/node/src/internal/NodeAssembly.h
+++ b/packages/node/src/internal/NodeAssembly.h
@@ -50,6 +50,8 @@
     Result<void> startReader();
     Result<void> startFleet();
     FleetHooks fleetHooks();
+    moves::VersionShare shareOf(const ServiceName&) const;
+    distribution::EvidencePort evidencePort();
     /// \param nodes that share the bound of retries.
     routing::EntryPolicy entryPolicy(std::size_t nodes) const;
     bool inFleet() const { return m_settings.platform == PlatformKind::Fleet; }
--- /dev/null
+++ b/packages/node/src/internal/OrderedMoveDriver.cpp
@@ -0,0 +1,241 @@
+#include "internal/OrderedMoveDriver.h"
+
+#include "carobpath/publication/EnumText.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carobpath::node::Detail {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr milliseconds tickInterval { 100 };
+    constexpr milliseconds statusPoll { 20'000 };
+    const std::string statusStream { platform::statusStream };
+
+    /// \returns what the call says of the version: a lost connection speaks of an instance, and a refusal of load.
+    std::optional<moves::CallResult> callResultOf(routing::BackendResult result)
+    {
+        switch (result) {
+        case routing::BackendResult::Answered:
+            return moves::CallResult::Succeeded;
+        case routing::BackendResult::ServerError:
+        case routing::BackendResult::TimedOut:
+            return moves::CallResult::Failed;
+        case routing::BackendResult::Refused:
+            return moves::CallResult::Refused;
+        case routing::BackendResult::ConnectFailed:
+        case routing::BackendResult::ConnectionLost:
+        case routing::BackendResult::Cancelled:
+            return std::nullopt;
+        }
+        return std::nullopt;
+    }
+
+    std::string_view toString(moves::OrderedMoveState state)
+    {
+        switch (state) {
+        case moves::OrderedMoveState::Done:
+            return "done";
+        case moves::OrderedMoveState::TakenBack:
+            return "taken-back";
+        case moves::OrderedMoveState::Running:
+            break;
+        }
+        return "running";
+    }
+
+}
+
+OrderedMoveDriver::OrderedMoveDriver(NodeContext& context, platform::StoreClient& store, std::function<void()> onNotice)
+    : m_context(context)
+    , m_store(store)
+    , m_onNotice(std::move(onNotice))
+    , m_engine(context.settings.name, context.incarnation, moves::ExposureBound { context.settings.exposure.part, context.settings.exposure.slack })
+    , m_timer(context.io)
+{
+}
+
+void OrderedMoveDriver::start() { schedule(); }
+
+void OrderedMoveDriver::stop()
+{
+    m_stopped = true;
+    m_timer.cancel();
+    if (m_reader)
+        m_reader->stop();
+}
+
+void OrderedMoveDriver::onOrder(const publication::KeyedRecord& record)
+{
+    boost::leaf::try_handle_all(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(order, platform::readMoveOrder(record));
+            m_orders.insert_or_assign(order.service, order);
+            followStatus();
+            if (m_statusKnown)
+                takeOrder(order);
+            return {};
+        },
+        [&](const platform::DocumentFault& fault) {
+            m_context.events.record(Event(event::orderRefused)
+                                        .with("key", record.key)
+                                        .with("offset", record.offset)
+                                        .with("fault", platform::toString(fault.kind))
+                                        .with("field", fault.field));
+        },
+        [&] { m_context.events.record(Event(event::orderRefused).with("key", record.key)); });
+}
+
+void OrderedMoveDriver::takeOrder(const moves::MoveOrder& order)
+{
+    milliseconds age { 0 };
+    const auto stored = m_stored.find(order.service);
+    if (stored != m_stored.end() && stored->second.status.order == order.offset)
+        age = std::clamp<milliseconds>(wallNow() - stored->second.orderedAt, milliseconds { 0 }, order.duration);
+    m_engine.onOrder(order, age, MonotonicClock::now());
+    m_context.events.record(Event(event::moveOrdered)
+                                .with("service", order.service)
+                                .with("to", order.to)
+                                .with("offset", order.offset)
+                                .with("durationMs", order.duration)
+                                .with("ageMs", age));
+}
+
+void OrderedMoveDriver::followStatus()
+{
+    if (m_reader || m_stopped)
+        return;
+    m_reader = std::make_shared<Reader>(m_context.io, m_store, statusStream, statusPoll, readerHooks(), m_context.random());
+    m_reader->start();
+}
+
+KeyedReaderHooks OrderedMoveDriver::readerHooks()
+{
+    KeyedReaderHooks hooks;
+    hooks.onRecord = [this](const publication::KeyedRecord& record) { onStatusRecord(record); };
+    hooks.onEnd = [this] {
+        if (std::exchange(m_statusKnown, true))
+            return;
+        for (const auto& [service, order] : m_orders)
+            takeOrder(order);
+    };
+    hooks.onAvailable = [](bool, const publication::LogFailure&) {
+        // The reader of the operator's stream reports the same store.
+    };
+    return hooks;
+}
+
+void OrderedMoveDriver::onStatusRecord(const publication::KeyedRecord& record)
+{
+    if (!platform::isMoveKey(record.key))
+        return;
+    boost::leaf::try_handle_all(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(stored, platform::readMoveStatus(record));
+            m_stored.insert_or_assign(stored.status.service, stored);
+            m_engine.onStatus(stored.status);
+            m_context.events.record(Event(event::moveRecorded)
+                                        .with("service", stored.status.service)
+                                        .with("to", stored.status.to)
+                                        .with("order", stored.status.order)
+                                        .with("state", toString(stored.status.state)));
+            return {};
+        },
+        [&](const platform::DocumentFault& fault) {
+            m_context.events.record(Event(event::recordRejected)
+                                        .with("key", record.key)
+                                        .with("offset", record.offset)
+                                        .with("outcome", platform::toString(fault.kind)));
+        },
+        [&] { m_context.events.record(Event(event::recordRejected).with("key", record.key)); });
+}
+
+void OrderedMoveDriver::onBackend(const ServiceName& service, const gateway::BackendObservation& observation)
+{
+    if (const auto result = callResultOf(observation.result))
+        m_engine.observe(service, observation.route, observation.version, *result, observation.latency, MonotonicClock::now());
+}
+
+void OrderedMoveDriver::schedule()
+{
+    m_timer.expires_after(tickInterval);
+    m_timer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
+        if (ec || self->m_stopped)
+            return;
+        self->tick();
+        self->schedule();
+    });
+}
+
+void OrderedMoveDriver::tick()
+{
+    for (const auto& command : m_engine.tick(MonotonicClock::now()))
+        std::visit([this](const auto& it) { perform(it); }, command);
+}
+
+void OrderedMoveDriver::perform(const moves::WriteStatus& command)
+{
+    m_store.listNewest(statusStream, [self = shared_from_this(), status = command.status](const publication::KeyedResult& result) {
+        if (const auto* listing = std::get_if<publication::KeyedBatch>(&result))
+            self->writeAfter(*listing, status);
+        else if (const auto* failure = std::get_if<publication::LogFailure>(&result))
+            self->reportFailure(status, *failure);
+    });
+}
+
+void OrderedMoveDriver::writeAfter(const publication::KeyedBatch& listing, const moves::MoveStatus& status)
+{
+    const auto key = platform::moveKey(status.service);
+    const auto held = std::find_if(listing.records.begin(), listing.records.end(), [&](const auto& it) { return it.key == key; });
+    auto orderedAt = wallNow();
+    if (held != listing.records.end()) {
+        onStatusRecord(*held);
+        const auto& stored = m_stored[status.service];
+        const bool sameOrder = stored.status.order == status.order;
+        if (sameOrder && (stored.status.state != moves::OrderedMoveState::Running || stored.status.state == status.state))
+            return;
+        if (sameOrder)
+            orderedAt = stored.orderedAt;
+    }
+    const publication::KeyedRecord record { 0, key, platform::writeMoveStatus({ status, orderedAt }) };
+    m_store.put(statusStream, record, listing.next, [self = shared_from_this(), status](const publication::AppendResult& result) {
+        if (const auto* failure = std::get_if<publication::LogFailure>(&result))
+            self->reportFailure(status, *failure);
+        else
+            self->m_engine.onStatus(status);
+    });
+}
+
+void OrderedMoveDriver::reportFailure(const moves::MoveStatus& status, const publication::LogFailure& failure)
+{
+    m_context.events.record(Event(event::moveRecordFailed)
+                                .with("service", status.service)
+                                .with("state", toString(status.state))
+                                .with("error", publication::toString(failure.error))
+                                .with("status", failure.status));
+}
+
+void OrderedMoveDriver::perform(const moves::SpreadNotice& command)
+{
+    const auto& notice = command.notice;
+    m_context.events.record(Event(event::moveTakenBack)
+                                .with("move", notice.move)
+                                .with("observer", notice.observer)
+                                .with("reason", publication::toString(notice.verdict.reason))
+                                .with("route", notice.verdict.route)
+                                .with("evidence", notice.verdict.evidence));
+    m_onNotice();
+}
+
+void OrderedMoveDriver::perform(const moves::ShareChanged& command)
+{
+    m_context.events.record(Event(event::moveShareChanged)
+                                .with("move", command.move)
+                                .with("service", command.service)
+                                .with("share", command.share.nextShare));
+}
+
+}
--- /dev/null
+++ b/packages/node/src/internal/OrderedMoveDriver.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "carobpath/gateway/GatewayHooks.h"
+#include "carobpath/moves/OrderedMoves.h"
+#include "carobpath/platform/MoveDocument.h"
+#include "carobpath/platform/StoreClient.h"
+#include "internal/KeyedReader.h"
+#include "internal/NodeContext.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace carobpath::node::Detail {
+
+/// Carries the commands of the operator's moves out: writes their states to the store under a condition, has findings
+/// spread, writes the time line. Follows the states in the store while a move has no end.
+class OrderedMoveDriver : public std::enable_shared_from_this<OrderedMoveDriver> {
+public:
+    /// \param onNotice called when a finding must be spread at once.
+    OrderedMoveDriver(NodeContext&, platform::StoreClient&, std::function<void()> onNotice);
+
+    void start();
+    void stop();
+
+    moves::OrderedMoves& engine() { return m_engine; }
+
+    /// A record about a move in the operator's stream.
+    void onOrder(const publication::KeyedRecord&);
+    /// Counts a call that the backend server beside this node dealt with.
+    void onBackend(const ServiceName&, const gateway::BackendObservation&);
+
+private:
+    using Reader = KeyedReader<platform::StoreClient>;
+
+    void schedule();
+    void tick();
+    void followStatus();
+    KeyedReaderHooks readerHooks();
+    void onStatusRecord(const publication::KeyedRecord&);
+    void takeOrder(const moves::MoveOrder&);
+    void perform(const moves::WriteStatus&);
+    void perform(const moves::SpreadNotice&);
+    void perform(const moves::ShareChanged&);
+    /// Writes the status unless the listing holds an end of the same order.
+    void writeAfter(const publication::KeyedBatch& listing, const moves::MoveStatus&);
+    void reportFailure(const moves::MoveStatus&, const publication::LogFailure&);
+
+    NodeContext& m_context;
+    platform::StoreClient& m_store;
+    std::function<void()> m_onNotice;
+    moves::OrderedMoves m_engine;
+    boost::asio::steady_timer m_timer;
+    std::shared_ptr<Reader> m_reader;
+    /// Orders that wait for the first look at the states in the store.
+    std::map<ServiceName, moves::MoveOrder> m_orders;
+    /// When each service's newest order was given, as far as a state in the store tells.
+    std::map<ServiceName, platform::StoredMoveStatus> m_stored;
+    bool m_statusKnown = false;
+    bool m_stopped = false;
+};
+
+}
--- a/packages/publication/include/carobpath/publication/KeyedStore.h
+++ b/packages/publication/include/carobpath/publication/KeyedStore.h
@@ -36,7 +36,7 @@
 
 /// Reads and writes keyed streams without blocking. Handlers run on the thread of the store's executor, never inside the call.
 template <typename T>
-concept KeyedStore = requires(T& store, std::string stream, KeyedRecord record, Offset from, std::chrono::milliseconds wait)
+concept KeyedStore = requires(T& store, std::string stream, KeyedRecord record, Offset from, std::optional<Offset> at, std::chrono::milliseconds wait)
 {
     {
         store.listNewest(stream, KeyedHandler {})
@@ -45,7 +45,7 @@
         store.readKeyed(stream, from, wait, KeyedHandler {})
         } -> std::same_as<void>;
     {
-        store.put(stream, record, AppendHandler {})
+        store.put(stream, record, at, AppendHandler {})
         } -> std::same_as<void>;
 };
 
--- a/packages/publication/include/carobpath/publication/LogService.h
+++ b/packages/publication/include/carobpath/publication/LogService.h
@@ -31,6 +31,8 @@
     Malformed,
     /// The log refused the request itself, such as a record that is too large; sending it again does not help.
     Refused,
+    /// An append came with a condition, and the log had grown meanwhile; nothing was done.
+    ConditionFailed,
 };
 
 /// Why an operation on the log failed.
--- a/packages/publication/src/HttpLogClient.cpp
+++ b/packages/publication/src/HttpLogClient.cpp
@@ -22,12 +22,13 @@
     constexpr unsigned firstServerError = 500;
     constexpr std::size_t recordsPerRead = 1024;
 
-    constexpr std::array<EnumRow<LogError>, 5> logErrors { {
+    constexpr std::array<EnumRow<LogError>, 6> logErrors { {
         { LogError::Unavailable, "unavailable" },
         { LogError::AnswerLost, "answer-lost" },
         { LogError::TimedOut, "timed-out" },
         { LogError::Malformed, "malformed" },
         { LogError::Refused, "refused" },
+        { LogError::ConditionFailed, "condition-failed" },
     } };
 
     std::string recordsTarget(const std::string& stream)
--- a/packages/routing/src/EntryState.cpp
+++ b/packages/routing/src/EntryState.cpp
@@ -10,7 +10,9 @@
         share = shareSource(service);
     else if (const auto it = set.services.find(service); it != set.services.end())
         share.current = it->second.currentVersion;
-    if (share.next && !set.versions.contains(*share.next))
+    // Where versions are not published, only the upstreams tell which there are.
+    const bool versionsArePublished = !share.current.empty();
+    if (versionsArePublished && share.next && !set.versions.contains(*share.next))
         share.next.reset();
     return share;
 }
