--- a/packages/moves/tests/MovePropertyTests.cpp
+++ b/packages/moves/tests/MovePropertyTests.cpp
@@ -92,7 +92,7 @@
         MoveJudge judge(FakeFleet::entry(length, policy));
         for (std::uint32_t w = 0; w <= lastWindow; ++w) {
             for (const auto& version : { oldVersion, newVersion }) {
-                EvidenceGrowth it { move, RouteName { "book" }, version, MovePlan::evidenceWindow(w, below(4) == 0), {} };
+                EvidenceGrowth it { move, RouteName { "book" }, version, MovePlan::evidenceWindow(w, below(4) == 0), {}, {} };
                 it.counts.succeeded = static_cast<std::uint64_t>(below(60));
                 it.counts.failed = static_cast<std::uint64_t>(below(4) == 0 ? below(6) : 0);
                 it.counts.latency.at(static_cast<std::size_t>(below(8))) = it.counts.succeeded;
