Admit by objective, take the own failure domain first, tell loads with answers

Ruled out: too few slots in use (runs fell over late, not for want of arrivals). Change: the queue serves what can meet its objective first, by rank and earliest objective; what cannot is refused at once; a node tells its load with each answer; an entry node offers a call to its own domain first.

--- a/packages/gateway/src/internal/EntryCall.cpp
+++ b/packages/gateway/src/internal/EntryCall.cpp
@@ -25,6 +25,7 @@
         result.reason = reasonOf(header);
         result.status = header.result_int();
         result.retryAfter = milliseconds(header, HeaderName::retryAfterMs);
+        result.load = loadOf(header);
         return result;
     }
 
@@ -158,6 +159,7 @@
     ResponseHeader header = m_exchange->header();
     removeHopByHopFields(header);
     header.erase(HeaderName::hybridTime);
+    header.erase(HeaderName::load);
     header.set(HeaderName::requestId, m_call.id.value());
     return header;
 }
--- a/packages/gateway/src/internal/ForwardedHeader.cpp
+++ b/packages/gateway/src/internal/ForwardedHeader.cpp
@@ -54,6 +54,20 @@
         return std::to_string(std::max<std::int64_t>(0, left.count()));
     }
 
+    std::string signedMilliseconds(MonotonicClock::duration time)
+    {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+    }
+
+    /// \returns the moment at which the answer is of full use no more; it may have passed.
+    std::optional<MonotonicTime> objectiveOf(const http::fields& fields, MonotonicTime now)
+    {
+        const auto left = number<std::int64_t>(value(fields, HeaderName::objective), 10);
+        if (!left || std::chrono::abs(std::chrono::milliseconds { *left }) > longestDeadline)
+            return std::nullopt;
+        return now + std::chrono::milliseconds { *left };
+    }
+
     /// \returns the parts that the caller fetches at a time; 1 where it says nothing that makes sense.
     std::uint32_t widthOf(const http::fields& fields)
     {
@@ -107,6 +121,12 @@
     copy->set(HeaderName::service, attempt.service.value());
     copy->set(HeaderName::version, attempt.version.value());
     copy->set(HeaderName::deadline, millisecondsLeft(attempt.deadline, now));
+    if (attempt.objective)
+        copy->set(HeaderName::objective, signedMilliseconds(*attempt.objective - now));
+    if (attempt.priority > 0)
+        copy->set(HeaderName::priority, std::to_string(attempt.priority));
+    if (attempt.mayBeLate)
+        copy->set(HeaderName::mayBeLate, "1");
     copy->set(HeaderName::fingerprint, hex(call.fingerprint));
     copy->set(HeaderName::width, std::to_string(widthOf(request)));
     copy->set(HeaderName::trafficClass, publication::toString(attempt.trafficClass));
@@ -134,6 +154,9 @@
         return std::nullopt;
     admission.width = widthOf(request);
     admission.deadline = now + std::max(*timeLeft - answerMargin, *timeLeft / 2);
+    admission.objective = objectiveOf(request, now);
+    admission.priority = number<std::uint32_t>(value(request, HeaderName::priority), 10).value_or(0);
+    admission.mayBeLate = request.count(HeaderName::mayBeLate) > 0;
     admission.fingerprint = *fingerprint;
     admission.trafficClass = *trafficClass;
     admission.repeatability = *repeatability;
@@ -164,6 +187,26 @@
     return routing::refusalReasonFromString(value(header, HeaderName::reason));
 }
 
+std::string loadText(const routing::UpstreamLoad& load)
+{
+    return std::to_string(load.calls) + "/" + std::to_string(load.limit) + "/" + std::to_string(load.serviceTime.count());
+}
+
+std::optional<routing::UpstreamLoad> loadOf(const ResponseHeader& header)
+{
+    const auto text = value(header, HeaderName::load);
+    const auto first = text.find('/');
+    const auto second = first == std::string_view::npos ? first : text.find('/', first + 1);
+    if (second == std::string_view::npos)
+        return std::nullopt;
+    const auto calls = number<std::uint32_t>(text.substr(0, first), 10);
+    const auto limit = number<std::uint32_t>(text.substr(first + 1, second - first - 1), 10);
+    const auto service = number<std::int64_t>(text.substr(second + 1), 10);
+    if (!calls || !limit || !service || *service < 0)
+        return std::nullopt;
+    return routing::UpstreamLoad { *calls, *limit, std::chrono::microseconds { *service } };
+}
+
 std::string_view hybridTimeOf(const http::fields& fields) { return value(fields, HeaderName::hybridTime); }
 
 std::uint64_t fingerprintOf(const Request& request)
--- a/packages/gateway/src/internal/ForwardedHeader.h
+++ b/packages/gateway/src/internal/ForwardedHeader.h
@@ -30,6 +30,10 @@
 std::optional<routing::Outcome> outcomeOf(const ResponseHeader&);
 std::optional<routing::RefusalReason> reasonOf(const ResponseHeader&);
 
+/// How busy the upstream is: "CALLS/LIMIT/MICROSECONDS".
+std::string loadText(const routing::UpstreamLoad&);
+std::optional<routing::UpstreamLoad> loadOf(const ResponseHeader&);
+
 /// \returns the reading of the other node's hybrid clock; empty where there is none.
 std::string_view hybridTimeOf(const http::fields&);
 
--- a/packages/gateway/src/internal/HttpTypes.h
+++ b/packages/gateway/src/internal/HttpTypes.h
@@ -24,6 +24,10 @@
     inline constexpr std::string_view version = "Carobpath-Version";
     inline constexpr std::string_view deadline = "Carobpath-Deadline-Ms";
     inline constexpr std::string_view callerService = "Carobpath-Caller-Service";
+    inline constexpr std::string_view objective = "Carobpath-Objective-Ms";
+    inline constexpr std::string_view priority = "Carobpath-Priority";
+    inline constexpr std::string_view mayBeLate = "Carobpath-May-Be-Late";
+    inline constexpr std::string_view load = "Carobpath-Load";
     inline constexpr std::string_view width = "Carobpath-Width";
     inline constexpr std::string_view fingerprint = "Carobpath-Fingerprint";
     inline constexpr std::string_view trafficClass = "Carobpath-Traffic-Class";
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+    /// A refusal for load costs one short exchange between nodes.
+    constexpr std::uint32_t placesInFleet = 6;
     constexpr std::chrono::milliseconds tickInterval { 100 };
     constexpr std::chrono::milliseconds slowTickInterval { 1'000 };
     constexpr std::chrono::milliseconds drainCheckInterval { 20 };
@@ -58,6 +60,7 @@
     , m_log(io.get_executor(), logOptionsOf(settings))
     , m_router(m_context.random())
     , m_quarantine(m_context)
+    , m_controller(admissionPolicyOf(settings))
     , m_ledger(m_context, m_log)
     , m_peerRuntime(std::make_shared<peer::PeerRuntime>(io))
     , m_tick(io)
@@ -164,6 +167,8 @@
     routing::EntryPolicy policy;
     policy.retries = routing::allowanceOf(retryBoundOf(m_settings), nodes);
     policy.splitDeadline = !inFleet();
+    policy.ownDomainFirst = inFleet();
+    policy.mostPlaces = inFleet() ? placesInFleet : policy.mostPlaces;
     return policy;
 }
 
--- a/packages/node/src/internal/SettingsConversions.cpp
+++ b/packages/node/src/internal/SettingsConversions.cpp
@@ -46,6 +46,14 @@
     return ExpectedBackend { settings.backend.service, settings.backend.address };
 }
 
+routing::AdmissionPolicy admissionPolicyOf(const NodeSettings& settings)
+{
+    routing::AdmissionPolicy policy;
+    // Routes of the fleet name objectives; those of carobpath's own objects are ordered by class.
+    policy.order.byObjective = settings.platform == PlatformKind::Fleet;
+    return policy;
+}
+
 routing::FleetRetryBound retryBoundOf(const NodeSettings& settings)
 {
     routing::FleetRetryBound bound;
--- a/packages/node/src/internal/SettingsConversions.h
+++ b/packages/node/src/internal/SettingsConversions.h
@@ -7,6 +7,7 @@
 #include "carobpath/platform/StoreClient.h"
 #include "carobpath/publication/HttpLogClient.h"
 #include "carobpath/publication/Keys.h"
+#include "carobpath/routing/AdmissionController.h"
 #include "carobpath/routing/RetryBudget.h"
 
 /// The node's settings in the terms of the slices that they are for.
@@ -20,6 +21,8 @@
 
 ExpectedBackend expectedBackendOf(const NodeSettings&);
 
+routing::AdmissionPolicy admissionPolicyOf(const NodeSettings&);
+
 routing::FleetRetryBound retryBoundOf(const NodeSettings&);
 
 /// \returns the key of the settings; a new one where nothing is signed. Fails with \c BadKeySetting.
--- a/packages/routing/include/carobpath/routing/Admission.h
+++ b/packages/routing/include/carobpath/routing/Admission.h
@@ -24,6 +24,12 @@
     publication::Repeatability repeatability = publication::Repeatability::NotRepeatable;
     publication::TrafficClass trafficClass = publication::TrafficClass::Short;
     MonotonicTime deadline;
+    /// When an answer is of full use to the caller no more; nothing where the route names no such time.
+    std::optional<MonotonicTime> objective;
+    /// Rank among the calls of the service; 0 goes first.
+    std::uint32_t priority = 0;
+    /// Whether the call is to wait here though its answer may miss the objective: nowhere else is it taken sooner.
+    bool mayBeLate = false;
     std::uint64_t fingerprint = 0;
     /// Number of requests that the caller's whole work spans, such as the parts of a ranged download; 1 for a plain
     /// call. Each part is a request of its own with one connection; the width only orders the queue.
@@ -41,6 +47,18 @@
     Refusal refusal;
 };
 
+/// How busy an upstream is, as its node tells with each answer.
+struct UpstreamLoad {
+    /// Calls at the backend server and calls that wait for it.
+    std::uint32_t calls = 0;
+    /// Calls that are let in at a time.
+    std::uint32_t limit = 0;
+    /// Mean time that the backend server works on a call; 0 before any was answered.
+    std::chrono::microseconds serviceTime {};
+
+    friend bool operator==(const UpstreamLoad&, const UpstreamLoad&) = default;
+};
+
 using AdmissionCommand = std::variant<Dispatch, Reject>;
 using AdmissionCommands = std::vector<AdmissionCommand>;
 
--- a/packages/routing/include/carobpath/routing/AdmissionController.h
+++ b/packages/routing/include/carobpath/routing/AdmissionController.h
@@ -41,6 +41,9 @@
     /// Bounds of the time after which a refused caller may come back.
     static constexpr std::chrono::milliseconds s_shortestRetryAfter { 50 };
     static constexpr std::chrono::milliseconds s_longestRetryAfter { 5000 };
+    /// Part of the mean service time that a call which may be late waits at most: in a longer line it would be held
+    /// without hope while newer calls pass it.
+    static constexpr double s_lateWaitPart = 0.5;
 
     explicit AdmissionController(AdmissionPolicy policy = {});
 
@@ -64,6 +67,8 @@
     /// Refuses what waits and all that comes; what is in flight ends.
     AdmissionCommands drain(MonotonicTime now);
 
+    /// \returns how busy the upstream is; all zero while there is none.
+    UpstreamLoad load() const;
     /// \returns the upstream with the state that calls showed and the load at this node, for the membership.
     std::optional<membership::Upstream> upstream() const;
     bool draining() const;
@@ -82,6 +87,8 @@
     void dispatchWaiting(AdmissionCommands&, MonotonicTime now);
     void dispatch(const AdmissionRequest&, AdmissionCommands&, MonotonicTime now);
     void rejectExpired(AdmissionCommands&, MonotonicTime now);
+    /// Refuses what waits and has come to miss its objective: it is no use to hold it until its deadline.
+    void rejectHopeless(AdmissionCommands&, MonotonicTime now);
     void rejectAll(AdmissionCommands&, RefusalReason, std::chrono::milliseconds retryAfter);
     bool fits(const AdmissionRequest&) const;
     bool isSuspect(const AdmissionRequest&) const;
@@ -89,6 +96,11 @@
     void learn(const AdmissionResult&, const RunningCall&, std::uint32_t inFlight, MonotonicTime now);
     std::uint32_t slotsFor(QueueClass) const;
     std::chrono::nanoseconds expectedWait(QueueClass, MonotonicTime now) const;
+    /// Takes the call, or refuses it for load, by the time at which its answer is expected.
+    void enqueueByObjective(const AdmissionRequest&, AdmissionCommands&, MonotonicTime now);
+    std::chrono::nanoseconds waitBefore(const AdmissionRequest&, MonotonicTime now) const;
+    /// Its entry node may send the call here again.
+    void rejectForLoad(const AdmissionRequest&, AdmissionCommands&, MonotonicTime now);
     Refusal overloaded(const AdmissionRequest&, MonotonicTime now) const;
 
     AdmissionPolicy m_policy;
--- a/packages/routing/include/carobpath/routing/AdmissionQueue.h
+++ b/packages/routing/include/carobpath/routing/AdmissionQueue.h
@@ -30,10 +30,17 @@
     bool byClass = true;
     /// Within a class, the call of the smallest width first; otherwise the one that came first.
     bool thinFirst = true;
+    /// Whether calls that name an objective go by it: those that can still meet theirs come first, by rank and then the
+    /// earliest objective; the others follow in the order of their arrival. Answers loads near and above what the backend
+    /// server bears, where waiting in turn makes every answer late.
+    bool byObjective = false;
     /// A call that waited this long is served before wider and thinner ones of its class that came later.
     std::chrono::milliseconds maxOvertaken { 5000 };
 };
 
+/// \returns whether the first call goes before the second in the order by objective.
+bool isMoreUrgent(const AdmissionRequest&, const AdmissionRequest&, MonotonicTime now);
+
 /// Calls that wait for a slot. Bounded; a full queue makes room for a better class by giving up its newest worse call.
 class AdmissionQueue {
 public:
@@ -55,10 +62,13 @@
     std::optional<AdmissionRequest> push(const AdmissionRequest&, MonotonicTime now);
     /// Removes the next call that fits.
     std::optional<AdmissionRequest> pop(const Fits&, MonotonicTime now);
+    /// \returns the calls that would be served before the given one.
+    std::vector<const AdmissionRequest*> before(const AdmissionRequest&, MonotonicTime now) const;
     /// \returns whether the call waited; it is then removed.
     bool remove(const RequestId&);
     /// Removes the calls whose deadline has passed.
     std::vector<AdmissionRequest> removeExpired(MonotonicTime now);
+    std::vector<AdmissionRequest> removeIf(const Fits&);
     std::vector<AdmissionRequest> removeAll();
 
     std::size_t size() const;
@@ -69,6 +79,7 @@
 private:
     using Line = std::deque<Waiting>;
 
+    std::optional<AdmissionRequest> popByObjective(const Fits&, MonotonicTime now);
     Line& lineOf(const AdmissionRequest&);
     /// \returns the next call of the line that fits; past its maximal wait the first one goes before all.
     Line::iterator candidateOf(Line&, const Fits&, MonotonicTime now) const;
--- a/packages/routing/include/carobpath/routing/Call.h
+++ b/packages/routing/include/carobpath/routing/Call.h
@@ -4,6 +4,7 @@
 #include "carobpath/foundation/Identifier.h"
 #include "carobpath/foundation/Time.h"
 #include "carobpath/publication/Objects.h"
+#include "carobpath/routing/Admission.h"
 #include "carobpath/routing/Outcome.h"
 
 #include <cstdint>
@@ -42,6 +43,10 @@
     RouteName route;
     VersionName version;
     MonotonicTime deadline;
+    /// See \c AdmissionRequest.
+    std::optional<MonotonicTime> objective;
+    std::uint32_t priority = 0;
+    bool mayBeLate = false;
     publication::Repeatability repeatability = publication::Repeatability::NotRepeatable;
     publication::TrafficClass trafficClass = publication::TrafficClass::Short;
     /// True where an attempt on a pooled connection is not wanted, since a connection to this node fell silent.
@@ -74,6 +79,8 @@
     unsigned status = 0;
     std::chrono::nanoseconds latency {};
     std::optional<std::chrono::milliseconds> retryAfter;
+    /// How busy the upstream is, where its node said so.
+    std::optional<UpstreamLoad> load;
 };
 
 }
--- a/packages/routing/include/carobpath/routing/CallDecision.h
+++ b/packages/routing/include/carobpath/routing/CallDecision.h
@@ -4,6 +4,7 @@
 #include "carobpath/routing/Call.h"
 #include "carobpath/routing/LedgerVerdict.h"
 #include "carobpath/routing/RouteTable.h"
+#include "carobpath/routing/UpstreamPicker.h"
 #include "carobpath/routing/UpstreamStatistics.h"
 
 #include <memory>
@@ -25,8 +26,11 @@
 /// \c Unknown with \c UpstreamTimeout when it passes; \c onDeadline is for the deadline of the whole call.
 class CallDecision {
 public:
-    /// Places that one call is sent to at most.
+    /// Backend servers that one call is sent to at most, where its route does not say.
     static constexpr std::uint32_t s_maxAttempts = 4;
+    /// Part of the time to the objective within which an upstream of the own failure domain must answer, where others
+    /// are to be asked in good time too.
+    static constexpr double s_ownDomainPart = 0.7;
     /// Backend servers that one call may lose its connection to: the request itself may be what ends them.
     static constexpr std::uint32_t s_maxBackendLosses = 2;
 
@@ -69,6 +73,11 @@
         Ended,
     };
 
+    /// A place that refused for load, and the wait that it told.
+    struct Offer {
+        SendAttempt attempt;
+        std::chrono::milliseconds wait {};
+    };
     struct Attempt {
         NodeName node;
         bool toNext = false;
@@ -80,6 +89,11 @@
     void drawDestination();
     std::uint32_t mostAttempts() const;
     std::optional<SendAttempt> nextAttempt(MonotonicTime now);
+    std::optional<SendAttempt> pickAttempt(PickReach, MonotonicTime now);
+    /// One more try where a refusal promised the shortest wait, though the answer will be late.
+    std::optional<SendAttempt> lateAttempt(MonotonicTime now);
+    void rememberOffer(const AttemptResult&);
+    std::optional<MonotonicTime> objectiveFor(PickReach, MonotonicTime now) const;
     SendAttempt attemptAt(const UpstreamChoice&, const VersionName&, MonotonicTime deadline) const;
     MonotonicTime attemptDeadline(MonotonicTime now) const;
     CallCommand send(SendAttempt);
@@ -106,6 +120,9 @@
     /// The strongest outcome over all attempts: \c NotRun only while each of them was.
     Outcome m_outcome = Outcome::NotRun;
     std::optional<Attempt> m_attempt;
+    SendAttempt m_sent;
+    std::optional<Offer> m_bestOffer;
+    bool m_triedLate = false;
     std::vector<NodeName> m_tried;
     /// Backend servers that were handed the call, be it that they refused it.
     std::uint32_t m_backendsReached = 0;
--- a/packages/routing/include/carobpath/routing/EntryRouter.h
+++ b/packages/routing/include/carobpath/routing/EntryRouter.h
@@ -27,6 +27,11 @@
     RetryAllowance retries;
     /// Whether a call that may be repeated is cut at half of its time, for a second try, where its upstream is silent.
     bool splitDeadline = true;
+    /// Whether an upstream of this node's own failure domain takes each call that it can answer within the objective,
+    /// others only what it refuses. Spares the links between domains, and answers loads that some domains bear and others not.
+    bool ownDomainFirst = false;
+    /// Places that one call is offered to at most.
+    std::uint32_t mostPlaces = 4;
 };
 
 /// The entry decision of a node: makes a \c CallDecision for each call and holds what the calls share, which are the
--- a/packages/routing/include/carobpath/routing/ServiceTimes.h
+++ b/packages/routing/include/carobpath/routing/ServiceTimes.h
@@ -15,9 +15,12 @@
     void add(QueueClass, std::chrono::nanoseconds);
     /// \returns zero before the first sample.
     std::chrono::nanoseconds expected(QueueClass) const;
+    /// \returns the mean over the calls of all classes.
+    std::chrono::nanoseconds mean() const;
 
 private:
     std::array<double, queueClasses> m_seconds {};
+    double m_allSeconds = 0;
 };
 
 }
--- a/packages/routing/include/carobpath/routing/UpstreamPicker.h
+++ b/packages/routing/include/carobpath/routing/UpstreamPicker.h
@@ -46,6 +46,14 @@
     bool probe = false;
 };
 
+/// Which failure domains a pick may take upstreams of.
+enum class PickReach : std::uint8_t {
+    /// All, with this node's own preferred until one elsewhere is clearly better.
+    Any,
+    Own,
+    Elsewhere,
+};
+
 /// What a pick may consider.
 struct PickConstraints {
     /// Nodes that the call was sent to already.
@@ -54,6 +62,7 @@
     bool mayProbe = false;
     /// Whether an ejected upstream may be taken where there is nothing better.
     bool lastResort = false;
+    PickReach reach = PickReach::Any;
 };
 
 /// Chooses among the upstreams of one service and version by the power of two choices: of two drawn at random, the one
@@ -89,6 +98,8 @@
     void onFinished(const NodeName&, AttemptSign, std::chrono::nanoseconds latency, std::chrono::milliseconds rest,
         MonotonicTime now);
 
+    void onLoad(const NodeName&, const UpstreamLoad&, MonotonicTime now);
+
     /// \returns the mean latency of answered calls over all upstreams, if any was answered.
     std::optional<std::chrono::nanoseconds> meanLatency() const;
     /// \returns a number from 0 to 1, from the generator that picks too.
@@ -127,6 +138,7 @@
     const Candidate* pickFrom(const Pool&, MonotonicTime now);
     const Candidate* betterOfTwo(const Pool&, MonotonicTime now);
     double cost(const Candidate&, MonotonicTime now) const;
+    bool isInReach(const Candidate&, PickReach) const;
 
     std::mt19937_64 m_random;
     NodeName m_ownNode;
--- a/packages/routing/include/carobpath/routing/UpstreamStatistics.h
+++ b/packages/routing/include/carobpath/routing/UpstreamStatistics.h
@@ -2,6 +2,7 @@
 
 #include "carobpath/foundation/Incarnation.h"
 #include "carobpath/foundation/Time.h"
+#include "carobpath/routing/Admission.h"
 
 #include <chrono>
 #include <cstdint>
@@ -39,6 +40,8 @@
     static constexpr std::chrono::milliseconds s_longestRest { 1000 };
     /// Time for which an upstream that refused as leaving is passed over, unless its entry changes before.
     static constexpr std::chrono::milliseconds s_notServingTime { 5000 };
+    /// Time after which half of the calls that were told is taken as gone.
+    static constexpr std::chrono::milliseconds s_loadHalfLife { 300 };
     /// Time after which half of an old latency is forgotten.
     static constexpr std::chrono::seconds s_latencyHalfLife { 10 };
 
@@ -52,6 +55,8 @@
 
     void onSent(bool probe);
     void onFinished(AttemptSign, std::chrono::nanoseconds latency, std::chrono::milliseconds rest, MonotonicTime now);
+    /// Its node said how busy it is, at the end of a call of this node.
+    void onLoad(const UpstreamLoad&, MonotonicTime now);
     /// A new entry of the node's own was seen.
     void onRevision(const Revision&);
 
@@ -61,6 +66,10 @@
     /// \returns the expected latency, or \p mean before the first answer. It fades with its age, so that an upstream which
     /// was slow once is tried again.
     double latencySeconds(double mean, MonotonicTime now) const;
+    bool hasLoad() const { return m_loadAt != MonotonicTime {} && m_load.limit > 0; }
+    /// \returns the time until an answer is expected, by the load that was told last and this node's own calls since;
+    /// \p mean before anything is known. What was told fades as it ages.
+    double expectedSeconds(double mean, MonotonicTime now) const;
     double errorRate() const { return m_errorRate; }
     std::uint32_t inFlight() const { return m_inFlight; }
     /// \returns whether pooled connections to the node are suspect, since one fell silent.
@@ -82,6 +91,9 @@
     MonotonicTime m_restsUntil {};
     MonotonicTime m_notServingUntil {};
     Revision m_revision;
+    UpstreamLoad m_load;
+    MonotonicTime m_loadAt {};
+    std::uint32_t m_inFlightAtLoad = 0;
 };
 
 }
--- a/packages/routing/src/AdmissionController.cpp
+++ b/packages/routing/src/AdmissionController.cpp
@@ -88,16 +88,62 @@
         dispatch(request, commands, now);
         return;
     }
+    if (m_policy.order.byObjective && request.objective) {
+        enqueueByObjective(request, commands, now);
+        return;
+    }
     const auto ready = now + expectedWait(queueClass, now) + m_times.expected(queueClass);
     if (m_policy.shedByWait && ready > request.deadline) {
-        commands.push_back(Reject { request.id, overloaded(request, now) });
+        rejectForLoad(request, commands, now);
         return;
     }
     if (const auto displaced = m_queue.push(request, now))
-        commands.push_back(Reject { displaced->id, overloaded(*displaced, now) });
+        rejectForLoad(*displaced, commands, now);
     dispatchWaiting(commands, now);
 }
 
+void AdmissionController::enqueueByObjective(const AdmissionRequest& request, AdmissionCommands& commands, MonotonicTime now)
+{
+    const auto service = m_times.expected(queueClassOf(request));
+    const auto wait = waitBefore(request, now);
+    const auto longestLateWait = std::chrono::duration_cast<std::chrono::nanoseconds>(service * s_lateWaitPart);
+    const bool inTime = now + wait + service <= *request.objective;
+    const bool lateButSoon = request.mayBeLate && wait <= longestLateWait && now + wait + service <= request.deadline;
+    const bool taken = inTime || lateButSoon;
+    if (!taken) {
+        rejectForLoad(request, commands, now);
+        return;
+    }
+    if (const auto displaced = m_queue.push(request, now))
+        rejectForLoad(*displaced, commands, now);
+    dispatchWaiting(commands, now);
+}
+
+std::chrono::nanoseconds AdmissionController::waitBefore(const AdmissionRequest& request, MonotonicTime now) const
+{
+    auto work = m_running.remainingWork(m_times, now);
+    for (const auto* it : m_queue.before(request, now))
+        work += m_times.expected(queueClassOf(*it));
+    return work / m_limit.value();
+}
+
+UpstreamLoad AdmissionController::load() const
+{
+    UpstreamLoad it;
+    if (!m_upstream || draining())
+        return it;
+    it.calls = inFlight() + waiting();
+    it.limit = limit();
+    it.serviceTime = std::chrono::duration_cast<std::chrono::microseconds>(m_times.mean());
+    return it;
+}
+
+void AdmissionController::rejectForLoad(const AdmissionRequest& request, AdmissionCommands& commands, MonotonicTime now)
+{
+    m_seen.forget(request.id);
+    commands.push_back(Reject { request.id, overloaded(request, now) });
+}
+
 Refusal AdmissionController::overloaded(const AdmissionRequest& request, MonotonicTime now) const
 {
     const auto wait = std::chrono::ceil<milliseconds>(expectedWait(queueClassOf(request), now));
@@ -139,6 +185,7 @@
     if (m_health.isDown())
         return;
     rejectExpired(commands, now);
+    rejectHopeless(commands, now);
     const auto canGo = [this](const AdmissionRequest& it) { return fits(it); };
     while (const auto next = m_queue.pop(canGo, now))
         dispatch(*next, commands, now);
@@ -216,6 +263,18 @@
         commands.push_back(Reject { it.id, notRun(RefusalReason::DeadlineExceeded, std::nullopt) });
 }
 
+void AdmissionController::rejectHopeless(AdmissionCommands& commands, MonotonicTime now)
+{
+    if (!m_policy.order.byObjective)
+        return;
+    const auto isHopeless = [&](const AdmissionRequest& it) {
+        const auto service = m_times.expected(queueClassOf(it));
+        return it.objective && !it.mayBeLate && now + service > *it.objective;
+    };
+    for (const auto& it : m_queue.removeIf(isHopeless))
+        rejectForLoad(it, commands, now);
+}
+
 void AdmissionController::rejectAll(AdmissionCommands& commands, RefusalReason reason, milliseconds retryAfter)
 {
     for (const auto& it : m_queue.removeAll())
--- a/packages/routing/src/AdmissionQueue.cpp
+++ b/packages/routing/src/AdmissionQueue.cpp
@@ -22,6 +22,49 @@
                                                                               : QueueClass::Short;
 }
 
+bool isMoreUrgent(const AdmissionRequest& first, const AdmissionRequest& second, MonotonicTime now)
+{
+    const auto inTime = [now](const AdmissionRequest& it) { return it.objective && now < *it.objective && !it.mayBeLate; };
+    if (inTime(first) != inTime(second))
+        return inTime(first);
+    if (!inTime(first))
+        return false;
+    if (first.priority != second.priority)
+        return first.priority < second.priority;
+    return *first.objective < *second.objective;
+}
+
+std::vector<const AdmissionRequest*> AdmissionQueue::before(const AdmissionRequest& request, MonotonicTime now) const
+{
+    std::vector<const AdmissionRequest*> earlier;
+    for (const auto& line : m_classes) {
+        for (const auto& it : line) {
+            if (!isMoreUrgent(request, it.request, now))
+                earlier.push_back(&it.request);
+        }
+    }
+    return earlier;
+}
+
+std::optional<AdmissionRequest> AdmissionQueue::popByObjective(const Fits& fits, MonotonicTime now)
+{
+    Line* chosenLine = nullptr;
+    Line::iterator chosen;
+    for (auto& line : m_classes) {
+        for (auto it = line.begin(); it != line.end(); ++it) {
+            if (!fits(it->request) || (chosenLine && !isMoreUrgent(it->request, chosen->request, now)))
+                continue;
+            chosenLine = &line;
+            chosen = it;
+        }
+    }
+    if (!chosenLine)
+        return std::nullopt;
+    auto request = std::move(chosen->request);
+    chosenLine->erase(chosen);
+    return request;
+}
+
 AdmissionQueue::Line& AdmissionQueue::lineOf(const AdmissionRequest& request)
 {
     return m_order.byClass ? m_classes[static_cast<std::size_t>(queueClassOf(request))] : m_classes.front();
@@ -65,6 +108,8 @@
 
 std::optional<AdmissionRequest> AdmissionQueue::pop(const Fits& fits, MonotonicTime now)
 {
+    if (m_order.byObjective)
+        return popByObjective(fits, now);
     Line* chosenLine = nullptr;
     Line::iterator chosen;
     for (auto& line : m_classes) {
@@ -94,11 +139,16 @@
 }
 
 std::vector<AdmissionRequest> AdmissionQueue::removeExpired(MonotonicTime now)
+{
+    return removeIf([now](const AdmissionRequest& it) { return now >= it.deadline; });
+}
+
+std::vector<AdmissionRequest> AdmissionQueue::removeIf(const Fits& matches)
 {
     std::vector<AdmissionRequest> removed;
     for (auto& line : m_classes) {
         std::erase_if(line, [&](const Waiting& it) {
-            if (now < it.request.deadline)
+            if (!matches(it.request))
                 return false;
             removed.push_back(it.request);
             return true;
--- a/packages/routing/src/AttemptClass.cpp
+++ b/packages/routing/src/AttemptClass.cpp
@@ -86,7 +86,8 @@
     if (result.outcome != Outcome::NotRun)
         return false;
     const auto sign = signOf(result);
-    return sign == AttemptSign::NotServing || sign == AttemptSign::Unreachable;
+    const bool refusedByNode = reasonOf(result) == RefusalReason::Overloaded;
+    return refusedByNode || sign == AttemptSign::NotServing || sign == AttemptSign::Unreachable;
 }
 
 RefusalReason reasonOf(const AttemptResult& result)
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -4,6 +4,7 @@
 #include "EntryState.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace carobpath::routing {
 
@@ -119,6 +120,25 @@
 
 std::optional<SendAttempt> CallDecision::nextAttempt(MonotonicTime now)
 {
+    if (!m_state->policy.ownDomainFirst)
+        return pickAttempt(PickReach::Any, now);
+    if (auto own = pickAttempt(PickReach::Own, now))
+        return own;
+    // A large answer is worth a wait, but not the way between domains.
+    const bool isDownload = m_route->trafficClass == publication::TrafficClass::Download;
+    if (isDownload) {
+        if (auto late = lateAttempt(now))
+            return late;
+    }
+    if (auto elsewhere = pickAttempt(PickReach::Elsewhere, now))
+        return elsewhere;
+    return lateAttempt(now);
+}
+
+std::optional<SendAttempt> CallDecision::pickAttempt(PickReach reach, MonotonicTime now)
+{
+    if (m_tried.size() >= m_state->policy.mostPlaces)
+        return std::nullopt;
     const auto share = m_state->shareOf(m_service);
     std::vector<VersionFilter> versions;
     if (m_wantsNext && share.next)
@@ -128,19 +148,55 @@
     const bool mayProbe = repeatable() && m_request.bodyReplayable && m_tried.empty();
     for (const bool lastResort : { false, true }) {
         for (const auto& version : versions) {
-            const PickConstraints constraints { m_tried, mayProbe, lastResort };
+            const PickConstraints constraints { m_tried, mayProbe, lastResort, reach };
             const auto choice = m_state->picker.pick(m_service, version, constraints, now);
             if (!choice)
                 continue;
             m_attempt = Attempt { choice->node, share.next == choice->version, now };
             m_state->picker.onSent(choice->node, choice->probe);
             m_version = choice->version;
-            return attemptAt(*choice, m_version, attemptDeadline(now));
+            auto attempt = attemptAt(*choice, m_version, attemptDeadline(now));
+            attempt.objective = objectiveFor(reach, now);
+            return attempt;
         }
     }
     return std::nullopt;
 }
 
+std::optional<SendAttempt> CallDecision::lateAttempt(MonotonicTime now)
+{
+    if (!m_bestOffer || std::exchange(m_triedLate, true))
+        return std::nullopt;
+    auto attempt = m_bestOffer->attempt;
+    attempt.mayBeLate = true;
+    attempt.number = static_cast<std::uint32_t>(m_tried.size() + 1);
+    m_attempt = Attempt { attempt.node, false, now };
+    m_state->picker.onSent(attempt.node, false);
+    return attempt;
+}
+
+void CallDecision::rememberOffer(const AttemptResult& result)
+{
+    const bool forLoad = result.outcome == Outcome::NotRun && routing::reasonOf(result) == RefusalReason::Overloaded;
+    if (!forLoad || !result.retryAfter)
+        return;
+    if (!m_bestOffer || *result.retryAfter < m_bestOffer->wait)
+        m_bestOffer = Offer { m_sent, *result.retryAfter };
+}
+
+std::optional<MonotonicTime> CallDecision::objectiveFor(PickReach reach, MonotonicTime now) const
+{
+    if (m_route->objective.count() == 0)
+        return std::nullopt;
+    // A caller that has less time left than the route gives has waited before.
+    const auto waited = std::max<MonotonicClock::duration>(m_arrivedAt + m_route->timeout - m_deadline, {});
+    const auto objective = m_arrivedAt + m_route->objective - waited;
+    const bool mustSparePart = reach == PickReach::Own && m_route->trafficClass != publication::TrafficClass::Download && objective > now;
+    if (!mustSparePart)
+        return objective;
+    return now + std::chrono::duration_cast<MonotonicClock::duration>((objective - now) * s_ownDomainPart);
+}
+
 SendAttempt CallDecision::attemptAt(const UpstreamChoice& choice, const VersionName& version, MonotonicTime deadline) const
 {
     SendAttempt it;
@@ -153,6 +209,7 @@
     it.deadline = deadline;
     it.repeatability = m_route->repeatability;
     it.trafficClass = m_route->trafficClass;
+    it.priority = m_route->priority;
     it.freshConnection = choice.freshConnection;
     return it;
 }
@@ -193,7 +250,9 @@
 CallCommand CallDecision::send(SendAttempt attempt)
 {
     m_phase = Phase::Attempting;
-    m_tried.push_back(attempt.node);
+    if (std::find(m_tried.begin(), m_tried.end(), attempt.node) == m_tried.end())
+        m_tried.push_back(attempt.node);
+    m_sent = attempt;
     return attempt;
 }
 
@@ -212,6 +271,9 @@
 void CallDecision::recordAttempt(const AttemptResult& result, MonotonicTime now)
 {
     m_outcome = stronger(m_outcome, result.outcome);
+    rememberOffer(result);
+    if (result.load)
+        m_state->picker.onLoad(m_attempt->node, *result.load, now);
     if (reachedBackend(result))
         ++m_backendsReached;
     if (isBackendLoss(result))
@@ -236,8 +298,7 @@
         return false;
     if (m_backendLosses >= s_maxBackendLosses || m_backendsReached >= mostAttempts())
         return false;
-    return otherUpstreamMayHelp(result) && m_request.bodyReplayable && m_tried.size() < s_maxAttempts
-        && now < m_deadline;
+    return otherUpstreamMayHelp(result) && m_request.bodyReplayable && now < m_deadline;
 }
 
 std::optional<CallCommand> CallDecision::retry(const AttemptResult& result, MonotonicTime now)
--- a/packages/routing/src/ServiceTimes.cpp
+++ b/packages/routing/src/ServiceTimes.cpp
@@ -2,17 +2,32 @@
 
 namespace carobpath::routing {
 
+namespace {
+
+    void average(double& mean, double sample)
+    {
+        mean = mean > 0 ? mean + ServiceTimes::s_weight * (sample - mean) : sample;
+    }
+
+    std::chrono::nanoseconds fromSeconds(double seconds)
+    {
+        return std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<double>(seconds));
+    }
+
+}
+
 void ServiceTimes::add(QueueClass queueClass, std::chrono::nanoseconds time)
 {
-    auto& mean = m_seconds[static_cast<std::size_t>(queueClass)];
     const double sample = std::chrono::duration<double>(time).count();
-    mean = mean > 0 ? mean + s_weight * (sample - mean) : sample;
+    average(m_seconds[static_cast<std::size_t>(queueClass)], sample);
+    average(m_allSeconds, sample);
 }
 
 std::chrono::nanoseconds ServiceTimes::expected(QueueClass queueClass) const
 {
-    const std::chrono::duration<double> mean(m_seconds[static_cast<std::size_t>(queueClass)]);
-    return std::chrono::duration_cast<std::chrono::nanoseconds>(mean);
+    return fromSeconds(m_seconds[static_cast<std::size_t>(queueClass)]);
 }
 
+std::chrono::nanoseconds ServiceTimes::mean() const { return fromSeconds(m_allSeconds); }
+
 }
--- a/packages/routing/src/UpstreamPicker.cpp
+++ b/packages/routing/src/UpstreamPicker.cpp
@@ -115,12 +115,17 @@
     if (found == m_candidates.end())
         return pool;
     for (const auto& it : found->second) {
-        if (versions.takes(it.version) && !contains(constraints.excluded, it.node))
+        if (versions.takes(it.version) && isInReach(it, constraints.reach) && !contains(constraints.excluded, it.node))
             pool.push_back(&it);
     }
     return pool;
 }
 
+bool UpstreamPicker::isInReach(const Candidate& it, PickReach reach) const
+{
+    return reach == PickReach::Any || (it.domain == m_ownDomain) == (reach == PickReach::Own);
+}
+
 const UpstreamPicker::Candidate* UpstreamPicker::dueProbe(const Pool& candidates, MonotonicTime now)
 {
     const auto it = std::find_if(candidates.begin(), candidates.end(),
@@ -189,8 +194,11 @@
 double UpstreamPicker::cost(const Candidate& it, MonotonicTime now) const
 {
     const double mean = m_meanSeconds > 0 ? m_meanSeconds : s_initialLatencySeconds;
+    const double failing = 1 + errorFactor * it.statistics->errorRate();
+    if (it.statistics->hasLoad())
+        return it.statistics->expectedSeconds(mean, now) * failing;
     const double latency = it.statistics->latencySeconds(mean, now);
-    return latency * (1 + it.statistics->inFlight()) * it.hintFactor * (1 + errorFactor * it.statistics->errorRate());
+    return latency * (1 + it.statistics->inFlight()) * it.hintFactor * failing;
 }
 
 void UpstreamPicker::onSent(const NodeName& node, bool probe)
@@ -212,6 +220,13 @@
         it->second.onFinished(sign, latency, rest, now);
 }
 
+void UpstreamPicker::onLoad(const NodeName& node, const UpstreamLoad& load, MonotonicTime now)
+{
+    const auto it = m_statistics.find(node);
+    if (it != m_statistics.end())
+        it->second.onLoad(load, now);
+}
+
 std::optional<std::chrono::nanoseconds> UpstreamPicker::meanLatency() const
 {
     if (m_meanSeconds <= 0)
--- a/packages/routing/src/UpstreamStatistics.cpp
+++ b/packages/routing/src/UpstreamStatistics.cpp
@@ -54,6 +54,27 @@
     }
 }
 
+void UpstreamStatistics::onLoad(const UpstreamLoad& load, MonotonicTime now)
+{
+    m_load = load;
+    m_loadAt = now;
+    m_inFlightAtLoad = m_inFlight;
+}
+
+double UpstreamStatistics::expectedSeconds(double mean, MonotonicTime now) const
+{
+    if (!hasLoad())
+        return mean * (1 + m_inFlight);
+    const std::chrono::duration<double> age = now - m_loadAt;
+    const std::chrono::duration<double> halfLife = s_loadHalfLife;
+    const double told = m_load.calls * std::exp2(-age / halfLife);
+    const double sentSince = m_inFlight > m_inFlightAtLoad ? m_inFlight - m_inFlightAtLoad : 0;
+    const double calls = std::max<double>(told + sentSince, m_inFlight) + 1;
+    const double service = m_load.serviceTime.count() > 0 ? std::chrono::duration<double>(m_load.serviceTime).count() : mean;
+    // A few free slots cost little, a line costs a whole turn for each round of calls.
+    return service * std::max(1.0, calls / m_load.limit);
+}
+
 void UpstreamStatistics::countFailure(MonotonicTime now)
 {
     ++m_failuresInRow;
