Serve no caller before the orders are known

Change: readiness waits for the first listing of the operator's stream, at most 5 s; an order whose state is unknown holds its version at nothing.

--- a/packages/moves/include/carobpath/moves/OrderedMoves.h
+++ b/packages/moves/include/carobpath/moves/OrderedMoves.h
@@ -64,6 +64,8 @@
 
     /// Nodes that may write; those held alive.
     void onNodes(std::vector<NodeName>);
+    /// An order whose state in the store is not known yet: its version gets nothing until \c onOrder.
+    void hold(const MoveOrder&);
     /// \param age of the order, where it was given before this node started.
     void onOrder(const MoveOrder&, std::chrono::milliseconds age, MonotonicTime now);
     void onStatus(const MoveStatus&);
@@ -112,6 +114,8 @@
     std::vector<NodeName> m_nodes;
     EvidenceBook m_book;
     std::map<ServiceName, Move> m_moves;
+    /// Orders whose state in the store is not known yet.
+    std::map<ServiceName, MoveOrder> m_held;
     /// Ends that were read before their orders.
     std::map<ServiceName, MoveStatus> m_statuses;
     MonotonicTime m_tickedAt = MonotonicTime::min();
--- a/packages/moves/src/OrderedMoves.cpp
+++ b/packages/moves/src/OrderedMoves.cpp
@@ -16,6 +16,19 @@
     /// Evidence of other nodes is late by about this time.
     constexpr milliseconds evidenceLag { 1'500 };
 
+    enum class Stage {
+        None,
+        Part,
+        All,
+    };
+
+    Stage stageOf(double share)
+    {
+        if (share <= 0)
+            return Stage::None;
+        return share < 1 ? Stage::Part : Stage::All;
+    }
+
     EvidenceCounts countsOf(CallResult result, std::chrono::nanoseconds latency)
     {
         EvidenceCounts it;
@@ -50,8 +63,16 @@
 
 void OrderedMoves::onNodes(std::vector<NodeName> nodes) { m_nodes = std::move(nodes); }
 
+void OrderedMoves::hold(const MoveOrder& order)
+{
+    const auto known = m_moves.find(order.service);
+    if (known == m_moves.end() || known->second.order.offset < order.offset)
+        m_held.insert_or_assign(order.service, order);
+}
+
 void OrderedMoves::onOrder(const MoveOrder& order, milliseconds age, MonotonicTime now)
 {
+    m_held.erase(order.service);
     const auto held = m_moves.find(order.service);
     if (held != m_moves.end() && held->second.order.offset >= order.offset)
         return;
@@ -150,6 +171,10 @@
 VersionShare OrderedMoves::share(const ServiceName& service, MonotonicTime now) const
 {
     VersionShare it;
+    if (const auto held = m_held.find(service); held != m_held.end()) {
+        it.next = held->second.to;
+        return it;
+    }
     const auto found = m_moves.find(service);
     if (found == m_moves.end())
         return it;
@@ -179,7 +204,7 @@
     for (auto& [service, move] : m_moves) {
         find(move, commands);
         const auto share = shareOf(move, now);
-        if (share != move.shownShare) {
+        if (stageOf(share) != stageOf(move.shownShare)) {
             move.shownShare = share;
             commands.emplace_back(ShareChanged { service, idOf(move.order).name, { VersionName {}, move.order.to, share } });
         }
--- a/packages/moves/tests/OrderedMovesTests.cpp
+++ b/packages/moves/tests/OrderedMovesTests.cpp
@@ -174,6 +174,18 @@
     BOOST_TEST(!node.unfinished());
 }
 
+BOOST_AUTO_TEST_CASE(A_version_whose_state_in_the_store_is_not_known_yet_gets_nothing)
+{
+    OrderedMoves node { NodeName { "n0" }, Incarnation { 2 }, ExposureBound {} };
+    node.hold(order());
+    node.tick(start);
+    const auto share = node.share(service, start);
+    BOOST_TEST(share.next.value().value() == "v2");
+    BOOST_TEST(share.nextShare == 0);
+    node.onOrder(order(), 0ms, start);
+    BOOST_TEST(node.share(service, start).nextShare > 0);
+}
+
 BOOST_AUTO_TEST_CASE(A_later_order_of_the_service_begins_anew)
 {
     Fleet fleet { 2 };
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+    /// A node that cannot read the store serves all the same after it, by what its peers tell.
+    constexpr std::chrono::milliseconds longestWaitForOrders { 5'000 };
     /// A refusal for load costs one short exchange between nodes.
     constexpr std::uint32_t placesInFleet = 6;
     constexpr std::chrono::milliseconds tickInterval { 100 };
@@ -86,6 +88,7 @@
     m_moves->start();
     scheduleTick();
     recordStarted();
+    m_startedAt = MonotonicClock::now();
     m_peers->start();
     if (m_fleet)
         m_fleet->start(m_peers->endpoint());
@@ -137,7 +140,10 @@
 {
     FleetHooks hooks;
     hooks.onConfiguration = [this](const publication::ConfigurationPointer& it) { m_peers->publishConfiguration(it); };
-    hooks.onStoreRead = [this] { m_peers->reportLogEnd(); };
+    hooks.onStoreRead = [this] {
+        m_peers->reportLogEnd();
+        setOrdersKnown();
+    };
     hooks.onPeersFound = [this](const std::vector<Endpoint>& peers) { m_peers->addSeeds(peers); };
     hooks.ready = [this] { return serving(); };
     hooks.onNotice = [this] { m_peers->notifyEvidence(); };
@@ -322,8 +328,18 @@
     m_moves->engine().onNodes(std::move(alive));
 }
 
-void NodeAssembly::onReady(bool ready)
+void NodeAssembly::setOrdersKnown()
+{
+    if (std::exchange(m_ordersKnown, true))
+        return;
+    onReady(m_exchangeReady);
+}
+
+void NodeAssembly::onReady(bool exchangeReady)
 {
+    m_exchangeReady = exchangeReady;
+    // A node that does not know the orders would send calls to versions that were taken back.
+    const bool ready = exchangeReady && (!inFleet() || m_ordersKnown);
     if (m_ready == ready)
         return;
     m_ready = ready;
@@ -377,6 +393,8 @@
 void NodeAssembly::slowTick()
 {
     m_slowTickAt = MonotonicClock::now();
+    if (m_slowTickAt - m_startedAt >= longestWaitForOrders)
+        setOrdersKnown();
     if (m_reader && m_reader->enabled() && m_view && !m_draining)
         m_checkpoints->onTick(m_reader->follower(), *m_view);
 }
--- a/packages/node/src/internal/NodeAssembly.h
+++ b/packages/node/src/internal/NodeAssembly.h
@@ -65,7 +65,8 @@
 
     void onConfiguration(const publication::ConfigurationPointer&);
     void onView(const std::shared_ptr<const membership::MembershipView>&);
-    void onReady(bool);
+    void onReady(bool exchangeReady);
+    void setOrdersKnown();
     void onStep(const publication::FoldStep&);
     void onBackend(const gateway::BackendObservation&);
 
@@ -112,6 +113,10 @@
     MonotonicTime m_stopAcceptingAt;
     MonotonicTime m_closeIdleAt;
     MonotonicTime m_giveUpAt;
+    MonotonicTime m_startedAt;
+    bool m_exchangeReady = false;
+    /// The operator's orders were read once, or waited for long enough.
+    bool m_ordersKnown = false;
     bool m_ready = false;
     bool m_draining = false;
 };
--- a/packages/node/src/internal/OrderedMoveDriver.cpp
+++ b/packages/node/src/internal/OrderedMoveDriver.cpp
@@ -77,6 +77,8 @@
             followStatus();
             if (m_statusKnown)
                 takeOrder(order);
+            else
+                m_engine.hold(order);
             return {};
         },
         [&](const platform::DocumentFault& fault) {
