Write a line for each decision on a call, bounded and never waiting for the reader

Cause: the time line told of the node's own state alone, and a full standard output held the daemon up (std::cout, flushed at each line). Change: call-ended, attempt-ended, admission-refused and backend-ended with the request's id and what decided; a rate for each kind; what is left out or lost is counted with the next line; output is dropped where the pipe is full.

--- a/packages/foundation/include/carobpath/foundation/EventLog.h
+++ b/packages/foundation/include/carobpath/foundation/EventLog.h
@@ -3,11 +3,14 @@
 #include "carobpath/foundation/Event.h"
 #include "carobpath/foundation/HybridClock.h"
 #include "carobpath/foundation/Incarnation.h"
+#include "carobpath/foundation/LineRate.h"
 #include "carobpath/foundation/Time.h"
 
 #include <functional>
+#include <map>
 #include <ostream>
 #include <string>
+#include <string_view>
 
 namespace carobpath {
 
@@ -19,6 +22,9 @@
 
 /// Writes the time line of one process: one JSON object a line, flushed at once.
 /// The shape is in docs/INTERFACES.md. Not safe for concurrent use.
+///
+/// Each kind of event has a rate of its own. A line that was left out, or that the output did not take, is counted, and
+/// the next line of its kind tells the count as "leftOut".
 class EventLog {
 public:
     using Clock = std::function<WallTime()>;
@@ -30,11 +36,14 @@
     HybridTime record(const Event&);
 
 private:
+    void write(const Event&, WallTime, HybridTime, std::uint64_t leftOut, LineRate&);
+
     std::ostream& m_out;
     std::string m_process;
     Incarnation m_incarnation;
     HybridClock& m_hybridClock;
     Clock m_clock;
+    std::map<std::string_view, LineRate> m_rates;
 };
 
 }
--- a/packages/foundation/include/carobpath/foundation/EventNames.h
+++ b/packages/foundation/include/carobpath/foundation/EventNames.h
@@ -35,6 +35,10 @@
     inline constexpr EventName upstreamGone { "upstream-gone" };
 
     inline constexpr EventName callRefused { "call-refused" };
+    inline constexpr EventName callEnded { "call-ended" };
+    inline constexpr EventName attemptEnded { "attempt-ended" };
+    inline constexpr EventName admissionRefused { "admission-refused" };
+    inline constexpr EventName backendEnded { "backend-ended" };
     inline constexpr EventName backendCrashed { "backend-crashed" };
 
     inline constexpr EventName moveOrdered { "move-ordered" };
--- a/packages/foundation/src/EventLog.cpp
+++ b/packages/foundation/src/EventLog.cpp
@@ -40,6 +40,14 @@
 {
     const WallTime now = m_clock();
     const HybridTime hybrid = m_hybridClock.tick(now);
+    auto& rate = m_rates[event.name().text];
+    if (const auto leftOut = rate.next(MonotonicClock::now()))
+        write(event, now, hybrid, *leftOut, rate);
+    return hybrid;
+}
+
+void EventLog::write(const Event& event, WallTime now, HybridTime hybrid, std::uint64_t leftOut, LineRate& rate)
+{
     nlohmann::ordered_json line;
     line["at"] = toString(now);
     line["hybrid"] = toString(hybrid);
@@ -48,9 +56,14 @@
     line["event"] = event.name().text;
     for (const EventField& field : event.fields())
         std::visit([&](const auto& value) { line[field.key] = value; }, field.value);
+    if (leftOut > 0)
+        line["leftOut"] = leftOut;
     m_out << line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace) << '\n'
           << std::flush;
-    return hybrid;
+    if (m_out)
+        return;
+    m_out.clear();
+    rate.onLost(leftOut + 1);
 }
 
 }
--- a/packages/gateway/include/carobpath/gateway/GatewayHooks.h
+++ b/packages/gateway/include/carobpath/gateway/GatewayHooks.h
@@ -29,6 +29,7 @@
 struct CallObservation {
     RequestId id;
     RouteName route;
+    ServiceName service;
     unsigned status = 0;
     routing::Outcome outcome = routing::Outcome::NotRun;
     std::optional<routing::RefusalReason> reason;
@@ -38,6 +39,31 @@
     bool whole = true;
 };
 
+/// The end of one attempt at the entry node.
+struct AttemptObservation {
+    RequestId id;
+    std::uint32_t number = 0;
+    NodeName node;
+    routing::Outcome outcome = routing::Outcome::Unknown;
+    std::optional<routing::RefusalReason> reason;
+    /// HTTP status of the answer; 0 where there was none.
+    unsigned status = 0;
+    std::chrono::nanoseconds latency {};
+    /// How busy the upstream was, where its node said so.
+    std::optional<routing::UpstreamLoad> load;
+};
+
+/// A call that the admitting node refused.
+struct AdmissionRefusal {
+    RequestId id;
+    RouteName route;
+    routing::Refusal refusal;
+    /// What decided: the time left to the deadline and to the objective, and how busy the upstream is.
+    std::chrono::nanoseconds deadlineLeft {};
+    std::optional<std::chrono::nanoseconds> objectiveLeft;
+    routing::UpstreamLoad load;
+};
+
 using LedgerHandler = std::function<void(routing::LedgerVerdict)>;
 
 /// What the gateway asks of the rest of the node. All are called on the thread of the io_context.
@@ -51,6 +77,8 @@
     /// connection broke is answered, so that the news is on its way before the caller can send the request again.
     std::function<void()> onBackendCrash;
     std::function<void(const CallObservation&)> onCall;
+    std::function<void(const AttemptObservation&)> onAttempt;
+    std::function<void(const AdmissionRefusal&)> onAdmissionRefused;
     /// Reads the hybrid clock as text, for a message to another node.
     std::function<std::string()> hybridNow;
     /// A message from another node came with this reading.
--- a/packages/gateway/src/internal/AdmissionHandler.cpp
+++ b/packages/gateway/src/internal/AdmissionHandler.cpp
@@ -73,6 +73,7 @@
         const auto call = it->second;
         if (const auto* reject = std::get_if<routing::Reject>(&command)) {
             m_calls.erase(it);
+            observeRefusal(call->admission(), reject->refusal);
             call->reject(reject->refusal);
         } else {
             call->dispatch(m_backend);
@@ -80,6 +81,17 @@
     }
 }
 
+void AdmissionHandler::observeRefusal(const routing::AdmissionRequest& request, const routing::Refusal& refusal) const
+{
+    if (!m_hooks.onAdmissionRefused)
+        return;
+    const auto now = MonotonicClock::now();
+    AdmissionRefusal it { request.id, request.route, refusal, request.deadline - now, std::nullopt, m_controller.load() };
+    if (request.objective)
+        it.objectiveLeft = *request.objective - now;
+    m_hooks.onAdmissionRefused(it);
+}
+
 void AdmissionHandler::finish(const routing::AdmissionResult& result)
 {
     m_calls.erase(result.id);
--- a/packages/gateway/src/internal/AdmissionHandler.h
+++ b/packages/gateway/src/internal/AdmissionHandler.h
@@ -41,6 +41,7 @@
 
     void scheduleTick();
     void finish(const routing::AdmissionResult&);
+    void observeRefusal(const routing::AdmissionRequest&, const routing::Refusal&) const;
     /// Finds out whether the backend server still takes connections, then calls back.
     void probeBackend(std::function<void()> probed);
 
--- a/packages/gateway/src/internal/AdmittedCall.h
+++ b/packages/gateway/src/internal/AdmittedCall.h
@@ -21,6 +21,8 @@
     /// Sends the call to the backend server.
     void dispatch(const std::optional<Backend>&);
 
+    const routing::AdmissionRequest& admission() const { return m_request; }
+
     /// Answers with a refusal of this node.
     void reject(const routing::Refusal&);
 
--- a/packages/gateway/src/internal/EntryCall.cpp
+++ b/packages/gateway/src/internal/EntryCall.cpp
@@ -112,6 +112,7 @@
     auto result = failure ? resultOfFailure(*failure) : resultOfHeader(*m_exchange);
     const auto now = MonotonicClock::now();
     result.latency = now - m_attemptStartedAt;
+    observeAttempt(result);
     const auto command = m_decision->onAttemptFinished(result, now);
     const bool relays = std::holds_alternative<routing::RelayAnswer>(command);
     if (!failure && !relays)
@@ -224,6 +225,22 @@
     m_session->abandon();
 }
 
+void EntryCall::observeAttempt(const routing::AttemptResult& result)
+{
+    if (!m_handler.m_hooks.onAttempt)
+        return;
+    AttemptObservation observation;
+    observation.id = m_call.id;
+    observation.number = m_attempt->number;
+    observation.node = m_attempt->node;
+    observation.outcome = result.outcome;
+    observation.reason = result.reason;
+    observation.status = result.status;
+    observation.latency = result.latency;
+    observation.load = result.load;
+    m_handler.m_hooks.onAttempt(observation);
+}
+
 void EntryCall::observe(unsigned status, routing::Outcome outcome, std::optional<routing::RefusalReason> reason, bool whole)
 {
     if (!m_handler.m_hooks.onCall)
@@ -231,6 +248,7 @@
     CallObservation observation;
     observation.id = m_call.id;
     observation.route = m_attempt ? m_attempt->route : RouteName {};
+    observation.service = m_attempt ? m_attempt->service : ServiceName {};
     observation.status = status;
     observation.outcome = outcome;
     observation.reason = reason;
--- a/packages/gateway/src/internal/EntryCall.h
+++ b/packages/gateway/src/internal/EntryCall.h
@@ -31,6 +31,7 @@
     void onHeader(std::optional<ExchangeFailure>);
     void onCallerGone();
     ResponseHeader headerForCaller() const;
+    void observeAttempt(const routing::AttemptResult&);
     void observe(unsigned status, routing::Outcome, std::optional<routing::RefusalReason>, bool whole);
 
     EntryHandler& m_handler;
--- /dev/null
+++ b/packages/node/src/internal/CallLog.cpp
@@ -0,0 +1,66 @@
+#include "internal/CallLog.h"
+
+namespace carobpath::node::Detail {
+
+namespace {
+
+    void addReason(Event& event, const std::optional<routing::RefusalReason>& reason)
+    {
+        if (reason)
+            event.with("reason", routing::toString(*reason));
+    }
+
+    void addLoad(Event& event, const routing::UpstreamLoad& load)
+    {
+        event.with("calls", load.calls).with("limit", load.limit).with("serviceMs", load.serviceTime);
+    }
+
+}
+
+void CallLog::onCall(const gateway::CallObservation& call)
+{
+    Event it(event::callEnded);
+    it.with("request", call.id).with("route", call.route).with("service", call.service).with("status", call.status);
+    it.with("outcome", routing::toString(call.outcome));
+    addReason(it, call.reason);
+    it.with("attempts", call.attempts).with("tookMs", call.latency);
+    if (!call.whole)
+        it.with("whole", false);
+    m_events.record(it);
+}
+
+void CallLog::onAttempt(const gateway::AttemptObservation& attempt)
+{
+    Event it(event::attemptEnded);
+    it.with("request", attempt.id).with("attempt", attempt.number).with("node", attempt.node).with("status", attempt.status);
+    it.with("outcome", routing::toString(attempt.outcome));
+    addReason(it, attempt.reason);
+    it.with("tookMs", attempt.latency);
+    if (attempt.load)
+        addLoad(it, *attempt.load);
+    m_events.record(it);
+}
+
+void CallLog::onAdmissionRefused(const gateway::AdmissionRefusal& refusal)
+{
+    Event it(event::admissionRefused);
+    it.with("request", refusal.id).with("route", refusal.route);
+    it.with("outcome", routing::toString(refusal.refusal.outcome)).with("reason", routing::toString(refusal.refusal.reason));
+    if (refusal.refusal.retryAfter)
+        it.with("retryAfterMs", *refusal.refusal.retryAfter);
+    it.with("deadlineLeftMs", refusal.deadlineLeft);
+    if (refusal.objectiveLeft)
+        it.with("objectiveLeftMs", *refusal.objectiveLeft);
+    addLoad(it, refusal.load);
+    m_events.record(it);
+}
+
+void CallLog::onBackend(const gateway::BackendObservation& observation)
+{
+    Event it(event::backendEnded);
+    it.with("request", observation.id).with("route", observation.route).with("version", observation.version);
+    it.with("result", routing::toString(observation.result)).with("tookMs", observation.latency);
+    m_events.record(it);
+}
+
+}
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -59,6 +59,7 @@
     , m_incarnation(incarnationNow())
     , m_events(events, "node/" + settings.name.value(), m_incarnation, m_clock)
     , m_context { io, m_settings, m_incarnation, m_events, m_clock, m_logger }
+    , m_callLog(m_events)
     , m_log(io.get_executor(), logOptionsOf(settings))
     , m_router(m_context.random())
     , m_quarantine(m_context)
@@ -215,7 +216,12 @@
         if (const auto time = hybridTimeFromText(text))
             m_clock.observe(*time, wallNow());
     };
-    hooks.onCall = [this](const auto& call) { m_metrics.onCall(call); };
+    hooks.onCall = [this](const auto& call) {
+        m_metrics.onCall(call);
+        m_callLog.onCall(call);
+    };
+    hooks.onAttempt = [this](const auto& attempt) { m_callLog.onAttempt(attempt); };
+    hooks.onAdmissionRefused = [this](const auto& refusal) { m_callLog.onAdmissionRefused(refusal); };
     return hooks;
 }
 
@@ -361,6 +367,7 @@
 void NodeAssembly::onBackend(const gateway::BackendObservation& observation)
 {
     m_metrics.onBackend(observation);
+    m_callLog.onBackend(observation);
     m_quarantine.onBackend(observation);
     if (m_fleet)
         m_fleet->moves().onBackend(m_upstream->service(), observation);
--- a/packages/node/src/internal/NodeAssembly.h
+++ b/packages/node/src/internal/NodeAssembly.h
@@ -8,6 +8,7 @@
 #include "carobpath/routing/AdmissionController.h"
 #include "carobpath/routing/EntryRouter.h"
 #include "internal/AdminApi.h"
+#include "internal/CallLog.h"
 #include "internal/CheckpointDriver.h"
 #include "internal/FleetDriver.h"
 #include "internal/LedgerDriver.h"
@@ -86,6 +87,7 @@
     EventLog m_events;
     NodeContext m_context;
     NodeMetrics m_metrics;
+    CallLog m_callLog;
 
     publication::HttpLogClient m_log;
     routing::EntryRouter m_router;
--- a/packages/node/src/internal/NodeMetrics.cpp
+++ b/packages/node/src/internal/NodeMetrics.cpp
@@ -24,27 +24,6 @@
         return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
     }
 
-    std::string resultText(routing::BackendResult result)
-    {
-        switch (result) {
-        case routing::BackendResult::Answered:
-            return "answered";
-        case routing::BackendResult::ServerError:
-            return "server-error";
-        case routing::BackendResult::Refused:
-            return "refused";
-        case routing::BackendResult::ConnectFailed:
-            return "connect-failed";
-        case routing::BackendResult::ConnectionLost:
-            return "connection-lost";
-        case routing::BackendResult::TimedOut:
-            return "timed-out";
-        case routing::BackendResult::Cancelled:
-            return "cancelled";
-        }
-        return "answered";
-    }
-
 }
 
 NodeMetrics::NodeMetrics()
@@ -78,7 +57,7 @@
 
 void NodeMetrics::onBackend(const gateway::BackendObservation& observation)
 {
-    m_backend.Add({ { "result", resultText(observation.result) } }).Increment();
+    m_backend.Add({ { "result", std::string { routing::toString(observation.result) } } }).Increment();
 }
 
 void NodeMetrics::onRecord(std::string_view outcome)
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -1,11 +1,13 @@
 #include "carobpath/foundation/Log.h"
 #include "carobpath/foundation/NodeSettings.h"
+#include "carobpath/foundation/NonBlockingOutput.h"
 #include "carobpath/gateway/Gateway.h"
 #include "carobpath/node/Daemon.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <cxxopts.hpp>
+#include <unistd.h>
 
 #include <csignal>
 #include <cstdio>
@@ -80,8 +82,9 @@
         [&]() -> Result<int> {
             BOOST_LEAF_AUTO(settings, loadNodeSettings(settingsFile));
             startLogging(LogSettings { settings.logLevel, settings.name.value() });
+            NonBlockingOutput timeLine(STDOUT_FILENO);
             boost::asio::io_context context { 1 };
-            BOOST_LEAF_AUTO(daemon, node::Daemon::start(context, settings, std::cout));
+            BOOST_LEAF_AUTO(daemon, node::Daemon::start(context, settings, timeLine));
             run(context, *daemon, settingsFile);
             return exitOk;
         },
--- a/packages/routing/include/carobpath/routing/Admission.h
+++ b/packages/routing/include/carobpath/routing/Admission.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <string>
 #include <variant>
 #include <vector>
@@ -79,6 +80,9 @@
     Cancelled,
 };
 
+/// \returns the text that stands in logs and metrics, such as "connection-lost".
+std::string_view toString(BackendResult);
+
 /// The end of a dispatched call.
 struct AdmissionResult {
     RequestId id;
