--- a/bench/moves/Experiment.cpp
+++ b/bench/moves/Experiment.cpp
@@ -131,7 +131,7 @@
                 continue;
             const auto window = m_reference.plan().windowAt(Fleet::clocks(now).wall);
             const bool isTimed = it.pick == Pick::Old || window >= m_reference.plan().warmUpWindows();
-            m_reference.add({ {}, m_scenario.service.routes[it.route].name, Fleet::versionOf(it.pick), moves::MovePlan::evidenceWindow(window, false), countsOf(it.call, isTimed) });
+            m_reference.add({ {}, m_scenario.service.routes[it.route].name, Fleet::versionOf(it.pick), moves::MovePlan::evidenceWindow(window, false), countsOf(it.call, isTimed), {} });
         }
         m_pending[m_slot].clear();
         m_slot = (m_slot + 1) % pendingSteps;
--- a/packages/client/src/PublishRun.cpp
+++ b/packages/client/src/PublishRun.cpp
@@ -1,6 +1,6 @@
 #include "internal/PublishRun.h"
 
-#include "carobpath/publication/HttpLogClient.h"
+#include "carobpath/platform/StoreClient.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -32,9 +32,9 @@
         }
 
     private:
-        static HttpLogClientOptions optionsOf(const ClientSettings& settings)
+        static platform::StoreClientOptions optionsOf(const ClientSettings& settings)
         {
-            HttpLogClientOptions options;
+            platform::StoreClientOptions options;
             options.endpoints = settings.log.endpoints;
             options.answerTimeout = std::chrono::ceil<std::chrono::milliseconds>(settings.timeouts.log);
             options.connectTimeout = std::min(options.connectTimeout, options.answerTimeout);
@@ -53,7 +53,7 @@
 
         void carryOut(AppendRecord& it)
         {
-            m_log.append(m_stream, std::move(it.bytes), [this](const AppendResult& result) { carryOut(m_publisher.onAppend(result, MonotonicClock::now())); });
+            m_log.append(m_stream, it.bytes, [this](const AppendResult& result) { carryOut(m_publisher.onAppend(result, MonotonicClock::now())); });
         }
 
         void carryOut(const WaitFor& it)
@@ -71,7 +71,7 @@
         asio::io_context m_io { 1 };
         std::string m_stream;
         Publisher m_publisher;
-        HttpLogClient m_log;
+        platform::StoreClient m_log;
         asio::steady_timer m_timer { m_io };
         std::optional<PublishResult> m_result;
     };
--- a/packages/node/src/internal/CheckpointDriver.cpp
+++ b/packages/node/src/internal/CheckpointDriver.cpp
@@ -36,7 +36,7 @@
 
 }
 
-CheckpointDriver::CheckpointDriver(NodeContext& context, publication::HttpLogClient& log, const publication::KeyPair& fleetKey)
+CheckpointDriver::CheckpointDriver(NodeContext& context, platform::StoreClient& log, const publication::KeyPair& fleetKey)
     : m_context(context)
     , m_log(log)
     , m_fleetKey(fleetKey)
--- a/packages/node/src/internal/CheckpointDriver.h
+++ b/packages/node/src/internal/CheckpointDriver.h
@@ -3,7 +3,7 @@
 #include "carobpath/membership/NodeEntry.h"
 #include "carobpath/publication/Checkpointing.h"
 #include "carobpath/publication/FoldFollower.h"
-#include "carobpath/publication/HttpLogClient.h"
+#include "carobpath/platform/StoreClient.h"
 #include "internal/NodeContext.h"
 
 namespace carobpath::node::Detail {
@@ -11,7 +11,7 @@
 /// Appends checkpoints of the fold when this node is due among the readers of the log.
 class CheckpointDriver {
 public:
-    CheckpointDriver(NodeContext&, publication::HttpLogClient&, const publication::KeyPair& fleetKey);
+    CheckpointDriver(NodeContext&, platform::StoreClient&, const publication::KeyPair& fleetKey);
 
     /// To be called where the fold was started from a checkpoint.
     void onRecovered(const publication::CheckpointMatched&);
@@ -26,7 +26,7 @@
     void write(const publication::FoldFollower&);
 
     NodeContext& m_context;
-    publication::HttpLogClient& m_log;
+    platform::StoreClient& m_log;
     publication::KeyPair m_fleetKey;
     publication::Checkpointing m_checkpointing;
     std::uint64_t m_sequence = 0;
--- a/packages/node/src/internal/FleetDriver.cpp
+++ b/packages/node/src/internal/FleetDriver.cpp
@@ -3,7 +3,6 @@
 #include "carobpath/platform/AnnouncementDocument.h"
 #include "carobpath/platform/ConfigurationDocument.h"
 #include "carobpath/platform/FleetDialect.h"
-#include "internal/SettingsConversions.h"
 
 #include <utility>
 
@@ -25,11 +24,11 @@
 
 }
 
-FleetDriver::FleetDriver(NodeContext& context, UpstreamDriver& upstream, FleetHooks hooks)
+FleetDriver::FleetDriver(NodeContext& context, platform::StoreClient& store, UpstreamDriver& upstream, FleetHooks hooks)
     : m_context(context)
+    , m_store(store)
     , m_upstream(upstream)
     , m_hooks(std::move(hooks))
-    , m_store(context.io.get_executor(), storeOptionsOf(context.settings))
     , m_moves(std::make_shared<OrderedMoveDriver>(context, m_store, m_hooks.onNotice))
 {
 }
--- a/packages/node/src/internal/FleetDriver.h
+++ b/packages/node/src/internal/FleetDriver.h
@@ -30,7 +30,7 @@
 /// The node's ends towards the shared fleet: its store, its readiness questions and its backend servers' announcements.
 class FleetDriver {
 public:
-    FleetDriver(NodeContext&, UpstreamDriver&, FleetHooks);
+    FleetDriver(NodeContext&, platform::StoreClient&, UpstreamDriver&, FleetHooks);
 
     OrderedMoveDriver& moves() const { return *m_moves; }
 
@@ -57,9 +57,9 @@
     Result<gateway::AdminResponse> depart(const std::string& instance, const std::string& body);
 
     NodeContext& m_context;
+    platform::StoreClient& m_store;
     UpstreamDriver& m_upstream;
     FleetHooks m_hooks;
-    platform::StoreClient m_store;
     std::shared_ptr<Reader> m_reader;
     std::shared_ptr<DirectoryDriver> m_directory;
     std::shared_ptr<OrderedMoveDriver> m_moves;
--- a/packages/node/src/internal/LedgerDriver.cpp
+++ b/packages/node/src/internal/LedgerDriver.cpp
@@ -26,7 +26,7 @@
 
 }
 
-LedgerDriver::LedgerDriver(NodeContext& context, publication::HttpLogClient& log)
+LedgerDriver::LedgerDriver(NodeContext& context, platform::StoreClient& log)
     : m_context(context)
     , m_log(log)
     , m_ledger(context.settings.name, context.incarnation)
--- a/packages/node/src/internal/LedgerDriver.h
+++ b/packages/node/src/internal/LedgerDriver.h
@@ -3,7 +3,7 @@
 #include "carobpath/gateway/GatewayHooks.h"
 #include "carobpath/membership/NodeEntry.h"
 #include "carobpath/peer/PeerClient.h"
-#include "carobpath/publication/HttpLogClient.h"
+#include "carobpath/platform/StoreClient.h"
 #include "carobpath/routing/IdempotencyLedger.h"
 #include "internal/NodeContext.h"
 
@@ -21,7 +21,7 @@
 /// the ownership, which only saves reads and appends.
 class LedgerDriver {
 public:
-    LedgerDriver(NodeContext&, publication::HttpLogClient&);
+    LedgerDriver(NodeContext&, platform::StoreClient&);
 
     /// To be called before the first claim.
     void setPeers(peer::PeerClient* peers) { m_peers = peers; }
@@ -50,7 +50,7 @@
     static constexpr std::size_t s_readRecords = 1024;
 
     NodeContext& m_context;
-    publication::HttpLogClient& m_log;
+    platform::StoreClient& m_log;
     routing::IdempotencyLedger m_ledger;
     peer::PeerClient* m_peers = nullptr;
     std::shared_ptr<const membership::MembershipView> m_view;
--- a/packages/node/src/internal/MoveDriver.cpp
+++ b/packages/node/src/internal/MoveDriver.cpp
@@ -33,7 +33,7 @@
 
 }
 
-MoveDriver::MoveDriver(NodeContext& context, publication::HttpLogClient& log, const publication::KeyPair& fleetKey, std::function<void()> onNotice)
+MoveDriver::MoveDriver(NodeContext& context, platform::StoreClient& log, const publication::KeyPair& fleetKey, std::function<void()> onNotice)
     : m_context(context)
     , m_log(log)
     , m_fleetKey(fleetKey)
--- a/packages/node/src/internal/MoveDriver.h
+++ b/packages/node/src/internal/MoveDriver.h
@@ -2,7 +2,7 @@
 
 #include "carobpath/gateway/GatewayHooks.h"
 #include "carobpath/moves/MoveEngine.h"
-#include "carobpath/publication/HttpLogClient.h"
+#include "carobpath/platform/StoreClient.h"
 #include "carobpath/publication/Keys.h"
 #include "internal/NodeContext.h"
 
@@ -18,7 +18,7 @@
 class MoveDriver {
 public:
     /// \param onNotice called when a notice must be spread at once.
-    MoveDriver(NodeContext&, publication::HttpLogClient&, const publication::KeyPair& fleetKey, std::function<void()> onNotice);
+    MoveDriver(NodeContext&, platform::StoreClient&, const publication::KeyPair& fleetKey, std::function<void()> onNotice);
 
     void start();
     void stop();
@@ -41,7 +41,7 @@
     void perform(const moves::ShareChanged&);
 
     NodeContext& m_context;
-    publication::HttpLogClient& m_log;
+    platform::StoreClient& m_log;
     publication::KeyPair m_fleetKey;
     std::function<void()> m_onNotice;
     moves::MoveEngine m_engine;
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -60,7 +60,7 @@
     , m_events(events, "node/" + settings.name.value(), m_incarnation, m_clock)
     , m_context { io, m_settings, m_incarnation, m_events, m_clock, m_logger }
     , m_callLog(m_events)
-    , m_log(io.get_executor(), logOptionsOf(settings))
+    , m_log(io.get_executor(), storeOptionsOf(settings))
     , m_router(m_context.random())
     , m_quarantine(m_context)
     , m_controller(admissionPolicyOf(settings))
@@ -133,7 +133,7 @@
 
 Result<void> NodeAssembly::startFleet()
 {
-    m_fleet.emplace(m_context, *m_upstream, fleetHooks());
+    m_fleet.emplace(m_context, m_log, *m_upstream, fleetHooks());
     return m_fleet->listen();
 }
 
--- a/packages/node/src/internal/NodeAssembly.h
+++ b/packages/node/src/internal/NodeAssembly.h
@@ -44,7 +44,7 @@
     void onSettingsRefused(const SettingsFaults&);
 
 private:
-    using Reader = LogReader<publication::HttpLogClient>;
+    using Reader = LogReader<platform::StoreClient>;
 
     Result<void> listen();
     Result<void> listenForAdmin();
@@ -89,7 +89,7 @@
     NodeMetrics m_metrics;
     CallLog m_callLog;
 
-    publication::HttpLogClient m_log;
+    platform::StoreClient m_log;
     routing::EntryRouter m_router;
     QuarantineDriver m_quarantine;
     routing::AdmissionController m_controller;
--- a/packages/node/src/internal/SettingsConversions.cpp
+++ b/packages/node/src/internal/SettingsConversions.cpp
@@ -19,17 +19,6 @@
     return limits;
 }
 
-publication::HttpLogClientOptions logOptionsOf(const NodeSettings& settings)
-{
-    using std::chrono::duration_cast;
-    using std::chrono::milliseconds;
-    publication::HttpLogClientOptions options;
-    options.endpoints = settings.log.endpoints;
-    options.connectTimeout = duration_cast<milliseconds>(settings.timeouts.connect);
-    options.answerTimeout = duration_cast<milliseconds>(settings.timeouts.log);
-    return options;
-}
-
 platform::StoreClientOptions storeOptionsOf(const NodeSettings& settings)
 {
     using std::chrono::duration_cast;
--- a/packages/node/src/internal/SettingsConversions.h
+++ b/packages/node/src/internal/SettingsConversions.h
@@ -5,7 +5,6 @@
 #include "carobpath/gateway/GatewayLimits.h"
 #include "carobpath/node/UpstreamMonitor.h"
 #include "carobpath/platform/StoreClient.h"
-#include "carobpath/publication/HttpLogClient.h"
 #include "carobpath/publication/Keys.h"
 #include "carobpath/routing/AdmissionController.h"
 #include "carobpath/routing/RetryBudget.h"
@@ -15,8 +14,6 @@
 
 gateway::GatewayLimits limitsOf(const NodeSettings&);
 
-publication::HttpLogClientOptions logOptionsOf(const NodeSettings&);
-
 platform::StoreClientOptions storeOptionsOf(const NodeSettings&);
 
 ExpectedBackend expectedBackendOf(const NodeSettings&);
--- a/tests/process/standins/log/LogSwitches.cpp
+++ b/tests/process/standins/log/LogSwitches.cpp
@@ -20,6 +20,7 @@
             { "down", [](auto& s, const auto& v) { s.isDown = v; } },
             { "readsDown", [](auto& s, const auto& v) { s.areReadsDown = v; } },
             { "appendsDown", [](auto& s, const auto& v) { s.areAppendsDown = v; } },
+            { "refusesAll", [](auto& s, const auto& v) { s.refusesAll = v; } },
             { "silent", [](auto& s, const auto& v) { s.isSilent = v; } },
             { "latencyMs", [](auto& s, const auto& v) { s.latency = millis(v); } },
             { "slowMs", [](auto& s, const auto& v) { s.slow = millis(v); } },
--- a/tests/process/standins/log/LogSwitches.h
+++ b/tests/process/standins/log/LogSwitches.h
@@ -12,6 +12,8 @@
     bool isDown = false;
     bool areReadsDown = false;
     bool areAppendsDown = false;
+    /// Each read and append is refused with 429.
+    bool refusesAll = false;
     /// Reads and appends get no answer at all.
     bool isSilent = false;
     /// Delay before a read or append takes effect.
