Load one instance of the new version before all calls go over; compare failures by their deviation

Change: one instance, the same for all nodes, takes 30 calls a second for a second before that; a finding needs three standard deviations above the old rate; one instance is enough while the others had few calls. Reads of the store pause 0.4 s after news.

--- a/packages/moves/include/carobpath/moves/OrderedMovePlan.h
+++ b/packages/moves/include/carobpath/moves/OrderedMovePlan.h
@@ -12,8 +12,9 @@
     double slack = 50;
 };
 
-/// The time plan of a move that has seconds rather than minutes: a small share until shortly before the deadline, then
-/// all calls for a moment, to see the new version under its whole load, then the verdict.
+/// The time plan of a move that has seconds rather than minutes: a small share until shortly before the deadline, then a
+/// moment in which one instance alone takes as many calls as fill it, since some versions fail under load only, then all
+/// calls for a moment, and the verdict.
 ///
 /// A version can turn bad at any time, so what bounds the harm is the sum of its calls from the order to the deadline:
 /// the share is as large as that sum leaves it. All times count from the order.
@@ -22,6 +23,10 @@
     OrderedMovePlan(std::chrono::milliseconds duration, const ExposureBound&);
 
     std::chrono::milliseconds deadline() const { return m_duration; }
+    /// When one instance begins and ends to take the new version's calls alone.
+    std::chrono::milliseconds focusAt() const;
+    std::chrono::milliseconds focusEnd() const;
+    double focusShare(double callsPerSecond) const;
     /// When all calls go to the new version.
     std::chrono::milliseconds fullAt() const;
     /// When the verdict is written, early enough to stand at the deadline.
--- a/packages/moves/include/carobpath/moves/OrderedMoves.h
+++ b/packages/moves/include/carobpath/moves/OrderedMoves.h
@@ -54,6 +54,13 @@
 /// All nodes follow the same plan, so that no share need be spread; only a finding is, at once.
 class OrderedMoves {
 public:
+    /// An upstream that takes calls, by the node beside it.
+    struct ServingUpstream {
+        ServiceName service;
+        VersionName version;
+        NodeName node;
+    };
+
     /// Time between two ranks of writers, so that one of them mostly writes alone.
     static constexpr std::chrono::milliseconds s_rankStep { 150 };
     static constexpr std::chrono::milliseconds s_writeRetry { 300 };
@@ -64,6 +71,7 @@
 
     /// Nodes that may write; those held alive.
     void onNodes(std::vector<NodeName>);
+    void onUpstreams(std::vector<ServingUpstream>);
     /// An order whose state in the store is not known yet: its version gets nothing until \c onOrder.
     void hold(const MoveOrder&);
     /// \param age of the order, where it was given before this node started.
@@ -82,14 +90,16 @@
     /// Evidence windows: calls while the new version gets a part, and while it gets all.
     static constexpr std::uint32_t s_canaryWindow = 0;
     static constexpr std::uint32_t s_fullWindow = 1;
+    static constexpr std::uint32_t s_focusWindow = 2;
 
     struct Move {
         MoveOrder order;
         OrderedMovePlan plan;
         MonotonicTime startedAt;
-        /// Of the canary window and of the full one, each against all calls of the old version.
+        /// Of each window, against all calls of the old version.
         VersionComparison canary;
         VersionComparison full;
+        VersionComparison focus;
         /// What the store holds of this order.
         std::optional<OrderedMoveState> recorded;
         double shownShare = 0;
@@ -101,6 +111,10 @@
     std::chrono::milliseconds elapsed(const Move&, MonotonicTime now) const;
     bool isTakenBack(const Move&) const;
     bool isFull(const Move&, MonotonicTime now) const;
+    bool isFocused(const Move&, MonotonicTime now) const;
+    std::uint32_t windowOf(const Move&, MonotonicTime now) const;
+    NodeName focusOf(const Move&) const;
+    double rateOf(const Move&, MonotonicTime now) const;
     double shareOf(const Move&, MonotonicTime now) const;
     std::optional<OrderedMoveState> stateOf(const Move&, MonotonicTime now) const;
     std::size_t rankFor(const MoveOrder&) const;
@@ -112,6 +126,7 @@
     NodeName m_self;
     ExposureBound m_bound;
     std::vector<NodeName> m_nodes;
+    std::vector<ServingUpstream> m_upstreams;
     EvidenceBook m_book;
     std::map<ServiceName, Move> m_moves;
     /// Orders whose state in the store is not known yet.
--- a/packages/moves/include/carobpath/moves/VersionShare.h
+++ b/packages/moves/include/carobpath/moves/VersionShare.h
@@ -13,6 +13,8 @@
     std::optional<VersionName> next;
     /// Part of the calls that go to \c next, from 0 to 1.
     double nextShare = 0;
+    /// Upstream that takes all calls of \c next at this moment, to see it loaded; empty where all take their part.
+    NodeName focus {};
 
     friend bool operator==(const VersionShare&, const VersionShare&) = default;
 };
--- a/packages/moves/src/MoveEngine.cpp
+++ b/packages/moves/src/MoveEngine.cpp
@@ -176,7 +176,7 @@
     const auto share = m_book.notice(id) ? 0.0 : move.assessment.share;
     if (share != move.shownShare) {
         move.shownShare = share;
-        commands.push_back(ShareChanged { move.entry.move.service, id.name, { move.entry.from, move.entry.move.to, share } });
+        commands.push_back(ShareChanged { move.entry.move.service, id.name, { move.entry.from, move.entry.move.to, share, {} } });
     }
     const auto verdict = verdictOf(id, move, now);
     if (verdict && move.writer.isDue(*verdict, now.monotonic, m_random))
--- a/packages/moves/src/OrderedMovePlan.cpp
+++ b/packages/moves/src/OrderedMovePlan.cpp
@@ -10,11 +10,17 @@
     using Seconds = std::chrono::duration<double>;
 
     constexpr milliseconds shortestFull { 500 };
-    constexpr milliseconds longestFull { 1'100 };
+    constexpr milliseconds longestFull { 800 };
     /// Part of the move's time that all calls go to the new version.
-    constexpr int fullDivisor = 15;
+    constexpr int fullDivisor = 18;
     /// Time for the verdict to reach the store.
-    constexpr milliseconds verdictLead { 250 };
+    constexpr milliseconds verdictLead { 200 };
+    constexpr milliseconds focusLength { 1'000 };
+    /// Time to hear of what the focus showed.
+    constexpr milliseconds focusLead { 500 };
+    /// Calls a second that fill one instance of a few slots.
+    constexpr double focusCallsPerSecond = 30;
+    constexpr double largestFocusShare = 0.3;
     constexpr double smallestShare = 0.02;
     constexpr double largestShare = 0.08;
     /// Part of the bound that is planned with; the rest is for nodes that hear of the order late.
@@ -35,6 +41,23 @@
     return std::max(m_duration - full, m_duration / 2);
 }
 
+milliseconds OrderedMovePlan::focusEnd() const
+{
+    return std::max(fullAt() - focusLead, m_duration / 2);
+}
+
+milliseconds OrderedMovePlan::focusAt() const
+{
+    return std::max(focusEnd() - focusLength, m_duration / 2);
+}
+
+double OrderedMovePlan::focusShare(double callsPerSecond) const
+{
+    if (callsPerSecond <= 0)
+        return largestShare;
+    return std::clamp(focusCallsPerSecond / callsPerSecond, smallestShare, largestFocusShare);
+}
+
 milliseconds OrderedMovePlan::verdictAt() const
 {
     return std::max(m_duration - verdictLead, fullAt());
@@ -48,7 +71,8 @@
     const Seconds canary = fullAt();
     const double allowed = plannedPart * m_bound.part * callsPerSecond * duration.count() + plannedSlack * m_bound.slack;
     const double inFull = callsPerSecond * (duration - canary).count();
-    const double share = (allowed - inFull) / (callsPerSecond * std::max(canary.count(), 1.0));
+    const double inFocus = callsPerSecond * focusShare(callsPerSecond) * Seconds { focusEnd() - focusAt() }.count();
+    const double share = (allowed - inFull - inFocus) / (callsPerSecond * std::max(canary.count(), 1.0));
     return std::clamp(share, smallestShare, largestShare);
 }
 
--- a/packages/moves/src/OrderedMoves.cpp
+++ b/packages/moves/src/OrderedMoves.cpp
@@ -63,6 +63,8 @@
 
 void OrderedMoves::onNodes(std::vector<NodeName> nodes) { m_nodes = std::move(nodes); }
 
+void OrderedMoves::onUpstreams(std::vector<ServingUpstream> upstreams) { m_upstreams = std::move(upstreams); }
+
 void OrderedMoves::hold(const MoveOrder& order)
 {
     const auto known = m_moves.find(order.service);
@@ -76,7 +78,7 @@
     const auto held = m_moves.find(order.service);
     if (held != m_moves.end() && held->second.order.offset >= order.offset)
         return;
-    Move move { order, OrderedMovePlan { order.duration, m_bound }, now - age, {}, {}, std::nullopt, 0, std::nullopt, now };
+    Move move { order, OrderedMovePlan { order.duration, m_bound }, now - age, {}, {}, {}, std::nullopt, 0, std::nullopt, now };
     const auto status = m_statuses.find(order.service);
     if (status != m_statuses.end() && status->second.order == order.offset)
         move.recorded = status->second.state;
@@ -115,8 +117,7 @@
     if (it == m_moves.end() || (it->second.recorded && *it->second.recorded != OrderedMoveState::Running))
         return;
     const auto& move = it->second;
-    const auto window = isFull(move, now) ? s_fullWindow : s_canaryWindow;
-    m_book.observe(idOf(move.order), route, version, window, countsOf(result, latency), now);
+    m_book.observe(idOf(move.order), route, version, windowOf(move, now), countsOf(result, latency), now);
 }
 
 void OrderedMoves::add(const std::vector<EvidenceGrowth>& growth)
@@ -129,8 +130,11 @@
         if (it.version != move.order.to) {
             move.canary.addOld(it);
             move.full.addOld(it);
+            move.focus.addOld(it);
         } else if (it.window == s_fullWindow) {
             move.full.addNew(it);
+        } else if (it.window == s_focusWindow) {
+            move.focus.addNew(it);
         } else {
             move.canary.addNew(it);
         }
@@ -156,16 +160,47 @@
     return !isTakenBack(move) && elapsed(move, now) >= move.plan.fullAt() && move.canary.newCalls() >= fewestCalls;
 }
 
+bool OrderedMoves::isFocused(const Move& move, MonotonicTime now) const
+{
+    const auto time = elapsed(move, now);
+    return !isTakenBack(move) && time >= move.plan.focusAt() && time < move.plan.focusEnd();
+}
+
+std::uint32_t OrderedMoves::windowOf(const Move& move, MonotonicTime now) const
+{
+    if (isFull(move, now))
+        return s_fullWindow;
+    return isFocused(move, now) ? s_focusWindow : s_canaryWindow;
+}
+
+NodeName OrderedMoves::focusOf(const Move& move) const
+{
+    const auto key = move.order.service.value() + '@' + std::to_string(move.order.offset);
+    const ServingUpstream* best = nullptr;
+    for (const auto& it : m_upstreams) {
+        if (it.service != move.order.service || it.version != move.order.to)
+            continue;
+        if (!best || rendezvousScore(key, it.node.value()) > rendezvousScore(key, best->node.value()))
+            best = &it;
+    }
+    return best ? best->node : NodeName {};
+}
+
+double OrderedMoves::rateOf(const Move& move, MonotonicTime now) const
+{
+    const auto seen = std::max(elapsed(move, now) - evidenceLag, milliseconds { 0 });
+    const auto calls = static_cast<double>(move.canary.oldCalls() + move.canary.newCalls());
+    return seen > evidenceLag ? calls / std::chrono::duration<double>(seen).count() : 0;
+}
+
 double OrderedMoves::shareOf(const Move& move, MonotonicTime now) const
 {
     if (isTakenBack(move))
         return 0;
     if (isFull(move, now))
         return 1;
-    const auto seen = std::max(elapsed(move, now) - evidenceLag, milliseconds { 0 });
-    const auto calls = static_cast<double>(move.canary.oldCalls() + move.canary.newCalls());
-    const double rate = seen > evidenceLag ? calls / std::chrono::duration<double>(seen).count() : 0;
-    return move.plan.canaryShare(rate);
+    const auto rate = rateOf(move, now);
+    return isFocused(move, now) ? move.plan.focusShare(rate) : move.plan.canaryShare(rate);
 }
 
 VersionShare OrderedMoves::share(const ServiceName& service, MonotonicTime now) const
@@ -186,6 +221,8 @@
     it.next = move.order.to;
     const bool isFresh = m_tickedAt != MonotonicTime::min() && now - m_tickedAt <= s_longestTickGap;
     it.nextShare = isFresh ? shareOf(move, now) : 0;
+    if (isFocused(move, now))
+        it.focus = focusOf(move);
     return it;
 }
 
@@ -206,7 +243,7 @@
         const auto share = shareOf(move, now);
         if (stageOf(share) != stageOf(move.shownShare)) {
             move.shownShare = share;
-            commands.emplace_back(ShareChanged { service, idOf(move.order).name, { VersionName {}, move.order.to, share } });
+            commands.emplace_back(ShareChanged { service, idOf(move.order).name, { VersionName {}, move.order.to, share, {} } });
         }
         write(move, now, commands);
     }
@@ -220,6 +257,8 @@
     if (ended || m_book.notice(id))
         return;
     auto finding = move.canary.finding();
+    if (!finding)
+        finding = move.focus.finding();
     if (!finding)
         finding = move.full.finding();
     if (!finding)
--- a/packages/moves/src/VersionComparison.cpp
+++ b/packages/moves/src/VersionComparison.cpp
@@ -1,6 +1,7 @@
 #include "carobpath/moves/VersionComparison.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 namespace carobpath::moves {
@@ -9,15 +10,20 @@
 
     /// Failed calls that a finding needs at least.
     constexpr std::uint64_t fewestFailures = 4;
-    /// The new version's rate of failures must pass this, and the old one's by the factor.
-    constexpr double smallestFailureRate = 0.15;
-    constexpr double failureFactor = 2.5;
+    /// The new version's rate of failures must be above the old one's by this, and by three standard deviations of what the
+    /// old one's rate gives for as many calls. Inner calls that fail under load raise both rates alike.
+    constexpr double smallestFailureGap = 0.15;
+    constexpr double deviations = 3;
+    /// Rate that the old version is taken to have at least, so that a few calls without a failure prove nothing.
+    constexpr double smallestOldRate = 0.02;
     constexpr std::uint64_t fewestTimed = 8;
     /// Latency classes, each twice the one before, by which the median of the new version must be above the old one's.
     constexpr std::size_t slowClasses = 2;
     /// Calls of one instance that say something of it.
     constexpr std::uint64_t fewestOfInstance = 2;
     constexpr std::size_t instancesWanted = 2;
+    /// Calls of the other instances that clear the version of what one instance shows.
+    constexpr std::uint64_t fewestToClear = 20;
 
     std::uint64_t timed(const EvidenceCounts& counts)
     {
@@ -49,27 +55,36 @@
         return counts.answered() > 0 ? static_cast<double>(counts.failed) / static_cast<double>(counts.answered()) : 0;
     }
 
-    /// \returns whether as many instances show the fault as are wanted, or all where there are fewer.
+    /// \returns whether as many instances show the fault as are wanted, or all where there are fewer. One is enough while
+    /// the others had few calls: a version that fails under load shows it where the load is.
     template <typename Shows>
     bool enoughShow(const CountsByObserver& byObserver, Shows shows)
     {
         std::size_t heard = 0;
         std::size_t showing = 0;
+        std::uint64_t callsOfOthers = 0;
         for (const auto& [observer, counts] : byObserver) {
             if (counts.answered() < fewestOfInstance)
                 continue;
             ++heard;
-            showing += shows(counts) ? 1 : 0;
+            const bool showsIt = shows(counts);
+            showing += showsIt ? 1 : 0;
+            callsOfOthers += showsIt ? 0 : counts.answered();
         }
-        return showing >= std::max<std::size_t>(1, std::min(heard, instancesWanted));
+        const auto wanted = callsOfOthers < fewestToClear ? 1 : std::min(heard, instancesWanted);
+        return showing >= std::max<std::size_t>(1, wanted);
     }
 
     bool isFailing(const EvidenceCounts& old, const EvidenceCounts& sum, const CountsByObserver& byObserver)
     {
-        const double tolerated = smallestFailureRate + failureFactor * failureRate(old);
-        if (sum.failed < fewestFailures || failureRate(sum) < tolerated)
+        if (sum.failed < fewestFailures)
             return false;
-        return enoughShow(byObserver, [&](const EvidenceCounts& it) { return failureRate(it) >= tolerated / 2 && it.failed > 0; });
+        const double oldRate = std::max(failureRate(old), smallestOldRate);
+        const double deviation = std::sqrt(oldRate * (1 - oldRate) / static_cast<double>(sum.answered()));
+        const double tolerated = oldRate + std::max(smallestFailureGap, deviations * deviation);
+        if (failureRate(sum) < tolerated)
+            return false;
+        return enoughShow(byObserver, [&](const EvidenceCounts& it) { return failureRate(it) >= (oldRate + tolerated) / 2 && it.failed > 0; });
     }
 
     bool isSlow(const EvidenceCounts& old, const EvidenceCounts& sum, const CountsByObserver& byObserver)
--- a/packages/moves/tests/OrderedMovesTests.cpp
+++ b/packages/moves/tests/OrderedMovesTests.cpp
@@ -139,6 +139,23 @@
     BOOST_CHECK(fleet.end() == OrderedMoveState::TakenBack);
 }
 
+BOOST_AUTO_TEST_CASE(All_nodes_load_the_same_instance_for_a_moment_before_all_calls_go_over)
+{
+    Fleet fleet { 4 };
+    fleet.give(order(), start);
+    for (auto& node : fleet.nodes)
+        node.onUpstreams({ { service, newVersion, NodeName { "u1" } }, { service, newVersion, NodeName { "u2" } }, { service, oldVersion, NodeName { "u3" } } });
+    const OrderedMovePlan plan { 16s, {} };
+    fleet.run(0ms, plan.focusAt() + 300ms, never);
+    const auto now = start + plan.focusAt() + 200ms;
+    const auto focus = fleet.nodes.front().share(service, now).focus;
+    BOOST_TEST(!focus.empty());
+    BOOST_TEST(focus.value() != "u3");
+    for (const auto& node : fleet.nodes)
+        BOOST_TEST(node.share(service, now).focus == focus);
+    BOOST_TEST(fleet.nodes.front().share(service, start + 5s).focus.empty());
+}
+
 BOOST_AUTO_TEST_CASE(A_version_without_calls_is_not_done)
 {
     Fleet fleet { 1 };
--- a/packages/node/src/internal/KeyedReader.h
+++ b/packages/node/src/internal/KeyedReader.h
@@ -50,6 +50,8 @@
 private:
     static constexpr std::chrono::milliseconds s_retryBase { 200 };
     static constexpr std::chrono::milliseconds s_retryCap { 1'500 };
+    /// Pause after news, so that changes in quick succession are read together.
+    static constexpr std::chrono::milliseconds s_newsPause { 400 };
 
     void read()
     {
@@ -72,12 +74,29 @@
         m_backoff.reset();
         if (!std::exchange(m_available, true))
             m_hooks.onAvailable(true, {});
-        if (std::holds_alternative<publication::Trimmed>(result))
+        if (std::holds_alternative<publication::Trimmed>(result)) {
             m_follower.onTrimmed();
-        else
-            report(std::get<publication::KeyedBatch>(result));
-        if (!m_stopped)
             read();
+            return;
+        }
+        const bool wasListing = m_follower.wantsListing();
+        const auto& batch = std::get<publication::KeyedBatch>(result);
+        report(batch);
+        if (m_stopped)
+            return;
+        if (batch.records.empty() || wasListing)
+            read();
+        else
+            readAfter(s_newsPause);
+    }
+
+    void readAfter(std::chrono::milliseconds pause)
+    {
+        m_retry.expires_after(pause);
+        m_retry.async_wait([self = this->shared_from_this()](boost::system::error_code ec) {
+            if (!ec && !self->m_stopped)
+                self->read();
+        });
     }
 
     void report(const publication::KeyedBatch& batch)
@@ -93,11 +112,7 @@
         m_follower.onInterrupted();
         if (std::exchange(m_available, false))
             m_hooks.onAvailable(false, failure);
-        m_retry.expires_after(m_backoff.next(m_random));
-        m_retry.async_wait([self = this->shared_from_this()](boost::system::error_code ec) {
-            if (!ec && !self->m_stopped)
-                self->read();
-        });
+        readAfter(m_backoff.next(m_random));
     }
 
     Store& m_store;
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -41,6 +41,18 @@
         return names;
     }
 
+    std::vector<moves::OrderedMoves::ServingUpstream> servingUpstreams(const membership::MembershipView& view)
+    {
+        std::vector<moves::OrderedMoves::ServingUpstream> upstreams;
+        for (const auto& node : view.nodes) {
+            const auto& upstream = node.entry.upstream;
+            const bool serves = upstream && !node.entry.leaving && upstream->state == membership::UpstreamState::Ready;
+            if (serves && node.liveness == membership::Liveness::Alive)
+                upstreams.push_back({ upstream->service, upstream->version, node.entry.name });
+        }
+        return upstreams;
+    }
+
     peer::HybridTime toPeer(const HybridTime& time)
     {
         return peer::HybridTime { static_cast<std::uint64_t>(time.wall.time_since_epoch().count()), time.counter };
@@ -329,8 +341,10 @@
     m_router.setPolicy(entryPolicy(alive.size()));
     if (m_fleet)
         m_fleet->onView(*view);
-    if (m_fleet)
+    if (m_fleet) {
         m_fleet->moves().engine().onNodes(alive);
+        m_fleet->moves().engine().onUpstreams(servingUpstreams(*view));
+    }
     m_moves->engine().onNodes(std::move(alive));
 }
 
--- a/packages/routing/include/carobpath/routing/CallDecision.h
+++ b/packages/routing/include/carobpath/routing/CallDecision.h
@@ -90,6 +90,9 @@
     std::uint32_t mostAttempts() const;
     std::optional<SendAttempt> nextAttempt(MonotonicTime now);
     std::optional<SendAttempt> pickAttempt(PickReach, MonotonicTime now);
+    /// The upstream that takes all calls of the next version at this moment, where the call is one of them.
+    std::optional<SendAttempt> focusAttempt(MonotonicTime now);
+    SendAttempt take(const UpstreamChoice&, PickReach, bool toNext, MonotonicTime now);
     /// One more try where a refusal promised the shortest wait, though the answer will be late.
     std::optional<SendAttempt> lateAttempt(MonotonicTime now);
     void rememberOffer(const AttemptResult&);
--- a/packages/routing/include/carobpath/routing/UpstreamPicker.h
+++ b/packages/routing/include/carobpath/routing/UpstreamPicker.h
@@ -63,6 +63,8 @@
     /// Whether an ejected upstream may be taken where there is nothing better.
     bool lastResort = false;
     PickReach reach = PickReach::Any;
+    /// The only node to take; empty where all may be.
+    NodeName only {};
 };
 
 /// Chooses among the upstreams of one service and version by the power of two choices: of two drawn at random, the one
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -120,6 +120,8 @@
 
 std::optional<SendAttempt> CallDecision::nextAttempt(MonotonicTime now)
 {
+    if (auto focused = focusAttempt(now))
+        return focused;
     if (!m_state->policy.ownDomainFirst)
         return pickAttempt(PickReach::Any, now);
     if (auto own = pickAttempt(PickReach::Own, now))
@@ -148,21 +150,40 @@
     const bool mayProbe = repeatable() && m_request.bodyReplayable && m_tried.empty();
     for (const bool lastResort : { false, true }) {
         for (const auto& version : versions) {
-            const PickConstraints constraints { m_tried, mayProbe, lastResort, reach };
+            const PickConstraints constraints { m_tried, mayProbe, lastResort, reach, {} };
             const auto choice = m_state->picker.pick(m_service, version, constraints, now);
             if (!choice)
                 continue;
-            m_attempt = Attempt { choice->node, share.next == choice->version, now };
-            m_state->picker.onSent(choice->node, choice->probe);
-            m_version = choice->version;
-            auto attempt = attemptAt(*choice, m_version, attemptDeadline(now));
-            attempt.objective = objectiveFor(reach, now);
-            return attempt;
+            return take(*choice, reach, share.next == choice->version, now);
         }
     }
     return std::nullopt;
 }
 
+std::optional<SendAttempt> CallDecision::focusAttempt(MonotonicTime now)
+{
+    if (!m_wantsNext || !m_tried.empty())
+        return std::nullopt;
+    const auto share = m_state->shareOf(m_service);
+    if (!share.next || share.focus.empty())
+        return std::nullopt;
+    const PickConstraints constraints { m_tried, false, true, PickReach::Any, share.focus };
+    const auto choice = m_state->picker.pick(m_service, VersionFilter { *share.next }, constraints, now);
+    if (!choice)
+        return std::nullopt;
+    return take(*choice, PickReach::Any, true, now);
+}
+
+SendAttempt CallDecision::take(const UpstreamChoice& choice, PickReach reach, bool toNext, MonotonicTime now)
+{
+    m_attempt = Attempt { choice.node, toNext, now };
+    m_state->picker.onSent(choice.node, choice.probe);
+    m_version = choice.version;
+    auto attempt = attemptAt(choice, m_version, attemptDeadline(now));
+    attempt.objective = objectiveFor(reach, now);
+    return attempt;
+}
+
 std::optional<SendAttempt> CallDecision::lateAttempt(MonotonicTime now)
 {
     if (!m_bestOffer || std::exchange(m_triedLate, true))
@@ -219,7 +240,7 @@
     const bool relayed = m_final && std::holds_alternative<RelayAnswer>(*m_final);
     if (!relayed || m_attempt || !repeatable() || !m_request.bodyReplayable || m_tried.size() >= s_maxAttempts)
         return std::nullopt;
-    const auto choice = m_state->picker.pick(m_service, m_version, PickConstraints { m_tried, false, false }, now);
+    const auto choice = m_state->picker.pick(m_service, m_version, PickConstraints { m_tried, false, false, PickReach::Any, {} }, now);
     if (!choice || !m_state->budgetOf(m_service).tryWithdraw(now))
         return std::nullopt;
     m_state->picker.onSent(choice->node, choice->probe);
--- a/packages/routing/src/UpstreamPicker.cpp
+++ b/packages/routing/src/UpstreamPicker.cpp
@@ -115,7 +115,8 @@
     if (found == m_candidates.end())
         return pool;
     for (const auto& it : found->second) {
-        if (versions.takes(it.version) && isInReach(it, constraints.reach) && !contains(constraints.excluded, it.node))
+        const bool isWanted = constraints.only.empty() || constraints.only == it.node;
+        if (isWanted && versions.takes(it.version) && isInReach(it, constraints.reach) && !contains(constraints.excluded, it.node))
             pool.push_back(&it);
     }
     return pool;
