--- a/packages/moves/include/carobpath/moves/VersionComparison.h
+++ b/packages/moves/include/carobpath/moves/VersionComparison.h
@@ -32,6 +32,9 @@
 
     std::uint64_t oldCalls() const { return m_oldCalls; }
     std::uint64_t newCalls() const { return m_newCalls; }
+    /// \returns whether the new version's backend servers refused so many of its calls that their load stayed low, and
+    /// what fails under load could not show.
+    bool isMasked() const;
 
 private:
     struct RouteCounts {
@@ -45,6 +48,7 @@
     RouteCounts m_all;
     std::uint64_t m_oldCalls = 0;
     std::uint64_t m_newCalls = 0;
+    std::uint64_t m_newRefused = 0;
 };
 
 }
--- a/packages/moves/src/OrderedMoves.cpp
+++ b/packages/moves/src/OrderedMoves.cpp
@@ -157,7 +157,8 @@
 
 bool OrderedMoves::isFull(const Move& move, MonotonicTime now) const
 {
-    return !isTakenBack(move) && elapsed(move, now) >= move.plan.fullAt() && move.canary.newCalls() >= fewestCalls;
+    const bool isShown = move.canary.newCalls() >= fewestCalls && !move.canary.isMasked() && !move.focus.isMasked() && !move.full.isMasked();
+    return isShown && !isTakenBack(move) && elapsed(move, now) >= move.plan.fullAt();
 }
 
 bool OrderedMoves::isFocused(const Move& move, MonotonicTime now) const
--- a/packages/moves/src/VersionComparison.cpp
+++ b/packages/moves/src/VersionComparison.cpp
@@ -16,6 +16,8 @@
     constexpr double deviations = 3;
     /// Rate that the old version is taken to have at least, so that a few calls without a failure prove nothing.
     constexpr double smallestOldRate = 0.02;
+    constexpr std::uint64_t fewestRefused = 4;
+    constexpr double maskingPart = 0.15;
     constexpr std::uint64_t fewestTimed = 8;
     /// Latency classes, each twice the one before, by which the median of the new version must be above the old one's.
     constexpr std::size_t slowClasses = 2;
@@ -118,6 +120,13 @@
     m_routes[growth.route].fresh[growth.observer] += growth.counts;
     m_all.fresh[growth.observer] += growth.counts;
     m_newCalls += growth.counts.answered();
+    m_newRefused += growth.counts.refused;
+}
+
+bool VersionComparison::isMasked() const
+{
+    const auto all = m_newCalls + m_newRefused;
+    return m_newRefused >= fewestRefused && static_cast<double>(m_newRefused) >= maskingPart * static_cast<double>(all);
 }
 
 std::optional<VersionFinding> VersionComparison::findingOf(const RouteName& route, const RouteCounts& counts)
--- a/packages/moves/tests/OrderedMovesTests.cpp
+++ b/packages/moves/tests/OrderedMovesTests.cpp
@@ -156,6 +156,18 @@
     BOOST_TEST(fleet.nodes.front().share(service, start + 5s).focus.empty());
 }
 
+BOOST_AUTO_TEST_CASE(A_version_whose_servers_refuse_most_calls_was_not_seen_under_load_and_is_taken_back)
+{
+    Fleet fleet { 4 };
+    fleet.give(order(), start);
+    for (auto at = 0ms; at < 17s; at += 100ms) {
+        fleet.tick(start + at, never);
+        if (at > 10s)
+            fleet.nodes.front().observe(service, RouteName { "r" }, newVersion, CallResult::Refused, 1ms, start + at);
+    }
+    BOOST_CHECK(fleet.end() == OrderedMoveState::TakenBack);
+}
+
 BOOST_AUTO_TEST_CASE(A_version_without_calls_is_not_done)
 {
     Fleet fleet { 1 };
