Push evidence of moves while it is new

Cause: evidence went along with one exchange a second, so that the writer of a verdict knew what other nodes saw some seconds ago only. Change: what is new is collected each 0.4 s and pushed to one random peer, while a move runs.

--- a/packages/distribution/include/carobpath/distribution/EvidenceNews.h
+++ b/packages/distribution/include/carobpath/distribution/EvidenceNews.h
@@ -19,7 +19,7 @@
     /// Parts of a store's changes that are taken in one collection.
     static constexpr std::size_t s_maxParts = 16;
     /// Shortest time between two collections, and so between two spread revisions of an entry.
-    static constexpr std::chrono::milliseconds s_collectInterval { 1000 };
+    static constexpr std::chrono::milliseconds s_collectInterval { 400 };
 
     explicit EvidenceNews(EvidencePort);
 
@@ -28,6 +28,8 @@
     std::vector<moves::TakeBackNotice> collect(MonotonicTime now);
     /// Gives a peer's update to the store. \returns notices that are news.
     std::vector<moves::TakeBackNotice> merge(const moves::EvidenceUpdate&);
+    /// \returns whether entries wait to be spread.
+    bool hasEntries() const { return m_entries.size() > 0; }
     /// \returns entries for one message, bounded by bytes, and the latest notices.
     moves::EvidenceUpdate take(std::size_t budget, std::uint32_t transmissions);
     /// \returns all that the store holds.
--- a/packages/distribution/include/carobpath/distribution/Exchange.h
+++ b/packages/distribution/include/carobpath/distribution/Exchange.h
@@ -100,6 +100,8 @@
     static constexpr std::uint32_t s_seedEvery = 64;
     static constexpr std::uint32_t s_seedEveryAtFirst = 8;
     static constexpr std::uint32_t s_firstRounds = 64;
+    /// Shortest time between two pushes of evidence that is new; a verdict may wait for it.
+    static constexpr std::chrono::milliseconds s_evidenceInterval { 400 };
     /// Random peers that a notice is pushed to besides the neighbours.
     static constexpr std::size_t s_noticeFanOut = 2;
     static constexpr std::size_t s_membershipBudget = 4096;
@@ -169,6 +171,8 @@
     void noticePause(MonotonicTime now);
     void tickMembership(MonotonicTime now, Commands&);
     void tickExchange(MonotonicTime now, Commands&);
+    /// Evidence is only worth something while its move runs, which may be ten seconds.
+    void tickEvidence(MonotonicTime now, Commands&);
     void tickGate(MonotonicTime now, Commands&);
     void askWitnesses(const std::vector<const membership::KnownNode*>&, Commands&);
     void tickFetch(MonotonicTime now, Commands&);
@@ -184,6 +188,8 @@
     void pushNotices(std::vector<moves::TakeBackNotice>, const Endpoint& except, Commands&);
 
     PeerMessage header() const;
+    /// \returns how often a piece of evidence is sent before it counts as spread.
+    std::uint32_t transmissions() const;
     PeerMessage withNews(const Endpoint& receiver);
     void take(const PeerMessage&, MonotonicTime now, Commands&);
     void noteSameTable(const PeerMessage&);
@@ -213,6 +219,7 @@
     MonotonicTime m_lastTick;
     MonotonicTime m_membershipAt;
     MonotonicTime m_exchangeAt;
+    MonotonicTime m_evidenceAt;
     MonotonicTime m_gateAt;
     MonotonicTime m_comparedAt;
     MonotonicTime m_viewAt;
--- a/packages/distribution/src/Exchange.cpp
+++ b/packages/distribution/src/Exchange.cpp
@@ -32,6 +32,7 @@
     , m_lastTick(now)
     , m_membershipAt(now)
     , m_exchangeAt(now)
+    , m_evidenceAt(now)
     , m_gateAt(now)
     , m_comparedAt(now)
     , m_viewAt(now)
@@ -45,8 +46,7 @@
     Commands commands;
     noticePause(now);
     tickMembership(now, commands);
-    if (m_evidence.collectionDue(now))
-        pushNotices(m_evidence.collect(now), Endpoint {}, commands);
+    tickEvidence(now, commands);
     tickExchange(now, commands);
     tickGate(now, commands);
     tickFetch(now, commands);
@@ -55,6 +55,21 @@
     return commands;
 }
 
+void Exchange::tickEvidence(MonotonicTime now, Commands& commands)
+{
+    if (m_evidence.collectionDue(now))
+        pushNotices(m_evidence.collect(now), Endpoint {}, commands);
+    if (now - m_evidenceAt < s_evidenceInterval || !m_evidence.hasEntries())
+        return;
+    m_evidenceAt = now;
+    const auto* peer = m_tree.randomPeer(m_random);
+    if (!peer)
+        return;
+    PeerMessage message = header();
+    message.evidence = m_evidence.take(s_evidenceBudget, transmissions());
+    commands.emplace_back(SendPush { peer->addresses.peer, std::move(message) });
+}
+
 void Exchange::noticePause(MonotonicTime now)
 {
     const bool paused = now - m_lastTick >= s_pauseGap;
--- a/packages/distribution/src/ExchangeMessages.cpp
+++ b/packages/distribution/src/ExchangeMessages.cpp
@@ -286,13 +286,17 @@
     return message;
 }
 
+std::uint32_t Exchange::transmissions() const
+{
+    return std::max<std::uint32_t>(minTransmissions, static_cast<std::uint32_t>(std::bit_width(m_members.livePeers())));
+}
+
 PeerMessage Exchange::withNews(const Endpoint& receiver)
 {
-    const auto transmissions = std::max<std::uint32_t>(minTransmissions, std::bit_width(m_members.livePeers()));
     PeerMessage message = header();
     message.floor = m_floors.floorOf(receiver);
     message.membership = m_members.takeNews(s_membershipBudget);
-    message.evidence = m_evidence.take(s_evidenceBudget, transmissions);
+    message.evidence = m_evidence.take(s_evidenceBudget, transmissions());
     return message;
 }
 
