--- a/packages/foundation/src/SettingParsers.cpp
+++ b/packages/foundation/src/SettingParsers.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <array>
 #include <charconv>
 #include <cmath>
 #include <limits>
--- a/packages/node/src/internal/CheckpointDriver.h
+++ b/packages/node/src/internal/CheckpointDriver.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "carobpath/membership/NodeEntry.h"
+#include "carobpath/platform/StoreClient.h"
 #include "carobpath/publication/Checkpointing.h"
 #include "carobpath/publication/FoldFollower.h"
-#include "carobpath/platform/StoreClient.h"
 #include "internal/NodeContext.h"
 
 namespace carobpath::node::Detail {
--- a/packages/routing/include/carobpath/routing/Admission.h
+++ b/packages/routing/include/carobpath/routing/Admission.h
@@ -7,8 +7,8 @@
 
 #include <cstdint>
 #include <optional>
-#include <string_view>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
