--- a/packages/node/src/internal/CheckpointDriver.cpp
+++ b/packages/node/src/internal/CheckpointDriver.cpp
@@ -68,8 +68,8 @@
     record.state = *follower.foldState();
     record.writtenAt = NodeContext::now().wall;
     const auto next = record.state.next;
-    auto bytes = publication::encodeRecord(publication::sign(std::move(record), m_fleetKey));
-    m_log.append(m_context.settings.log.stream, std::move(bytes), [this, next](const publication::AppendResult& result) {
+    const auto bytes = publication::encodeRecord(publication::sign(std::move(record), m_fleetKey));
+    m_log.append(m_context.settings.log.stream, bytes, [this, next](const publication::AppendResult& result) {
         if (std::holds_alternative<publication::Appended>(result))
             m_context.events.record(Event(event::checkpointWritten).with("next", next));
     });
--- a/packages/node/src/internal/MoveDriver.cpp
+++ b/packages/node/src/internal/MoveDriver.cpp
@@ -89,9 +89,9 @@
     record.move = command.move;
     record.movePublishedAt = command.movePublishedAt;
     record.verdict = command.verdict;
-    auto bytes = publication::encodeRecord(publication::sign(std::move(record), m_fleetKey));
+    const auto bytes = publication::encodeRecord(publication::sign(std::move(record), m_fleetKey));
     // A lost answer needs no care: the engine asks again until the set in force shows a verdict, and the first one wins.
-    m_log.append(m_context.settings.log.stream, std::move(bytes), [](const publication::AppendResult&) {});
+    m_log.append(m_context.settings.log.stream, bytes, [](const publication::AppendResult&) {});
 }
 
 void MoveDriver::perform(const moves::SpreadNotice& command)
--- /dev/null
+++ b/tests/process/harness/FleetSite.cpp
@@ -0,0 +1,128 @@
+#include "FleetSite.h"
+
+#include "Programs.h"
+#include "carobpath/platform/RecordFrames.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace carobpath::harness {
+
+namespace {
+
+    /// \returns a port that was free a moment ago.
+    std::uint16_t freePort()
+    {
+        boost::asio::io_context io;
+        const boost::asio::ip::tcp::acceptor acceptor(io, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+        return acceptor.local_endpoint().port();
+    }
+
+    std::string freeAddress() { return "127.0.0.1:" + std::to_string(freePort()); }
+
+    std::string textOf(const nlohmann::json& value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
+
+    std::string readFile(const std::string& path)
+    {
+        const std::ifstream file(path);
+        std::ostringstream text;
+        text << file.rdbuf();
+        return text.str();
+    }
+
+    nlohmann::json sampleSettings(const std::string& name, const std::string& zone, const std::string& service, const std::string& store, const std::string& backend)
+    {
+        const auto port = freePort();
+        return {
+            { "node-name", name },
+            { "ip-address", "127.0.0.1" },
+            { "zone", zone },
+            { "region", "amman" },
+            { "service", service },
+            { "application-address", backend },
+            { "internal-port-range", { port, freePort() } },
+            { "listen-addresses", { { "inbound", freeAddress() }, { "outbound", freeAddress() }, { "ready", freeAddress() }, { "control", freeAddress() } } },
+            { "bounds", { { "grace-period-s", 2.5 }, { "retry-budget-ratio", 0.2 }, { "budget-slack", 64 }, { "budget-window-s", 10 }, { "exposure-share", 0.1 }, { "exposure-slack", 50 } } },
+            { "platform", { { "address", store } } },
+        };
+    }
+
+}
+
+std::string fillTemplate(const std::string& text, const nlohmann::json& settings)
+{
+    std::string filled;
+    std::size_t at = 0;
+    for (auto open = text.find("{{"); open != std::string::npos; open = text.find("{{", at)) {
+        const auto close = text.find("}}", open);
+        if (close == std::string::npos)
+            throw std::runtime_error("a place of the template has no end");
+        std::string path = "/" + text.substr(open + 2, close - open - 2);
+        std::replace(path.begin(), path.end(), '.', '/');
+        filled += text.substr(at, open - at) + textOf(settings.at(nlohmann::json::json_pointer(path)));
+        at = close + 2;
+    }
+    return filled + text.substr(at);
+}
+
+FleetNode::FleetNode(const TemporaryDirectory& directory, const std::string& name, const std::string& zone, const std::string& service, const std::string& store, const std::string& backend)
+    : m_service(service)
+    , m_zone(zone)
+    , m_backend(backend)
+{
+    const auto sample = sampleSettings(name, zone, service, store, backend);
+    m_outbound = sample["listen-addresses"]["outbound"];
+    m_ready = sample["listen-addresses"]["ready"];
+    m_control = sample["listen-addresses"]["control"];
+    const auto text = fillTemplate(readFile(std::string(programs::sourceDirectory) + "/deploy/node.yaml"), sample);
+    const auto settings = directory.write(name + ".yaml", text);
+    m_process = std::make_unique<Process>(programs::carobpathd, std::vector<std::string> { "--settings", settings }, (directory.path() / (name + ".err")).string());
+    m_process->waitForEvent("started");
+}
+
+unsigned FleetNode::readiness() const
+{
+    CallerRequest request;
+    request.target = "/v1/readiness";
+    return call(m_ready, request).status;
+}
+
+unsigned FleetNode::announce(const std::string& instance, const std::string& state, std::uint64_t sequence) const
+{
+    const nlohmann::json body {
+        { "address", m_backend },
+        { "born", 1'700'000'000'000 },
+        { "server-info", { { "service", m_service }, { "version", "v1" }, { "zone", m_zone }, { "slots", 6 } } },
+        { "status", { { "state", state }, { "seq", sequence }, { "cold-remaining-s", 0 } } },
+    };
+    CallerRequest request;
+    request.method = "PUT";
+    request.target = "/v1/instances/" + instance;
+    request.body = body.dump();
+    return call(m_control, request).status;
+}
+
+unsigned FleetNode::depart(const std::string& instance) const
+{
+    CallerRequest request;
+    request.method = "DELETE";
+    request.target = "/v1/instances/" + instance;
+    return call(m_control, request).status;
+}
+
+void putOrder(const std::string& store, const std::string& key, const std::string& value)
+{
+    CallerRequest request;
+    request.method = "POST";
+    request.target = "/v1/log-append?topic=keyed.op&part=0";
+    request.body = platform::frameOf(platform::keyedContent(key, value));
+    if (call(store, request).status != 200)
+        throw std::runtime_error("the store refuses the order");
+}
+
+}
--- /dev/null
+++ b/tests/process/harness/FleetSite.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Caller.h"
+#include "Process.h"
+#include "TemporaryDirectory.h"
+
+#include <memory>
+#include <string>
+
+namespace carobpath::harness {
+
+/// Fills a template of the deploy file from the platform's settings: "{{a.b}}" gives a value, "{{a.0}}" an item of a list.
+/// Throws where a place has no value.
+std::string fillTemplate(const std::string& text, const nlohmann::json& settings);
+
+/// One daemon on the shared fleet's platform, started with the settings that the deploy file's template makes.
+class FleetNode {
+public:
+    /// \param store "IP:PORT" of the store.
+    /// \param backend "IP:PORT" of the backend server beside the node.
+    FleetNode(const TemporaryDirectory&, const std::string& name, const std::string& zone, const std::string& service, const std::string& store, const std::string& backend);
+
+    Process& process() { return *m_process; }
+    const std::string& outbound() const { return m_outbound; }
+
+    /// \returns the status of the platform's question whether the node is ready.
+    unsigned readiness() const;
+    /// The backend server says what it is; \returns the status of the answer.
+    unsigned announce(const std::string& instance, const std::string& state, std::uint64_t sequence) const;
+    unsigned depart(const std::string& instance) const;
+
+private:
+    std::string m_service;
+    std::string m_zone;
+    std::string m_backend;
+    std::string m_outbound;
+    std::string m_ready;
+    std::string m_control;
+    std::unique_ptr<Process> m_process;
+};
+
+/// Writes a record of the operator to the store.
+void putOrder(const std::string& store, const std::string& key, const std::string& value);
+
+}
