--- a/packages/moves/include/carobpath/moves/MoveEngine.h
+++ b/packages/moves/include/carobpath/moves/MoveEngine.h
@@ -67,7 +67,6 @@
 
     ActiveMove* activeMoveOf(const ServiceName&);
     const ActiveMove* activeMoveOf(const ServiceName&) const;
-    std::size_t rankFor(const MoveId&) const;
     void begin(const MoveId&);
     void addGrowth(const std::vector<EvidenceGrowth>&);
     void tickMove(const MoveId&, ActiveMove&, Now, std::vector<MoveCommand>&);
--- a/packages/moves/include/carobpath/moves/OrderedMoves.h
+++ b/packages/moves/include/carobpath/moves/OrderedMoves.h
@@ -109,6 +109,8 @@
 
     static MoveId idOf(const MoveOrder&);
     std::chrono::milliseconds elapsed(const Move&, MonotonicTime now) const;
+    /// \returns whether the store holds an end of the move.
+    static bool hasEnded(const Move&);
     bool isTakenBack(const Move&) const;
     bool isFull(const Move&, MonotonicTime now) const;
     bool isFocused(const Move&, MonotonicTime now) const;
@@ -116,8 +118,7 @@
     NodeName focusOf(const Move&) const;
     double rateOf(const Move&, MonotonicTime now) const;
     double shareOf(const Move&, MonotonicTime now) const;
-    std::optional<OrderedMoveState> stateOf(const Move&, MonotonicTime now) const;
-    std::size_t rankFor(const MoveOrder&) const;
+    OrderedMoveState stateOf(const Move&, MonotonicTime now) const;
     void add(const std::vector<EvidenceGrowth>&);
     void find(Move&, std::vector<OrderedMoveCommand>&);
     void write(Move&, MonotonicTime now, std::vector<OrderedMoveCommand>&);
--- a/packages/moves/src/MoveEngine.cpp
+++ b/packages/moves/src/MoveEngine.cpp
@@ -1,6 +1,6 @@
 #include "carobpath/moves/MoveEngine.h"
 
-#include "carobpath/foundation/RendezvousHash.h"
+#include "MoveWriters.h"
 
 #include <algorithm>
 #include <utility>
@@ -17,26 +17,6 @@
         return { entry.move.name, entry.publishedAt };
     }
 
-    EvidenceCounts countsOf(CallResult result, std::chrono::nanoseconds latency, bool isTimed)
-    {
-        EvidenceCounts it;
-        switch (result) {
-        case CallResult::Succeeded:
-            it.succeeded = 1;
-            break;
-        case CallResult::Failed:
-            it.failed = 1;
-            break;
-        case CallResult::Refused:
-            it.refused = 1;
-            break;
-        }
-        // A failed call may be short because it failed; its latency says nothing.
-        if (isTimed && result == CallResult::Succeeded)
-            it.latency.at(latencyClassOf(latency)) = 1;
-        return it;
-    }
-
 }
 
 MoveEngine::ActiveMove::ActiveMove(const publication::MoveEntry& moveEntry, std::size_t rank)
@@ -58,15 +38,6 @@
     m_nodes = std::move(nodes);
 }
 
-std::size_t MoveEngine::rankFor(const MoveId& move) const
-{
-    const auto key = move.name.value() + '@' + std::to_string(move.publishedAt);
-    const auto own = rendezvousScore(key, m_self.value());
-    return static_cast<std::size_t>(std::count_if(m_nodes.begin(), m_nodes.end(), [&](const NodeName& it) {
-        return it != m_self && rendezvousScore(key, it.value()) > own;
-    }));
-}
-
 void MoveEngine::onConfiguration(const publication::ConfigurationPointer& configuration, Now now)
 {
     m_configuration = configuration;
@@ -95,7 +66,7 @@
 {
     if (m_moves.contains(id))
         return;
-    auto& move = m_moves.try_emplace(id, m_configuration->set.moves.at(id.name), rankFor(id)).first->second;
+    auto& move = m_moves.try_emplace(id, m_configuration->set.moves.at(id.name), writerRank(id, m_self, m_nodes)).first->second;
     for (const auto& it : m_book.total(id))
         move.judge.add(it);
 }
--- a/packages/moves/src/OrderedMoves.cpp
+++ b/packages/moves/src/OrderedMoves.cpp
@@ -1,5 +1,6 @@
 #include "carobpath/moves/OrderedMoves.h"
 
+#include "MoveWriters.h"
 #include "carobpath/foundation/RendezvousHash.h"
 
 #include <algorithm>
@@ -29,24 +30,6 @@
         return share < 1 ? Stage::Part : Stage::All;
     }
 
-    EvidenceCounts countsOf(CallResult result, std::chrono::nanoseconds latency)
-    {
-        EvidenceCounts it;
-        switch (result) {
-        case CallResult::Succeeded:
-            it.succeeded = 1;
-            it.latency.at(latencyClassOf(latency)) = 1;
-            break;
-        case CallResult::Failed:
-            it.failed = 1;
-            break;
-        case CallResult::Refused:
-            it.refused = 1;
-            break;
-        }
-        return it;
-    }
-
 }
 
 OrderedMoves::OrderedMoves(NodeName self, Incarnation incarnation, const ExposureBound& bound)
@@ -114,10 +97,10 @@
 void OrderedMoves::observe(const ServiceName& service, const RouteName& route, const VersionName& version, CallResult result, std::chrono::nanoseconds latency, MonotonicTime now)
 {
     const auto it = m_moves.find(service);
-    if (it == m_moves.end() || (it->second.recorded && *it->second.recorded != OrderedMoveState::Running))
+    if (it == m_moves.end() || hasEnded(it->second))
         return;
     const auto& move = it->second;
-    m_book.observe(idOf(move.order), route, version, windowOf(move, now), countsOf(result, latency), now);
+    m_book.observe(idOf(move.order), route, version, windowOf(move, now), countsOf(result, latency, true), now);
 }
 
 void OrderedMoves::add(const std::vector<EvidenceGrowth>& growth)
@@ -150,6 +133,11 @@
     return std::chrono::duration_cast<milliseconds>(now - move.startedAt);
 }
 
+bool OrderedMoves::hasEnded(const Move& move)
+{
+    return move.recorded && *move.recorded != OrderedMoveState::Running;
+}
+
 bool OrderedMoves::isTakenBack(const Move& move) const
 {
     return move.recorded == OrderedMoveState::TakenBack || m_book.notice(idOf(move.order)) != nullptr;
@@ -176,7 +164,7 @@
 
 NodeName OrderedMoves::focusOf(const Move& move) const
 {
-    const auto key = move.order.service.value() + '@' + std::to_string(move.order.offset);
+    const auto key = rankKey(idOf(move.order));
     const ServingUpstream* best = nullptr;
     for (const auto& it : m_upstreams) {
         if (it.service != move.order.service || it.version != move.order.to)
@@ -229,9 +217,7 @@
 
 bool OrderedMoves::unfinished() const
 {
-    return std::any_of(m_moves.begin(), m_moves.end(), [](const auto& it) {
-        return !it.second.recorded || it.second.recorded == OrderedMoveState::Running;
-    });
+    return std::any_of(m_moves.begin(), m_moves.end(), [](const auto& it) { return !hasEnded(it.second); });
 }
 
 std::vector<OrderedMoveCommand> OrderedMoves::tick(MonotonicTime now)
@@ -254,8 +240,7 @@
 void OrderedMoves::find(Move& move, std::vector<OrderedMoveCommand>& commands)
 {
     const auto id = idOf(move.order);
-    const bool ended = move.recorded && *move.recorded != OrderedMoveState::Running;
-    if (ended || m_book.notice(id))
+    if (hasEnded(move) || m_book.notice(id))
         return;
     auto finding = move.canary.finding();
     if (!finding)
@@ -270,7 +255,7 @@
         commands.emplace_back(SpreadNotice { notice });
 }
 
-std::optional<OrderedMoveState> OrderedMoves::stateOf(const Move& move, MonotonicTime now) const
+OrderedMoveState OrderedMoves::stateOf(const Move& move, MonotonicTime now) const
 {
     if (isTakenBack(move))
         return OrderedMoveState::TakenBack;
@@ -282,29 +267,20 @@
     return elapsed(move, now) >= move.plan.deadline() ? OrderedMoveState::TakenBack : OrderedMoveState::Running;
 }
 
-std::size_t OrderedMoves::rankFor(const MoveOrder& order) const
-{
-    const auto key = order.service.value() + '@' + std::to_string(order.offset);
-    const auto own = rendezvousScore(key, m_self.value());
-    return static_cast<std::size_t>(std::count_if(m_nodes.begin(), m_nodes.end(), [&](const NodeName& it) {
-        return it != m_self && rendezvousScore(key, it.value()) > own;
-    }));
-}
-
 void OrderedMoves::write(Move& move, MonotonicTime now, std::vector<OrderedMoveCommand>& commands)
 {
     const auto state = stateOf(move, now);
-    const bool ended = move.recorded && *move.recorded != OrderedMoveState::Running;
-    if (!state || ended || state == move.recorded)
+    if (hasEnded(move) || move.recorded == state)
         return;
+    const auto rank = static_cast<int>(writerRank(idOf(move.order), m_self, m_nodes));
     if (move.wanted != state) {
         move.wanted = state;
-        move.writeAt = now + s_rankStep * static_cast<int>(rankFor(move.order));
+        move.writeAt = now + s_rankStep * rank;
     }
     if (now < move.writeAt)
         return;
-    move.writeAt = now + s_writeRetry * static_cast<int>(1 + rankFor(move.order));
-    commands.emplace_back(WriteStatus { { move.order.service, move.order.to, move.order.offset, *state } });
+    move.writeAt = now + s_writeRetry * (1 + rank);
+    commands.emplace_back(WriteStatus { { move.order.service, move.order.to, move.order.offset, state } });
 }
 
 }
--- a/packages/node/src/internal/MoveDriver.cpp
+++ b/packages/node/src/internal/MoveDriver.cpp
@@ -1,8 +1,7 @@
 #include "internal/MoveDriver.h"
 
-#include "carobpath/foundation/EventNames.h"
-#include "carobpath/publication/EnumText.h"
 #include "carobpath/publication/Record.h"
+#include "internal/MoveLog.h"
 
 #include <optional>
 #include <utility>
@@ -96,22 +95,13 @@
 
 void MoveDriver::perform(const moves::SpreadNotice& command)
 {
-    const auto& notice = command.notice;
-    m_context.events.record(Event(event::moveTakenBack)
-                                .with("move", notice.move)
-                                .with("observer", notice.observer)
-                                .with("reason", publication::toString(notice.verdict.reason))
-                                .with("route", notice.verdict.route)
-                                .with("evidence", notice.verdict.evidence));
+    recordTakenBack(m_context.events, command.notice);
     m_onNotice();
 }
 
 void MoveDriver::perform(const moves::ShareChanged& command)
 {
-    m_context.events.record(Event(event::moveShareChanged)
-                                .with("move", command.move)
-                                .with("service", command.service)
-                                .with("share", command.share.nextShare));
+    recordShare(m_context.events, command);
 }
 
 }
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -98,7 +98,9 @@
     BOOST_LEAF_CHECK(startPeers());
     m_ledger.setPeers(&m_peers->client());
     m_quarantine.setPeers(&m_peers->client());
-    m_moves->start();
+    // On the fleet no move reaches this engine; its ticks would be wake-ups for nothing.
+    if (!inFleet())
+        m_moves->start();
     scheduleTick();
     recordStarted();
     m_startedAt = MonotonicClock::now();
--- a/packages/node/src/internal/OrderedMoveDriver.cpp
+++ b/packages/node/src/internal/OrderedMoveDriver.cpp
@@ -1,6 +1,6 @@
 #include "internal/OrderedMoveDriver.h"
 
-#include "carobpath/publication/EnumText.h"
+#include "internal/MoveLog.h"
 
 #include <algorithm>
 #include <utility>
@@ -222,22 +222,13 @@
 
 void OrderedMoveDriver::perform(const moves::SpreadNotice& command)
 {
-    const auto& notice = command.notice;
-    m_context.events.record(Event(event::moveTakenBack)
-                                .with("move", notice.move)
-                                .with("observer", notice.observer)
-                                .with("reason", publication::toString(notice.verdict.reason))
-                                .with("route", notice.verdict.route)
-                                .with("evidence", notice.verdict.evidence));
+    recordTakenBack(m_context.events, command.notice);
     m_onNotice();
 }
 
 void OrderedMoveDriver::perform(const moves::ShareChanged& command)
 {
-    m_context.events.record(Event(event::moveShareChanged)
-                                .with("move", command.move)
-                                .with("service", command.service)
-                                .with("share", command.share.nextShare));
+    recordShare(m_context.events, command);
 }
 
 }
--- a/tests/process/tests/FleetPlatformTests.cpp
+++ b/tests/process/tests/FleetPlatformTests.cpp
@@ -162,7 +162,7 @@
 
 BOOST_AUTO_TEST_CASE(No_source_outside_of_it_knows_the_platforms_names)
 {
-    const std::vector<std::string> names { "Carobpath-Attempt-Id", "Carobpath-Deadline-Remaining-Ms", "Carobpath-Expected-Instance", "Carobpath-Not-Executed",
+    const std::vector<std::string> names { "Carobpath-Attempt-Id", "Carobpath-Deadline-Remaining-Ms", "Carobpath-Expected-Instance", "Carobpath-Caller-Service", "Carobpath-Not-Executed",
         "/v1/instances", "/v1/readiness", "/v1/log-", "target-version", "weighted-services", "route-kind", "\"keyed.", "rolled_back" };
     for (const auto& file : std::filesystem::recursive_directory_iterator(std::string(programs::sourceDirectory) + "/packages")) {
         const bool isSource = file.path().extension() == ".h" || file.path().extension() == ".cpp";
