Tell a crashed backend server from one that is still closing its sockets

In the time line of a failed run the first crash has no backend-crashed line: the probe that follows a broken connection was accepted, since the sockets of a process that ends are closed one after the other and the listener came last. So the crash was not told, and a third server ran the request. Ruled out: reports that reach the peers after the caller's next call. Change: BackendProbe watches a probe that was accepted, and makes a second one where the first breaks. The failed test now prints the nodes' time lines.

--- a/packages/gateway/src/internal/AdmissionHandler.cpp
+++ b/packages/gateway/src/internal/AdmissionHandler.cpp
@@ -1,6 +1,7 @@
 #include "internal/AdmissionHandler.h"
 
 #include "internal/AdmittedCall.h"
+#include "internal/BackendProbe.h"
 #include "internal/ForwardedHeader.h"
 #include "internal/SocketOptions.h"
 
@@ -15,8 +16,6 @@
 namespace {
 
     constexpr std::chrono::milliseconds tickInterval { 20 };
-    /// On the same instance an answer takes microseconds.
-    constexpr std::chrono::milliseconds probeTimeout { 20 };
 
     const RequestId& idOf(const routing::AdmissionCommand& command)
     {
@@ -105,10 +104,8 @@
         probed();
         return;
     }
-    auto stream = std::make_shared<boost::beast::tcp_stream>(m_context);
-    stream->expires_after(probeTimeout);
-    stream->async_connect(*endpoint, [this, stream, probed = std::move(probed)](boost::system::error_code ec) {
-        if (ec == boost::asio::error::connection_refused) {
+    BackendProbe::start(m_context, *endpoint, [this, probed = std::move(probed)](bool hasEnded) {
+        if (hasEnded) {
             m_controller.onProbeRefused(MonotonicClock::now());
             if (m_hooks.onBackendCrash)
                 m_hooks.onBackendCrash();
--- a/tests/process/harness/Fleet.cpp
+++ b/tests/process/harness/Fleet.cpp
@@ -131,6 +131,14 @@
     return all;
 }
 
+std::string Fleet::timeLines() const
+{
+    std::string all;
+    for (const auto& instance : m_instances)
+        all += instance.node->timeLine();
+    return all;
+}
+
 std::vector<std::string> Fleet::adminEndpoints() const
 {
     std::vector<std::string> endpoints;
--- a/tests/process/harness/Fleet.h
+++ b/tests/process/harness/Fleet.h
@@ -56,6 +56,9 @@
     /// \returns the executed events of every backend server.
     std::vector<EventLine> runs() const;
 
+    /// \returns what all nodes wrote to their time lines.
+    std::string timeLines() const;
+
     /// \returns the admin addresses of every node.
     std::vector<std::string> adminEndpoints() const;
     /// \returns the callers' addresses of every node.
--- a/tests/process/tests/CrashTests.cpp
+++ b/tests/process/tests/CrashTests.cpp
@@ -31,6 +31,7 @@
     std::size_t crashed = 0;
     for (auto& instance : fleet.instances())
         crashed += instance.backend->process().isRunning() ? 0 : 1;
+    BOOST_TEST_INFO_SCOPE(fleet.timeLines());
     BOOST_TEST(crashed <= 2U);
     BOOST_TEST(fleet.runsOf("/crash-mark") <= 2U);
 }
