Let nodes that start at once find each other at once

All nodes were joining, so that none could be asked for the whole and none compared tables; an entry was sent four times, to one random peer a second, and then no more. An upstream's first announcement travelled as slowly. Ruled out: the store and the directory (every node listed it within 40 ms of its start), stale entries of dead nodes. Change: a node tells every listed node that it does not know alive of itself; messages of and to joining nodes carry the own entry; joining nodes compare tables with each other; an upstream that comes, goes or changes its state is pushed along the tree as a draining one was.

--- a/packages/distribution/include/carobpath/distribution/Exchange.h
+++ b/packages/distribution/include/carobpath/distribution/Exchange.h
@@ -135,8 +135,9 @@
     /// This node has read the log to its end.
     Commands onLogEnd(MonotonicTime now);
 
-    /// More nodes to join by, found after the start. The newest are kept.
-    void addSeeds(const std::vector<Endpoint>&);
+    /// More nodes to join by, found after the start; the newest are kept. Tells each of them that is not known alive of
+    /// this node at once: of nodes that start at one moment none has joined yet, so that none can be asked for the whole.
+    Commands introduce(const std::vector<Endpoint>&);
 
     /// The backend server beside this node announced itself, or is gone.
     Commands setUpstream(std::optional<membership::Upstream>, MonotonicTime now);
@@ -190,7 +191,9 @@
     PeerMessage header() const;
     /// \returns how often a piece of evidence is sent before it counts as spread.
     std::uint32_t transmissions() const;
-    PeerMessage withNews(const Endpoint& receiver);
+    /// \param introduces whether the receiver may not know this node yet.
+    PeerMessage withNews(const Endpoint& receiver, bool introduces);
+    bool isKnownAlive(const Endpoint& peer) const;
     void take(const PeerMessage&, MonotonicTime now, Commands&);
     void noteSameTable(const PeerMessage&);
     void hearFloor(const PeerMessage&);
--- a/packages/distribution/src/Exchange.cpp
+++ b/packages/distribution/src/Exchange.cpp
@@ -130,7 +130,7 @@
     const ExchangeId id = ++m_lastId;
     m_outstanding.emplace(id, Outstanding { peer, false });
     ++m_counters.exchanges;
-    PeerMessage message = withNews(to);
+    PeerMessage message = withNews(to, m_joining || peer.empty());
     const auto* held = peer.empty() ? nullptr : m_members.find(peer);
     if (held && held->dead)
         message.membership.records.push_back(*held);
@@ -231,9 +231,9 @@
     return commands;
 }
 
-void Exchange::addSeeds(const std::vector<Endpoint>& seeds)
+Commands Exchange::introduce(const std::vector<Endpoint>& found)
 {
-    for (const auto& it : seeds) {
+    for (const auto& it : found) {
         if (it == m_members.self().addresses.peer)
             continue;
         std::erase(m_seeds, it);
@@ -241,13 +241,26 @@
     }
     if (m_seeds.size() > s_maxSeeds)
         m_seeds.erase(m_seeds.begin(), m_seeds.end() - s_maxSeeds);
+    Commands commands;
+    for (const auto& it : m_seeds) {
+        if (!isKnownAlive(it))
+            sendExchange(it, NodeName {}, commands);
+    }
+    return commands;
+}
+
+bool Exchange::isKnownAlive(const Endpoint& peer) const
+{
+    return m_view && std::any_of(m_view->nodes.begin(), m_view->nodes.end(), [&](const auto& it) {
+        return it.entry.addresses.peer == peer && it.liveness == membership::Liveness::Alive;
+    });
 }
 
 Commands Exchange::setUpstream(std::optional<membership::Upstream> upstream, MonotonicTime now)
 {
     Commands commands;
-    const bool draining = upstream && upstream->state == membership::UpstreamState::Draining;
-    if (m_members.setUpstream(std::move(upstream), now) && draining)
+    const bool isUrgent = membership::servesOtherwise(m_members.self().upstream, upstream);
+    if (m_members.setUpstream(std::move(upstream), now) && isUrgent)
         pushSelf(commands);
     settle(now, commands);
     return commands;
--- a/packages/distribution/src/ExchangeMessages.cpp
+++ b/packages/distribution/src/ExchangeMessages.cpp
@@ -17,7 +17,7 @@
     take(request, now, commands);
     hearFloor(request);
     noteSameTable(request);
-    PeerMessage reply = withNews(request.sender);
+    PeerMessage reply = withNews(request.sender, m_joining || request.joining);
     if (request.stamp && holdsNewerThan(request.stamp)) {
         const auto delta = m_keeper.deltaFrom(*request.stamp);
         if (delta && encodedSize(*delta) <= s_deltaBudget)
@@ -261,7 +261,7 @@
 
 bool Exchange::comparisonDue(const PeerMessage& request, MonotonicTime now)
 {
-    if (m_joining || request.joining || request.membershipDigest == m_members.digest().whole())
+    if (m_joining != request.joining || request.membershipDigest == m_members.digest().whole())
         return false;
     const auto interval = m_members.hasNews() ? s_compareIntervalBusy : s_compareInterval;
     if (now - m_comparedAt < interval)
@@ -291,11 +291,13 @@
     return std::max<std::uint32_t>(minTransmissions, static_cast<std::uint32_t>(std::bit_width(m_members.livePeers())));
 }
 
-PeerMessage Exchange::withNews(const Endpoint& receiver)
+PeerMessage Exchange::withNews(const Endpoint& receiver, bool introduces)
 {
     PeerMessage message = header();
     message.floor = m_floors.floorOf(receiver);
     message.membership = m_members.takeNews(s_membershipBudget);
+    if (introduces)
+        message.membership.records.push_back(*m_members.find(m_members.self().name));
     message.evidence = m_evidence.take(s_evidenceBudget, transmissions());
     return message;
 }
--- a/packages/distribution/tests/Fleet.cpp
+++ b/packages/distribution/tests/Fleet.cpp
@@ -10,7 +10,6 @@
 namespace {
 
     constexpr std::uint16_t firstPort = 1000;
-    constexpr std::size_t seeds = 4;
     constexpr std::chrono::milliseconds exchangeTimeout { 1500 };
     constexpr std::chrono::milliseconds fetchTimeout { 10000 };
     constexpr std::chrono::milliseconds refusedDelay { 1 };
@@ -119,7 +118,7 @@
     it.entry.revision = { Incarnation { static_cast<std::uint64_t>(m_now.time_since_epoch().count()) }, 0 };
     it.evidence = std::make_shared<FakeEvidence>();
     std::vector<Endpoint> seedEndpoints;
-    for (std::size_t i = 0; i < std::min(seeds, m_nodes.size()); ++i)
+    for (std::size_t i = 0; i < std::min(m_options.seeds, m_nodes.size()); ++i)
         seedEndpoints.push_back(m_nodes[i].entry.addresses.peer);
     auto port = evidencePortOf<std::uint64_t>(*it.evidence, [store = it.evidence](const auto& update) { store->merge(update); });
     it.exchange = std::make_unique<Exchange>(
--- a/packages/distribution/tests/Fleet.h
+++ b/packages/distribution/tests/Fleet.h
@@ -16,6 +16,8 @@
 struct FleetOptions {
     std::size_t nodes = 12;
     std::size_t domains = 3;
+    /// Nodes that every starting node knows the address of.
+    std::size_t seeds = 4;
     std::uint64_t seed = 1;
     /// Part of the messages that is lost, and that comes twice.
     double loss = 0;
--- a/packages/membership/include/carobpath/membership/MembershipTable.h
+++ b/packages/membership/include/carobpath/membership/MembershipTable.h
@@ -13,7 +13,8 @@
 
 /// What a merge found, for the caller to act on.
 struct MergeResult {
-    /// Records that were news and that others should hear at once: draining, leaving, dead.
+    /// Records that were news and that others should hear at once: nodes that are leaving or dead, and upstreams that
+    /// came, went or changed their state.
     std::vector<NodeRecord> urgent;
     /// Suspicions that were news.
     std::size_t newSuspicions = 0;
--- a/packages/membership/include/carobpath/membership/NodeEntry.h
+++ b/packages/membership/include/carobpath/membership/NodeEntry.h
@@ -38,6 +38,9 @@
     friend bool operator==(const Upstream&, const Upstream&) = default;
 };
 
+/// \returns whether calls are to go otherwise from now on: an upstream came, went, or changed its version or its state.
+bool servesOtherwise(const std::optional<Upstream>& before, const std::optional<Upstream>& now);
+
 /// The addresses at which a node listens.
 struct NodeAddresses {
     /// HTTP, for callers.
--- a/packages/membership/src/MembershipTable.cpp
+++ b/packages/membership/src/MembershipTable.cpp
@@ -43,9 +43,9 @@
         return candidate.dead && !held.dead;
     }
 
-    bool isUrgent(const NodeRecord& it)
+    bool isUrgent(const NodeRecord& it, const std::optional<Upstream>& before)
     {
-        return hasEnded(it) || (it.entry.upstream && it.entry.upstream->state == UpstreamState::Draining);
+        return hasEnded(it) || servesOtherwise(before, it.entry.upstream);
     }
 
 }
@@ -153,10 +153,12 @@
             hearOfSelf(it);
             continue;
         }
+        const auto* held = find(it.entry.name);
+        const auto before = held ? held->entry.upstream : std::nullopt;
         if (!accept(it, now))
             continue;
         ++result.newRecords;
-        if (isUrgent(it))
+        if (isUrgent(it, before))
             result.urgent.push_back(it);
     }
     for (const auto& it : update.suspicions) {
--- a/packages/membership/src/NodeEntry.cpp
+++ b/packages/membership/src/NodeEntry.cpp
@@ -21,6 +21,13 @@
 
 }
 
+bool servesOtherwise(const std::optional<Upstream>& before, const std::optional<Upstream>& now)
+{
+    if (!before || !now)
+        return before.has_value() != now.has_value();
+    return before->service != now->service || before->version != now->version || before->state != now->state;
+}
+
 std::string_view toString(UpstreamState it) { return enumText(upstreamStates, it); }
 std::optional<UpstreamState> upstreamStateFromString(std::string_view text) { return enumValue(upstreamStates, text); }
 std::string_view toString(Liveness it) { return enumText(livenesses, it); }
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -159,7 +159,7 @@
         m_peers->reportLogEnd();
         setOrdersKnown();
     };
-    hooks.onPeersFound = [this](const std::vector<Endpoint>& peers) { m_peers->addSeeds(peers); };
+    hooks.onPeersFound = [this](const std::vector<Endpoint>& peers) { m_peers->introduce(peers); };
     hooks.ready = [this] { return serving(); };
     hooks.onNotice = [this] { m_peers->notifyEvidence(); };
     hooks.onStoreAvailable = [this](bool available) { m_metrics.setLogAvailable(available); };
--- a/packages/peer/include/carobpath/peer/ExchangeRunner.h
+++ b/packages/peer/include/carobpath/peer/ExchangeRunner.h
@@ -69,7 +69,7 @@
     /// This node has read the log to its end.
     void reportLogEnd();
     /// Nodes to join by that were found after the start.
-    void addSeeds(const std::vector<Endpoint>&);
+    void introduce(const std::vector<Endpoint>& found);
     void setUpstream(std::optional<membership::Upstream>);
     /// A call to another node ended; \c ok says that the node answered, whatever the answer was.
     void reportCall(const NodeName&, bool ok);
--- a/packages/peer/src/ExchangeRunner.cpp
+++ b/packages/peer/src/ExchangeRunner.cpp
@@ -245,9 +245,9 @@
     m_impl->run(m_impl->exchange->onLogEnd(MonotonicClock::now()));
 }
 
-void ExchangeRunner::addSeeds(const std::vector<Endpoint>& seeds)
+void ExchangeRunner::introduce(const std::vector<Endpoint>& found)
 {
-    m_impl->exchange->addSeeds(seeds);
+    m_impl->run(m_impl->exchange->introduce(found));
 }
 
 void ExchangeRunner::setUpstream(std::optional<membership::Upstream> upstream)
