Complete a move only on what its loaded instance showed

Ruled out: two writers (the first end stands), a node that started again. Change: the load on one instance ends 1.5 s before all calls go over, and a version is not done before a node has heard of a third of the calls meant for that load. Three new tests, two of which failed before; the good version with late news passes before and after.

--- a/packages/moves/include/carobpath/moves/OrderedMovePlan.h
+++ b/packages/moves/include/carobpath/moves/OrderedMovePlan.h
@@ -27,6 +27,8 @@
     std::chrono::milliseconds focusAt() const;
     std::chrono::milliseconds focusEnd() const;
     double focusShare(double callsPerSecond) const;
+    /// \returns how many calls the instance gets in that time.
+    double focusCalls(double callsPerSecond) const;
     /// When all calls go to the new version.
     std::chrono::milliseconds fullAt() const;
     /// When the verdict is written, early enough to stand at the deadline.
--- a/packages/moves/include/carobpath/moves/OrderedMoves.h
+++ b/packages/moves/include/carobpath/moves/OrderedMoves.h
@@ -113,6 +113,8 @@
     static bool hasEnded(const Move&);
     bool isTakenBack(const Move&) const;
     bool isFull(const Move&, MonotonicTime now) const;
+    /// \returns whether this node has heard enough of the new version, alone and under load, to send it all calls.
+    bool isShown(const Move&, MonotonicTime now) const;
     bool isFocused(const Move&, MonotonicTime now) const;
     std::uint32_t windowOf(const Move&, MonotonicTime now) const;
     NodeName focusOf(const Move&) const;
--- a/packages/moves/src/OrderedMovePlan.cpp
+++ b/packages/moves/src/OrderedMovePlan.cpp
@@ -16,8 +16,8 @@
     /// Time for the verdict to reach the store.
     constexpr milliseconds verdictLead { 200 };
     constexpr milliseconds focusLength { 1'000 };
-    /// Time to hear of what the focus showed.
-    constexpr milliseconds focusLead { 500 };
+    /// Time in which every node hears of what the focus showed.
+    constexpr milliseconds focusLead { 1'500 };
     /// Calls a second that fill one instance of a few slots.
     constexpr double focusCallsPerSecond = 30;
     constexpr double largestFocusShare = 0.3;
@@ -58,6 +58,11 @@
     return std::clamp(focusCallsPerSecond / callsPerSecond, smallestShare, largestFocusShare);
 }
 
+double OrderedMovePlan::focusCalls(double callsPerSecond) const
+{
+    return callsPerSecond * focusShare(callsPerSecond) * Seconds { focusEnd() - focusAt() }.count();
+}
+
 milliseconds OrderedMovePlan::verdictAt() const
 {
     return std::max(m_duration - verdictLead, fullAt());
@@ -71,8 +76,7 @@
     const Seconds canary = fullAt();
     const double allowed = plannedPart * m_bound.part * callsPerSecond * duration.count() + plannedSlack * m_bound.slack;
     const double inFull = callsPerSecond * (duration - canary).count();
-    const double inFocus = callsPerSecond * focusShare(callsPerSecond) * Seconds { focusEnd() - focusAt() }.count();
-    const double share = (allowed - inFull - inFocus) / (callsPerSecond * std::max(canary.count(), 1.0));
+    const double share = (allowed - inFull - focusCalls(callsPerSecond)) / (callsPerSecond * std::max(canary.count(), 1.0));
     return std::clamp(share, smallestShare, largestShare);
 }
 
--- a/packages/moves/src/OrderedMoves.cpp
+++ b/packages/moves/src/OrderedMoves.cpp
@@ -14,6 +14,9 @@
 
     /// Calls that a move is completed on at least.
     constexpr std::uint64_t fewestCalls = 5;
+    /// Part of the calls meant for the one loaded instance that must have been answered, for the version to count as seen
+    /// under load.
+    constexpr double loadShownPart = 1.0 / 3;
     /// Evidence of other nodes is late by about this time.
     constexpr milliseconds evidenceLag { 1'500 };
 
@@ -145,8 +148,15 @@
 
 bool OrderedMoves::isFull(const Move& move, MonotonicTime now) const
 {
-    const bool isShown = move.canary.newCalls() >= fewestCalls && !move.canary.isMasked() && !move.focus.isMasked() && !move.full.isMasked();
-    return isShown && !isTakenBack(move) && elapsed(move, now) >= move.plan.fullAt();
+    return elapsed(move, now) >= move.plan.fullAt() && isShown(move, now) && !isTakenBack(move);
+}
+
+bool OrderedMoves::isShown(const Move& move, MonotonicTime now) const
+{
+    const bool isMasked = move.canary.isMasked() || move.focus.isMasked() || move.full.isMasked();
+    const auto callsUnderLoad = static_cast<double>(move.focus.newCalls());
+    const bool stoodUnderLoad = callsUnderLoad >= loadShownPart * move.plan.focusCalls(rateOf(move, now));
+    return move.canary.newCalls() >= fewestCalls && stoodUnderLoad && !isMasked;
 }
 
 bool OrderedMoves::isFocused(const Move& move, MonotonicTime now) const
--- a/packages/moves/tests/OrderedMovesTests.cpp
+++ b/packages/moves/tests/OrderedMovesTests.cpp
@@ -2,7 +2,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <deque>
 #include <functional>
+#include <utility>
 
 namespace carobpath::moves {
 
@@ -24,6 +26,9 @@
         bool storeIsAway = false;
         int harmed = 0;
         int calls = 0;
+        /// Time after which other nodes hear of a call.
+        std::chrono::milliseconds evidenceDelay {};
+        std::deque<std::pair<MonotonicTime, EvidenceUpdate>> onTheWay;
 
         explicit Fleet(std::size_t count)
         {
@@ -60,13 +65,15 @@
                 node.onStatus(status);
         }
 
-        void spread()
+        void spread(MonotonicTime now)
         {
             for (const auto& from : nodes) {
                 EvidenceCursor cursor;
-                const auto update = from.changedSince(cursor);
+                onTheWay.emplace_back(now + evidenceDelay, from.changedSince(cursor));
+            }
+            for (; !onTheWay.empty() && onTheWay.front().first <= now; onTheWay.pop_front()) {
                 for (auto& to : nodes)
-                    to.merge(update);
+                    to.merge(onTheWay.front().second);
             }
         }
 
@@ -79,7 +86,7 @@
                         write(it->status);
                 }
             }
-            spread();
+            spread(now);
             for (auto& node : nodes)
                 call(node, now, fails);
         }
@@ -168,6 +175,45 @@
     BOOST_CHECK(fleet.end() == OrderedMoveState::TakenBack);
 }
 
+BOOST_AUTO_TEST_CASE(A_good_version_is_done_where_news_of_calls_take_more_than_a_second)
+{
+    Fleet fleet { 4 };
+    fleet.evidenceDelay = 1'300ms;
+    fleet.give(order(), start);
+    fleet.run(0ms, 15'900ms, never);
+    BOOST_CHECK(fleet.end() == OrderedMoveState::Done);
+}
+
+BOOST_AUTO_TEST_CASE(A_version_is_not_done_before_a_node_has_heard_what_the_load_on_one_instance_showed)
+{
+    // Each refusal is one more than the calls that are answered, so that half of the instance's calls are refused.
+    Fleet fleet { 4 };
+    fleet.evidenceDelay = 1'300ms;
+    fleet.give(order(), start);
+    const OrderedMovePlan plan { 16s, {} };
+    for (auto at = 0ms; at < 17s; at += 100ms) {
+        fleet.tick(start + at, never);
+        const bool isRefusing = at >= plan.focusAt() && at < plan.focusEnd();
+        for (int i = 0; isRefusing && i < 3; ++i)
+            fleet.nodes.back().observe(service, RouteName { "r" }, newVersion, CallResult::Refused, 1ms, start + at);
+    }
+    BOOST_CHECK(fleet.end() == OrderedMoveState::TakenBack);
+}
+
+BOOST_AUTO_TEST_CASE(A_version_that_got_no_calls_while_one_instance_was_to_be_loaded_is_not_done)
+{
+    Fleet fleet { 4 };
+    fleet.give(order(), start);
+    const OrderedMovePlan plan { 16s, {} };
+    fleet.run(0ms, plan.focusAt(), never);
+    for (auto at = plan.focusAt(); at < plan.focusEnd(); at += 100ms) {
+        for (auto& node : fleet.nodes)
+            node.tick(start + at);
+    }
+    fleet.run(plan.focusEnd(), 17s, never);
+    BOOST_CHECK(fleet.end() == OrderedMoveState::TakenBack);
+}
+
 BOOST_AUTO_TEST_CASE(A_version_without_calls_is_not_done)
 {
     Fleet fleet { 1 };
