Wait for the slot that is free first, and hold the limit where answers uphold it

The wait was taken as the remaining work over all slots, half a service time even for the next in line (an inner call of 40 ms with an objective of 150 ms was never let in behind bookings); and each refusal by a server that refuses a part of its calls lowered the limit, down to one call at a time, while the same server answered others at six. Ruled out: queues that are too short (they were empty), retries (attempts grew with refusals, not the reverse). Change: SlotForecast gives a waiting call the time at which its slot comes free; a refusal at a level that answers of the last second show lowers no limit.

--- a/packages/routing/include/carobpath/routing/RunningCalls.h
+++ b/packages/routing/include/carobpath/routing/RunningCalls.h
@@ -29,7 +29,12 @@
     std::vector<Fingerprint> fingerprints() const;
     bool anyOf(const std::function<bool(const AdmissionRequest&)>&) const;
 
-    /// \returns the sum of the times that the calls still need, by the means of their classes.
+    /// Part of the mean time of its class that a call which has taken longer is expected to take still.
+    static constexpr double s_overdueRest = 0.25;
+
+    /// \returns the times that the calls still need, by the means of their classes.
+    std::vector<std::chrono::nanoseconds> remainingTimes(const ServiceTimes&, MonotonicTime now) const;
+    /// \returns their sum.
     std::chrono::nanoseconds remainingWork(const ServiceTimes&, MonotonicTime now) const;
 
 private:
--- a/packages/routing/src/AdmissionController.cpp
+++ b/packages/routing/src/AdmissionController.cpp
@@ -1,5 +1,7 @@
 #include "carobpath/routing/AdmissionController.h"
 
+#include "SlotForecast.h"
+
 #include <algorithm>
 #include <functional>
 #include <utility>
@@ -121,10 +123,10 @@
 
 std::chrono::nanoseconds AdmissionController::waitBefore(const AdmissionRequest& request, MonotonicTime now) const
 {
-    auto work = m_running.remainingWork(m_times, now);
+    SlotForecast forecast(m_running.remainingTimes(m_times, now), m_limit.value());
     for (const auto* it : m_queue.before(request, now))
-        work += m_times.expected(queueClassOf(*it));
-    return work / m_limit.value();
+        forecast.take(m_times.expected(queueClassOf(*it)));
+    return forecast.untilFree();
 }
 
 UpstreamLoad AdmissionController::load() const
@@ -217,9 +219,9 @@
     if (isTimed(result.result))
         m_times.add(queueClassOf(running.request), result.serviceTime);
     if (result.result == BackendResult::Refused)
-        m_limit.onRefused(now);
+        m_limit.onRefused(inFlight, now);
     if (result.result == BackendResult::Answered)
-        m_limit.onAnswered(inFlight);
+        m_limit.onAnswered(inFlight, now);
     const bool wasDown = m_health.isDown();
     m_health.onResult(result.result, now);
     if (wasDown && !m_health.isDown() && m_upstream)
--- a/packages/routing/src/ConcurrencyLimit.cpp
+++ b/packages/routing/src/ConcurrencyLimit.cpp
@@ -10,6 +10,7 @@
     m_limit = m_cold ? 1 : std::max(1U, m_slots / 2);
     m_refusedBefore = false;
     m_decreasedAt = {};
+    m_answeredLevel = 0;
 }
 
 void ConcurrencyLimit::update(const membership::Upstream& upstream)
@@ -19,16 +20,28 @@
     m_limit = std::min<double>(m_limit, m_slots);
 }
 
-void ConcurrencyLimit::onAnswered(std::uint32_t inFlight)
+void ConcurrencyLimit::onAnswered(std::uint32_t inFlight, MonotonicTime now)
 {
+    if (inFlight >= answeredLevel(now)) {
+        m_answeredLevel = inFlight;
+        m_answeredAt = now;
+    }
     if (inFlight < value())
         return;
     const bool slow = m_cold || m_refusedBefore;
     m_limit = std::min<double>(m_slots, m_limit + (slow ? 1 / m_limit : 1));
 }
 
-void ConcurrencyLimit::onRefused(MonotonicTime now)
+std::uint32_t ConcurrencyLimit::answeredLevel(MonotonicTime now) const
 {
+    return now - m_answeredAt <= s_answeredCounts ? m_answeredLevel : 0;
+}
+
+void ConcurrencyLimit::onRefused(std::uint32_t inFlight, MonotonicTime now)
+{
+    // A server that answers as many calls at a time refuses this one for another reason than load.
+    if (inFlight <= answeredLevel(now))
+        return;
     if (m_refusedBefore && now - m_decreasedAt < s_burst)
         return;
     m_refusedBefore = true;
--- a/packages/routing/src/RunningCalls.cpp
+++ b/packages/routing/src/RunningCalls.cpp
@@ -1,6 +1,7 @@
 #include "carobpath/routing/RunningCalls.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace carobpath::routing {
 
@@ -41,14 +42,22 @@
     return std::any_of(m_calls.begin(), m_calls.end(), [&](const auto& it) { return predicate(it.second.request); });
 }
 
-std::chrono::nanoseconds RunningCalls::remainingWork(const ServiceTimes& times, MonotonicTime now) const
+std::vector<std::chrono::nanoseconds> RunningCalls::remainingTimes(const ServiceTimes& times, MonotonicTime now) const
 {
-    std::chrono::nanoseconds work {};
+    std::vector<std::chrono::nanoseconds> remaining;
+    remaining.reserve(m_calls.size());
     for (const auto& [id, it] : m_calls) {
-        const std::chrono::nanoseconds left = times.expected(queueClassOf(it.request)) - (now - it.dispatchedAt);
-        work += std::max(left, std::chrono::nanoseconds {});
+        const auto expected = times.expected(queueClassOf(it.request));
+        const auto rest = std::chrono::duration_cast<std::chrono::nanoseconds>(expected * s_overdueRest);
+        remaining.push_back(std::max(expected - (now - it.dispatchedAt), rest));
     }
-    return work;
+    return remaining;
+}
+
+std::chrono::nanoseconds RunningCalls::remainingWork(const ServiceTimes& times, MonotonicTime now) const
+{
+    const auto remaining = remainingTimes(times, now);
+    return std::accumulate(remaining.begin(), remaining.end(), std::chrono::nanoseconds {});
 }
 
 }
--- a/packages/routing/tests/ObjectiveAdmissionTests.cpp
+++ b/packages/routing/tests/ObjectiveAdmissionTests.cpp
@@ -128,6 +128,28 @@
     BOOST_TEST(!refusalOf(fixture.arrive(hopeless), hopeless.id).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(A_call_waits_for_the_slot_that_comes_free_first)
+{
+    AdmissionFixture slots { makeUpstream(), byObjective() };
+    slots.warmUp();
+    for (int i = 0; i < 60; ++i) {
+        const auto it = slots.request();
+        slots.arrive(it);
+        slots.finish(it.id, BackendResult::Answered, serviceTime);
+    }
+    for (int i = 0; i < 6; ++i) {
+        slots.arrive(slots.request());
+        slots.now += 30ms;
+    }
+    // The first of them ends in 20 ms, the last in 170 ms.
+    auto call = slots.request();
+    call.objective = slots.now + serviceTime + 60ms;
+    BOOST_TEST(!refusalOf(slots.arrive(call), call.id).has_value());
+    auto second = slots.request();
+    second.objective = slots.now + serviceTime + 30ms;
+    BOOST_TEST(refusalOf(slots.arrive(second), second.id).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(The_better_rank_goes_first_and_then_the_earlier_objective)
 {
     BusyFixture fixture;
