Take a move back before its deadline where nothing showed its version to be good

Change: it is decided 100 ms earlier, after the verdict of versions that were shown to be good. Test: the move without calls under load ends before the deadline; it failed before.

--- a/packages/moves/include/carobpath/moves/OrderedMovePlan.h
+++ b/packages/moves/include/carobpath/moves/OrderedMovePlan.h
@@ -33,6 +33,8 @@
     std::chrono::milliseconds fullAt() const;
     /// When the verdict is written, early enough to stand at the deadline.
     std::chrono::milliseconds verdictAt() const;
+    /// When a version that nothing showed to be good is taken back.
+    std::chrono::milliseconds giveUpAt() const;
     /// \param callsPerSecond of the service over the whole fleet; 0 where it is not known yet.
     double canaryShare(double callsPerSecond) const;
 
--- a/packages/moves/src/OrderedMovePlan.cpp
+++ b/packages/moves/src/OrderedMovePlan.cpp
@@ -15,6 +15,8 @@
     constexpr int fullDivisor = 18;
     /// Time for the verdict to reach the store.
     constexpr milliseconds verdictLead { 200 };
+    /// The same for a move that is taken back since nothing showed its version to be good.
+    constexpr milliseconds giveUpLead { 100 };
     constexpr milliseconds focusLength { 1'000 };
     /// Time in which every node hears of what the focus showed.
     constexpr milliseconds focusLead { 1'500 };
@@ -68,6 +70,11 @@
     return std::max(m_duration - verdictLead, fullAt());
 }
 
+milliseconds OrderedMovePlan::giveUpAt() const
+{
+    return std::max(m_duration - giveUpLead, verdictAt());
+}
+
 double OrderedMovePlan::canaryShare(double callsPerSecond) const
 {
     if (callsPerSecond <= 0)
--- a/packages/moves/src/OrderedMoves.cpp
+++ b/packages/moves/src/OrderedMoves.cpp
@@ -274,7 +274,7 @@
     if (isFull(move, now))
         return OrderedMoveState::Done;
     // Too few calls showed what the new version does.
-    return elapsed(move, now) >= move.plan.deadline() ? OrderedMoveState::TakenBack : OrderedMoveState::Running;
+    return elapsed(move, now) >= move.plan.giveUpAt() ? OrderedMoveState::TakenBack : OrderedMoveState::Running;
 }
 
 void OrderedMoves::write(Move& move, MonotonicTime now, std::vector<OrderedMoveCommand>& commands)
--- a/packages/moves/tests/OrderedMovesTests.cpp
+++ b/packages/moves/tests/OrderedMovesTests.cpp
@@ -210,7 +210,7 @@
         for (auto& node : fleet.nodes)
             node.tick(start + at);
     }
-    fleet.run(plan.focusEnd(), 17s, never);
+    fleet.run(plan.focusEnd(), plan.deadline(), never);
     BOOST_CHECK(fleet.end() == OrderedMoveState::TakenBack);
 }
 
