Judge no version by its cold servers, start on half of the slots, and guess a service time at first

A good version was taken back 2.5 s after its order for its latency: 9 calls, all of servers that had started a moment before and were twice as slow. After the power loss of all instances 39, 89 and 115 calls a second were served in the first three seconds, of 270: a cold server with six slots was given one call at a time. And a node without any timed answer took 64 calls into its line, held them and then refused them. Ruled out: the evidence of other nodes (the finding was the first node's that heard of nine calls), no-upstream refusals (few since nodes find each other at once).

--- a/packages/moves/include/carobpath/moves/OrderedMoves.h
+++ b/packages/moves/include/carobpath/moves/OrderedMoves.h
@@ -78,7 +78,8 @@
     void onOrder(const MoveOrder&, std::chrono::milliseconds age, MonotonicTime now);
     void onStatus(const MoveStatus&);
     /// Counts a call that this node admitted. Calls of services without a move are left out.
-    void observe(const ServiceName&, const RouteName&, const VersionName&, CallResult, std::chrono::nanoseconds latency, MonotonicTime now);
+    /// \param latency nothing where it does not speak for the version, as while the backend server is cold.
+    void observe(const ServiceName&, const RouteName&, const VersionName&, CallResult, std::optional<std::chrono::nanoseconds> latency, MonotonicTime now);
     void merge(const EvidenceUpdate&);
     EvidenceUpdate changedSince(EvidenceCursor&) const;
     std::vector<OrderedMoveCommand> tick(MonotonicTime now);
--- a/packages/moves/src/OrderedMoves.cpp
+++ b/packages/moves/src/OrderedMoves.cpp
@@ -97,13 +97,13 @@
         recorded = status.state;
 }
 
-void OrderedMoves::observe(const ServiceName& service, const RouteName& route, const VersionName& version, CallResult result, std::chrono::nanoseconds latency, MonotonicTime now)
+void OrderedMoves::observe(const ServiceName& service, const RouteName& route, const VersionName& version, CallResult result, std::optional<std::chrono::nanoseconds> latency, MonotonicTime now)
 {
     const auto it = m_moves.find(service);
     if (it == m_moves.end() || hasEnded(it->second))
         return;
     const auto& move = it->second;
-    m_book.observe(idOf(move.order), route, version, windowOf(move, now), countsOf(result, latency, true), now);
+    m_book.observe(idOf(move.order), route, version, windowOf(move, now), countsOf(result, latency.value_or(std::chrono::nanoseconds {}), latency.has_value()), now);
 }
 
 void OrderedMoves::add(const std::vector<EvidenceGrowth>& growth)
--- a/packages/moves/tests/OrderedMovesTests.cpp
+++ b/packages/moves/tests/OrderedMovesTests.cpp
@@ -138,6 +138,23 @@
     BOOST_TEST(fleet.harmed < 50);
 }
 
+BOOST_AUTO_TEST_CASE(Slow_answers_of_cold_servers_do_not_speak_against_their_version)
+{
+    Fleet fleet { 1 };
+    fleet.give(order(), start);
+    auto& node = fleet.nodes.front();
+    for (int i = 0; i < 20; ++i) {
+        node.observe(service, RouteName { "r" }, oldVersion, CallResult::Succeeded, 100ms, start);
+        node.observe(service, RouteName { "r" }, newVersion, CallResult::Succeeded, std::nullopt, start);
+    }
+    fleet.run(0ms, 2s, never);
+    BOOST_CHECK(!fleet.end());
+    for (int i = 0; i < 20; ++i)
+        node.observe(service, RouteName { "r" }, newVersion, CallResult::Succeeded, 800ms, start + 2s);
+    fleet.run(2s, 3s, never);
+    BOOST_CHECK(fleet.end() == OrderedMoveState::TakenBack);
+}
+
 BOOST_AUTO_TEST_CASE(A_version_that_fails_under_the_whole_load_alone_is_taken_back_before_the_verdict)
 {
     Fleet fleet { 4 };
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -386,7 +386,7 @@
     m_callLog.onBackend(observation);
     m_quarantine.onBackend(observation);
     if (m_fleet)
-        m_fleet->moves().onBackend(m_upstream->service(), observation);
+        m_fleet->moves().onBackend(m_upstream->service(), observation, m_controller.isCold());
     else
         m_moves->onBackend(m_upstream->service(), observation);
 }
--- a/packages/node/src/internal/OrderedMoveDriver.cpp
+++ b/packages/node/src/internal/OrderedMoveDriver.cpp
@@ -155,10 +155,15 @@
         [&] { m_context.events.record(Event(event::recordRejected).with("key", record.key)); });
 }
 
-void OrderedMoveDriver::onBackend(const ServiceName& service, const gateway::BackendObservation& observation)
+void OrderedMoveDriver::onBackend(const ServiceName& service, const gateway::BackendObservation& observation, bool isCold)
 {
-    if (const auto result = callResultOf(observation.result))
-        m_engine.observe(service, observation.route, observation.version, *result, observation.latency, MonotonicClock::now());
+    const auto result = callResultOf(observation.result);
+    if (!result)
+        return;
+    std::optional<std::chrono::nanoseconds> latency;
+    if (!isCold)
+        latency = observation.latency;
+    m_engine.observe(service, observation.route, observation.version, *result, latency, MonotonicClock::now());
 }
 
 void OrderedMoveDriver::schedule()
--- a/packages/node/src/internal/OrderedMoveDriver.h
+++ b/packages/node/src/internal/OrderedMoveDriver.h
@@ -30,7 +30,7 @@
     /// A record about a move in the operator's stream.
     void onOrder(const publication::KeyedRecord&);
     /// Counts a call that the backend server beside this node dealt with.
-    void onBackend(const ServiceName&, const gateway::BackendObservation&);
+    void onBackend(const ServiceName&, const gateway::BackendObservation&, bool isCold);
 
 private:
     using Reader = KeyedReader<platform::StoreClient>;
--- a/packages/routing/include/carobpath/routing/AdmissionController.h
+++ b/packages/routing/include/carobpath/routing/AdmissionController.h
@@ -45,6 +45,9 @@
     /// without hope while newer calls pass it.
     static constexpr double s_lateWaitPart = 0.5;
 
+    /// Part of the time to a call's objective that its service is taken to need before any answer was timed.
+    static constexpr int s_guessDivisor = 2;
+
     explicit AdmissionController(AdmissionPolicy policy = {});
 
     /// A request that arrived before is refused as \c DuplicateInProgress, with an outcome of \c Unknown; that command
@@ -72,6 +75,8 @@
     /// \returns the upstream with the state that calls showed and the load at this node, for the membership.
     std::optional<membership::Upstream> upstream() const;
     bool draining() const;
+    /// \returns whether the upstream started a moment ago and is slower than it will be.
+    bool isCold() const { return m_upstream && m_upstream->state == membership::UpstreamState::Cold; }
     std::uint32_t inFlight() const { return m_running.size(); }
     std::uint32_t waiting() const { return static_cast<std::uint32_t>(m_queue.size()); }
     std::uint32_t limit() const { return m_limit.value(); }
--- a/packages/routing/include/carobpath/routing/ServiceTimes.h
+++ b/packages/routing/include/carobpath/routing/ServiceTimes.h
@@ -13,13 +13,16 @@
     static constexpr double s_weight = 0.1;
 
     void add(QueueClass, std::chrono::nanoseconds);
-    /// \returns zero before the first sample.
+    /// What to expect of a class before its first sample. The first guess stands.
+    void guess(QueueClass, std::chrono::nanoseconds);
+    /// \returns the guess before the first sample, and zero before that.
     std::chrono::nanoseconds expected(QueueClass) const;
     /// \returns the mean over the calls of all classes.
     std::chrono::nanoseconds mean() const;
 
 private:
     std::array<double, queueClasses> m_seconds {};
+    std::array<std::chrono::nanoseconds, queueClasses> m_guesses {};
     double m_allSeconds = 0;
 };
 
--- a/packages/routing/src/AdmissionController.cpp
+++ b/packages/routing/src/AdmissionController.cpp
@@ -106,6 +106,7 @@
 
 void AdmissionController::enqueueByObjective(const AdmissionRequest& request, AdmissionCommands& commands, MonotonicTime now)
 {
+    m_times.guess(queueClassOf(request), (*request.objective - now) / s_guessDivisor);
     const auto service = m_times.expected(queueClassOf(request));
     const auto wait = waitBefore(request, now);
     const auto longestLateWait = std::chrono::duration_cast<std::chrono::nanoseconds>(service * s_lateWaitPart);
--- a/packages/routing/src/ConcurrencyLimit.cpp
+++ b/packages/routing/src/ConcurrencyLimit.cpp
@@ -7,7 +7,7 @@
 void ConcurrencyLimit::restart(const membership::Upstream& upstream)
 {
     update(upstream);
-    m_limit = m_cold ? 1 : std::max(1U, m_slots / 2);
+    m_limit = std::max(1U, m_slots / 2);
     m_refusedBefore = false;
     m_decreasedAt = {};
     m_answeredLevel = 0;
--- a/packages/routing/src/ServiceTimes.cpp
+++ b/packages/routing/src/ServiceTimes.cpp
@@ -23,9 +23,17 @@
     average(m_allSeconds, sample);
 }
 
+void ServiceTimes::guess(QueueClass queueClass, std::chrono::nanoseconds time)
+{
+    auto& held = m_guesses[static_cast<std::size_t>(queueClass)];
+    if (held == std::chrono::nanoseconds {})
+        held = time;
+}
+
 std::chrono::nanoseconds ServiceTimes::expected(QueueClass queueClass) const
 {
-    return fromSeconds(m_seconds[static_cast<std::size_t>(queueClass)]);
+    const auto index = static_cast<std::size_t>(queueClass);
+    return m_seconds[index] > 0 ? fromSeconds(m_seconds[index]) : m_guesses[index];
 }
 
 std::chrono::nanoseconds ServiceTimes::mean() const { return fromSeconds(m_allSeconds); }
--- a/packages/routing/tests/ObjectiveAdmissionTests.cpp
+++ b/packages/routing/tests/ObjectiveAdmissionTests.cpp
@@ -150,6 +150,19 @@
     BOOST_TEST(refusalOf(slots.arrive(second), second.id).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(Before_any_answer_no_longer_line_is_taken_than_the_objective_leaves_time_for)
+{
+    AdmissionFixture fresh { makeUpstream(), byObjective() };
+    int taken = 0;
+    for (int i = 0; i < 60; ++i) {
+        auto call = fresh.request();
+        call.objective = fresh.now + 500ms;
+        taken += refusalOf(fresh.arrive(call), call.id) ? 0 : 1;
+    }
+    // Three at the server, and as many in the line as end before half of the time has passed.
+    BOOST_TEST(taken == 6);
+}
+
 BOOST_AUTO_TEST_CASE(The_better_rank_goes_first_and_then_the_earlier_objective)
 {
     BusyFixture fixture;
