Bound the downloads at a time by what the instance's link carries

The log shows one server of reports in that domain, behind a link of 10 Mbit/s, with 262 downloads of 90 KB in 14 s at six at a time: 1.7 MB/s of 1.25. 112 downloads lost their connections, and of 157 inner calls that stood behind them on the link 15 were answered, so that their bookings ended with 500. Ruled out: processor (0.037 cores at most of 0.1), slots (the servers answered within 130 ms), the store. Change: limits.link-megabits, filled from the fleet's settings; DownloadLimit lets as many downloads run as the link sends in a quarter of a second, by the mean size of their answers; the rest is refused at once and goes elsewhere. The limit of calls grows on answers of downloads too, which never fill it alone.

--- a/packages/foundation/include/carobpath/foundation/NodeSettings.h
+++ b/packages/foundation/include/carobpath/foundation/NodeSettings.h
@@ -68,6 +68,8 @@
         std::uint64_t headerBytes = 0;
         std::uint64_t bodyBytes = 0;
         std::int64_t callerConnections = 0;
+        /// 0 where the link is not known.
+        double linkMegabits = 0;
     } limits;
 
     struct Timeouts {
--- a/packages/gateway/src/internal/AdmittedCall.cpp
+++ b/packages/gateway/src/internal/AdmittedCall.cpp
@@ -174,7 +174,8 @@
         const BackendObservation observation { m_request.id, m_request.route, m_request.version, m_request.fingerprint, result, m_latency };
         m_handler.m_hooks.onBackend(observation);
     }
-    m_handler.finish(routing::AdmissionResult { m_request.id, result, now - m_dispatchedAt });
+    const auto bodyBytes = m_exchange ? m_exchange->bodyBytes() : 0;
+    m_handler.finish(routing::AdmissionResult { m_request.id, result, now - m_dispatchedAt, bodyBytes });
 }
 
 }
--- a/packages/gateway/src/internal/UpstreamExchange.cpp
+++ b/packages/gateway/src/internal/UpstreamExchange.cpp
@@ -178,6 +178,7 @@
                 self->readBody(handler);
                 return;
             }
+            self->m_bodyBytes += n;
             handler(std::nullopt, std::string_view { self->m_piece.data(), n });
         });
 }
--- a/packages/gateway/src/internal/UpstreamExchange.h
+++ b/packages/gateway/src/internal/UpstreamExchange.h
@@ -48,6 +48,9 @@
     /// Valid once the header handler was called without a failure.
     const ResponseHeader& header() const { return m_parser->get().base(); }
 
+    /// Bytes of the body that were read so far.
+    std::uint64_t bodyBytes() const { return m_bodyBytes; }
+
     std::optional<std::uint64_t> contentLength() const override;
     bool bodyIsDone() const override { return m_parser->is_done(); }
     bool hasBufferedBody() const override { return !m_parser->is_done() && m_connection->buffer.size() > 0; }
@@ -82,6 +85,7 @@
     ConnectionPointer m_connection;
     std::optional<Parser> m_parser;
     std::array<char, s_pieceBytes> m_piece {};
+    std::uint64_t m_bodyBytes = 0;
     bool m_cancelled = false;
     bool m_finished = false;
     bool m_failed = false;
--- a/packages/node/src/internal/SettingsConversions.cpp
+++ b/packages/node/src/internal/SettingsConversions.cpp
@@ -4,6 +4,12 @@
 
 namespace carobpath::node::Detail {
 
+namespace {
+
+    constexpr double bytesPerMegabit = 125'000;
+
+}
+
 gateway::GatewayLimits limitsOf(const NodeSettings& settings)
 {
     using std::chrono::duration_cast;
@@ -40,6 +46,7 @@
     routing::AdmissionPolicy policy;
     // Routes of the fleet name objectives; those of carobpath's own objects are ordered by class.
     policy.order.byObjective = settings.platform == PlatformKind::Fleet;
+    policy.linkBytesPerSecond = settings.limits.linkMegabits * bytesPerMegabit;
     return policy;
 }
 
--- a/packages/routing/include/carobpath/routing/Admission.h
+++ b/packages/routing/include/carobpath/routing/Admission.h
@@ -88,6 +88,8 @@
     RequestId id;
     BackendResult result = BackendResult::Answered;
     std::chrono::nanoseconds serviceTime {};
+    /// Size of the answer's body; 0 where there was none.
+    std::uint64_t bodyBytes = 0;
 };
 
 }
--- a/packages/routing/include/carobpath/routing/AdmissionController.h
+++ b/packages/routing/include/carobpath/routing/AdmissionController.h
@@ -6,6 +6,7 @@
 #include "carobpath/routing/BackendHealth.h"
 #include "carobpath/routing/ConcurrencyLimit.h"
 #include "carobpath/routing/CrashDetector.h"
+#include "carobpath/routing/DownloadLimit.h"
 #include "carobpath/routing/RunningCalls.h"
 #include "carobpath/routing/SeenRequests.h"
 #include "carobpath/routing/ServiceTimes.h"
@@ -23,6 +24,8 @@
     double reservedPart = 1.0 / 6;
     /// Refuse at arrival what would miss its deadline.
     bool shedByWait = true;
+    /// What the instance's link carries; 0 where it is not known.
+    double linkBytesPerSecond = 0;
 };
 
 /// What a node holds of requests that crash backend servers.
@@ -100,10 +103,14 @@
     bool runsBesideSuspect(const AdmissionRequest&) const;
     void learn(const AdmissionResult&, const RunningCall&, std::uint32_t inFlight, MonotonicTime now);
     std::uint32_t slotsFor(QueueClass) const;
+    /// \returns whether the limit was what kept other calls of the kind out.
+    bool wasUsedBy(const RunningCall& ended, std::uint32_t inFlight) const;
     std::chrono::nanoseconds expectedWait(QueueClass, MonotonicTime now) const;
     /// Takes the call, or refuses it for load, by the time at which its answer is expected.
     void enqueueByObjective(const AdmissionRequest&, AdmissionCommands&, MonotonicTime now);
     std::chrono::nanoseconds waitBefore(const AdmissionRequest&, MonotonicTime now) const;
+    /// The wait among downloads, which may not take all slots.
+    std::chrono::nanoseconds waitAmongDownloads(const std::vector<const AdmissionRequest*>& before, MonotonicTime now) const;
     /// Its entry node may send the call here again.
     void rejectForLoad(const AdmissionRequest&, AdmissionCommands&, MonotonicTime now);
     Refusal overloaded(const AdmissionRequest&, MonotonicTime now) const;
@@ -113,6 +120,7 @@
     bool m_draining = false;
     ConcurrencyLimit m_limit;
     BackendHealth m_health;
+    DownloadLimit m_downloads;
     ServiceTimes m_times;
     AdmissionQueue m_queue;
     SeenRequests m_seen;
--- a/packages/routing/include/carobpath/routing/ConcurrencyLimit.h
+++ b/packages/routing/include/carobpath/routing/ConcurrencyLimit.h
@@ -24,8 +24,9 @@
     /// The same upstream announced itself again, perhaps with other slots or in another state.
     void update(const membership::Upstream&);
 
-    /// \param inFlight calls in flight with the answered one. A limit that is not used does not grow.
-    void onAnswered(std::uint32_t inFlight, MonotonicTime now);
+    /// \param inFlight calls in flight with the answered one.
+    /// \param wasUsed whether no other call of its kind was let in beside it. A limit that is not used does not grow.
+    void onAnswered(std::uint32_t inFlight, bool wasUsed, MonotonicTime now);
     /// The upstream refused a call. That lowers the limit where it did not answer as many calls at a time a moment before:
     /// some upstreams refuse a part of their calls while they have slots free.
     /// \param inFlight calls in flight with the refused one.
--- a/packages/routing/include/carobpath/routing/RunningCalls.h
+++ b/packages/routing/include/carobpath/routing/RunningCalls.h
@@ -34,10 +34,14 @@
 
     /// \returns the times that the calls still need, by the means of their classes.
     std::vector<std::chrono::nanoseconds> remainingTimes(const ServiceTimes&, MonotonicTime now) const;
+    /// The same for the calls of one class.
+    std::vector<std::chrono::nanoseconds> remainingTimes(const ServiceTimes&, MonotonicTime now, QueueClass) const;
     /// \returns their sum.
     std::chrono::nanoseconds remainingWork(const ServiceTimes&, MonotonicTime now) const;
 
 private:
+    static std::chrono::nanoseconds remainingTime(const RunningCall&, const ServiceTimes&, MonotonicTime now);
+
     std::unordered_map<RequestId, RunningCall> m_calls;
     std::uint32_t m_downloads = 0;
 };
--- a/packages/routing/src/AdmissionController.cpp
+++ b/packages/routing/src/AdmissionController.cpp
@@ -38,6 +38,7 @@
 
 AdmissionController::AdmissionController(AdmissionPolicy policy)
     : m_policy(policy)
+    , m_downloads(policy.linkBytesPerSecond)
     , m_queue(policy.order)
 {
 }
@@ -124,9 +125,22 @@
 
 std::chrono::nanoseconds AdmissionController::waitBefore(const AdmissionRequest& request, MonotonicTime now) const
 {
+    const auto before = m_queue.before(request, now);
     SlotForecast forecast(m_running.remainingTimes(m_times, now), m_limit.value());
-    for (const auto* it : m_queue.before(request, now))
+    for (const auto* it : before)
         forecast.take(m_times.expected(queueClassOf(*it)));
+    if (queueClassOf(request) != QueueClass::Download)
+        return forecast.untilFree();
+    return std::max(forecast.untilFree(), waitAmongDownloads(before, now));
+}
+
+std::chrono::nanoseconds AdmissionController::waitAmongDownloads(const std::vector<const AdmissionRequest*>& before, MonotonicTime now) const
+{
+    SlotForecast forecast(m_running.remainingTimes(m_times, now, QueueClass::Download), slotsFor(QueueClass::Download));
+    for (const auto* it : before) {
+        if (queueClassOf(*it) == QueueClass::Download)
+            forecast.take(m_times.expected(QueueClass::Download));
+    }
     return forecast.untilFree();
 }
 
@@ -167,10 +181,13 @@
 std::uint32_t AdmissionController::slotsFor(QueueClass queueClass) const
 {
     const auto limit = m_limit.value();
-    if (m_policy.reservedPart <= 0 || queueClass != QueueClass::Download || limit == 1)
+    if (queueClass != QueueClass::Download)
         return limit;
+    const auto byLink = std::min(limit, m_downloads.value());
+    if (m_policy.reservedPart <= 0 || limit == 1)
+        return byLink;
     const auto reserved = static_cast<std::uint32_t>(limit * m_policy.reservedPart);
-    return limit - std::clamp(reserved, 1U, limit - 1);
+    return std::min(byLink, limit - std::clamp(reserved, 1U, limit - 1));
 }
 
 bool AdmissionController::fits(const AdmissionRequest& request) const
@@ -219,10 +236,12 @@
 {
     if (isTimed(result.result))
         m_times.add(queueClassOf(running.request), result.serviceTime);
+    if (result.result == BackendResult::Answered && queueClassOf(running.request) == QueueClass::Download)
+        m_downloads.onAnswered(result.bodyBytes);
     if (result.result == BackendResult::Refused)
         m_limit.onRefused(inFlight, now);
     if (result.result == BackendResult::Answered)
-        m_limit.onAnswered(inFlight, now);
+        m_limit.onAnswered(inFlight, wasUsedBy(running, inFlight), now);
     const bool wasDown = m_health.isDown();
     m_health.onResult(result.result, now);
     if (wasDown && !m_health.isDown() && m_upstream)
@@ -230,6 +249,13 @@
     m_crashes.onResult(result.result, running, m_running, now);
 }
 
+bool AdmissionController::wasUsedBy(const RunningCall& ended, std::uint32_t inFlight) const
+{
+    const bool isDownload = queueClassOf(ended.request) == QueueClass::Download;
+    const bool downloadsWereFull = isDownload && m_running.downloads() + 1 >= slotsFor(QueueClass::Download);
+    return inFlight >= m_limit.value() || downloadsWereFull;
+}
+
 void AdmissionController::setFingerprintChecks(FingerprintChecks checks) { m_fingerprints = std::move(checks); }
 
 bool AdmissionController::isSuspect(const AdmissionRequest& request) const
--- a/packages/routing/src/ConcurrencyLimit.cpp
+++ b/packages/routing/src/ConcurrencyLimit.cpp
@@ -20,13 +20,13 @@
     m_limit = std::min<double>(m_limit, m_slots);
 }
 
-void ConcurrencyLimit::onAnswered(std::uint32_t inFlight, MonotonicTime now)
+void ConcurrencyLimit::onAnswered(std::uint32_t inFlight, bool wasUsed, MonotonicTime now)
 {
     if (inFlight >= answeredLevel(now)) {
         m_answeredLevel = inFlight;
         m_answeredAt = now;
     }
-    if (inFlight < value())
+    if (!wasUsed)
         return;
     const bool slow = m_cold || m_refusedBefore;
     m_limit = std::min<double>(m_slots, m_limit + (slow ? 1 / m_limit : 1));
--- a/packages/routing/src/RunningCalls.cpp
+++ b/packages/routing/src/RunningCalls.cpp
@@ -46,14 +46,28 @@
 {
     std::vector<std::chrono::nanoseconds> remaining;
     remaining.reserve(m_calls.size());
+    for (const auto& [id, it] : m_calls)
+        remaining.push_back(remainingTime(it, times, now));
+    return remaining;
+}
+
+std::vector<std::chrono::nanoseconds> RunningCalls::remainingTimes(const ServiceTimes& times, MonotonicTime now, QueueClass queueClass) const
+{
+    std::vector<std::chrono::nanoseconds> remaining;
     for (const auto& [id, it] : m_calls) {
-        const auto expected = times.expected(queueClassOf(it.request));
-        const auto rest = std::chrono::duration_cast<std::chrono::nanoseconds>(expected * s_overdueRest);
-        remaining.push_back(std::max(expected - (now - it.dispatchedAt), rest));
+        if (queueClassOf(it.request) == queueClass)
+            remaining.push_back(remainingTime(it, times, now));
     }
     return remaining;
 }
 
+std::chrono::nanoseconds RunningCalls::remainingTime(const RunningCall& call, const ServiceTimes& times, MonotonicTime now)
+{
+    const auto expected = times.expected(queueClassOf(call.request));
+    const auto rest = std::chrono::duration_cast<std::chrono::nanoseconds>(expected * s_overdueRest);
+    return std::max(expected - (now - call.dispatchedAt), rest);
+}
+
 std::chrono::nanoseconds RunningCalls::remainingWork(const ServiceTimes& times, MonotonicTime now) const
 {
     const auto remaining = remainingTimes(times, now);
