Take the link as a queue of answers, and count it into the time of a download

An answer that was written to a socket counts as ended while its bytes wait for the link; and the time of a download that was compared with the objective left the link out. Change: DownloadLimit keeps the time until which the link is busy with ended answers; downloads wait for it, and what is left of it counts into their expected time.

--- a/packages/gateway/src/internal/AdmittedCall.cpp
+++ b/packages/gateway/src/internal/AdmittedCall.cpp
@@ -175,7 +175,7 @@
         m_handler.m_hooks.onBackend(observation);
     }
     const auto bodyBytes = m_exchange ? m_exchange->bodyBytes() : 0;
-    m_handler.finish(routing::AdmissionResult { m_request.id, result, now - m_dispatchedAt, bodyBytes });
+    m_handler.finish(routing::AdmissionResult { m_request.id, result, now - m_dispatchedAt, bodyBytes, now - m_dispatchedAt - m_latency });
 }
 
 }
--- a/packages/routing/include/carobpath/routing/Admission.h
+++ b/packages/routing/include/carobpath/routing/Admission.h
@@ -90,6 +90,8 @@
     std::chrono::nanoseconds serviceTime {};
     /// Size of the answer's body; 0 where there was none.
     std::uint64_t bodyBytes = 0;
+    /// Part of the service time that went by after the answer's header.
+    std::chrono::nanoseconds bodyTime {};
 };
 
 }
--- a/packages/routing/include/carobpath/routing/AdmissionController.h
+++ b/packages/routing/include/carobpath/routing/AdmissionController.h
@@ -98,16 +98,18 @@
     /// Refuses what waits and has come to miss its objective: it is no use to hold it until its deadline.
     void rejectHopeless(AdmissionCommands&, MonotonicTime now);
     void rejectAll(AdmissionCommands&, RefusalReason, std::chrono::milliseconds retryAfter);
-    bool fits(const AdmissionRequest&) const;
+    bool fits(const AdmissionRequest&, MonotonicTime now) const;
     bool isSuspect(const AdmissionRequest&) const;
     bool runsBesideSuspect(const AdmissionRequest&) const;
     void learn(const AdmissionResult&, const RunningCall&, std::uint32_t inFlight, MonotonicTime now);
-    std::uint32_t slotsFor(QueueClass) const;
+    std::uint32_t slotsFor(QueueClass, MonotonicTime now) const;
     /// \returns whether the limit was what kept other calls of the kind out.
-    bool wasUsedBy(const RunningCall& ended, std::uint32_t inFlight) const;
+    bool wasUsedBy(const RunningCall& ended, std::uint32_t inFlight, MonotonicTime now) const;
     std::chrono::nanoseconds expectedWait(QueueClass, MonotonicTime now) const;
     /// Takes the call, or refuses it for load, by the time at which its answer is expected.
     void enqueueByObjective(const AdmissionRequest&, AdmissionCommands&, MonotonicTime now);
+    /// From its dispatch to the moment at which its answer has left.
+    std::chrono::nanoseconds expectedTime(const AdmissionRequest&, MonotonicTime now) const;
     std::chrono::nanoseconds waitBefore(const AdmissionRequest&, MonotonicTime now) const;
     /// The wait among downloads, which may not take all slots.
     std::chrono::nanoseconds waitAmongDownloads(const std::vector<const AdmissionRequest*>& before, MonotonicTime now) const;
--- a/packages/routing/src/AdmissionController.cpp
+++ b/packages/routing/src/AdmissionController.cpp
@@ -87,7 +87,7 @@
 {
     const auto queueClass = queueClassOf(request);
     // A call that need not wait is always taken, so that service times are learnt anew after a bad spell.
-    if (m_queue.size(queueClass) == 0 && fits(request)) {
+    if (m_queue.size(queueClass) == 0 && fits(request, now)) {
         dispatch(request, commands, now);
         return;
     }
@@ -108,7 +108,7 @@
 void AdmissionController::enqueueByObjective(const AdmissionRequest& request, AdmissionCommands& commands, MonotonicTime now)
 {
     m_times.guess(queueClassOf(request), (*request.objective - now) / s_guessDivisor);
-    const auto service = m_times.expected(queueClassOf(request));
+    const auto service = expectedTime(request, now);
     const auto wait = waitBefore(request, now);
     const auto longestLateWait = std::chrono::duration_cast<std::chrono::nanoseconds>(service * s_lateWaitPart);
     const bool inTime = now + wait + service <= *request.objective;
@@ -123,6 +123,13 @@
     dispatchWaiting(commands, now);
 }
 
+std::chrono::nanoseconds AdmissionController::expectedTime(const AdmissionRequest& request, MonotonicTime now) const
+{
+    const auto queueClass = queueClassOf(request);
+    const auto service = m_times.expected(queueClass);
+    return queueClass == QueueClass::Download ? service + m_downloads.untilSent(now) : service;
+}
+
 std::chrono::nanoseconds AdmissionController::waitBefore(const AdmissionRequest& request, MonotonicTime now) const
 {
     const auto before = m_queue.before(request, now);
@@ -136,12 +143,12 @@
 
 std::chrono::nanoseconds AdmissionController::waitAmongDownloads(const std::vector<const AdmissionRequest*>& before, MonotonicTime now) const
 {
-    SlotForecast forecast(m_running.remainingTimes(m_times, now, QueueClass::Download), slotsFor(QueueClass::Download));
+    SlotForecast forecast(m_running.remainingTimes(m_times, now, QueueClass::Download), std::max(1U, slotsFor(QueueClass::Download, now)));
     for (const auto* it : before) {
         if (queueClassOf(*it) == QueueClass::Download)
             forecast.take(m_times.expected(QueueClass::Download));
     }
-    return forecast.untilFree();
+    return std::max(forecast.untilFree(), m_downloads.untilOpen(now));
 }
 
 UpstreamLoad AdmissionController::load() const
@@ -175,27 +182,27 @@
         const auto it = static_cast<QueueClass>(i);
         work += m_times.expected(it) * m_queue.size(it);
     }
-    return work / slotsFor(queueClass);
+    return work / std::max(1U, slotsFor(queueClass, now));
 }
 
-std::uint32_t AdmissionController::slotsFor(QueueClass queueClass) const
+std::uint32_t AdmissionController::slotsFor(QueueClass queueClass, MonotonicTime now) const
 {
     const auto limit = m_limit.value();
     if (queueClass != QueueClass::Download)
         return limit;
-    const auto byLink = std::min(limit, m_downloads.value());
+    const auto byLink = std::min(limit, m_downloads.value(now));
     if (m_policy.reservedPart <= 0 || limit == 1)
         return byLink;
     const auto reserved = static_cast<std::uint32_t>(limit * m_policy.reservedPart);
     return std::min(byLink, limit - std::clamp(reserved, 1U, limit - 1));
 }
 
-bool AdmissionController::fits(const AdmissionRequest& request) const
+bool AdmissionController::fits(const AdmissionRequest& request, MonotonicTime now) const
 {
     if (!m_upstream || m_running.size() >= std::min(m_limit.value(), m_upstream->connections))
         return false;
     const auto queueClass = queueClassOf(request);
-    if (queueClass == QueueClass::Download && m_running.downloads() >= slotsFor(queueClass))
+    if (queueClass == QueueClass::Download && m_running.downloads() >= slotsFor(queueClass, now))
         return false;
     return !isSuspect(request) || !runsBesideSuspect(request);
 }
@@ -206,7 +213,7 @@
         return;
     rejectExpired(commands, now);
     rejectHopeless(commands, now);
-    const auto canGo = [this](const AdmissionRequest& it) { return fits(it); };
+    const auto canGo = [this, now](const AdmissionRequest& it) { return fits(it, now); };
     while (const auto next = m_queue.pop(canGo, now))
         dispatch(*next, commands, now);
 }
@@ -237,11 +244,11 @@
     if (isTimed(result.result))
         m_times.add(queueClassOf(running.request), result.serviceTime);
     if (result.result == BackendResult::Answered && queueClassOf(running.request) == QueueClass::Download)
-        m_downloads.onAnswered(result.bodyBytes);
+        m_downloads.onAnswered(result.bodyBytes, result.bodyTime, now);
     if (result.result == BackendResult::Refused)
         m_limit.onRefused(inFlight, now);
     if (result.result == BackendResult::Answered)
-        m_limit.onAnswered(inFlight, wasUsedBy(running, inFlight), now);
+        m_limit.onAnswered(inFlight, wasUsedBy(running, inFlight, now), now);
     const bool wasDown = m_health.isDown();
     m_health.onResult(result.result, now);
     if (wasDown && !m_health.isDown() && m_upstream)
@@ -249,10 +256,10 @@
     m_crashes.onResult(result.result, running, m_running, now);
 }
 
-bool AdmissionController::wasUsedBy(const RunningCall& ended, std::uint32_t inFlight) const
+bool AdmissionController::wasUsedBy(const RunningCall& ended, std::uint32_t inFlight, MonotonicTime now) const
 {
     const bool isDownload = queueClassOf(ended.request) == QueueClass::Download;
-    const bool downloadsWereFull = isDownload && m_running.downloads() + 1 >= slotsFor(QueueClass::Download);
+    const bool downloadsWereFull = isDownload && m_running.downloads() + 1 >= slotsFor(QueueClass::Download, now);
     return inFlight >= m_limit.value() || downloadsWereFull;
 }
 
@@ -297,7 +304,7 @@
     if (!m_policy.order.byObjective)
         return;
     const auto isHopeless = [&](const AdmissionRequest& it) {
-        const auto service = m_times.expected(queueClassOf(it));
+        const auto service = expectedTime(it, now);
         return it.objective && !it.mayBeLate && now + service > *it.objective;
     };
     for (const auto& it : m_queue.removeIf(isHopeless))
--- a/packages/routing/src/DownloadLimit.cpp
+++ b/packages/routing/src/DownloadLimit.cpp
@@ -5,19 +5,50 @@
 
 namespace carobpath::routing {
 
-void DownloadLimit::onAnswered(std::uint64_t bodyBytes)
+namespace {
+
+    using std::chrono::nanoseconds;
+    using Seconds = std::chrono::duration<double>;
+
+}
+
+void DownloadLimit::onAnswered(std::uint64_t bodyBytes, nanoseconds bodyTime, MonotonicTime now)
+{
+    const auto bytes = static_cast<double>(bodyBytes);
+    m_meanBytes = m_meanBytes > 0 ? m_meanBytes + s_weight * (bytes - m_meanBytes) : bytes;
+    if (m_linkBytesPerSecond <= 0)
+        return;
+    const Seconds transfer { bytes / m_linkBytesPerSecond };
+    m_busyUntil = std::max(m_busyUntil, now - bodyTime) + std::chrono::duration_cast<nanoseconds>(transfer);
+}
+
+nanoseconds DownloadLimit::backlog(MonotonicTime now) const
+{
+    return std::max<nanoseconds>(m_busyUntil - now, nanoseconds {});
+}
+
+nanoseconds DownloadLimit::untilOpen(MonotonicTime now) const
+{
+    return std::max<nanoseconds>(backlog(now) - s_longestBacklog, nanoseconds {});
+}
+
+nanoseconds DownloadLimit::untilSent(MonotonicTime now) const
 {
-    const auto sample = static_cast<double>(bodyBytes);
-    m_meanBytes = m_meanBytes > 0 ? m_meanBytes + s_weight * (sample - m_meanBytes) : sample;
+    if (m_linkBytesPerSecond <= 0)
+        return {};
+    const Seconds transfer { m_meanBytes / m_linkBytesPerSecond };
+    return std::min<nanoseconds>(backlog(now), s_longestBacklog) + std::chrono::duration_cast<nanoseconds>(transfer);
 }
 
-std::uint32_t DownloadLimit::value() const
+std::uint32_t DownloadLimit::value(MonotonicTime now) const
 {
     constexpr auto unlimited = std::numeric_limits<std::uint32_t>::max();
     if (m_linkBytesPerSecond <= 0 || m_meanBytes <= 0)
         return unlimited;
-    const std::chrono::duration<double> backlog = s_longestBacklog;
-    const double downloads = m_linkBytesPerSecond * backlog.count() / m_meanBytes;
+    const Seconds left = s_longestBacklog - backlog(now);
+    if (left.count() <= 0)
+        return 0;
+    const double downloads = m_linkBytesPerSecond * left.count() / m_meanBytes;
     return static_cast<std::uint32_t>(std::clamp(downloads, 1.0, static_cast<double>(unlimited)));
 }
 
--- a/packages/routing/tests/DownloadLimitTests.cpp
+++ b/packages/routing/tests/DownloadLimitTests.cpp
@@ -37,13 +37,19 @@
         }
 
         void dispatch(const AdmissionRequest& it)
+        {
+            ends[fixture.now + workTime].push_back(it);
+            dispatchedAt[it.id] = fixture.now;
+        }
+
+        /// The answer is written to a socket at once and leaves after those before it.
+        void send(const AdmissionRequest& it)
         {
             const auto transfer = std::chrono::nanoseconds { static_cast<std::int64_t>(answerBytes / tenMegabits * 1e9) };
-            const auto begin = std::max(fixture.now + workTime, linkFreeAt);
-            longestLinkQueue = std::max(longestLinkQueue, std::chrono::nanoseconds { begin - fixture.now - workTime });
+            const auto begin = std::max(fixture.now, linkFreeAt);
+            longestLinkQueue = std::max(longestLinkQueue, std::chrono::nanoseconds { begin - fixture.now });
             linkFreeAt = begin + transfer;
-            ends[linkFreeAt].push_back(it);
-            dispatchedAt[it.id] = fixture.now;
+            inTime += linkFreeAt <= *it.objective ? 1 : 0;
         }
 
         void take(const AdmissionCommands& commands, std::map<RequestId, AdmissionRequest>& known)
@@ -63,7 +69,7 @@
                 while (!ends.empty() && ends.begin()->first <= fixture.now) {
                     const auto ended = ends.extract(ends.begin());
                     for (const auto& it : ended.mapped()) {
-                        inTime += fixture.now <= *it.objective ? 1 : 0;
+                        send(it);
                         take(fixture.controller.onFinished({ it.id, BackendResult::Answered, fixture.now - dispatchedAt.at(it.id), answerBytes }, fixture.now), known);
                     }
                 }
@@ -84,20 +90,34 @@
 
 BOOST_AUTO_TEST_CASE(Is_none_before_an_answer_and_where_the_link_is_not_known)
 {
+    const MonotonicTime now { 1000s };
     DownloadLimit unknown { 0 };
-    unknown.onAnswered(answerBytes);
-    BOOST_TEST(unknown.value() > 1'000'000U);
-    BOOST_TEST(DownloadLimit { tenMegabits }.value() > 1'000'000U);
+    unknown.onAnswered(answerBytes, 0ms, now);
+    BOOST_TEST(unknown.value(now) > 1'000'000U);
+    BOOST_TEST(DownloadLimit { tenMegabits }.value(now) > 1'000'000U);
 }
 
 BOOST_AUTO_TEST_CASE(Is_what_the_link_sends_in_a_quarter_of_a_second_and_at_least_one)
 {
+    MonotonicTime now { 1000s };
     DownloadLimit limit { tenMegabits };
-    limit.onAnswered(answerBytes);
-    BOOST_TEST(limit.value() == 3U);
+    limit.onAnswered(answerBytes, 100ms, now);
+    BOOST_TEST(limit.value(now) == 3U);
     for (int i = 0; i < 100; ++i)
-        limit.onAnswered(2'000'000);
-    BOOST_TEST(limit.value() == 1U);
+        limit.onAnswered(2'000'000, 10s, now += 10s);
+    BOOST_TEST(limit.value(now) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(Is_none_while_the_link_is_busy_with_answers_that_were_written_at_once)
+{
+    const MonotonicTime now { 1000s };
+    DownloadLimit limit { tenMegabits };
+    for (int i = 0; i < 5; ++i)
+        limit.onAnswered(answerBytes, 0ms, now);
+    BOOST_TEST(limit.value(now) == 0U);
+    BOOST_TEST((limit.untilOpen(now) == 110ms));
+    BOOST_TEST(limit.value(now + 120ms) == 1U);
+    BOOST_TEST(limit.value(now + 400ms) == 3U);
 }
 
 BOOST_AUTO_TEST_CASE(Keeps_the_link_short_of_a_queue_above_what_it_bears)
