Offer a call to three places of the own domain, and push no configuration where each node reads it

In amman-c, which has 39 of 100 calls and 11 of 38 servers of the catalogue, a call was offered to six servers of its own domain one after the other and then refused, while others had room: 14,000 refused attempts in 22 s. And after a configuration grew by 1,240 routes, nodes with a link of 10 Mbit/s that push versions to their neighbours answered nothing for seconds: 440 attempts at four of them ended with silence. Ruled out: processor (0.045 cores of 0.1 at most); the servers beside those nodes, which answered. Change: at most three of the six places are in the own domain; where every node reads the configuration from the store, versions are not pushed, and one is fetched from a peer only after half a second in which the own reading stayed behind.

--- a/packages/distribution/include/carobpath/distribution/Exchange.h
+++ b/packages/distribution/include/carobpath/distribution/Exchange.h
@@ -107,14 +107,20 @@
     static constexpr std::size_t s_membershipBudget = 4096;
     static constexpr std::size_t s_evidenceBudget = 2048;
     static constexpr std::size_t s_compareBudget = 32768;
-    /// Largest delta that is sent unasked.
+    /// Largest delta that is sent unasked, and the same where every node reads the configuration itself.
     static constexpr std::size_t s_deltaBudget = 262144;
+    static constexpr std::size_t s_deltaBudgetOfReaders = 4096;
     static constexpr std::size_t s_maxOutstanding = 256;
     static constexpr std::size_t s_maxSeeds = 64;
 
     /// \param self the entry of this node; its revision names this life of the process.
     Exchange(membership::NodeEntry self, std::vector<Endpoint> seeds, SetDigest, EvidencePort, std::mt19937_64, MonotonicTime now);
 
+    /// Every node reads the configuration from a store that tells them all of a version at once. Then versions are not
+    /// pushed, and a node fetches one from a peer only where its own reading stays behind: a set of some hundred kilobytes
+    /// that each node sends to its neighbours would fill a link of ten megabits for seconds.
+    void setEachNodeReads(bool each) { m_eachNodeReads = each; }
+
     /// Called every \c s_tickInterval.
     Commands tick(MonotonicTime now);
 
@@ -189,6 +195,7 @@
     void pushNotices(std::vector<moves::TakeBackNotice>, const Endpoint& except, Commands&);
 
     PeerMessage header() const;
+    bool maySend(const std::shared_ptr<const Delta>&) const;
     /// \returns how often a piece of evidence is sent before it counts as spread.
     std::uint32_t transmissions() const;
     /// \param introduces whether the receiver may not know this node yet.
@@ -230,6 +237,7 @@
     std::uint32_t m_exchangeRound = 0;
     ExchangeId m_lastId = 0;
     std::map<ExchangeId, Outstanding> m_outstanding;
+    bool m_eachNodeReads = false;
     bool m_joining = true;
     bool m_isViewUrgent = false;
     bool m_heardPeer = false;
--- a/packages/distribution/src/ExchangeMessages.cpp
+++ b/packages/distribution/src/ExchangeMessages.cpp
@@ -20,7 +20,7 @@
     PeerMessage reply = withNews(request.sender, m_joining || request.joining);
     if (request.stamp && holdsNewerThan(request.stamp)) {
         const auto delta = m_keeper.deltaFrom(*request.stamp);
-        if (delta && encodedSize(*delta) <= s_deltaBudget)
+        if (maySend(delta))
             reply.delta = delta;
     }
     if (comparisonDue(request, now))
@@ -40,7 +40,7 @@
     if (reply.stamp && holdsNewerThan(reply.stamp)) {
         PushNews news;
         news.delta = m_keeper.deltaFrom(*reply.stamp);
-        if (news.delta && encodedSize(*news.delta) <= s_deltaBudget)
+        if (maySend(news.delta))
             pushTo(reply.sender, news, commands);
     }
     answerComparison(reply, commands);
@@ -168,7 +168,7 @@
     const auto& theirs = message.stamp;
     if (!theirs || (m_keeper.held() && m_keeper.held()->stamp.offset >= theirs->offset))
         return;
-    m_fetch.want(message.sender, deltaExpected && m_keeper.held(), now);
+    m_fetch.want(message.sender, (deltaExpected || m_eachNodeReads) && m_keeper.held(), now);
 }
 
 void Exchange::adopted(Adoption adoption, const publication::ConfigurationPointer& before, const Endpoint& source, MonotonicTime, Commands& commands)
@@ -182,11 +182,11 @@
     if (!m_joining)
         m_fetch.satisfied();
     tellWitnesses(source, commands);
-    if (!before)
+    if (!before || m_eachNodeReads)
         return;
     PushNews news;
     news.delta = m_keeper.deltaFrom(before->stamp);
-    if (news.delta && encodedSize(*news.delta) <= s_deltaBudget)
+    if (maySend(news.delta))
         push(news, source, commands);
 }
 
@@ -286,6 +286,11 @@
     return message;
 }
 
+bool Exchange::maySend(const std::shared_ptr<const Delta>& delta) const
+{
+    return delta && encodedSize(*delta) <= (m_eachNodeReads ? s_deltaBudgetOfReaders : s_deltaBudget);
+}
+
 std::uint32_t Exchange::transmissions() const
 {
     return std::max<std::uint32_t>(minTransmissions, static_cast<std::uint32_t>(std::bit_width(m_members.livePeers())));
--- /dev/null
+++ b/packages/distribution/tests/EachNodeReadsTests.cpp
@@ -0,0 +1,81 @@
+#include "Fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace carobpath::distribution {
+
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+    /// Nodes that know each other and all read the log; counts the deltas that they send.
+    struct ReadingFleet {
+        static constexpr std::size_t nodes = 14;
+
+        std::size_t deltas = 0;
+        std::size_t wholes = 0;
+        Fleet fleet;
+
+        explicit ReadingFleet(bool eachNodeReads)
+            : fleet(optionsOf(eachNodeReads))
+        {
+            fleet.publish();
+            fleet.startAll();
+            BOOST_REQUIRE(fleet.runUntil([&] { return fleet.allKnow(nodes) && fleet.allServe(0); }, seconds { 60 }).has_value());
+            fleet.run(seconds { 5 });
+            deltas = 0;
+            wholes = 0;
+        }
+
+        FleetOptions optionsOf(bool eachNodeReads)
+        {
+            FleetOptions options;
+            options.nodes = nodes;
+            options.services = 40;
+            options.routesPerService = 30;
+            options.eachNodeReads = eachNodeReads;
+            options.sizeOf = [this](const PeerMessage& it) {
+                deltas += it.delta ? 1 : 0;
+                return std::size_t { 0 };
+            };
+            options.sizeOfWhole = [this](const WholeState&) {
+                ++wholes;
+                return std::size_t { 0 };
+            };
+            return options;
+        }
+    };
+
+}
+
+BOOST_AUTO_TEST_SUITE(Where_each_node_reads_the_configuration)
+
+BOOST_AUTO_TEST_CASE(No_node_sends_it_to_another)
+{
+    ReadingFleet each { true };
+    ReadingFleet some { false };
+    for (auto* it : { &each, &some }) {
+        it->fleet.publish();
+        for (std::size_t i = 0; i < ReadingFleet::nodes; ++i)
+            it->fleet.readOnce(i);
+        it->fleet.run(seconds { 5 });
+        BOOST_TEST(it->fleet.allServe(1));
+    }
+    BOOST_TEST(each.deltas == 0U);
+    BOOST_TEST(each.wholes == 0U);
+    BOOST_TEST(some.deltas > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(A_node_whose_reading_stays_behind_gets_it_from_a_peer_within_two_seconds)
+{
+    ReadingFleet each { true };
+    each.fleet.publish();
+    for (std::size_t i = 1; i < ReadingFleet::nodes; ++i)
+        each.fleet.readOnce(i);
+    BOOST_TEST(each.fleet.runUntil([&] { return each.fleet.allServe(1); }, seconds { 2 }).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
--- a/packages/distribution/tests/Fleet.cpp
+++ b/packages/distribution/tests/Fleet.cpp
@@ -123,6 +123,7 @@
     auto port = evidencePortOf<std::uint64_t>(*it.evidence, [store = it.evidence](const auto& update) { store->merge(update); });
     it.exchange = std::make_unique<Exchange>(
         it.entry, seedEndpoints, [this](const auto& set) { return digestOf(set); }, std::move(port), std::mt19937_64(m_random()), m_now);
+    it.exchange->setEachNodeReads(m_options.eachNodeReads);
     if (m_options.withoutFloor)
         execute(node, it.exchange->onLogEnd(m_now));
     const auto phase = std::uniform_int_distribution<std::int64_t>(0, 100'000)(m_random);
--- a/packages/distribution/tests/Fleet.h
+++ b/packages/distribution/tests/Fleet.h
@@ -37,6 +37,8 @@
     /// every set has the same digest.
     bool withoutFloor = false;
     bool withoutDigests = false;
+    /// Every node reads the log itself.
+    bool eachNodeReads = false;
     /// Whether the time within the decision objects is taken.
     bool measureCpu = false;
 };
@@ -57,6 +59,8 @@
     void start(std::size_t node);
     void startAll();
     void kill(std::size_t node);
+    /// The node reads the log once, whether it is a reader or not.
+    void readOnce(std::size_t node) { readLog(node, m_nodes[node].life, false); }
     void pause(std::size_t node);
     void resume(std::size_t node);
     void setUpstream(std::size_t node, membership::UpstreamState);
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -211,6 +211,7 @@
                       .random(m_context.random())
                       .evidence(evidencePort())
                       .callbacks(peerCallbacks())
+                      .eachNodeReads(inFleet())
                       .build();
     } catch (const boost::system::system_error& error) {
         return boost::leaf::new_error(gateway::ListenFailure { m_settings.listen.peer, error.code().value() });
--- a/packages/peer/include/carobpath/peer/ExchangeRunner.h
+++ b/packages/peer/include/carobpath/peer/ExchangeRunner.h
@@ -106,6 +106,8 @@
     Builder& random(std::mt19937_64);
     Builder& evidence(distribution::EvidencePort);
     Builder& callbacks(RunnerCallbacks);
+    /// See \c distribution::Exchange::setEachNodeReads.
+    Builder& eachNodeReads(bool);
 
     /// Binds the listener. Throws boost::system::system_error where that fails.
     std::shared_ptr<ExchangeRunner> build();
--- a/packages/peer/src/ExchangeRunner.cpp
+++ b/packages/peer/src/ExchangeRunner.cpp
@@ -26,6 +26,7 @@
     std::mt19937_64 random { std::random_device {}() };
     distribution::EvidencePort evidence;
     RunnerCallbacks callbacks;
+    bool eachNodeReads = false;
 };
 
 struct ExchangeRunner::Impl {
@@ -38,6 +39,7 @@
     {
         parts.self.addresses.peer = server.endpoint();
         exchange = std::make_unique<Exchange>(std::move(parts.self), std::move(parts.seeds), publication::digestOfSet, std::move(parts.evidence), parts.random, MonotonicClock::now());
+        exchange->setEachNodeReads(parts.eachNodeReads);
     }
 
     PeerHooks hooks()
@@ -328,6 +330,12 @@
     return *this;
 }
 
+ExchangeRunner::Builder& ExchangeRunner::Builder::eachNodeReads(bool it)
+{
+    m_parts->eachNodeReads = it;
+    return *this;
+}
+
 std::shared_ptr<ExchangeRunner> ExchangeRunner::Builder::build()
 {
     return std::shared_ptr<ExchangeRunner>(new ExchangeRunner(std::make_unique<Impl>(*m_parts)));
--- a/packages/routing/include/carobpath/routing/CallDecision.h
+++ b/packages/routing/include/carobpath/routing/CallDecision.h
@@ -127,6 +127,8 @@
     std::optional<Offer> m_bestOffer;
     bool m_triedLate = false;
     std::vector<NodeName> m_tried;
+    /// Places of the own failure domain that the call was offered to.
+    std::uint32_t m_ownPlaces = 0;
     /// Backend servers that were handed the call, be it that they refused it.
     std::uint32_t m_backendsReached = 0;
     std::uint32_t m_backendLosses = 0;
--- a/packages/routing/include/carobpath/routing/EntryRouter.h
+++ b/packages/routing/include/carobpath/routing/EntryRouter.h
@@ -32,6 +32,8 @@
     bool ownDomainFirst = false;
     /// Places that one call is offered to at most.
     std::uint32_t mostPlaces = 4;
+    /// Places of the own failure domain among them: a large domain that is full must leave some for the others.
+    std::uint32_t mostOwnPlaces = 3;
 };
 
 /// The entry decision of a node: makes a \c CallDecision for each call and holds what the calls share, which are the
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -124,8 +124,10 @@
         return focused;
     if (!m_state->policy.ownDomainFirst)
         return pickAttempt(PickReach::Any, now);
-    if (auto own = pickAttempt(PickReach::Own, now))
-        return own;
+    if (m_ownPlaces < m_state->policy.mostOwnPlaces) {
+        if (auto own = pickAttempt(PickReach::Own, now))
+            return own;
+    }
     // A large answer is worth a wait, but not the way between domains.
     const bool isDownload = m_route->trafficClass == publication::TrafficClass::Download;
     if (isDownload) {
@@ -177,6 +179,7 @@
 SendAttempt CallDecision::take(const UpstreamChoice& choice, PickReach reach, bool toNext, MonotonicTime now)
 {
     m_attempt = Attempt { choice.node, toNext, now };
+    m_ownPlaces += reach == PickReach::Own ? 1 : 0;
     m_state->picker.onSent(choice.node, choice.probe);
     m_version = choice.version;
     auto attempt = attemptAt(choice, m_version, attemptDeadline(now));
--- a/packages/routing/tests/OwnDomainTests.cpp
+++ b/packages/routing/tests/OwnDomainTests.cpp
@@ -63,6 +63,24 @@
     BOOST_CHECK(*second.objective == fixture.now + 500ms);
 }
 
+BOOST_AUTO_TEST_CASE(A_call_that_three_places_of_a_large_own_domain_refuse_goes_elsewhere)
+{
+    OwnDomainFixture fixture;
+    std::vector<membership::KnownNode> nodes { makeNode("far", "v1", "amman-b") };
+    for (int i = 0; i < 10; ++i)
+        nodes.push_back(makeNode("near-" + std::to_string(i), "v1", "amman-a"));
+    fixture.router.setMembership(makeView(nodes));
+    const auto call = fixture.router.begin(makeCall("GET", "/x"), fixture.now);
+    auto attempt = std::get<SendAttempt>(call->start(fixture.now));
+    for (int i = 0; i < 2; ++i) {
+        BOOST_TEST(attempt.node.value() != "far");
+        attempt = std::get<SendAttempt>(call->onAttemptFinished(overloaded(300ms), fixture.now));
+    }
+    BOOST_TEST(attempt.node.value() != "far");
+    attempt = std::get<SendAttempt>(call->onAttemptFinished(overloaded(300ms), fixture.now));
+    BOOST_TEST(attempt.node.value() == "far");
+}
+
 BOOST_AUTO_TEST_CASE(Where_all_refuse_the_shortest_wait_is_taken_once_and_then_the_caller_is_told)
 {
     OwnDomainFixture fixture;
