Wait longer for a busy node before a call counts as lost, and give up none that may not be repeated

The admitting node's signs of life came late over a full link, and 700 ms without one ended the attempt, of 5 s that the caller gave. A booking was ended so too, though nothing is won by it: it cannot be sent again. Change: the silence that ends an attempt is a quarter of the time left and 700 ms at least, for calls that may be repeated alone. The decision moved from the gateway's limits to CallDecision.

--- a/packages/gateway/include/carobpath/gateway/GatewayLimits.h
+++ b/packages/gateway/include/carobpath/gateway/GatewayLimits.h
@@ -28,8 +28,6 @@
     std::chrono::milliseconds bodyProgress { 5'000 };
     /// An admitting node that has no answer yet says so this often.
     std::chrono::milliseconds interimInterval { 200 };
-    /// Time without a byte, interim answers included, after which a connection to another node counts as silent.
-    std::chrono::milliseconds silence { 700 };
 };
 
 }
--- a/packages/gateway/src/internal/EntryCall.cpp
+++ b/packages/gateway/src/internal/EntryCall.cpp
@@ -97,7 +97,7 @@
     ExchangeTarget target;
     target.endpoint = attempt.calls;
     target.headerDeadline = attempt.deadline;
-    target.silence = m_handler.m_limits.silence;
+    target.silence = attempt.longestSilence;
     target.requestId = m_call.id;
     target.fresh = attempt.freshConnection;
     return target;
--- a/packages/routing/include/carobpath/routing/Call.h
+++ b/packages/routing/include/carobpath/routing/Call.h
@@ -47,6 +47,9 @@
     std::optional<MonotonicTime> objective;
     std::uint32_t priority = 0;
     bool mayBeLate = false;
+    /// Time without a sign of life of the other node after which the attempt counts as lost; nothing where its deadline
+    /// alone ends it.
+    std::optional<std::chrono::milliseconds> longestSilence;
     publication::Repeatability repeatability = publication::Repeatability::NotRepeatable;
     publication::TrafficClass trafficClass = publication::TrafficClass::Short;
     /// True where an attempt on a pooled connection is not wanted, since a connection to this node fell silent.
--- a/packages/routing/include/carobpath/routing/CallDecision.h
+++ b/packages/routing/include/carobpath/routing/CallDecision.h
@@ -31,6 +31,10 @@
     /// Part of the time to the objective within which an upstream of the own failure domain must answer, where others
     /// are to be asked in good time too.
     static constexpr double s_ownDomainPart = 0.7;
+    /// Silence of another node after which a call is sent elsewhere: this part of the time left, and no less than the
+    /// time. A node says every 200 ms that it still holds a call, but on a busy link that comes late.
+    static constexpr int s_silenceDivisor = 4;
+    static constexpr std::chrono::milliseconds s_shortestSilence { 700 };
     /// Backend servers that one call may lose its connection to: the request itself may be what ends them.
     static constexpr std::uint32_t s_maxBackendLosses = 2;
 
@@ -99,6 +103,8 @@
     std::optional<MonotonicTime> objectiveFor(PickReach, MonotonicTime now) const;
     SendAttempt attemptAt(const UpstreamChoice&, const VersionName&, MonotonicTime deadline) const;
     MonotonicTime attemptDeadline(MonotonicTime now) const;
+    /// Nothing for a call that may not be repeated: to give it up sooner wins nothing, and its answer may come yet.
+    std::optional<std::chrono::milliseconds> longestSilence(MonotonicTime now) const;
     CallCommand send(SendAttempt);
     CallCommand sendFirst(MonotonicTime now);
     std::optional<CallCommand> retry(const AttemptResult&, MonotonicTime now);
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -184,6 +184,7 @@
     m_version = choice.version;
     auto attempt = attemptAt(choice, m_version, attemptDeadline(now));
     attempt.objective = objectiveFor(reach, now);
+    attempt.longestSilence = longestSilence(now);
     return attempt;
 }
 
@@ -249,6 +250,7 @@
     m_state->picker.onSent(choice->node, choice->probe);
     m_attempt = Attempt { choice->node, false, now };
     auto attempt = attemptAt(*choice, m_version, now + m_route->timeout);
+    attempt.longestSilence = longestSilence(now);
     m_tried.push_back(choice->node);
     return attempt;
 }
@@ -261,6 +263,14 @@
     closeAttempt(signOf(result), result.latency, result.retryAfter.value_or(std::chrono::milliseconds {}), now);
 }
 
+std::optional<std::chrono::milliseconds> CallDecision::longestSilence(MonotonicTime now) const
+{
+    if (!repeatable())
+        return std::nullopt;
+    const auto part = std::chrono::duration_cast<std::chrono::milliseconds>((m_deadline - now) / s_silenceDivisor);
+    return std::max(s_shortestSilence, part);
+}
+
 MonotonicTime CallDecision::attemptDeadline(MonotonicTime now) const
 {
     const auto mean = m_state->picker.meanLatency();
