--- a/packages/distribution/tests/DirectoryStartTests.cpp
+++ b/packages/distribution/tests/DirectoryStartTests.cpp
@@ -13,7 +13,7 @@
 
     /// Nodes without seeds that all start at one moment and learn the addresses of those that registered before them.
     struct DirectoryStart {
-        static constexpr std::size_t nodes = 14;
+        static constexpr std::size_t s_nodes = 14;
 
         std::unique_ptr<Fleet> fleet;
         std::vector<Endpoint> directory;
@@ -21,7 +21,7 @@
         explicit DirectoryStart(std::uint64_t seed)
         {
             FleetOptions options;
-            options.nodes = nodes;
+            options.nodes = s_nodes;
             options.seeds = 0;
             options.seed = seed;
             fleet = std::make_unique<Fleet>(options);
@@ -31,7 +31,7 @@
         void startAll()
         {
             fleet->startAll();
-            for (std::size_t i = 0; i < nodes; ++i) {
+            for (std::size_t i = 0; i < s_nodes; ++i) {
                 fleet->run(milliseconds { 2 });
                 fleet->execute(i, fleet->exchange(i).introduce(directory));
                 directory.push_back(fleet->exchange(i).members().self().addresses.peer);
@@ -40,7 +40,7 @@
 
         bool allKnowUpstreams(std::size_t count)
         {
-            for (std::size_t i = 0; i < nodes; ++i) {
+            for (std::size_t i = 0; i < s_nodes; ++i) {
                 const auto& view = fleet->exchange(i).currentView();
                 const auto known = std::count_if(view->nodes.begin(), view->nodes.end(), [](const auto& it) { return it.entry.upstream.has_value(); });
                 if (static_cast<std::size_t>(known) < count)
@@ -65,7 +65,7 @@
         {
             DirectoryStart start(seed);
             start.startAll();
-            BOOST_TEST(start.fleet->runUntil([&] { return start.fleet->allKnow(DirectoryStart::nodes); }, longestBlindness).has_value());
+            BOOST_TEST(start.fleet->runUntil([&] { return start.fleet->allKnow(DirectoryStart::s_nodes); }, longestBlindness).has_value());
         }
     }
 }
@@ -78,11 +78,11 @@
             DirectoryStart start(seed);
             start.startAll();
             start.fleet->run(milliseconds { 200 });
-            for (std::size_t i = 0; i < DirectoryStart::nodes; ++i) {
+            for (std::size_t i = 0; i < DirectoryStart::s_nodes; ++i) {
                 start.fleet->setUpstream(i, membership::UpstreamState::Ready);
                 start.fleet->run(milliseconds { 40 });
             }
-            BOOST_TEST(start.fleet->runUntil([&] { return start.allKnowUpstreams(DirectoryStart::nodes); }, longestBlindness).has_value());
+            BOOST_TEST(start.fleet->runUntil([&] { return start.allKnowUpstreams(DirectoryStart::s_nodes); }, longestBlindness).has_value());
         }
     }
 }
@@ -95,13 +95,13 @@
             DirectoryStart start(seed);
             start.startAll();
             start.fleet->run(seconds { 10 });
-            for (std::size_t i = 0; i < DirectoryStart::nodes; ++i)
+            for (std::size_t i = 0; i < DirectoryStart::s_nodes; ++i)
                 start.fleet->kill(i);
             start.fleet->run(seconds { 1 });
             start.startAll();
-            for (std::size_t i = 0; i < DirectoryStart::nodes; ++i)
+            for (std::size_t i = 0; i < DirectoryStart::s_nodes; ++i)
                 start.fleet->setUpstream(i, membership::UpstreamState::Ready);
-            BOOST_TEST(start.fleet->runUntil([&] { return start.allKnowUpstreams(DirectoryStart::nodes); }, longestBlindness).has_value());
+            BOOST_TEST(start.fleet->runUntil([&] { return start.allKnowUpstreams(DirectoryStart::s_nodes); }, longestBlindness).has_value());
         }
     }
 }
--- a/packages/distribution/tests/EachNodeReadsTests.cpp
+++ b/packages/distribution/tests/EachNodeReadsTests.cpp
@@ -11,7 +11,7 @@
 
     /// Nodes that know each other and all read the log; counts the deltas that they send.
     struct ReadingFleet {
-        static constexpr std::size_t nodes = 14;
+        static constexpr std::size_t s_nodes = 14;
 
         std::size_t deltas = 0;
         std::size_t wholes = 0;
@@ -22,7 +22,7 @@
         {
             fleet.publish();
             fleet.startAll();
-            BOOST_REQUIRE(fleet.runUntil([&] { return fleet.allKnow(nodes) && fleet.allServe(0); }, seconds { 60 }).has_value());
+            BOOST_REQUIRE(fleet.runUntil([&] { return fleet.allKnow(s_nodes) && fleet.allServe(0); }, seconds { 60 }).has_value());
             fleet.run(seconds { 5 });
             deltas = 0;
             wholes = 0;
@@ -31,7 +31,7 @@
         FleetOptions optionsOf(bool eachNodeReads)
         {
             FleetOptions options;
-            options.nodes = nodes;
+            options.nodes = s_nodes;
             options.services = 40;
             options.routesPerService = 30;
             options.eachNodeReads = eachNodeReads;
@@ -57,7 +57,7 @@
     ReadingFleet some { false };
     for (auto* it : { &each, &some }) {
         it->fleet.publish();
-        for (std::size_t i = 0; i < ReadingFleet::nodes; ++i)
+        for (std::size_t i = 0; i < ReadingFleet::s_nodes; ++i)
             it->fleet.readOnce(i);
         it->fleet.run(seconds { 5 });
         BOOST_TEST(it->fleet.allServe(1));
@@ -71,7 +71,7 @@
 {
     ReadingFleet each { true };
     each.fleet.publish();
-    for (std::size_t i = 1; i < ReadingFleet::nodes; ++i)
+    for (std::size_t i = 1; i < ReadingFleet::s_nodes; ++i)
         each.fleet.readOnce(i);
     BOOST_TEST(each.fleet.runUntil([&] { return each.fleet.allServe(1); }, seconds { 2 }).has_value());
 }
