Answer a call whose server crashed once other nodes know of the crash

Ruled out: the probe (both crashes were confirmed at once). Change: the answer waits until the nodes that were told have acknowledged, 200 ms at most; Countdown counts them.

--- a/packages/gateway/include/carobpath/gateway/GatewayHooks.h
+++ b/packages/gateway/include/carobpath/gateway/GatewayHooks.h
@@ -73,9 +73,9 @@
     /// The call that holds a key has ended. One that has not run opens the key again.
     std::function<void(const IdempotencyKey&, const RouteName&, const RequestId&, routing::Outcome)> endKey;
     std::function<void(const BackendObservation&)> onBackend;
-    /// The backend server broke a connection and takes no new one: it has crashed. Called before the call whose
-    /// connection broke is answered, so that the news is on its way before the caller can send the request again.
-    std::function<void()> onBackendCrash;
+    /// The backend server broke a connection and takes no new one: it has crashed. The call whose connection broke is
+    /// answered once the handler is called, so that other nodes know before the caller can send the request again.
+    std::function<void(std::function<void()> told)> onBackendCrash;
     std::function<void(const CallObservation&)> onCall;
     std::function<void(const AttemptObservation&)> onAttempt;
     std::function<void(const AdmissionRefusal&)> onAdmissionRefused;
--- a/packages/gateway/src/internal/AdmissionHandler.cpp
+++ b/packages/gateway/src/internal/AdmissionHandler.cpp
@@ -105,12 +105,12 @@
         return;
     }
     BackendProbe::start(m_context, *endpoint, [this, probed = std::move(probed)](bool hasEnded) {
-        if (hasEnded) {
+        if (hasEnded)
             m_controller.onProbeRefused(MonotonicClock::now());
-            if (m_hooks.onBackendCrash)
-                m_hooks.onBackendCrash();
-        }
-        probed();
+        if (hasEnded && m_hooks.onBackendCrash)
+            m_hooks.onBackendCrash(probed);
+        else
+            probed();
     });
 }
 
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -225,7 +225,7 @@
     hooks.claimKey = [this](const auto& await, const auto& request, auto handler) { m_ledger.claim(await, request, std::move(handler)); };
     hooks.endKey = [this](const auto& key, const auto& route, const auto& request, auto outcome) { m_ledger.end(key, route, request, outcome); };
     hooks.onBackend = [this](const auto& observation) { onBackend(observation); };
-    hooks.onBackendCrash = [this] { m_quarantine.takeCrashes(m_controller); };
+    hooks.onBackendCrash = [this](auto told) { m_quarantine.takeCrashes(m_controller, std::move(told)); };
     hooks.hybridNow = [this] { return toString(m_clock.tick(wallNow())); };
     hooks.onHybridTime = [this](std::string_view text) {
         if (const auto time = hybridTimeFromText(text))
--- a/packages/node/src/internal/QuarantineDriver.cpp
+++ b/packages/node/src/internal/QuarantineDriver.cpp
@@ -1,6 +1,7 @@
 #include "internal/QuarantineDriver.h"
 
 #include "carobpath/foundation/EventNames.h"
+#include "internal/Countdown.h"
 
 #include <algorithm>
 
@@ -40,45 +41,51 @@
 void QuarantineDriver::onPeerUpdate(const routing::CrashUpdate& update)
 {
     m_quarantine.merge(update, NodeContext::now());
-    spreadNews();
+    spreadNews([] {});
 }
 
-void QuarantineDriver::takeCrashes(routing::AdmissionController& controller)
+void QuarantineDriver::takeCrashes(routing::AdmissionController& controller, std::function<void()> told)
 {
     while (auto suspects = controller.takeCrash()) {
         m_context.events.record(Event(event::backendCrashed).with("suspects", suspects->size()));
         m_quarantine.onCrash(std::move(*suspects), NodeContext::now());
     }
-    spreadNews();
+    spreadNews(std::move(told));
 }
 
-void QuarantineDriver::spreadNews()
+void QuarantineDriver::spreadNews(std::function<void()> told)
 {
     const auto news = m_quarantine.takeUpdate();
-    if (!news.empty())
-        sendToRandomNodes(news, s_fanOut);
+    if (news.empty())
+        told();
+    else
+        sendToRandomNodes(news, s_fanOut, std::move(told));
 }
 
 void QuarantineDriver::onTick(routing::AdmissionController& controller)
 {
     const auto now = NodeContext::now();
     m_quarantine.onTick(now);
-    takeCrashes(controller);
+    takeCrashes(controller, [] {});
     if (now.monotonic - m_snapshotAt < s_snapshotInterval)
         return;
     m_snapshotAt = now.monotonic;
     const auto all = m_quarantine.snapshot();
     if (!all.empty())
-        sendToRandomNodes(all, 1);
+        sendToRandomNodes(all, 1, [] {});
 }
 
-void QuarantineDriver::sendToRandomNodes(const routing::CrashUpdate& update, std::size_t count)
+void QuarantineDriver::sendToRandomNodes(const routing::CrashUpdate& update, std::size_t count, std::function<void()> told)
 {
     std::vector<Endpoint> chosen;
     const auto others = otherNodes();
     std::sample(others.begin(), others.end(), std::back_inserter(chosen), count, m_random);
-    for (const auto& it : chosen)
-        m_peers->reportCrashes(it, update);
+    const auto countdown = Countdown::start(m_context.io, chosen.size(), s_longestTelling, std::move(told));
+    for (const auto& it : chosen) {
+        // A peer that cannot be reached hears the news from another one.
+        const auto ended = [countdown](const auto&) { countdown->step(); };
+        m_peers->reportCrashes(it, update, { ended, ended });
+    }
 }
 
 std::vector<Endpoint> QuarantineDriver::otherNodes() const
--- a/packages/node/src/internal/QuarantineDriver.h
+++ b/packages/node/src/internal/QuarantineDriver.h
@@ -7,6 +7,7 @@
 #include "carobpath/routing/CrashQuarantine.h"
 #include "internal/NodeContext.h"
 
+#include <functional>
 #include <memory>
 #include <random>
 
@@ -34,14 +35,16 @@
     /// To be called ten times a second.
     void onTick(routing::AdmissionController&);
     /// Takes crashes that the controller has found and spreads them at once.
-    void takeCrashes(routing::AdmissionController&);
+    /// \param told called once the nodes that the news was sent to have it, or after \c s_longestTelling.
+    void takeCrashes(routing::AdmissionController&, std::function<void()> told);
 
 private:
     static constexpr std::size_t s_fanOut = 4;
+    static constexpr std::chrono::milliseconds s_longestTelling { 200 };
     static constexpr std::chrono::seconds s_snapshotInterval { 5 };
 
-    void spreadNews();
-    void sendToRandomNodes(const routing::CrashUpdate&, std::size_t count);
+    void spreadNews(std::function<void()> told);
+    void sendToRandomNodes(const routing::CrashUpdate&, std::size_t count, std::function<void()> told);
     std::vector<Endpoint> otherNodes() const;
 
     NodeContext& m_context;
--- a/packages/peer/include/carobpath/peer/PeerClient.h
+++ b/packages/peer/include/carobpath/peer/PeerClient.h
@@ -39,8 +39,8 @@
     /// Gives up after the claim's own timeout.
     void claim(const Endpoint&, const ClaimRequest&, const Completion<routing::LedgerVerdict>&);
     void endClaim(const Endpoint&, const EndRequest&, const Completion<ClaimEnded>&);
-    /// Tells of crashed backend servers; a failure is not reported, since other peers tell the same.
-    void reportCrashes(const Endpoint&, const routing::CrashUpdate&);
+    /// Tells of crashed backend servers. Done once the peer has taken the news in.
+    void reportCrashes(const Endpoint&, const routing::CrashUpdate&, const Completion<CrashesReported>&);
 
     /// Closes every connection; calls under way fail.
     void stop();
--- a/packages/peer/include/carobpath/peer/PeerTypes.h
+++ b/packages/peer/include/carobpath/peer/PeerTypes.h
@@ -27,6 +27,9 @@
     routing::Outcome outcome = routing::Outcome::Unknown;
 };
 
+/// The peer took in the news of crashes.
+struct CrashesReported { };
+
 /// The owner took note of the end.
 struct ClaimEnded { };
 
--- a/packages/peer/src/PeerClient.cpp
+++ b/packages/peer/src/PeerClient.cpp
@@ -175,14 +175,14 @@
     m_impl->submit(endpoint, PeerCall { std::move(send), [](PeerError) {}, s_deliverTimeout });
 }
 
-void PeerClient::reportCrashes(const Endpoint& endpoint, const routing::CrashUpdate& update)
+void PeerClient::reportCrashes(const Endpoint& endpoint, const routing::CrashUpdate& update, const Completion<CrashesReported>& completion)
 {
-    auto send = [update](schema::Peer::Client& peer) {
+    auto send = [update, completion](schema::Peer::Client& peer) {
         auto request = peer.reportCrashesRequest();
         write(update, request.initUpdate());
-        return request.send().ignoreResult();
+        return request.send().then([completion](auto&&) { completion.done(CrashesReported {}); });
     };
-    m_impl->submit(endpoint, PeerCall { std::move(send), [](PeerError) {}, s_deliverTimeout });
+    m_impl->submit(endpoint, PeerCall { std::move(send), completion.failed, s_deliverTimeout });
 }
 
 void PeerClient::fetchWhole(const Endpoint& endpoint, const Completion<WholeState>& completion)
--- a/packages/peer/tests/PeerTests.cpp
+++ b/packages/peer/tests/PeerTests.cpp
@@ -142,8 +142,9 @@
     routing::CrashUpdate update;
     update.reports.push_back({ NodeName { "n1" }, Revision { Incarnation { 7 }, 2 }, WallTime { std::chrono::milliseconds { 1234 } }, { 11, 12 } });
     update.acquittals.push_back({ NodeName { "n2" }, 12, WallTime { std::chrono::milliseconds { 1300 } } });
-    client.reportCrashes(server.endpoint(), update);
-    BOOST_TEST(runUntil([&] { return !node.crashes.empty(); }));
+    bool reported = false;
+    client.reportCrashes(server.endpoint(), update, { [&](CrashesReported) { reported = !node.crashes.empty(); }, [](PeerError) {} });
+    BOOST_TEST(runUntil([&] { return reported; }));
     BOOST_TEST((node.crashes.reports == update.reports));
     BOOST_TEST((node.crashes.acquittals == update.acquittals));
 }
