--- a/packages/node/src/internal/Countdown.cpp
+++ b/packages/node/src/internal/Countdown.cpp
@@ -14,7 +14,7 @@
 Countdown::Pointer Countdown::start(
     boost::asio::io_context& io, std::size_t steps, std::chrono::milliseconds longest, std::function<void()> done)
 {
-    const Pointer it { new Countdown(io, steps, std::move(done)) };
+    Pointer it { new Countdown(io, steps, std::move(done)) };
     if (steps == 0) {
         it->finish();
         return it;
