Take a call out of its line in one place, and drop a base that nothing uses

AdmissionQueue::pop and popByObjective ended in the same five lines; Countdown keeps itself alive by its timer's handler and needed no enable_shared_from_this. No behaviour changes: routing and node tests pass, format check passes.

--- a/packages/node/src/internal/Countdown.h
+++ b/packages/node/src/internal/Countdown.h
@@ -10,7 +10,7 @@
 namespace carobpath::node::Detail {
 
 /// Calls a function once: after as many steps as it was made for, or when its time is up.
-class Countdown : public std::enable_shared_from_this<Countdown> {
+class Countdown {
 public:
     using Pointer = std::shared_ptr<Countdown>;
 
--- a/packages/routing/src/AdmissionQueue.cpp
+++ b/packages/routing/src/AdmissionQueue.cpp
@@ -46,6 +46,13 @@
     return earlier;
 }
 
+AdmissionRequest AdmissionQueue::takeOut(Line& line, Line::iterator it)
+{
+    auto request = std::move(it->request);
+    line.erase(it);
+    return request;
+}
+
 std::optional<AdmissionRequest> AdmissionQueue::popByObjective(const Fits& fits, MonotonicTime now)
 {
     Line* chosenLine = nullptr;
@@ -58,11 +65,7 @@
             chosen = it;
         }
     }
-    if (!chosenLine)
-        return std::nullopt;
-    auto request = std::move(chosen->request);
-    chosenLine->erase(chosen);
-    return request;
+    return chosenLine ? std::optional { takeOut(*chosenLine, chosen) } : std::nullopt;
 }
 
 AdmissionQueue::Line& AdmissionQueue::lineOf(const AdmissionRequest& request)
@@ -122,11 +125,7 @@
         chosenLine = &line;
         chosen = it;
     }
-    if (!chosenLine)
-        return std::nullopt;
-    auto request = std::move(chosen->request);
-    chosenLine->erase(chosen);
-    return request;
+    return chosenLine ? std::optional { takeOut(*chosenLine, chosen) } : std::nullopt;
 }
 
 bool AdmissionQueue::remove(const RequestId& id)
