--- a/packages/routing/include/carobpath/routing/AdmissionQueue.h
+++ b/packages/routing/include/carobpath/routing/AdmissionQueue.h
@@ -80,7 +80,7 @@
     using Line = std::deque<Waiting>;
 
     std::optional<AdmissionRequest> popByObjective(const Fits&, MonotonicTime now);
-    static AdmissionRequest takeOut(Line&, Line::iterator);
+    static AdmissionRequest takeOut(Line&, const Line::iterator&);
     Line& lineOf(const AdmissionRequest&);
     /// \returns the next call of the line that fits; past its maximal wait the first one goes before all.
     Line::iterator candidateOf(Line&, const Fits&, MonotonicTime now) const;
--- a/packages/routing/src/AdmissionQueue.cpp
+++ b/packages/routing/src/AdmissionQueue.cpp
@@ -46,7 +46,7 @@
     return earlier;
 }
 
-AdmissionRequest AdmissionQueue::takeOut(Line& line, Line::iterator it)
+AdmissionRequest AdmissionQueue::takeOut(Line& line, const Line::iterator& it)
 {
     auto request = std::move(it->request);
     line.erase(it);
