Let an acknowledged departure bind a node that has started since

A departure of a run that was not held left no trace. The same hole was open after a lapse: a late announcement with a lower sequence was taken because nothing was held any more. Ruled out: news from other nodes (the call was dispatched by the node itself), the closing fault (it came later). Change: a departure is remembered whether or not its run is held; the newest run and sequence are kept after a lapse. A run that does not say when it started may still come back after a lapse.

--- a/packages/node/include/carobpath/node/UpstreamMonitor.h
+++ b/packages/node/include/carobpath/node/UpstreamMonitor.h
@@ -39,8 +39,9 @@
 
     AnnouncementVerdict onAnnouncement(const Announcement&, MonotonicTime now);
 
-    /// The backend server says that this run of it ends.
-    /// \returns whether it was the run that is held; it is then forgotten, and no late announcement brings it back.
+    /// The backend server says that this run of it ends. No announcement of it is taken any more, be it that a node which
+    /// has started a moment ago hears of the run for the first time.
+    /// \returns whether it was the run that is held; it is then forgotten.
     bool onDeparture(const membership::BackendRun&);
 
     /// \returns true where the last announcement has lapsed by now.
@@ -58,6 +59,9 @@
     MonotonicTime m_announcedAt;
     /// The run that departed last.
     std::optional<membership::BackendRun> m_departed;
+    /// The newest announcement that was taken, kept after it has lapsed: what came before it stays overtaken.
+    std::optional<membership::BackendRun> m_newestRun;
+    std::optional<std::uint64_t> m_newestSequence;
 };
 
 }
--- a/packages/node/src/UpstreamMonitor.cpp
+++ b/packages/node/src/UpstreamMonitor.cpp
@@ -29,6 +29,8 @@
     const bool changed = !m_announcement || !saysTheSame(*m_announcement, announcement);
     m_announcement = announcement;
     m_announcedAt = now;
+    m_newestRun = announcement.run;
+    m_newestSequence = announcement.sequence;
     return changed ? AnnouncementVerdict::Changed : AnnouncementVerdict::Unchanged;
 }
 
@@ -43,21 +45,24 @@
 {
     if (m_departed && !it.run.instance.empty() && (*m_departed == it.run || isBefore(it.run, *m_departed)))
         return true;
-    if (!m_announcement)
+    if (!m_newestRun)
         return false;
-    if (isBefore(it.run, m_announcement->run))
+    if (isBefore(it.run, *m_newestRun))
         return true;
-    const bool sameRun = it.run == m_announcement->run;
-    return sameRun && it.sequence && m_announcement->sequence && *it.sequence <= *m_announcement->sequence;
+    const bool isSameRun = it.run == *m_newestRun;
+    return isSameRun && it.sequence && m_newestSequence && *it.sequence <= *m_newestSequence;
 }
 
 bool UpstreamMonitor::onDeparture(const membership::BackendRun& run)
 {
-    if (!m_announcement || m_announcement->run.instance != run.instance || isBefore(run, m_announcement->run))
+    const bool isOvertaken = (m_departed && isBefore(run, *m_departed)) || (m_newestRun && isBefore(run, *m_newestRun));
+    if (isOvertaken)
         return false;
-    m_departed = m_announcement->run;
-    m_announcement.reset();
-    return true;
+    const bool isHeld = m_announcement && m_announcement->run.instance == run.instance;
+    m_departed = isHeld ? m_announcement->run : run;
+    if (isHeld)
+        m_announcement.reset();
+    return isHeld;
 }
 
 bool UpstreamMonitor::onTick(MonotonicTime now)
@@ -65,6 +70,9 @@
     if (!m_announcement || now - m_announcedAt <= s_heartbeatTimeout)
         return false;
     m_announcement.reset();
+    // A run that doesn't say when it started may be another one of the same name, which counts anew.
+    if (!m_newestRun->startedAt)
+        m_newestRun.reset();
     return true;
 }
 
--- a/packages/node/tests/UpstreamMonitorTests.cpp
+++ b/packages/node/tests/UpstreamMonitorTests.cpp
@@ -70,6 +70,16 @@
     BOOST_CHECK(monitor.announcement()->upstream.state == membership::UpstreamState::Draining);
 }
 
+BOOST_AUTO_TEST_CASE(What_was_overtaken_stays_so_after_the_heartbeats_have_stopped)
+{
+    UpstreamMonitor monitor;
+    monitor.onAnnouncement(ofRun(2000ms, 7, membership::UpstreamState::Draining), start);
+    BOOST_TEST(monitor.onTick(start + 6s));
+    BOOST_CHECK(monitor.onAnnouncement(ofRun(2000ms, 6, membership::UpstreamState::Ready), start + 7s) == Verdict::Late);
+    BOOST_CHECK(monitor.onAnnouncement(ofRun(1000ms, 90, membership::UpstreamState::Ready), start + 7s) == Verdict::Late);
+    BOOST_CHECK(monitor.onAnnouncement(ofRun(2000ms, 8, membership::UpstreamState::Draining), start + 7s) == Verdict::Changed);
+}
+
 BOOST_AUTO_TEST_CASE(An_earlier_run_cannot_take_the_place_of_a_later_one)
 {
     UpstreamMonitor monitor;
@@ -96,6 +106,22 @@
     BOOST_CHECK(monitor.onAnnouncement(ofRun(2000ms, 1, membership::UpstreamState::Ready), start) == Verdict::Changed);
 }
 
+BOOST_AUTO_TEST_CASE(A_departure_binds_a_node_that_has_started_since_the_last_announcement)
+{
+    UpstreamMonitor monitor;
+    BOOST_TEST(!monitor.onDeparture({ "i-1", WallTime { 1000ms } }));
+    BOOST_CHECK(monitor.onAnnouncement(ofRun(1000ms, 12, membership::UpstreamState::Ready), start) == Verdict::Late);
+    BOOST_CHECK(monitor.onAnnouncement(ofRun(2000ms, 1, membership::UpstreamState::Ready), start) == Verdict::Changed);
+}
+
+BOOST_AUTO_TEST_CASE(A_departure_that_was_overtaken_says_nothing_of_the_run_that_is_held)
+{
+    UpstreamMonitor monitor;
+    monitor.onAnnouncement(ofRun(2000ms, 1, membership::UpstreamState::Ready), start);
+    BOOST_TEST(!monitor.onDeparture({ "i-0", WallTime { 1000ms } }));
+    BOOST_CHECK(monitor.onAnnouncement(ofRun(2000ms, 2, membership::UpstreamState::Ready), start) == Verdict::Unchanged);
+}
+
 BOOST_AUTO_TEST_CASE(Only_the_backend_server_beside_the_node_is_taken)
 {
     UpstreamMonitor monitor { ExpectedBackend { ServiceName { "booking" }, Endpoint { "127.0.0.1", 8080 } } };
