Count what a call waited on its way against its deadline

On a link that is full for a second the call ran when its caller had left. Ruled out: the wall clock as a measure, since clocks of nodes may jump; the round trip of earlier calls, since it does not tell which way was full. Change: a forwarded call carries the sender's monotonic clock. The smallest difference to the arrival within 10 to 20 s is the offset of the two clocks; what lies above it is the wait, and deadline and objective count from the sending.

--- a/packages/gateway/src/internal/AdmissionHandler.cpp
+++ b/packages/gateway/src/internal/AdmissionHandler.cpp
@@ -46,7 +46,7 @@
 void AdmissionHandler::handle(const ServerSession::Pointer& session)
 {
     const auto now = MonotonicClock::now();
-    const auto request = admissionRequest(session->request(), now);
+    const auto request = admissionRequest(session->request(), now - waitOnTheWay(session->request(), now));
     if (!request) {
         session->refuse(routing::Refusal { routing::Outcome::NotRun, routing::RefusalReason::MalformedRequest, std::nullopt }, {});
         return;
@@ -63,6 +63,12 @@
     perform(m_controller.onArrival(*request, now));
 }
 
+MonotonicClock::duration AdmissionHandler::waitOnTheWay(const Request& request, MonotonicTime now)
+{
+    const auto stamp = sendStampOf(request);
+    return stamp ? m_transitDelay.onMessage(*stamp, now) : MonotonicClock::duration {};
+}
+
 void AdmissionHandler::perform(const routing::AdmissionCommands& commands)
 {
     for (const auto& command : commands) {
--- a/packages/gateway/src/internal/AdmissionHandler.h
+++ b/packages/gateway/src/internal/AdmissionHandler.h
@@ -5,6 +5,7 @@
 #include "carobpath/gateway/GatewayHooks.h"
 #include "carobpath/gateway/GatewayLimits.h"
 #include "carobpath/routing/AdmissionController.h"
+#include "carobpath/routing/TransitDelay.h"
 #include "internal/ConnectionPool.h"
 #include "internal/ServerSession.h"
 
@@ -39,6 +40,8 @@
 private:
     friend class AdmittedCall;
 
+    /// \returns how much longer than usual the request was under way; its deadline counts from when it was sent.
+    MonotonicClock::duration waitOnTheWay(const Request&, MonotonicTime now);
     void scheduleTick();
     void finish(const routing::AdmissionResult&);
     void observeRefusal(const routing::AdmissionRequest&, const routing::Refusal&) const;
@@ -52,6 +55,7 @@
     const Dialect& m_dialect;
     boost::asio::io_context& m_context;
     boost::asio::steady_timer m_tick;
+    routing::TransitDelay m_transitDelay;
     std::optional<Backend> m_backend;
     std::unordered_map<RequestId, std::shared_ptr<AdmittedCall>> m_calls;
     bool m_stopped = false;
--- a/packages/gateway/src/internal/ForwardedHeader.cpp
+++ b/packages/gateway/src/internal/ForwardedHeader.cpp
@@ -92,6 +92,12 @@
             fields.erase(name);
     }
 
+    /// "INCARNATION/MILLISECONDS/NODE".
+    std::string textOf(const routing::SendStamp& stamp)
+    {
+        return std::to_string(stamp.incarnation.value) + "/" + std::to_string(stamp.sentAt.count()) + "/" + stamp.node.value();
+    }
+
     std::shared_ptr<Request> cleanCopy(const Request& request)
     {
         auto copy = std::make_shared<Request>(request);
@@ -105,6 +111,20 @@
 
 }
 
+std::optional<routing::SendStamp> sendStampOf(const Request& request)
+{
+    const auto text = value(request, HeaderName::sentAt);
+    const auto first = text.find('/');
+    const auto second = first == std::string_view::npos ? first : text.find('/', first + 1);
+    if (second == std::string_view::npos)
+        return std::nullopt;
+    const auto incarnation = number<std::uint64_t>(text.substr(0, first), 10);
+    const auto sentAt = number<std::int64_t>(text.substr(first + 1, second - first - 1), 10);
+    if (!incarnation || !sentAt)
+        return std::nullopt;
+    return routing::SendStamp { NodeName { std::string { text.substr(second + 1) } }, Incarnation { *incarnation }, std::chrono::milliseconds { *sentAt } };
+}
+
 std::optional<std::chrono::milliseconds> milliseconds(const http::fields& fields, std::string_view name)
 {
     const auto n = number<std::int64_t>(value(fields, name), 10);
@@ -113,7 +133,7 @@
     return std::chrono::milliseconds { *n };
 }
 
-std::shared_ptr<const Request> forwardedRequest(const Request& request, const routing::CallRequest& call, const routing::SendAttempt& attempt, MonotonicTime now, const std::string& hybridTime)
+std::shared_ptr<const Request> forwardedRequest(const Request& request, const routing::CallRequest& call, const routing::SendAttempt& attempt, MonotonicTime now, const ForwardingStamp& stamp)
 {
     auto copy = cleanCopy(request);
     copy->set(HeaderName::requestId, call.id.value());
@@ -133,8 +153,9 @@
     copy->set(HeaderName::repeatability, publication::toString(attempt.repeatability));
     if (!call.callerService.empty())
         copy->set(HeaderName::callerService, call.callerService.value());
-    if (!hybridTime.empty())
-        copy->set(HeaderName::hybridTime, hybridTime);
+    copy->set(HeaderName::sentAt, textOf(stamp.sent));
+    if (!stamp.hybridTime.empty())
+        copy->set(HeaderName::hybridTime, stamp.hybridTime);
     return copy;
 }
 
--- a/packages/gateway/src/internal/ForwardedHeader.h
+++ b/packages/gateway/src/internal/ForwardedHeader.h
@@ -4,21 +4,33 @@
 #include "carobpath/gateway/Dialect.h"
 #include "carobpath/routing/Admission.h"
 #include "carobpath/routing/Call.h"
+#include "carobpath/routing/TransitDelay.h"
 #include "internal/HttpTypes.h"
 
 #include <chrono>
 #include <optional>
+#include <string>
 
 /// The header fields between the entry node and the admitting node, see docs/INTERFACES.md.
 namespace carobpath::gateway::Detail {
 
+/// The clocks of the node that forwards a request.
+struct ForwardingStamp {
+    routing::SendStamp sent;
+    /// Reading of the hybrid clock; may be empty.
+    std::string hybridTime;
+};
+
 /// \returns the caller's request as it is sent to the admitting node: connection fields and fields of the caller's
 /// that carobpath itself uses are gone, those of the attempt are added.
-std::shared_ptr<const Request> forwardedRequest(const Request&, const routing::CallRequest&, const routing::SendAttempt&, MonotonicTime now, const std::string& hybridTime);
+std::shared_ptr<const Request> forwardedRequest(const Request&, const routing::CallRequest&, const routing::SendAttempt&, MonotonicTime now, const ForwardingStamp&);
 
 /// \returns what the admitting node needs of a forwarded request, or nothing where a field lacks or makes no sense.
 std::optional<routing::AdmissionRequest> admissionRequest(const Request&, MonotonicTime now);
 
+/// \returns when the other node sent the request, by its own clock; nothing where it doesn't say.
+std::optional<routing::SendStamp> sendStampOf(const Request&);
+
 /// \returns the request as the backend server gets it: without the fields that only nodes read.
 /// \param instance the run of the backend server that the request is meant for; empty where it has no name.
 std::shared_ptr<const Request> backendRequest(const Request&, const routing::AdmissionRequest&, const Dialect&, const std::string& instance, MonotonicTime now);
--- a/packages/gateway/src/internal/HttpTypes.h
+++ b/packages/gateway/src/internal/HttpTypes.h
@@ -33,6 +33,7 @@
     inline constexpr std::string_view trafficClass = "Carobpath-Traffic-Class";
     inline constexpr std::string_view repeatability = "Carobpath-Repeatability";
     inline constexpr std::string_view hybridTime = "Carobpath-Hybrid-Time";
+    inline constexpr std::string_view sentAt = "Carobpath-Sent-At";
     inline constexpr std::string_view outcome = "Carobpath-Outcome";
     inline constexpr std::string_view reason = "Carobpath-Reason";
     inline constexpr std::string_view retryAfterMs = "Carobpath-Retry-After-Ms";
