End no attempt for silence at a node that is stopping

On a full link the signs of life of the other node come late; the attempt ended for silence, and the stopping node found no other place. Ruled out: the drain's time of grace (the calls ended before it), the backend server (it gave its answer later). Change: silence has a timer of its own, asked at its end whether silence counts; once the node announces that it closes, the deadline alone ends an attempt. Test: an exchange with a silent server ends as Silent while running and as TimedOut while stopping; it failed first.

--- a/packages/gateway/include/carobpath/gateway/Gateway.h
+++ b/packages/gateway/include/carobpath/gateway/Gateway.h
@@ -56,7 +56,7 @@
     /// Carries out what the admission controller decided outside of a call.
     void perform(const routing::AdmissionCommands&);
 
-    /// Answers from now on say that their connections close.
+    /// Answers from now on say that their connections close, and silence of other nodes ends no attempt any more.
     void announceClose();
 
     /// Accepts no new connections. Open ones go on, so that a request which is on its way is answered.
--- a/packages/gateway/include/carobpath/gateway/GatewayLimits.h
+++ b/packages/gateway/include/carobpath/gateway/GatewayLimits.h
@@ -28,6 +28,9 @@
     std::chrono::milliseconds bodyProgress { 5'000 };
     /// An admitting node that has no answer yet says so this often.
     std::chrono::milliseconds interimInterval { 200 };
+    /// Whether silence of another node ends an attempt before its deadline. Not at a node that is stopping: another
+    /// attempt may find no node any more, and the answer to the first may come yet.
+    bool endsSilentCalls = true;
 };
 
 }
--- a/packages/gateway/src/internal/UpstreamExchange.cpp
+++ b/packages/gateway/src/internal/UpstreamExchange.cpp
@@ -85,7 +85,8 @@
 
 void UpstreamExchange::write()
 {
-    setHeaderExpiry();
+    m_connection->stream.expires_at(m_target.headerDeadline);
+    awaitSign();
     http::async_write(m_connection->stream, *m_request, [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
         if (ec) {
             self->fail(self->failureOf(ec));
@@ -95,12 +96,25 @@
     });
 }
 
-void UpstreamExchange::setHeaderExpiry()
+void UpstreamExchange::awaitSign()
 {
-    auto expiry = m_target.headerDeadline;
-    if (m_target.silence)
-        expiry = std::min(expiry, MonotonicClock::now() + *m_target.silence);
-    m_connection->stream.expires_at(expiry);
+    if (!m_target.silence)
+        return;
+    if (!m_silenceTimer)
+        m_silenceTimer.emplace(m_connection->stream.get_executor());
+    m_silenceTimer->expires_after(*m_target.silence);
+    m_silenceTimer->async_wait([self = shared_from_this()](boost::system::error_code ec) {
+        if (!ec)
+            self->onSilence();
+    });
+}
+
+void UpstreamExchange::onSilence()
+{
+    if (!m_onHeader || !m_limits.endsSilentCalls)
+        return;
+    m_wentSilent = true;
+    m_connection->stream.close();
 }
 
 void UpstreamExchange::resetParser()
@@ -126,7 +140,7 @@
         return;
     }
     if (isInterim(header())) {
-        setHeaderExpiry();
+        awaitSign();
         readHeader();
         return;
     }
@@ -134,6 +148,8 @@
         fail(ExchangeFailure::Mismatched);
         return;
     }
+    if (m_silenceTimer)
+        m_silenceTimer->cancel();
     auto handler = std::exchange(m_onHeader, nullptr);
     handler(std::nullopt);
 }
@@ -224,6 +240,8 @@
 {
     if (m_cancelled)
         return ExchangeFailure::Cancelled;
+    if (m_wentSilent)
+        return ExchangeFailure::Silent;
     if (ec != boost::beast::error::timeout)
         return ExchangeFailure::ConnectionLost;
     const bool deadlinePassed = MonotonicClock::now() >= m_target.headerDeadline;
@@ -233,6 +251,8 @@
 void UpstreamExchange::fail(ExchangeFailure failure)
 {
     m_finished = true;
+    if (m_silenceTimer)
+        m_silenceTimer->cancel();
     m_failed = failure != ExchangeFailure::Cancelled;
     const bool wentQuiet = failure == ExchangeFailure::Silent || failure == ExchangeFailure::TimedOut;
     if (wentQuiet)
--- a/packages/gateway/src/internal/UpstreamExchange.h
+++ b/packages/gateway/src/internal/UpstreamExchange.h
@@ -7,6 +7,7 @@
 #include "internal/ConnectionPool.h"
 #include "internal/HttpTypes.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/serializer.hpp>
@@ -70,7 +71,9 @@
     void readHeader();
     void onHeader(boost::system::error_code);
     bool answersRequest() const;
-    void setHeaderExpiry();
+    /// Starts the time anew within which the other end must show a sign of life.
+    void awaitSign();
+    void onSilence();
     ExchangeFailure failureOf(boost::system::error_code) const;
     void fail(ExchangeFailure);
     void discardNext(std::uint64_t read);
@@ -83,10 +86,13 @@
     std::shared_ptr<const Request> m_request;
     HeaderHandler m_onHeader;
     ConnectionPointer m_connection;
+    /// Made where silence may end the exchange.
+    std::optional<boost::asio::steady_timer> m_silenceTimer;
     std::optional<Parser> m_parser;
     std::array<char, s_pieceBytes> m_piece {};
     std::uint64_t m_bodyBytes = 0;
     bool m_cancelled = false;
+    bool m_wentSilent = false;
     bool m_finished = false;
     bool m_failed = false;
 };
--- a/packages/gateway/tests/UpstreamExchangeTests.cpp
+++ b/packages/gateway/tests/UpstreamExchangeTests.cpp
@@ -56,6 +56,9 @@
             return seen;
         }
 
+        /// The node is stopping.
+        void stop() { m_limits.endsSilentCalls = false; }
+
         ScriptedServer& server() { return m_server; }
         ConnectionPool& pool() { return m_pool; }
 
@@ -191,6 +194,15 @@
     BOOST_TEST((pool.take(server.endpoint(), now)->madeAt == now));
 }
 
+BOOST_AUTO_TEST_CASE(Silence_ends_an_exchange_before_its_deadline_but_not_at_a_node_that_is_stopping)
+{
+    Bench running { "", ScriptEnd::StaySilent };
+    BOOST_TEST((running.exchange(500ms, 20ms).headerFailure == ExchangeFailure::Silent));
+    Bench stopping { "", ScriptEnd::StaySilent };
+    stopping.stop();
+    BOOST_TEST((stopping.exchange(200ms, 20ms).headerFailure == ExchangeFailure::TimedOut));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
