Explain a call from the logs of all nodes

Nothing led from a request's id to its cause but grep; lines did not say what a choice rested on; requests that could not be read left no line; metrics knew no routes, attempts or calls to the log, and no page was checked against the code. Change: - carobpath explain REQUEST-ID FILE...: fate, causes, where the time went, next step, the call's lines, what the nodes on its path believed with its age, and lines left out meanwhile; text and JSON, exit code 10 where no line names the id. - attempt-ended tells the time granted, the upstreams to choose from and the age of that view; call-ended the objective and the configuration; upstream-gone the instance and why; a request that cannot be read has its call-ended. - Metrics by route (64 labels at most), outcome, reason, attempt, refusal, upstream state and call to the log. - docs/METRICS.md new, docs/LOGS.md and docs/OPERATIONS.md with three failures followed to their cause. Tests compare events, fields and metrics with the pages; process-explain makes the three failures on real daemons and follows them. Left out: the cost of the logs was not measured anew.

--- a/packages/client/include/carobpath/client/ExitCode.h
+++ b/packages/client/include/carobpath/client/ExitCode.h
@@ -24,6 +24,8 @@
     Withdrawn = 8,
     /// The move has not ended yet.
     InProgress = 9,
+    /// The logs hold no line of the call that was asked for.
+    NotFound = 10,
 };
 
 }
--- a/packages/client/src/Commands.cpp
+++ b/packages/client/src/Commands.cpp
@@ -15,6 +15,7 @@
         keyGenerateCommand(),
         keyPublicCommand(),
         timelineCommand(),
+        explainCommand(),
     };
     return all;
 }
--- /dev/null
+++ b/packages/client/src/Explanation.cpp
@@ -0,0 +1,168 @@
+#include "carobpath/client/Explanation.h"
+
+#include "carobpath/foundation/EnumTable.h"
+#include "internal/ReasonGuide.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace carobpath::client {
+
+namespace {
+
+    using Milliseconds = std::chrono::duration<double, std::milli>;
+
+    constexpr std::array<EnumRow<CallFate>, 9> fates { {
+        { CallFate::Served, "served" },
+        { CallFate::Late, "late" },
+        { CallFate::ServerError, "server-error" },
+        { CallFate::Refused, "refused" },
+        { CallFate::Unknown, "unknown" },
+        { CallFate::CutShort, "cut-short" },
+        { CallFate::CallerGone, "caller-gone" },
+        { CallFate::Unfinished, "unfinished" },
+        { CallFate::NotSeen, "not-seen" },
+    } };
+
+    constexpr unsigned firstServerError = 500;
+
+    std::string text(Milliseconds time)
+    {
+        std::array<char, 32> buf {};
+        std::snprintf(buf.data(), buf.size(), "%.1f ms", time.count());
+        return buf.data();
+    }
+
+    CallFate fateOf(const CallTrace& trace)
+    {
+        if (trace.lines.empty())
+            return CallFate::NotSeen;
+        if (!trace.end)
+            return CallFate::Unfinished;
+        const auto& end = *trace.end;
+        if (end.reason == "cancelled")
+            return CallFate::CallerGone;
+        if (!end.whole)
+            return CallFate::CutShort;
+        if (end.outcome == "not-run")
+            return CallFate::Refused;
+        if (end.outcome != "ran" || !end.reason.empty())
+            return CallFate::Unknown;
+        if (end.status >= firstServerError)
+            return CallFate::ServerError;
+        return end.objective && end.took > *end.objective ? CallFate::Late : CallFate::Served;
+    }
+
+    /// Where the time of a call went.
+    struct TimeSpent {
+        /// In attempts before the last.
+        Milliseconds earlierAttempts {};
+        /// At the backend server of the last attempt.
+        Milliseconds atBackend {};
+        /// Between the nodes and waiting for a slot, in the last attempt.
+        Milliseconds waiting {};
+    };
+
+    const BackendEnded* backendOf(const CallTrace& trace, const AttemptEnded& attempt)
+    {
+        const auto it = std::find_if(trace.backends.begin(), trace.backends.end(), [&](const BackendEnded& backend) { return backend.process == "node/" + attempt.node; });
+        return it == trace.backends.end() ? nullptr : &*it;
+    }
+
+    TimeSpent timeSpent(const CallTrace& trace)
+    {
+        TimeSpent spent;
+        if (trace.attempts.empty())
+            return spent;
+        const auto& last = trace.attempts.back();
+        for (const auto& it : trace.attempts)
+            spent.earlierAttempts += &it == &last ? Milliseconds {} : it.took;
+        const auto* backend = backendOf(trace, last);
+        spent.atBackend = backend ? backend->took : Milliseconds {};
+        spent.waiting = last.took - spent.atBackend;
+        return spent;
+    }
+
+    std::string describeTime(const CallTrace& trace)
+    {
+        const auto spent = timeSpent(trace);
+        return "Of " + text(trace.end->took) + ", " + text(spent.atBackend) + " went by at the backend server, " + text(spent.waiting)
+            + " on the way to it and waiting for a slot, " + text(spent.earlierAttempts) + " in attempts before.";
+    }
+
+    std::string nextStepAfter(const TimeSpent& spent)
+    {
+        if (spent.earlierAttempts > spent.atBackend && spent.earlierAttempts > spent.waiting)
+            return "Look at the attempts before the last: why each ended.";
+        if (spent.atBackend > spent.waiting)
+            return "Look at the backend server: its service time is most of the call.";
+        return "Compare calls, limit and service time of the upstream: the call waited for a slot or for the network.";
+    }
+
+    std::string describeAttempt(const CallTrace& trace, const AttemptEnded& it)
+    {
+        const auto* backend = backendOf(trace, it);
+        auto line = "Attempt " + std::to_string(it.number) + " at " + it.node + " ended after " + text(it.took) + " as " + it.outcome;
+        if (!it.reason.empty())
+            line += " (" + it.reason + ")";
+        if (backend)
+            return line + "; its backend server: " + backend->result + " after " + text(backend->took) + ".";
+        return line + "; no line tells that its backend server got the call.";
+    }
+
+    bool showsAttempts(CallFate fate) { return fate != CallFate::Served && fate != CallFate::NotSeen; }
+
+    std::string nextStepOf(CallFate fate, const CallTrace& trace)
+    {
+        switch (fate) {
+        case CallFate::Served:
+            return "Nothing: the call was served.";
+        case CallFate::Late:
+            return nextStepAfter(timeSpent(trace));
+        case CallFate::ServerError:
+            return "Look at the log of the backend server that answered.";
+        case CallFate::CutShort:
+            return "Look at the backend server of the last attempt and the way to it: the answer's body broke off.";
+        case CallFate::Unfinished:
+            return "Take in the log of the node that the call entered; the call may be running, or the node ended in its midst.";
+        case CallFate::NotSeen:
+            return "Take in the logs of all nodes of that time; a caller may also have sent the call elsewhere.";
+        case CallFate::Refused:
+        case CallFate::Unknown:
+        case CallFate::CallerGone:
+            break;
+        }
+        return std::string { Detail::guideOf(trace.end->reason).nextStep };
+    }
+
+    std::vector<std::string> causesOf(CallFate fate, const CallTrace& trace)
+    {
+        std::vector<std::string> causes;
+        if (trace.end && !trace.end->reason.empty())
+            causes.emplace_back(Detail::guideOf(trace.end->reason).meaning);
+        if (trace.end && fate == CallFate::Late)
+            causes.push_back("The answer took longer than the objective of " + text(*trace.end->objective) + ".");
+        if (trace.end && !trace.attempts.empty())
+            causes.push_back(describeTime(trace));
+        if (showsAttempts(fate)) {
+            for (const auto& it : trace.attempts)
+                causes.push_back(describeAttempt(trace, it));
+        }
+        return causes;
+    }
+
+}
+
+std::string_view toString(CallFate fate) { return enumText(fates, fate); }
+
+Explanation explain(const CallTrace& trace)
+{
+    Explanation it;
+    it.fate = fateOf(trace);
+    it.reason = trace.end ? trace.end->reason : "";
+    it.causes = causesOf(it.fate, trace);
+    it.nextStep = nextStepOf(it.fate, trace);
+    return it;
+}
+
+}
--- a/packages/client/src/Timeline.cpp
+++ b/packages/client/src/Timeline.cpp
@@ -1,6 +1,6 @@
 #include "carobpath/client/Timeline.h"
 
-#include <nlohmann/json.hpp>
+#include "internal/EventFields.h"
 
 #include <algorithm>
 #include <array>
@@ -12,14 +12,9 @@
 
 namespace {
 
+    using Detail::textIn;
     using nlohmann::json;
 
-    std::optional<std::string> textIn(const json& object, const char* key)
-    {
-        const auto it = object.find(key);
-        return it != object.end() && it->is_string() ? std::optional { it->get<std::string>() } : std::nullopt;
-    }
-
     std::optional<TimelineEvent> eventFrom(std::string line)
     {
         if (line.size() > maximumTimelineLineBytes)
--- a/packages/client/src/internal/Commands.h
+++ b/packages/client/src/internal/Commands.h
@@ -32,5 +32,6 @@
 Command keyGenerateCommand();
 Command keyPublicCommand();
 Command timelineCommand();
+Command explainCommand();
 
 }
--- a/packages/foundation/include/carobpath/foundation/EventNames.h
+++ b/packages/foundation/include/carobpath/foundation/EventNames.h
@@ -34,7 +34,6 @@
     inline constexpr EventName announcementRefused { "announcement-refused" };
     inline constexpr EventName upstreamGone { "upstream-gone" };
 
-    inline constexpr EventName callRefused { "call-refused" };
     inline constexpr EventName callEnded { "call-ended" };
     inline constexpr EventName attemptEnded { "attempt-ended" };
     inline constexpr EventName admissionRefused { "admission-refused" };
--- a/packages/foundation/tests/BoundedLogTests.cpp
+++ b/packages/foundation/tests/BoundedLogTests.cpp
@@ -53,7 +53,7 @@
     EventLog log { out, "node/a", Incarnation { 1 }, clock };
     const auto begin = std::chrono::steady_clock::now();
     for (int i = 0; i < 20'000; ++i)
-        log.record(Event(event::callRefused).with("text", std::string(200, 'x')));
+        log.record(Event(event::callEnded).with("text", std::string(200, 'x')));
     BOOST_TEST((std::chrono::steady_clock::now() - begin < 10s));
 }
 
@@ -64,10 +64,10 @@
     HybridClock clock;
     EventLog log { out, "node/a", Incarnation { 1 }, clock };
     for (int i = 0; i < 299; ++i)
-        log.record(Event(event::callRefused).with("text", std::string(900, 'x')));
+        log.record(Event(event::callEnded).with("text", std::string(900, 'x')));
     std::string read(1 << 20, '\0');
     BOOST_REQUIRE(::read(pipe.ends[0], read.data(), read.size()) > 0);
-    log.record(Event(event::callRefused));
+    log.record(Event(event::callEnded));
     const auto n = ::read(pipe.ends[0], read.data(), read.size());
     BOOST_REQUIRE(n > 0);
     const auto line = nlohmann::json::parse(read.substr(0, static_cast<std::size_t>(n)));
--- a/packages/foundation/tests/EventLogTests.cpp
+++ b/packages/foundation/tests/EventLogTests.cpp
@@ -37,7 +37,7 @@
 
 BOOST_AUTO_TEST_CASE(Text_that_breaks_lines_or_is_no_UTF_8_stays_one_line_of_JSON)
 {
-    log.record(Event(event::callRefused).with("path", "/a\nb\xff\"c"));
+    log.record(Event(event::callEnded).with("path", "/a\nb\xff\"c"));
     const std::string text = out.str();
     BOOST_TEST(std::count(text.begin(), text.end(), '\n') == 1);
     BOOST_TEST(nlohmann::json::accept(text));
--- a/packages/gateway/include/carobpath/gateway/GatewayHooks.h
+++ b/packages/gateway/include/carobpath/gateway/GatewayHooks.h
@@ -35,6 +35,10 @@
     std::optional<routing::RefusalReason> reason;
     std::uint32_t attempts = 0;
     std::chrono::nanoseconds latency {};
+    /// Offset of the configuration that decided; nothing where there was none.
+    std::optional<std::uint64_t> configuration;
+    /// The route's objective for the latency; 0 where it has none.
+    std::chrono::milliseconds objective {};
     /// False where the answer could not be written whole.
     bool whole = true;
 };
@@ -49,6 +53,9 @@
     /// HTTP status of the answer; 0 where there was none.
     unsigned status = 0;
     std::chrono::nanoseconds latency {};
+    /// Time that the attempt was given.
+    std::chrono::nanoseconds granted {};
+    routing::ChoiceBasis basis;
     /// How busy the upstream was, where its node said so.
     std::optional<routing::UpstreamLoad> load;
 };
--- a/packages/gateway/src/AdminServer.cpp
+++ b/packages/gateway/src/AdminServer.cpp
@@ -11,7 +11,7 @@
 public:
     Implementation(boost::asio::io_context& context, Handler chosenHandler)
         : handler(std::move(chosenHandler))
-        , listener(std::make_shared<Detail::Listener>(context, limits, dialect, [this](const auto& session) { handle(*session); }))
+        , listener(std::make_shared<Detail::Listener>(context, limits, dialect, Detail::ServerSession::Handlers { [this](const auto& session) { handle(*session); }, nullptr }))
     {
     }
 
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -17,6 +17,17 @@
 
     constexpr std::chrono::seconds poolSweep { 1 };
 
+    Detail::ServerSession::Handlers handlersOf(Detail::EntryHandler& entry)
+    {
+        return { [&entry](const auto& session) { entry.handle(session); },
+            [&entry](const routing::Refusal& refusal, MonotonicTime arrivedAt) { entry.onUnreadable(refusal, arrivedAt); } };
+    }
+
+    Detail::ServerSession::Handlers handlersOf(Detail::AdmissionHandler& admission)
+    {
+        return { [&admission](const auto& session) { admission.handle(session); }, nullptr };
+    }
+
 }
 
 class Gateway::Implementation {
@@ -29,8 +40,8 @@
         , pool(context, limits)
         , entry(context, router, pool, limits, hooks, dialect, std::move(identity))
         , admission(context, controller, pool, limits, hooks, dialect)
-        , callers(std::make_shared<Detail::Listener>(context, limits, dialect, [this](const auto& session) { entry.handle(session); }))
-        , calls(std::make_shared<Detail::Listener>(context, limits, ownDialect, [this](const auto& session) { admission.handle(session); }))
+        , callers(std::make_shared<Detail::Listener>(context, limits, dialect, handlersOf(entry)))
+        , calls(std::make_shared<Detail::Listener>(context, limits, ownDialect, handlersOf(admission)))
         , sweep(context)
     {
     }
@@ -88,6 +99,7 @@
 
 void Gateway::announceClose()
 {
+    m_implementation->limits.endsSilentCalls = false;
     m_implementation->callers->announceClose();
     m_implementation->calls->announceClose();
 }
--- a/packages/gateway/src/internal/EntryCall.cpp
+++ b/packages/gateway/src/internal/EntryCall.cpp
@@ -87,7 +87,7 @@
     m_attempt = attempt;
     m_attemptStartedAt = MonotonicClock::now();
     m_exchange = std::make_shared<UpstreamExchange>(m_handler.m_pool, m_handler.m_limits);
-    auto request = forwardedRequest(m_session->request(), m_call, attempt, m_attemptStartedAt, m_handler.hybridNow());
+    auto request = forwardedRequest(m_session->request(), m_call, attempt, m_attemptStartedAt, m_handler.stampAt(m_attemptStartedAt));
     m_exchange->start(targetOf(attempt), std::move(request),
         [self = shared_from_this()](std::optional<ExchangeFailure> failure) { self->onHeader(failure); });
 }
@@ -200,7 +200,7 @@
     request.set(http::field::range, "bytes=" + std::to_string(from) + "-");
     request.set(http::field::if_range, body.entityTag);
     auto rest = std::make_shared<UpstreamExchange>(m_handler.m_pool, m_handler.m_limits);
-    rest->start(targetOf(*attempt), forwardedRequest(request, m_call, *attempt, now, m_handler.hybridNow()),
+    rest->start(targetOf(*attempt), forwardedRequest(request, m_call, *attempt, now, m_handler.stampAt(now)),
         [self = shared_from_this(), rest, body, from, now, handOver = std::move(handOver)](std::optional<ExchangeFailure> failure) {
             auto result = failure ? resultOfFailure(*failure) : resultOfHeader(*rest);
             const auto endedAt = MonotonicClock::now();
@@ -237,6 +237,8 @@
     observation.reason = result.reason;
     observation.status = result.status;
     observation.latency = result.latency;
+    observation.granted = m_attempt->deadline - m_attemptStartedAt;
+    observation.basis = m_attempt->basis;
     observation.load = result.load;
     m_handler.m_hooks.onAttempt(observation);
 }
@@ -247,13 +249,16 @@
         return;
     CallObservation observation;
     observation.id = m_call.id;
-    observation.route = m_attempt ? m_attempt->route : RouteName {};
+    observation.route = m_decision->route() ? m_decision->route()->name : RouteName {};
     observation.service = m_attempt ? m_attempt->service : ServiceName {};
     observation.status = status;
     observation.outcome = outcome;
     observation.reason = reason;
     observation.attempts = m_attempt ? m_attempt->number : 0;
     observation.latency = MonotonicClock::now() - m_session->arrivedAt();
+    observation.configuration = m_decision->configurationOffset();
+    if (const auto* route = m_decision->route())
+        observation.objective = route->objective;
     observation.whole = whole;
     m_handler.m_hooks.onCall(observation);
 }
--- a/packages/gateway/src/internal/EntryHandler.cpp
+++ b/packages/gateway/src/internal/EntryHandler.cpp
@@ -70,6 +70,12 @@
     return RequestId { m_identity.node.value() + "." + std::to_string(m_identity.incarnation.value) + "." + std::to_string(m_sequence) };
 }
 
+ForwardingStamp EntryHandler::stampAt(MonotonicTime now) const
+{
+    const auto sentAt = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
+    return { { m_identity.node, m_identity.incarnation, sentAt }, m_hooks.hybridNow ? m_hooks.hybridNow() : std::string {} };
+}
+
 void EntryHandler::handle(const ServerSession::Pointer& session)
 {
     const Request& request = session->request();
@@ -85,10 +91,30 @@
     call.callerTimeout = milliseconds(request, m_dialect.callerTimeout);
     call.fingerprint = fingerprintOf(request);
     if (!id || isMalformed(request, call)) {
-        session->refuse(routing::Refusal { routing::Outcome::NotRun, routing::RefusalReason::MalformedRequest, std::nullopt }, call.id.value());
+        refuseMalformed(session, call.id);
         return;
     }
     std::make_shared<EntryCall>(*this, session, std::move(call))->start();
 }
 
+void EntryHandler::refuseMalformed(const ServerSession::Pointer& session, const RequestId& id)
+{
+    const routing::Refusal refusal { routing::Outcome::NotRun, routing::RefusalReason::MalformedRequest, std::nullopt };
+    observeUnrouted(id, refusal, session->arrivedAt());
+    session->refuse(refusal, id.value());
+}
+
+void EntryHandler::observeUnrouted(const RequestId& id, const routing::Refusal& refusal, MonotonicTime arrivedAt) const
+{
+    if (!m_hooks.onCall)
+        return;
+    CallObservation observation;
+    observation.id = id;
+    observation.status = m_dialect.refusalStatus(refusal);
+    observation.outcome = refusal.outcome;
+    observation.reason = refusal.reason;
+    observation.latency = MonotonicClock::now() - arrivedAt;
+    m_hooks.onCall(observation);
+}
+
 }
--- a/packages/gateway/src/internal/EntryHandler.h
+++ b/packages/gateway/src/internal/EntryHandler.h
@@ -7,6 +7,7 @@
 #include "carobpath/gateway/GatewayLimits.h"
 #include "carobpath/routing/EntryRouter.h"
 #include "internal/ConnectionPool.h"
+#include "internal/ForwardedHeader.h"
 #include "internal/ServerSession.h"
 
 #include <boost/asio/io_context.hpp>
@@ -30,13 +31,18 @@
     EntryHandler(boost::asio::io_context&, routing::EntryRouter&, ConnectionPool&, const GatewayLimits&, const GatewayHooks&, const Dialect&, EntryIdentity);
 
     void handle(const ServerSession::Pointer&);
+    /// A request that can't be read was refused.
+    void onUnreadable(const routing::Refusal& refusal, MonotonicTime arrivedAt) { observeUnrouted(RequestId {}, refusal, arrivedAt); }
 
 private:
     friend class EntryCall;
 
     /// \returns the caller's id, or a new one where it gave none; nothing where the dialect wants one.
     std::optional<RequestId> idOf(const Request&);
-    std::string hybridNow() const { return m_hooks.hybridNow ? m_hooks.hybridNow() : std::string {}; }
+    void refuseMalformed(const ServerSession::Pointer&, const RequestId&);
+    /// Reports the end of a call for which no route was looked up.
+    void observeUnrouted(const RequestId&, const routing::Refusal&, MonotonicTime arrivedAt) const;
+    ForwardingStamp stampAt(MonotonicTime now) const;
 
     boost::asio::io_context& m_context;
     routing::EntryRouter& m_router;
--- a/packages/gateway/src/internal/Listener.cpp
+++ b/packages/gateway/src/internal/Listener.cpp
@@ -15,12 +15,12 @@
 
 }
 
-Listener::Listener(boost::asio::io_context& context, const GatewayLimits& limits, const Dialect& dialect, ServerSession::RequestHandler handler)
+Listener::Listener(boost::asio::io_context& context, const GatewayLimits& limits, const Dialect& dialect, ServerSession::Handlers handlers)
     : m_acceptor(context)
     , m_acceptTimer(context)
     , m_limits(limits)
     , m_dialect(dialect)
-    , m_handler(std::move(handler))
+    , m_handlers(std::move(handlers))
 {
 }
 
@@ -74,7 +74,7 @@
         forgetClosed();
     if (m_sessions.size() >= m_limits.connections)
         return;
-    auto session = std::make_shared<ServerSession>(std::move(socket), m_limits, m_dialect, m_handler);
+    auto session = std::make_shared<ServerSession>(std::move(socket), m_limits, m_dialect, m_handlers);
     m_sessions.push_back(session);
     if (m_announcesClose)
         session->announceClose();
--- a/packages/gateway/src/internal/Listener.h
+++ b/packages/gateway/src/internal/Listener.h
@@ -16,7 +16,7 @@
 /// Accepts connections on one address and starts a session for each.
 class Listener : public std::enable_shared_from_this<Listener> {
 public:
-    Listener(boost::asio::io_context&, const GatewayLimits&, const Dialect&, ServerSession::RequestHandler);
+    Listener(boost::asio::io_context&, const GatewayLimits&, const Dialect&, ServerSession::Handlers);
 
     /// \returns the error of the system where the address cannot be listened on.
     boost::system::error_code listen(const Endpoint&);
@@ -47,7 +47,7 @@
     boost::asio::steady_timer m_acceptTimer;
     const GatewayLimits& m_limits;
     const Dialect& m_dialect;
-    ServerSession::RequestHandler m_handler;
+    ServerSession::Handlers m_handlers;
     std::vector<std::weak_ptr<ServerSession>> m_sessions;
     std::size_t m_forgetAt = 64;
     bool m_announcesClose = false;
--- a/packages/gateway/src/internal/ServerSession.cpp
+++ b/packages/gateway/src/internal/ServerSession.cpp
@@ -66,12 +66,12 @@
 
 }
 
-ServerSession::ServerSession(boost::asio::ip::tcp::socket&& socket, const GatewayLimits& limits, const Dialect& dialect, RequestHandler handler)
+ServerSession::ServerSession(boost::asio::ip::tcp::socket&& socket, const GatewayLimits& limits, const Dialect& dialect, Handlers handlers)
     : m_stream(std::move(socket))
     , m_interimTimer(m_stream.get_executor())
     , m_limits(limits)
     , m_dialect(dialect)
-    , m_handler(std::move(handler))
+    , m_handlers(std::move(handlers))
 {
 }
 
@@ -125,7 +125,7 @@
     m_requestKeepsAlive = request().keep_alive();
     m_stream.expires_never();
     watchForClose();
-    m_handler(shared_from_this());
+    m_handlers.onRequest(shared_from_this());
 }
 
 void ServerSession::refuseMalformed(boost::system::error_code ec)
@@ -136,7 +136,10 @@
     }
     m_state = State::Handling;
     m_requestKeepsAlive = false;
-    refuse(routing::Refusal { routing::Outcome::NotRun, refusalReason(ec), std::nullopt }, {});
+    const routing::Refusal refusal { routing::Outcome::NotRun, refusalReason(ec), std::nullopt };
+    if (m_handlers.onUnreadable)
+        m_handlers.onUnreadable(refusal, m_arrivedAt);
+    refuse(refusal, {});
 }
 
 void ServerSession::watchForClose()
--- a/packages/gateway/src/internal/ServerSession.h
+++ b/packages/gateway/src/internal/ServerSession.h
@@ -25,10 +25,16 @@
 public:
     using Pointer = std::shared_ptr<ServerSession>;
     using RequestHandler = std::function<void(const Pointer&)>;
+    /// What a session calls.
+    struct Handlers {
+        RequestHandler onRequest;
+        /// A request that can't be read was refused; may be empty.
+        std::function<void(const routing::Refusal&, MonotonicTime arrivedAt)> onUnreadable;
+    };
     /// Called once the answer is out; false where it was cut short.
     using AnswerDone = std::function<void(bool whole)>;
 
-    ServerSession(boost::asio::ip::tcp::socket&&, const GatewayLimits&, const Dialect&, RequestHandler);
+    ServerSession(boost::asio::ip::tcp::socket&&, const GatewayLimits&, const Dialect&, Handlers);
 
     void start();
 
@@ -88,7 +94,7 @@
     boost::asio::steady_timer m_interimTimer;
     const GatewayLimits& m_limits;
     const Dialect& m_dialect;
-    RequestHandler m_handler;
+    Handlers m_handlers;
     boost::beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
     std::shared_ptr<Response> m_response;
--- a/packages/node/src/internal/CallLog.cpp
+++ b/packages/node/src/internal/CallLog.cpp
@@ -24,6 +24,10 @@
     it.with("outcome", routing::toString(call.outcome));
     addReason(it, call.reason);
     it.with("attempts", call.attempts).with("tookMs", call.latency);
+    if (call.objective.count() > 0)
+        it.with("objectiveMs", call.objective);
+    if (call.configuration)
+        it.with("configuration", *call.configuration);
     if (!call.whole)
         it.with("whole", false);
     m_events.record(it);
@@ -35,7 +39,8 @@
     it.with("request", attempt.id).with("attempt", attempt.number).with("node", attempt.node).with("status", attempt.status);
     it.with("outcome", routing::toString(attempt.outcome));
     addReason(it, attempt.reason);
-    it.with("tookMs", attempt.latency);
+    it.with("tookMs", attempt.latency).with("grantedMs", attempt.granted);
+    it.with("candidates", attempt.basis.candidates).with("viewAgeMs", attempt.basis.viewAge);
     if (attempt.load)
         addLoad(it, *attempt.load);
     m_events.record(it);
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -72,7 +72,7 @@
     , m_events(events, "node/" + settings.name.value(), m_incarnation, m_clock)
     , m_context { io, m_settings, m_incarnation, m_events, m_clock, m_logger }
     , m_callLog(m_events)
-    , m_log(io.get_executor(), storeOptionsOf(settings))
+    , m_log(io.get_executor(), storeOptionsOf(settings, [this](const platform::StoreCall& call) { m_metrics.onStoreCall(call); }))
     , m_router(m_context.random())
     , m_quarantine(m_context)
     , m_controller(admissionPolicyOf(settings))
@@ -235,8 +235,14 @@
         m_metrics.onCall(call);
         m_callLog.onCall(call);
     };
-    hooks.onAttempt = [this](const auto& attempt) { m_callLog.onAttempt(attempt); };
-    hooks.onAdmissionRefused = [this](const auto& refusal) { m_callLog.onAdmissionRefused(refusal); };
+    hooks.onAttempt = [this](const auto& attempt) {
+        m_metrics.onAttempt(attempt);
+        m_callLog.onAttempt(attempt);
+    };
+    hooks.onAdmissionRefused = [this](const auto& refusal) {
+        m_metrics.onAdmissionRefused(refusal);
+        m_callLog.onAdmissionRefused(refusal);
+    };
     return hooks;
 }
 
@@ -417,6 +423,7 @@
 void NodeAssembly::slowTick()
 {
     m_slowTickAt = MonotonicClock::now();
+    m_metrics.setUpstream(m_controller.upstream());
     if (m_slowTickAt - m_startedAt >= longestWaitForOrders)
         setOrdersKnown();
     if (m_reader && m_reader->enabled() && m_view && !m_draining)
--- a/packages/node/src/internal/NodeMetrics.cpp
+++ b/packages/node/src/internal/NodeMetrics.cpp
@@ -9,10 +9,9 @@
 
 namespace {
 
-    prometheus::Histogram::BucketBoundaries latencyBuckets()
-    {
-        return { 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10 };
-    }
+    using membership::UpstreamState;
+
+    constexpr std::array upstreamStates { UpstreamState::Cold, UpstreamState::Ready, UpstreamState::Draining, UpstreamState::Down };
 
     prometheus::Gauge& gauge(prometheus::Registry& registry, const char* name, const char* help)
     {
@@ -24,16 +23,33 @@
         return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
     }
 
+    prometheus::Family<prometheus::Histogram>& histograms(prometheus::Registry& registry, const char* name, const char* help)
+    {
+        return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+    }
+
+    std::string textOf(const std::optional<routing::RefusalReason>& reason)
+    {
+        return std::string { reason ? routing::toString(*reason) : std::string_view { "none" } };
+    }
+
+    double seconds(std::chrono::nanoseconds time) { return std::chrono::duration<double> { time }.count(); }
+
 }
 
 NodeMetrics::NodeMetrics()
     : m_registry(std::make_shared<prometheus::Registry>())
-    , m_calls(counters(*m_registry, "carobpath_calls_total", "Callers' calls that entered here, by outcome and reason."))
+    , m_routes(*m_registry)
+    , m_attempts(counters(*m_registry, "carobpath_attempts_total", "Attempts that this node made for its callers, by outcome and reason."))
+    , m_admissionRefusals(counters(*m_registry, "carobpath_admission_refusals_total", "Calls that this node refused for the backend server beside it, by reason."))
     , m_backend(counters(*m_registry, "carobpath_backend_calls_total", "Calls sent to the backend server beside this node, by result."))
+    , m_backendLatency(histograms(*m_registry, "carobpath_backend_seconds", "Time from a call's dispatch to the header of the backend server's answer.").Add({}, latencyBuckets()))
+    , m_storeCalls(counters(*m_registry, "carobpath_log_calls_total", "Calls to the log, by operation and HTTP status; 0 without an answer."))
+    , m_storeLatency(histograms(*m_registry, "carobpath_log_call_seconds", "Time of calls to the log by operation; reads wait for records."))
     , m_records(counters(*m_registry, "carobpath_log_records_total", "Records of the configuration stream folded here, by what became of them."))
     , m_retries(counters(*m_registry, "carobpath_call_retries_total", "Attempts after the first.").Add({}))
     , m_cutShort(counters(*m_registry, "carobpath_answers_cut_short_total", "Answers that could not be written whole.").Add({}))
-    , m_latency(prometheus::BuildHistogram().Name("carobpath_call_seconds").Help("Time of callers' calls, from header to end of answer.").Register(*m_registry).Add({}, latencyBuckets()))
+    , m_upstreamState(prometheus::BuildGauge().Name("carobpath_upstream_state").Help("1 for the state of the backend server beside this node, 0 for each other state.").Register(*m_registry))
     , m_configurationOffset(gauge(*m_registry, "carobpath_configuration_offset", "Offset of the configuration version in force."))
     , m_ready(gauge(*m_registry, "carobpath_ready", "1 where the node serves callers."))
     , m_reader(gauge(*m_registry, "carobpath_log_reader", "1 where the node reads the log."))
@@ -46,18 +62,34 @@
 
 void NodeMetrics::onCall(const gateway::CallObservation& call)
 {
-    const std::string reason { call.reason ? routing::toString(*call.reason) : std::string_view { "none" } };
-    m_calls.Add({ { "outcome", std::string { routing::toString(call.outcome) } }, { "reason", reason } }).Increment();
+    m_routes.onCall(call);
     if (call.attempts > 1)
         m_retries.Increment(call.attempts - 1);
     if (!call.whole)
         m_cutShort.Increment();
-    m_latency.Observe(std::chrono::duration<double> { call.latency }.count());
+}
+
+void NodeMetrics::onAttempt(const gateway::AttemptObservation& attempt)
+{
+    m_attempts.Add({ { "outcome", std::string { routing::toString(attempt.outcome) } }, { "reason", textOf(attempt.reason) } }).Increment();
+}
+
+void NodeMetrics::onAdmissionRefused(const gateway::AdmissionRefusal& refusal)
+{
+    m_admissionRefusals.Add({ { "reason", std::string { routing::toString(refusal.refusal.reason) } } }).Increment();
 }
 
 void NodeMetrics::onBackend(const gateway::BackendObservation& observation)
 {
     m_backend.Add({ { "result", std::string { routing::toString(observation.result) } } }).Increment();
+    m_backendLatency.Observe(seconds(observation.latency));
+}
+
+void NodeMetrics::onStoreCall(const platform::StoreCall& call)
+{
+    const std::string operation { platform::toString(call.operation) };
+    m_storeCalls.Add({ { "operation", operation }, { "status", std::to_string(call.status) } }).Increment();
+    m_storeLatency.Add({ { "operation", operation } }, latencyBuckets()).Observe(seconds(call.took));
 }
 
 void NodeMetrics::onRecord(std::string_view outcome)
@@ -71,6 +103,12 @@
     m_waiting.Set(waiting);
 }
 
+void NodeMetrics::setUpstream(const std::optional<membership::Upstream>& upstream)
+{
+    for (const auto state : upstreamStates)
+        m_upstreamState.Add({ { "state", std::string { membership::toString(state) } } }).Set(upstream && upstream->state == state ? 1 : 0);
+}
+
 std::string NodeMetrics::text() const
 {
     return prometheus::TextSerializer {}.Serialize(m_registry->Collect());
--- a/packages/node/src/internal/NodeMetrics.h
+++ b/packages/node/src/internal/NodeMetrics.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include "carobpath/gateway/GatewayHooks.h"
+#include "carobpath/membership/NodeEntry.h"
+#include "carobpath/platform/StoreClient.h"
+#include "internal/RouteMetrics.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
@@ -9,17 +12,21 @@
 #include <prometheus/registry.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace carobpath::node::Detail {
 
-/// The node's metrics; docs/OPERATIONS.md lists them.
+/// The node's metrics; docs/METRICS.md lists them.
 class NodeMetrics {
 public:
     NodeMetrics();
 
     void onCall(const gateway::CallObservation&);
+    void onAttempt(const gateway::AttemptObservation&);
+    void onAdmissionRefused(const gateway::AdmissionRefusal&);
     void onBackend(const gateway::BackendObservation&);
+    void onStoreCall(const platform::StoreCall&);
     void onRecord(std::string_view outcome);
     void setConfigurationOffset(std::uint64_t offset) { m_configurationOffset.Set(static_cast<double>(offset)); }
     void setReady(bool ready) { m_ready.Set(ready ? 1 : 0); }
@@ -27,18 +34,25 @@
     void setLogAvailable(bool available) { m_logAvailable.Set(available ? 1 : 0); }
     void setNodes(std::size_t alive) { m_nodes.Set(static_cast<double>(alive)); }
     void setAdmission(std::uint32_t inFlight, std::uint32_t waiting);
+    /// \param upstream the one beside this node; nothing where there is none.
+    void setUpstream(const std::optional<membership::Upstream>& upstream);
 
     /// \returns all metrics in the Prometheus text format.
     std::string text() const;
 
 private:
     std::shared_ptr<prometheus::Registry> m_registry;
-    prometheus::Family<prometheus::Counter>& m_calls;
+    RouteMetrics m_routes;
+    prometheus::Family<prometheus::Counter>& m_attempts;
+    prometheus::Family<prometheus::Counter>& m_admissionRefusals;
     prometheus::Family<prometheus::Counter>& m_backend;
+    prometheus::Histogram& m_backendLatency;
+    prometheus::Family<prometheus::Counter>& m_storeCalls;
+    prometheus::Family<prometheus::Histogram>& m_storeLatency;
     prometheus::Family<prometheus::Counter>& m_records;
     prometheus::Counter& m_retries;
     prometheus::Counter& m_cutShort;
-    prometheus::Histogram& m_latency;
+    prometheus::Family<prometheus::Gauge>& m_upstreamState;
     prometheus::Gauge& m_configurationOffset;
     prometheus::Gauge& m_ready;
     prometheus::Gauge& m_reader;
--- a/packages/node/src/internal/SettingsConversions.cpp
+++ b/packages/node/src/internal/SettingsConversions.cpp
@@ -25,7 +25,7 @@
     return limits;
 }
 
-platform::StoreClientOptions storeOptionsOf(const NodeSettings& settings)
+platform::StoreClientOptions storeOptionsOf(const NodeSettings& settings, std::function<void(const platform::StoreCall&)> onCall)
 {
     using std::chrono::duration_cast;
     using std::chrono::milliseconds;
@@ -33,6 +33,7 @@
     options.endpoints = settings.log.endpoints;
     options.connectTimeout = duration_cast<milliseconds>(settings.timeouts.connect);
     options.answerTimeout = duration_cast<milliseconds>(settings.timeouts.log);
+    options.onCall = std::move(onCall);
     return options;
 }
 
--- a/packages/node/src/internal/UpstreamDriver.cpp
+++ b/packages/node/src/internal/UpstreamDriver.cpp
@@ -28,8 +28,10 @@
                                 .with("state", membership::toString(announcement.upstream.state))
                                 .with("instance", announcement.run.instance)
                                 .with("backend", announcement.backend));
-    if (taken)
-        apply();
+    if (!taken)
+        return verdict;
+    m_instance = announcement.run.instance;
+    apply();
     return verdict;
 }
 
@@ -37,7 +39,7 @@
 {
     if (!m_monitor.onDeparture(run))
         return false;
-    forget();
+    forget("departed");
     return true;
 }
 
@@ -52,13 +54,13 @@
 void UpstreamDriver::onTick()
 {
     if (m_monitor.onTick(MonotonicClock::now()))
-        forget();
+        forget("silent");
     m_spread(m_controller.upstream());
 }
 
-void UpstreamDriver::forget()
+void UpstreamDriver::forget(std::string_view reason)
 {
-    m_context.events.record(Event(event::upstreamGone));
+    m_context.events.record(Event(event::upstreamGone).with("instance", m_instance).with("reason", reason));
     apply();
 }
 
--- a/packages/node/src/internal/UpstreamDriver.h
+++ b/packages/node/src/internal/UpstreamDriver.h
@@ -7,6 +7,8 @@
 
 #include <functional>
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace carobpath::node::Detail {
 
@@ -29,7 +31,8 @@
 
 private:
     void apply();
-    void forget();
+    /// \param reason for the log: why the backend server is held no more.
+    void forget(std::string_view reason);
     /// \returns the connections that the backend server accepts: what it said, else what its service allows.
     std::uint32_t connectionsOf(const membership::Upstream&) const;
 
@@ -38,6 +41,8 @@
     gateway::Gateway& m_gateway;
     std::function<void(std::optional<membership::Upstream>)> m_spread;
     UpstreamMonitor m_monitor;
+    /// The instance that was announced last.
+    std::string m_instance;
     publication::ConfigurationPointer m_configuration;
 };
 
--- a/packages/routing/include/carobpath/routing/Call.h
+++ b/packages/routing/include/carobpath/routing/Call.h
@@ -5,6 +5,7 @@
 #include "carobpath/foundation/Time.h"
 #include "carobpath/publication/Objects.h"
 #include "carobpath/routing/Admission.h"
+#include "carobpath/routing/ChoiceBasis.h"
 #include "carobpath/routing/Outcome.h"
 
 #include <cstdint>
@@ -52,6 +53,7 @@
     std::optional<std::chrono::milliseconds> longestSilence;
     publication::Repeatability repeatability = publication::Repeatability::NotRepeatable;
     publication::TrafficClass trafficClass = publication::TrafficClass::Short;
+    ChoiceBasis basis;
     /// True where an attempt on a pooled connection is not wanted, since a connection to this node fell silent.
     bool freshConnection = false;
 };
--- a/packages/routing/include/carobpath/routing/CallDecision.h
+++ b/packages/routing/include/carobpath/routing/CallDecision.h
@@ -62,6 +62,8 @@
 
     /// Nothing where the call was refused before a route was found.
     const publication::Route* route() const { return m_route; }
+    /// Offset of the configuration that the call was decided by; nothing where there was none.
+    std::optional<std::uint64_t> configurationOffset() const;
     MonotonicTime deadline() const { return m_deadline; }
     bool ended() const { return m_phase == Phase::Ended; }
 
--- a/packages/routing/include/carobpath/routing/UpstreamPicker.h
+++ b/packages/routing/include/carobpath/routing/UpstreamPicker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carobpath/membership/NodeEntry.h"
+#include "carobpath/routing/ChoiceBasis.h"
 #include "carobpath/routing/UpstreamStatistics.h"
 
 #include <memory>
@@ -44,6 +45,7 @@
     bool freshConnection = false;
     /// One call that tries out an upstream after its ejection.
     bool probe = false;
+    ChoiceBasis basis;
 };
 
 /// Which failure domains a pick may take upstreams of.
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -64,6 +64,11 @@
     return m_outcome;
 }
 
+std::optional<std::uint64_t> CallDecision::configurationOffset() const
+{
+    return m_table ? std::optional { m_table->configuration()->stamp.offset } : std::nullopt;
+}
+
 CallCommand CallDecision::start(MonotonicTime now)
 {
     if (auto refusal = refusalAtArrival(now))
@@ -236,6 +241,7 @@
     it.trafficClass = m_route->trafficClass;
     it.priority = m_route->priority;
     it.freshConnection = choice.freshConnection;
+    it.basis = choice.basis;
     return it;
 }
 
--- a/packages/routing/src/UpstreamPicker.cpp
+++ b/packages/routing/src/UpstreamPicker.cpp
@@ -104,7 +104,8 @@
             return std::nullopt;
         chosen = pickFrom(*pool, now);
     }
-    return UpstreamChoice { chosen->node, chosen->version, chosen->calls, chosen->statistics->connectionsSuspect(), probe != nullptr };
+    const ChoiceBasis basis { static_cast<std::uint32_t>(candidates.size()), now - *m_viewTakenAt };
+    return UpstreamChoice { chosen->node, chosen->version, chosen->calls, chosen->statistics->connectionsSuspect(), probe != nullptr, basis };
 }
 
 UpstreamPicker::Pool UpstreamPicker::eligible(
--- a/tests/process/tests/FleetPlatformTests.cpp
+++ b/tests/process/tests/FleetPlatformTests.cpp
@@ -1,7 +1,6 @@
 #include "Eventually.h"
-#include "FleetSite.h"
+#include "FleetPair.h"
 #include "Programs.h"
-#include "Standins.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -13,60 +12,12 @@
 using namespace carobpath::harness;
 using namespace std::chrono_literals;
 
-namespace {
-
-const std::string configuration = R"({"version":"r3","routes":[{"name":"read","hostname":"shop.example","path-prefix":"/shop/",)"
-                                  R"("route-kind":"safe","timeout-s":2,"target-latency-s":0.5,"priority":1,"service":"booking","max-attempts":2},)"
-                                  R"({"name":"order","hostname":"shop.example","path-prefix":"/shop/orders/","route-kind":"unsafe","timeout-s":2,)"
-                                  R"("target-latency-s":0.5,"priority":1,"service":"booking","max-attempts":2}],)"
-                                  R"("services":[{"name":"booking","health-check-path":"/health","connection-limit":130}],)"
-                                  R"("limits":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-s":3,"idle-timeout-s":15}})";
-
-CallerRequest request(const std::string& target, const std::string& id, const std::string& method = "GET")
-{
-    CallerRequest it;
-    it.method = method;
-    it.host = "shop.example";
-    it.target = target;
-    it.headers["Carobpath-Attempt-Id"] = id;
-    it.headers["Carobpath-Deadline-Remaining-Ms"] = "2000";
-    return it;
-}
-
-BackendOptions namedBackend(const std::string& name)
-{
-    BackendOptions it;
-    it.name = name;
-    return it;
-}
-
-/// Two nodes in two zones with a backend server beside each, and the store.
-struct Site {
-    TemporaryDirectory directory;
-    LogStandin store { directory };
-    BackendStandin backendA { directory, {} };
-    BackendStandin backendB { directory, namedBackend("backend-b") };
-    FleetNode a { directory, "node-a", "amman-a", "booking", store.endpoint(), backendA.endpoint() };
-    FleetNode b { directory, "node-b", "amman-b", "booking", store.endpoint(), backendB.endpoint() };
-
-    void serve()
-    {
-        putOrder(store.endpoint(), "config", configuration);
-        for (auto* node : { &a, &b })
-            eventually("the node is ready", [&] { return node->readiness() == 200; });
-    }
-
-    std::size_t runs() const { return backendA.runs().size() + backendB.runs().size(); }
-};
-
-}
-
-BOOST_FIXTURE_TEST_SUITE(Fleet_platform, Site)
+BOOST_FIXTURE_TEST_SUITE(Fleet_platform, FleetPair)
 
 BOOST_AUTO_TEST_CASE(Before_the_first_configuration_nothing_is_served_and_nothing_is_promised_away)
 {
     BOOST_TEST(a.readiness() == 503U);
-    BOOST_TEST(call(a.outbound(), request("/shop/1", "c-1")).status == 503U);
+    BOOST_TEST(call(a.outbound(), fleetRequest("/shop/1", "c-1")).status == 503U);
 }
 
 BOOST_AUTO_TEST_CASE(A_call_goes_through_two_nodes_to_the_only_backend_server)
@@ -74,17 +25,17 @@
     serve();
     BOOST_TEST(b.announce("i-b", "ready", 1) == 200U);
     // Node a finds node b through the directory alone: the settings name no node.
-    eventually("a call at node a is served beside node b", [&] { return call(a.outbound(), request("/shop/1", "c-" + std::to_string(std::rand()))).status == 200; });
+    eventually("a call at node a is served beside node b", [&] { return call(a.outbound(), fleetRequest("/shop/1", "c-" + std::to_string(std::rand()))).status == 200; });
     BOOST_TEST(backendA.runs().empty());
     BOOST_TEST(!backendB.runs().empty());
-    BOOST_TEST(call(a.outbound(), request("/other/1", "c-404")).status == 404U);
+    BOOST_TEST(call(a.outbound(), fleetRequest("/other/1", "c-404")).status == 404U);
 }
 
 BOOST_AUTO_TEST_CASE(What_each_node_decided_on_a_call_stands_under_its_id)
 {
     serve();
     a.announce("i-a", "ready", 1);
-    eventually("a call is served", [&] { return call(a.outbound(), request("/shop/1", "c-77")).status == 200; });
+    eventually("a call is served", [&] { return call(a.outbound(), fleetRequest("/shop/1", "c-77")).status == 200; });
     const auto isOurs = [](const EventLine& it) { return it.value("request", "") == "c-77"; };
     BOOST_TEST(a.process().waitForEvent("call-ended", isOurs)["route"] == "read");
     a.process().waitForEvent("backend-ended", isOurs);
@@ -94,10 +45,10 @@
 {
     serve();
     a.announce("i-a", "ready", 1);
-    eventually("a call is served", [&] { return call(a.outbound(), request("/shop/orders/1", "c-" + std::to_string(std::rand()), "POST")).status == 200; });
+    eventually("a call is served", [&] { return call(a.outbound(), fleetRequest("/shop/orders/1", "c-" + std::to_string(std::rand()), "POST")).status == 200; });
     const auto before = runs();
     BOOST_TEST(a.announce("i-a", "draining", 2) == 200U);
-    const auto refused = call(a.outbound(), request("/shop/orders/2", "c-late", "POST"));
+    const auto refused = call(a.outbound(), fleetRequest("/shop/orders/2", "c-late", "POST"));
     BOOST_TEST(refused.status == 503U);
     BOOST_TEST(!refused.header("retry-after").empty());
     BOOST_TEST(runs() == before);
@@ -109,27 +60,27 @@
 {
     serve();
     a.announce("i-a", "ready", 1);
-    auto next = configuration;
+    auto next = fleetConfiguration;
     next.replace(next.find("\"r3\""), 4, "\"r9\"");
     next.replace(next.find("/shop/\""), 7, "/sale/\"");
     putOrder(store.endpoint(), "config", next);
     eventually(
-        "the new route is served", [&] { return call(a.outbound(), request("/sale/1", "c-" + std::to_string(std::rand()))).status == 200; }, 2s);
-    putOrder(store.endpoint(), "config", configuration);
+        "the new route is served", [&] { return call(a.outbound(), fleetRequest("/sale/1", "c-" + std::to_string(std::rand()))).status == 200; }, 2s);
+    putOrder(store.endpoint(), "config", fleetConfiguration);
     std::this_thread::sleep_for(1s);
-    BOOST_TEST(call(a.outbound(), request("/sale/1", "c-still")).status == 200U);
+    BOOST_TEST(call(a.outbound(), fleetRequest("/sale/1", "c-still")).status == 200U);
 }
 
 BOOST_AUTO_TEST_CASE(A_configuration_that_is_wrong_in_one_part_changes_nothing)
 {
     serve();
     a.announce("i-a", "ready", 1);
-    auto wrong = configuration;
+    auto wrong = fleetConfiguration;
     wrong.replace(wrong.find("\"r3\""), 4, "\"r9\"");
     wrong.replace(wrong.find("\"service\":\"booking\""), 19, "\"service\":\"nowhere\"");
     putOrder(store.endpoint(), "config", wrong);
     BOOST_TEST(a.process().waitForEvent("configuration-refused")["field"] == "routes[0].service");
-    BOOST_TEST(call(a.outbound(), request("/shop/1", "c-1")).status == 200U);
+    BOOST_TEST(call(a.outbound(), fleetRequest("/shop/1", "c-1")).status == 200U);
 }
 
 BOOST_AUTO_TEST_CASE(A_node_serves_on_while_the_store_is_away_and_reads_what_it_missed)
@@ -138,7 +89,7 @@
     a.announce("i-a", "ready", 1);
     store.set(R"({"down": true})");
     a.process().waitForEvent("log-unavailable");
-    BOOST_TEST(call(a.outbound(), request("/shop/1", "c-away")).status == 200U);
+    BOOST_TEST(call(a.outbound(), fleetRequest("/shop/1", "c-away")).status == 200U);
     BOOST_TEST(a.readiness() == 200U);
     store.set(R"({"down": false})");
     a.process().waitForEvent("log-available");
