--- /dev/null
+++ b/packages/node/src/internal/DrainDriver.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "carobpath/foundation/NodeSettings.h"
+#include "carobpath/foundation/Time.h"
+#include "carobpath/gateway/Gateway.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+
+namespace carobpath::node::Detail {
+
+/// Brings the gateway to its end step by step: connections are announced to close, then no new ones are accepted, then
+/// idle ones are closed, until no call is in flight or the time of grace is over.
+class DrainDriver {
+public:
+    DrainDriver(boost::asio::io_context&, gateway::Gateway&);
+
+    /// \param ended called once, when nothing is in flight or the grace is over.
+    void start(const NodeSettings::Drain&, std::function<void()> ended);
+
+private:
+    void check();
+    void scheduleCheck();
+
+    gateway::Gateway& m_gateway;
+    boost::asio::steady_timer m_timer;
+    std::function<void()> m_ended;
+    MonotonicTime m_stopAcceptingAt;
+    MonotonicTime m_closeIdleAt;
+    MonotonicTime m_giveUpAt;
+};
+
+}
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -21,9 +21,6 @@
     constexpr std::uint32_t placesInFleet = 6;
     constexpr std::chrono::milliseconds tickInterval { 100 };
     constexpr std::chrono::milliseconds slowTickInterval { 1'000 };
-    constexpr std::chrono::milliseconds drainCheckInterval { 20 };
-    /// Time for the news of the leaving to reach the nodes that still forward calls here.
-    constexpr std::chrono::milliseconds leaveNotice { 1'000 };
 
     Incarnation incarnationNow()
     {
@@ -79,7 +76,6 @@
     , m_ledger(m_context, m_log)
     , m_peerRuntime(std::make_shared<peer::PeerRuntime>(io))
     , m_tick(io)
-    , m_drain(io)
 {
 }
 
@@ -460,34 +456,8 @@
     if (m_fleet)
         m_fleet->leave();
     m_gateway->perform(m_controller.drain(MonotonicClock::now()));
-    const auto now = MonotonicClock::now();
-    m_stopAcceptingAt = now + m_settings.drain.accept;
-    m_closeIdleAt = std::max(now + leaveNotice, m_stopAcceptingAt);
-    m_giveUpAt = now + std::max<std::chrono::microseconds>(m_settings.drain.grace, leaveNotice);
-    m_gateway->announceClose();
-    checkDrain();
-}
-
-void NodeAssembly::checkDrain()
-{
-    const auto now = MonotonicClock::now();
-    if (now >= m_stopAcceptingAt)
-        m_gateway->stopAccepting();
-    if (now >= m_closeIdleAt)
-        m_gateway->closeIdle();
-    if ((now >= m_closeIdleAt && m_gateway->inFlight() == 0) || now >= m_giveUpAt)
-        finishStop();
-    else
-        scheduleDrainCheck();
-}
-
-void NodeAssembly::scheduleDrainCheck()
-{
-    m_drain.expires_after(drainCheckInterval);
-    m_drain.async_wait([this](boost::system::error_code ec) {
-        if (!ec)
-            checkDrain();
-    });
+    m_drain.emplace(m_context.io, *m_gateway);
+    m_drain->start(m_settings.drain, [this] { finishStop(); });
 }
 
 void NodeAssembly::finishStop()
--- a/packages/node/src/internal/NodeAssembly.h
+++ b/packages/node/src/internal/NodeAssembly.h
@@ -10,6 +10,7 @@
 #include "internal/AdminApi.h"
 #include "internal/CallLog.h"
 #include "internal/CheckpointDriver.h"
+#include "internal/DrainDriver.h"
 #include "internal/FleetDriver.h"
 #include "internal/LedgerDriver.h"
 #include "internal/LogReader.h"
@@ -76,8 +77,6 @@
     void scheduleTick();
     void tick();
     void slowTick();
-    void scheduleDrainCheck();
-    void checkDrain();
     void finishStop();
 
     NodeSettings m_settings;
@@ -108,13 +107,9 @@
     publication::ConfigurationPointer m_configuration;
     std::shared_ptr<const membership::MembershipView> m_view;
     boost::asio::steady_timer m_tick;
-    boost::asio::steady_timer m_drain;
+    std::optional<DrainDriver> m_drain;
     std::function<void()> m_stopped;
     MonotonicTime m_slowTickAt;
-    /// Moments of the stop: no new connections, idle ones closed, the end whatever is in flight.
-    MonotonicTime m_stopAcceptingAt;
-    MonotonicTime m_closeIdleAt;
-    MonotonicTime m_giveUpAt;
     MonotonicTime m_startedAt;
     bool m_exchangeReady = false;
     /// The operator's orders were read once, or waited for long enough.
