Fetch no configuration from a peer that the node reads itself

A trial with the decision objects (69 nodes, 810 routes, encoded sizes): 70 whole states of 168 KB at the start, 11.8 MB, since a joining node fetched the configuration although it reads the store; 85 in five seconds of changes, 14.7 MB, since 500 ms behind a peer was taken as lost. Ruled out: load hints (once in 30 s), introductions (10.5 MB at the start; 16 instead of all cost 3 s of blindness at 69 nodes: tried and taken back). Change: a fetch says whether it wants the configuration; a joining node of such a fleet does not. A node has 1.4 s for its own reading, 0.7 s where it holds none, before it fetches from a peer; a peer in the own domain goes first; three of four random peers are of the own domain.

--- a/packages/distribution/include/carobpath/distribution/Exchange.h
+++ b/packages/distribution/include/carobpath/distribution/Exchange.h
@@ -36,6 +36,7 @@
 struct FetchWhole {
     ExchangeId id = 0;
     Endpoint from;
+    FetchScope scope = FetchScope::All;
 };
 
 /// Start or stop reading the log.
@@ -112,6 +113,12 @@
     static constexpr std::size_t s_deltaBudgetOfReaders = 4096;
     static constexpr std::size_t s_maxOutstanding = 256;
     static constexpr std::size_t s_maxSeeds = 64;
+    /// Time that a pushed delta has before the whole set is fetched in its place.
+    static constexpr std::chrono::milliseconds s_deltaGrace { 500 };
+    /// Time that this node's own reading has before it fetches the configuration from a peer, and the same where it holds
+    /// none at all.
+    static constexpr std::chrono::milliseconds s_readGrace { 1400 };
+    static constexpr std::chrono::milliseconds s_firstReadGrace { 700 };
 
     /// \param self the entry of this node; its revision names this life of the process.
     Exchange(membership::NodeEntry self, std::vector<Endpoint> seeds, SetDigest, EvidencePort, std::mt19937_64, MonotonicTime now);
@@ -131,7 +138,7 @@
     /// A request or a fetch that got no answer in time, or a broken one.
     Commands onFailed(ExchangeId, MonotonicTime now);
     /// A peer wants the whole state. \returns nothing where this node serves too many already.
-    std::optional<WholeState> onFetch(MonotonicTime now);
+    std::optional<WholeState> onFetch(FetchScope, MonotonicTime now);
     Commands onWhole(ExchangeId, const WholeState&, MonotonicTime now);
     /// The peer serves too many others.
     Commands onBusy(ExchangeId, MonotonicTime now);
@@ -206,6 +213,9 @@
     void hearFloor(const PeerMessage&);
     void takeDelta(const PeerMessage&, MonotonicTime now, Commands&);
     void compareStamps(const PeerMessage&, bool deltaExpected, MonotonicTime now);
+    /// \returns the time after which a newer configuration of a peer's is fetched.
+    std::chrono::milliseconds fetchGrace(bool deltaExpected) const;
+    bool isNear(const NodeName&) const;
     void answerComparison(const PeerMessage&, Commands&);
     void adopted(Adoption, const publication::ConfigurationPointer& before, const Endpoint& source, MonotonicTime now, Commands&);
     bool comparisonDue(const PeerMessage& request, MonotonicTime now);
--- a/packages/distribution/include/carobpath/distribution/PeerMessage.h
+++ b/packages/distribution/include/carobpath/distribution/PeerMessage.h
@@ -5,6 +5,7 @@
 #include "carobpath/membership/TableDigest.h"
 #include "carobpath/moves/Evidence.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 
@@ -34,6 +35,13 @@
     std::uint32_t hybridCounter = 0;
 };
 
+/// What a fetch of the whole state is to bring.
+enum class FetchScope : std::uint8_t {
+    /// Not the configuration, which the node reads elsewhere; it is by far the largest part.
+    AllButConfiguration,
+    All,
+};
+
 /// All that a node holds, for a node that starts or fell behind.
 struct WholeState {
     /// Null where the sender has none.
--- a/packages/distribution/include/carobpath/distribution/RelayTree.h
+++ b/packages/distribution/include/carobpath/distribution/RelayTree.h
@@ -17,6 +17,9 @@
     /// Nodes below one node of the tree.
     static constexpr std::size_t s_fanOut = 4;
 
+    /// One in so many random peers is drawn from all failure domains.
+    static constexpr std::uint32_t s_farPeerEvery = 4;
+
     RelayTree() = default;
     RelayTree(std::shared_ptr<const membership::MembershipView>, const NodeName& self, const FailureDomainName&);
 
@@ -27,7 +30,7 @@
     const std::vector<const membership::KnownNode*>& ownWitnesses() const { return m_ownWitnesses; }
     const std::vector<const membership::KnownNode*>& otherWitnesses() const { return m_otherWitnesses; }
     const std::vector<const membership::NodeEntry*>& livePeers() const { return m_live; }
-    /// \returns a live peer, or null.
+    /// \returns a live peer, or null; mostly one of the own failure domain, since bytes between domains are dear.
     const membership::NodeEntry* randomPeer(std::mt19937_64&) const;
     /// \returns a dead peer, which may have been cut off only, or null.
     const membership::NodeEntry* randomDeadPeer(std::mt19937_64&) const;
@@ -43,6 +46,8 @@
     std::vector<const membership::KnownNode*> m_ownWitnesses;
     std::vector<const membership::KnownNode*> m_otherWitnesses;
     std::vector<const membership::NodeEntry*> m_live;
+    /// Those of \c m_live in the own failure domain.
+    std::vector<const membership::NodeEntry*> m_near;
     std::vector<const membership::NodeEntry*> m_dead;
 };
 
--- a/packages/distribution/src/Exchange.cpp
+++ b/packages/distribution/src/Exchange.cpp
@@ -163,12 +163,12 @@
 
 void Exchange::tickFetch(MonotonicTime now, Commands& commands)
 {
-    const auto peer = m_fetch.start(now);
-    if (!peer)
+    const auto source = m_fetch.start(now);
+    if (!source)
         return;
     const ExchangeId id = ++m_lastId;
     m_outstanding.emplace(id, Outstanding { NodeName {}, true });
-    commands.emplace_back(FetchWhole { id, *peer });
+    commands.emplace_back(FetchWhole { id, source->peer, source->scope });
 }
 
 void Exchange::tickRole(MonotonicTime now, Commands& commands)
--- a/packages/distribution/src/ExchangeMessages.cpp
+++ b/packages/distribution/src/ExchangeMessages.cpp
@@ -77,14 +77,15 @@
     return commands;
 }
 
-std::optional<WholeState> Exchange::onFetch(MonotonicTime now)
+std::optional<WholeState> Exchange::onFetch(FetchScope scope, MonotonicTime now)
 {
     if (m_joining || !m_slots.tryStart(now)) {
         ++m_counters.wholeRefused;
         return std::nullopt;
     }
     ++m_counters.wholeServed;
-    return WholeState { m_keeper.held(), m_members.allRecords(), m_evidence.everything() };
+    const auto configuration = scope == FetchScope::All ? m_keeper.held() : nullptr;
+    return WholeState { configuration, m_members.allRecords(), m_evidence.everything() };
 }
 
 Commands Exchange::onWhole(ExchangeId id, const WholeState& state, MonotonicTime now)
@@ -162,13 +163,28 @@
 void Exchange::compareStamps(const PeerMessage& message, bool deltaExpected, MonotonicTime now)
 {
     if (m_joining && !message.joining) {
-        m_fetch.want(message.sender, false, now);
+        const auto scope = m_eachNodeReads ? FetchScope::AllButConfiguration : FetchScope::All;
+        m_fetch.want({ message.sender, scope, isNear(message.from) }, std::chrono::milliseconds { 0 }, now);
         return;
     }
     const auto& theirs = message.stamp;
     if (!theirs || (m_keeper.held() && m_keeper.held()->stamp.offset >= theirs->offset))
         return;
-    m_fetch.want(message.sender, (deltaExpected || m_eachNodeReads) && m_keeper.held(), now);
+    m_fetch.want({ message.sender, FetchScope::All, isNear(message.from) }, fetchGrace(deltaExpected), now);
+}
+
+std::chrono::milliseconds Exchange::fetchGrace(bool deltaExpected) const
+{
+    const bool holdsOne = m_keeper.held() != nullptr;
+    if (m_eachNodeReads)
+        return holdsOne ? s_readGrace : s_firstReadGrace;
+    return deltaExpected && holdsOne ? s_deltaGrace : std::chrono::milliseconds { 0 };
+}
+
+bool Exchange::isNear(const NodeName& peer) const
+{
+    const auto* record = m_members.find(peer);
+    return record && record->entry.domain == m_members.self().domain;
 }
 
 void Exchange::adopted(Adoption adoption, const publication::ConfigurationPointer& before, const Endpoint& source, MonotonicTime, Commands& commands)
--- a/packages/distribution/src/RelayTree.cpp
+++ b/packages/distribution/src/RelayTree.cpp
@@ -5,6 +5,7 @@
 #include "carobpath/foundation/RendezvousHash.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace carobpath::distribution {
@@ -55,6 +56,7 @@
         else if (!it.entry.leaving)
             m_live.push_back(&it.entry);
     }
+    std::copy_if(m_live.begin(), m_live.end(), std::back_inserter(m_near), [&](const auto* it) { return it->domain == domain; });
     chooseWitnesses(self, domain);
     const auto ranked = rankedNodes(*m_view, domain);
     const auto own = std::find_if(ranked.begin(), ranked.end(), [&](const auto* it) { return it->entry.name == self; });
@@ -112,7 +114,8 @@
 
 const membership::NodeEntry* RelayTree::randomPeer(std::mt19937_64& random) const
 {
-    return pick(m_live, random);
+    const bool drawsFromAll = m_near.empty() || random() % s_farPeerEvery == 0;
+    return pick(drawsFromAll ? m_live : m_near, random);
 }
 
 const membership::NodeEntry* RelayTree::randomDeadPeer(std::mt19937_64& random) const
--- a/packages/distribution/src/WholeFetch.cpp
+++ b/packages/distribution/src/WholeFetch.cpp
@@ -1,27 +1,32 @@
 #include "carobpath/distribution/WholeFetch.h"
 
+#include <algorithm>
+
 namespace carobpath::distribution {
 
-void WholeFetch::want(const Endpoint& peer, bool deltaExpected, MonotonicTime now)
+void WholeFetch::want(const FetchSource& source, std::chrono::milliseconds grace, MonotonicTime now)
 {
-    const auto earliest = deltaExpected ? now + s_deltaGrace : now;
-    if (!m_peer || earliest < m_notBefore)
+    const auto earliest = now + grace;
+    if (!m_source || earliest < m_notBefore)
         m_notBefore = earliest;
-    m_peer = peer;
+    const auto scope = m_source ? std::max(m_source->scope, source.scope) : source.scope;
+    if (!m_source || source.isNear || !m_source->isNear)
+        m_source = source;
+    m_source->scope = scope;
 }
 
 void WholeFetch::satisfied()
 {
-    m_peer.reset();
+    m_source.reset();
     m_backoff.reset();
 }
 
-std::optional<Endpoint> WholeFetch::start(MonotonicTime now)
+std::optional<FetchSource> WholeFetch::start(MonotonicTime now)
 {
-    if (!m_peer || m_running || now < m_notBefore || now < m_backoffUntil)
+    if (!m_source || m_running || now < m_notBefore || now < m_backoffUntil)
         return std::nullopt;
     m_running = true;
-    return m_peer;
+    return m_source;
 }
 
 void WholeFetch::onEnded(bool succeeded, MonotonicTime now, std::mt19937_64& random)
--- a/packages/distribution/tests/EachNodeReadsTests.cpp
+++ b/packages/distribution/tests/EachNodeReadsTests.cpp
@@ -15,6 +15,8 @@
 
         std::size_t deltas = 0;
         std::size_t wholes = 0;
+        /// Whole states with a configuration.
+        std::size_t configurations = 0;
         Fleet fleet;
 
         explicit ReadingFleet(bool eachNodeReads)
@@ -39,8 +41,9 @@
                 deltas += it.delta ? 1 : 0;
                 return std::size_t { 0 };
             };
-            options.sizeOfWhole = [this](const WholeState&) {
+            options.sizeOfWhole = [this](const WholeState& it) {
                 ++wholes;
+                configurations += it.configuration ? 1 : 0;
                 return std::size_t { 0 };
             };
             return options;
@@ -67,6 +70,43 @@
     BOOST_TEST(some.deltas > 0U);
 }
 
+BOOST_AUTO_TEST_CASE(Nodes_that_read_a_series_of_versions_a_second_apart_from_each_other_fetch_none_of_them)
+{
+    ReadingFleet each { true };
+    for (int version = 1; version <= 20; ++version) {
+        each.fleet.publish();
+        each.fleet.run(milliseconds { 200 });
+        // A fifth of the nodes reads now, so that each reads once a second.
+        for (auto i = static_cast<std::size_t>(version % 5); i < ReadingFleet::s_nodes; i += 5)
+            each.fleet.readOnce(i);
+    }
+    each.fleet.run(milliseconds { 500 });
+    BOOST_TEST(each.wholes == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(A_node_that_joins_fetches_what_the_others_know_without_the_configuration_that_it_reads_itself)
+{
+    ReadingFleet each { true };
+    each.fleet.kill(3);
+    each.fleet.run(seconds { 1 });
+    each.configurations = 0;
+    each.fleet.start(3);
+    each.fleet.run(milliseconds { 300 });
+    each.fleet.readOnce(3);
+    BOOST_TEST(each.fleet.runUntil([&] { return each.fleet.allKnow(ReadingFleet::s_nodes) && each.fleet.allServe(0); }, seconds { 3 }).has_value());
+    BOOST_TEST(each.wholes > 0U);
+    BOOST_TEST(each.configurations == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(A_node_that_joins_and_can_not_read_gets_the_configuration_from_a_peer)
+{
+    ReadingFleet each { true };
+    each.fleet.kill(3);
+    each.fleet.run(seconds { 1 });
+    each.fleet.start(3);
+    BOOST_TEST(each.fleet.runUntil([&] { return each.fleet.allServe(0); }, seconds { 4 }).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(A_node_whose_reading_stays_behind_gets_it_from_a_peer_within_two_seconds)
 {
     ReadingFleet each { true };
--- a/packages/distribution/tests/Fleet.cpp
+++ b/packages/distribution/tests/Fleet.cpp
@@ -341,8 +341,8 @@
     at(node, life, refused ? refusedDelay : fetchTimeout, [this, id = it.id](Exchange& exchange) { return exchange.onFailed(id, m_now); });
     if (!reachable(node, asked) || chance(m_options.loss))
         return;
-    at(asked, m_nodes[asked].life, delay(), [this, asked, node, life, id = it.id](Exchange& exchange) {
-        auto state = exchange.onFetch(m_now);
+    at(asked, m_nodes[asked].life, delay(), [this, asked, node, life, id = it.id, scope = it.scope](Exchange& exchange) {
+        auto state = exchange.onFetch(scope, m_now);
         if (state)
             count(asked, m_options.sizeOfWhole ? m_options.sizeOfWhole(*state) : 0);
         if (reachable(asked, node)) {
--- a/packages/peer/include/carobpath/peer/PeerServer.h
+++ b/packages/peer/include/carobpath/peer/PeerServer.h
@@ -12,14 +12,14 @@
 
 /// What answers the calls of peers. \c onClaim may answer later.
 template <typename Handler>
-concept PeerHandler = requires(Handler& handler, const distribution::PeerMessage& message, const ClaimRequest& claim, const EndRequest& end, const routing::CrashUpdate& crashes, ClaimReply reply)
+concept PeerHandler = requires(Handler& handler, const distribution::PeerMessage& message, const ClaimRequest& claim, const EndRequest& end, const routing::CrashUpdate& crashes, distribution::FetchScope scope, ClaimReply reply)
 {
     {
         handler.onExchange(message)
         } -> std::convertible_to<distribution::PeerMessage>;
     handler.onDeliver(message);
     {
-        handler.onFetchWhole()
+        handler.onFetchWhole(scope)
         } -> std::convertible_to<std::optional<distribution::WholeState>>;
     handler.onClaim(claim, reply);
     handler.onEndClaim(end);
@@ -30,7 +30,7 @@
 struct PeerHooks {
     std::function<distribution::PeerMessage(const distribution::PeerMessage&)> onExchange;
     std::function<void(const distribution::PeerMessage&)> onDeliver;
-    std::function<std::optional<distribution::WholeState>()> onFetchWhole;
+    std::function<std::optional<distribution::WholeState>(distribution::FetchScope)> onFetchWhole;
     std::function<void(const ClaimRequest&, ClaimReply)> onClaim;
     std::function<void(const EndRequest&)> onEndClaim;
     std::function<void(const routing::CrashUpdate&)> onCrashes;
@@ -45,7 +45,7 @@
     PeerHooks hooks;
     hooks.onExchange = [&handler](const auto& message) { return handler.onExchange(message); };
     hooks.onDeliver = [&handler](const auto& message) { handler.onDeliver(message); };
-    hooks.onFetchWhole = [&handler] { return handler.onFetchWhole(); };
+    hooks.onFetchWhole = [&handler](distribution::FetchScope scope) { return handler.onFetchWhole(scope); };
     hooks.onClaim = [&handler](const auto& claim, ClaimReply reply) { handler.onClaim(claim, std::move(reply)); };
     hooks.onEndClaim = [&handler](const auto& end) { handler.onEndClaim(end); };
     hooks.onCrashes = [&handler](const auto& update) { handler.onCrashes(update); };
--- a/packages/peer/schema/Peer.capnp
+++ b/packages/peer/schema/Peer.capnp
@@ -156,7 +156,7 @@
   # Delivers news that need no answer.
   deliver @1 (message :PeerMessage);
   # Gives all that the node holds.
-  fetchWhole @2 () -> (state :WholeState);
+  fetchWhole @2 (withoutConfiguration :Bool) -> (state :WholeState);
   # Claims an idempotency key at the owner of its partition.
   claim @3 (key :Text, route :Text, requestId :Text, timeoutMilliseconds :UInt32) -> (verdict :UInt8, retryAfterMilliseconds :UInt32);
   # A call that had claimed a key has ended.
--- a/packages/peer/src/ExchangeRunner.cpp
+++ b/packages/peer/src/ExchangeRunner.cpp
@@ -47,7 +47,7 @@
         PeerHooks it;
         it.onExchange = [this](const PeerMessage& request) { return answer(request); };
         it.onDeliver = [this](const PeerMessage& message) { takePush(message); };
-        it.onFetchWhole = [this] { return exchange->onFetch(MonotonicClock::now()); };
+        it.onFetchWhole = [this](distribution::FetchScope scope) { return exchange->onFetch(scope, MonotonicClock::now()); };
         it.onClaim = callbacks.onClaim;
         it.onEndClaim = callbacks.onEndClaim;
         it.onCrashes = callbacks.onCrashes;
@@ -143,7 +143,7 @@
             runLater(exchange->onWhole(id, state, MonotonicClock::now()));
         });
         completion.failed = failure(it.id);
-        client.fetchWhole(it.from, completion);
+        client.fetchWhole(it.from, it.scope, completion);
     }
 
     void execute(const distribution::ReadLog& it) const
--- a/packages/peer/src/PeerClient.cpp
+++ b/packages/peer/src/PeerClient.cpp
@@ -185,10 +185,12 @@
     m_impl->submit(endpoint, PeerCall { std::move(send), completion.failed, s_deliverTimeout });
 }
 
-void PeerClient::fetchWhole(const Endpoint& endpoint, const Completion<WholeState>& completion)
+void PeerClient::fetchWhole(const Endpoint& endpoint, distribution::FetchScope scope, const Completion<WholeState>& completion)
 {
-    auto send = [completion](schema::Peer::Client& peer) {
-        return peer.fetchWholeRequest().send().then([completion](auto&& response) {
+    auto send = [scope, completion](schema::Peer::Client& peer) {
+        auto request = peer.fetchWholeRequest();
+        request.setWithoutConfiguration(scope == distribution::FetchScope::AllButConfiguration);
+        return request.send().then([completion](auto&& response) {
             const auto state = response.getState();
             if (!state.getServed())
                 completion.failed(PeerError { PeerFault::Busy });
--- a/packages/peer/src/internal/PeerService.cpp
+++ b/packages/peer/src/internal/PeerService.cpp
@@ -74,7 +74,8 @@
 kj::Promise<void> PeerService::fetchWhole(FetchWholeContext context)
 {
     touch();
-    const auto state = m_hooks->onFetchWhole();
+    const bool isWithout = context.getParams().getWithoutConfiguration();
+    const auto state = m_hooks->onFetchWhole(isWithout ? distribution::FetchScope::AllButConfiguration : distribution::FetchScope::All);
     auto to = context.getResults().initState();
     to.setServed(state.has_value());
     if (state)
