Tell which end cut an answer short

A cut answer had no reason. Now call-ended says cut-by-upstream or cut-by-receiver, and explain points at the one or the other.

--- a/packages/client/include/carobpath/client/CallTrace.h
+++ b/packages/client/include/carobpath/client/CallTrace.h
@@ -23,7 +23,8 @@
     std::chrono::duration<double, std::milli> took {};
     /// Nothing where the route has none.
     std::optional<std::chrono::duration<double, std::milli>> objective;
-    bool whole = true;
+    /// How the writing of the answer was cut short; empty where it was whole.
+    std::string cut;
 };
 
 /// One attempt, as the entry node saw it end.
--- a/packages/client/src/CallTrace.cpp
+++ b/packages/client/src/CallTrace.cpp
@@ -141,7 +141,7 @@
             it.attempts = numberIn(object, "attempts");
             it.took = millisecondsIn(object, "tookMs").value_or(it.took);
             it.objective = millisecondsIn(object, "objectiveMs");
-            it.whole = !object.contains("whole") || object["whole"] != json(false);
+            it.cut = textIn(object, "answer").value_or("");
             noteStart(event, it.took);
             m_trace.end = std::move(it);
         }
--- a/packages/client/src/Explanation.cpp
+++ b/packages/client/src/Explanation.cpp
@@ -42,7 +42,7 @@
         const auto& end = *trace.end;
         if (end.reason == "cancelled")
             return CallFate::CallerGone;
-        if (!end.whole)
+        if (!end.cut.empty())
             return CallFate::CutShort;
         if (end.outcome == "not-run")
             return CallFate::Refused;
@@ -122,7 +122,8 @@
         case CallFate::ServerError:
             return "Look at the log of the backend server that answered.";
         case CallFate::CutShort:
-            return "Look at the backend server of the last attempt and the way to it: the answer's body broke off.";
+            return trace.end->cut == "cut-by-receiver" ? "Look at the caller: it took no more of the answer, or its connection broke."
+                                                       : "Look at the backend server of the last attempt and the way to it: the answer's body broke off.";
         case CallFate::Unfinished:
             return "Take in the log of the node that the call entered; the call may be running, or the node ended in its midst.";
         case CallFate::NotSeen:
--- a/packages/client/tests/ExplainTests.cpp
+++ b/packages/client/tests/ExplainTests.cpp
@@ -57,7 +57,7 @@
         CallFate fate;
     };
     auto cut = end(200, "ran", "", 20);
-    cut["whole"] = false;
+    cut["answer"] = "cut-by-upstream";
     const std::vector<Row> rows {
         { end(200, "ran", "", 20), CallFate::Served },
         { end(200, "ran", "", 301), CallFate::Late },
--- a/packages/gateway/include/carobpath/gateway/GatewayHooks.h
+++ b/packages/gateway/include/carobpath/gateway/GatewayHooks.h
@@ -25,6 +25,18 @@
     std::chrono::nanoseconds latency {};
 };
 
+/// How the writing of an answer ended.
+enum class AnswerEnd : std::uint8_t {
+    Whole,
+    /// The upstream's answer broke off.
+    CutByUpstream,
+    /// The other end of the connection took no more of it.
+    CutByReceiver,
+};
+
+/// \returns the text that stands in logs: "whole", "cut-by-upstream", "cut-by-receiver".
+std::string_view toString(AnswerEnd);
+
 /// The end of a caller's call at the node that it entered.
 struct CallObservation {
     RequestId id;
@@ -39,8 +51,7 @@
     std::optional<std::uint64_t> configuration;
     /// The route's objective for the latency; 0 where it has none.
     std::chrono::milliseconds objective {};
-    /// False where the answer could not be written whole.
-    bool whole = true;
+    AnswerEnd answerEnd = AnswerEnd::Whole;
 };
 
 /// The end of one attempt at the entry node.
--- a/packages/gateway/src/internal/AdmittedCall.cpp
+++ b/packages/gateway/src/internal/AdmittedCall.cpp
@@ -143,8 +143,8 @@
     if (m_handler.m_hooks.hybridNow)
         header.set(HeaderName::hybridTime, m_handler.m_hooks.hybridNow());
     const bool serverError = header.result_int() >= firstServerError;
-    m_session->relay(m_exchange, std::move(header), [self = shared_from_this(), serverError](bool whole) {
-        if (!whole)
+    m_session->relay(m_exchange, std::move(header), [self = shared_from_this(), serverError](AnswerEnd end) {
+        if (end != AnswerEnd::Whole)
             self->finish(self->m_exchange->failed() ? routing::BackendResult::ConnectionLost : routing::BackendResult::Cancelled);
         else
             self->finish(serverError ? routing::BackendResult::ServerError : routing::BackendResult::Answered);
--- a/packages/gateway/src/internal/BodyRelay.cpp
+++ b/packages/gateway/src/internal/BodyRelay.cpp
@@ -47,7 +47,7 @@
         const bool written = !ec || ec == http::error::need_buffer;
         if (written)
             self->m_source->discard();
-        self->finish(written);
+        self->finish(written ? AnswerEnd::Whole : AnswerEnd::CutByReceiver);
     });
 }
 
@@ -55,7 +55,7 @@
 {
     http::async_write_header(m_stream, *m_serializer, [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
         if (ec && ec != http::error::need_buffer) {
-            self->finish(false);
+            self->finish(AnswerEnd::CutByReceiver);
             return;
         }
         self->readPiece();
@@ -66,7 +66,7 @@
 {
     m_source->readBody([self = shared_from_this()](std::optional<ExchangeFailure> failure, std::string_view piece) {
         if (failure) {
-            self->finish(false);
+            self->finish(AnswerEnd::CutByUpstream);
             return;
         }
         if (piece.empty())
@@ -85,7 +85,7 @@
     m_stream.expires_after(m_limits.callerIdle);
     http::async_write(m_stream, *m_serializer, [self = shared_from_this(), last](boost::system::error_code ec, std::size_t) {
         if (ec && ec != http::error::need_buffer)
-            self->finish(false);
+            self->finish(AnswerEnd::CutByReceiver);
         else
             self->onPieceWritten(last);
     });
@@ -98,7 +98,7 @@
         return;
     }
     // Reading the end gives the connection back.
-    m_source->readBody([self = shared_from_this()](std::optional<ExchangeFailure> failure, std::string_view) { self->finish(!failure); });
+    m_source->readBody([self = shared_from_this()](std::optional<ExchangeFailure> failure, std::string_view) { self->finish(failure ? AnswerEnd::CutByUpstream : AnswerEnd::Whole); });
 }
 
 void BodyRelay::writeEnd()
@@ -107,15 +107,15 @@
     m_message.body().size = 0;
     m_message.body().more = false;
     http::async_write(m_stream, *m_serializer,
-        [self = shared_from_this()](boost::system::error_code ec, std::size_t) { self->finish(!ec); });
+        [self = shared_from_this()](boost::system::error_code ec, std::size_t) { self->finish(ec ? AnswerEnd::CutByReceiver : AnswerEnd::Whole); });
 }
 
-void BodyRelay::finish(bool whole)
+void BodyRelay::finish(AnswerEnd end)
 {
-    if (!whole)
+    if (end != AnswerEnd::Whole)
         m_source->cancel();
     if (auto done = std::exchange(m_done, nullptr))
-        done(whole);
+        done(end);
 }
 
 }
--- a/packages/gateway/src/internal/BodyRelay.h
+++ b/packages/gateway/src/internal/BodyRelay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "carobpath/gateway/GatewayHooks.h"
 #include "carobpath/gateway/GatewayLimits.h"
 #include "internal/BodySource.h"
 #include "internal/HttpTypes.h"
@@ -28,8 +29,8 @@
 /// one is written, so that a slow caller slows the upstream and no body is held whole.
 class BodyRelay : public std::enable_shared_from_this<BodyRelay> {
 public:
-    /// Called once; false where the answer could not be written whole.
-    using Done = std::function<void(bool whole)>;
+    /// Called once.
+    using Done = std::function<void(AnswerEnd)>;
 
     BodyRelay(boost::beast::tcp_stream&, const GatewayLimits&, std::shared_ptr<BodySource>);
 
@@ -43,7 +44,7 @@
     void writePiece(std::string_view);
     void onPieceWritten(bool last);
     void writeEnd();
-    void finish(bool whole);
+    void finish(AnswerEnd);
 
     boost::beast::tcp_stream& m_stream;
     const GatewayLimits& m_limits;
--- a/packages/gateway/src/internal/EntryCall.cpp
+++ b/packages/gateway/src/internal/EntryCall.cpp
@@ -150,8 +150,8 @@
     if (std::exchange(m_answered, true))
         return;
     reportKeyOutcome();
-    m_session->refuse(refusal, m_call.id.value(), [self = shared_from_this(), refusal](bool whole) {
-        self->observe(self->m_handler.m_dialect.refusalStatus(refusal), refusal.outcome, refusal.reason, whole);
+    m_session->refuse(refusal, m_call.id.value(), [self = shared_from_this(), refusal](AnswerEnd end) {
+        self->observe(self->m_handler.m_dialect.refusalStatus(refusal), refusal.outcome, refusal.reason, end);
     });
 }
 
@@ -173,8 +173,8 @@
     const unsigned status = m_exchange->header().result_int();
     const auto outcome = outcomeOf(m_exchange->header()).value_or(routing::Outcome::Unknown);
     const auto reason = reasonOf(m_exchange->header());
-    m_session->relay(answerBody(), headerForCaller(), [self = shared_from_this(), status, outcome, reason](bool whole) {
-        self->observe(status, outcome, reason, whole);
+    m_session->relay(answerBody(), headerForCaller(), [self = shared_from_this(), status, outcome, reason](AnswerEnd end) {
+        self->observe(status, outcome, reason, end);
     });
 }
 
@@ -221,7 +221,7 @@
     if (m_exchange)
         m_exchange->cancel();
     reportKeyOutcome();
-    observe(0, routing::Outcome::Unknown, routing::RefusalReason::Cancelled, false);
+    observe(0, routing::Outcome::Unknown, routing::RefusalReason::Cancelled, AnswerEnd::CutByReceiver);
     m_session->abandon();
 }
 
@@ -243,7 +243,7 @@
     m_handler.m_hooks.onAttempt(observation);
 }
 
-void EntryCall::observe(unsigned status, routing::Outcome outcome, std::optional<routing::RefusalReason> reason, bool whole)
+void EntryCall::observe(unsigned status, routing::Outcome outcome, std::optional<routing::RefusalReason> reason, AnswerEnd end)
 {
     if (!m_handler.m_hooks.onCall)
         return;
@@ -259,7 +259,7 @@
     observation.configuration = m_decision->configurationOffset();
     if (const auto* route = m_decision->route())
         observation.objective = route->objective;
-    observation.whole = whole;
+    observation.answerEnd = end;
     m_handler.m_hooks.onCall(observation);
 }
 
--- a/packages/gateway/src/internal/EntryCall.h
+++ b/packages/gateway/src/internal/EntryCall.h
@@ -32,7 +32,7 @@
     void onCallerGone();
     ResponseHeader headerForCaller() const;
     void observeAttempt(const routing::AttemptResult&);
-    void observe(unsigned status, routing::Outcome, std::optional<routing::RefusalReason>, bool whole);
+    void observe(unsigned status, routing::Outcome, std::optional<routing::RefusalReason>, AnswerEnd);
 
     EntryHandler& m_handler;
     ServerSession::Pointer m_session;
--- a/packages/gateway/src/internal/ServerSession.cpp
+++ b/packages/gateway/src/internal/ServerSession.cpp
@@ -213,7 +213,7 @@
     http::async_write(m_stream, *m_response, [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
         const bool keepAlive = self->m_response->keep_alive();
         self->m_response = nullptr;
-        self->endAnswer(keepAlive, !ec);
+        self->endAnswer(keepAlive, ec ? AnswerEnd::CutByReceiver : AnswerEnd::Whole);
     });
 }
 
@@ -244,7 +244,7 @@
     framing.keepAlive = m_requestKeepsAlive && !m_closeAnnounced && (framing.mayChunk || lengthIsKnown);
     auto relay = std::make_shared<BodyRelay>(m_stream, m_limits, std::move(source));
     auto begin = [self = shared_from_this(), relay, framing, header = std::move(header)]() mutable {
-        relay->start(std::move(header), framing, [self, keepAlive = framing.keepAlive](bool whole) { self->endAnswer(keepAlive, whole); });
+        relay->start(std::move(header), framing, [self, keepAlive = framing.keepAlive](AnswerEnd end) { self->endAnswer(keepAlive, end); });
     };
     if (m_writingInterim)
         m_afterInterim = std::move(begin);
@@ -252,11 +252,11 @@
         begin();
 }
 
-void ServerSession::endAnswer(bool keepAlive, bool whole)
+void ServerSession::endAnswer(bool keepAlive, AnswerEnd end)
 {
     if (auto done = std::exchange(m_answerDone, nullptr))
-        done(whole);
-    if (whole && keepAlive)
+        done(end);
+    if (end == AnswerEnd::Whole && keepAlive)
         waitForRequest();
     else
         close();
--- a/packages/gateway/src/internal/ServerSession.h
+++ b/packages/gateway/src/internal/ServerSession.h
@@ -2,6 +2,7 @@
 
 #include "carobpath/foundation/Time.h"
 #include "carobpath/gateway/Dialect.h"
+#include "carobpath/gateway/GatewayHooks.h"
 #include "carobpath/gateway/GatewayLimits.h"
 #include "carobpath/routing/Outcome.h"
 #include "internal/BodySource.h"
@@ -31,8 +32,8 @@
         /// A request that can't be read was refused; may be empty.
         std::function<void(const routing::Refusal&, MonotonicTime arrivedAt)> onUnreadable;
     };
-    /// Called once the answer is out; false where it was cut short.
-    using AnswerDone = std::function<void(bool whole)>;
+    /// Called once the answer is out or cut short.
+    using AnswerDone = std::function<void(AnswerEnd)>;
 
     ServerSession(boost::asio::ip::tcp::socket&&, const GatewayLimits&, const Dialect&, Handlers);
 
@@ -85,7 +86,7 @@
     void refuseMalformed(boost::system::error_code);
     void watchForClose();
     void beginAnswer();
-    void endAnswer(bool keepAlive, bool whole);
+    void endAnswer(bool keepAlive, AnswerEnd);
     void writeWhole();
     void writeInterim();
     void close();
--- a/packages/node/src/internal/CallLog.cpp
+++ b/packages/node/src/internal/CallLog.cpp
@@ -28,8 +28,8 @@
         it.with("objectiveMs", call.objective);
     if (call.configuration)
         it.with("configuration", *call.configuration);
-    if (!call.whole)
-        it.with("whole", false);
+    if (call.answerEnd != gateway::AnswerEnd::Whole)
+        it.with("answer", gateway::toString(call.answerEnd));
     m_events.record(it);
 }
 
--- a/packages/node/src/internal/KeyedReader.h
+++ b/packages/node/src/internal/KeyedReader.h
@@ -53,7 +53,7 @@
     static constexpr std::chrono::milliseconds s_retryBase { 200 };
     static constexpr std::chrono::milliseconds s_retryCap { 1'500 };
     /// Pause after news, so that changes in quick succession are read together.
-    static constexpr std::chrono::milliseconds s_newsPause { 800 };
+    static constexpr std::chrono::milliseconds s_newsPause { 1'000 };
 
     void read()
     {
--- a/packages/node/src/internal/NodeMetrics.cpp
+++ b/packages/node/src/internal/NodeMetrics.cpp
@@ -65,7 +65,7 @@
     m_routes.onCall(call);
     if (call.attempts > 1)
         m_retries.Increment(call.attempts - 1);
-    if (!call.whole)
+    if (call.answerEnd != gateway::AnswerEnd::Whole)
         m_cutShort.Increment();
 }
 
