Take a departure that names no run as that of the run that is alive

A departure on the fleet has no body, so the node that had just started remembered a run without its start, and a heartbeat of the run that came 2.6 s later looked like another one. Change: a departure of a run that is not held counts for every run of that name which started before it, and for no other name. Also here: a test that neither silence nor the header's deadline ends a body that comes slowly, in search of the cut answers.

--- a/packages/gateway/tests/ScriptedServer.h
+++ b/packages/gateway/tests/ScriptedServer.h
@@ -4,9 +4,11 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -32,6 +34,13 @@
         accept();
     }
 
+    /// The answer goes on with the rest after the delay.
+    void continueWith(std::string rest, std::chrono::milliseconds delay)
+    {
+        m_rest = std::move(rest);
+        m_delay = delay;
+    }
+
     const Endpoint& endpoint() const { return m_endpoint; }
     int accepted() const { return static_cast<int>(m_sockets.size()); }
     int requests() const { return m_requests; }
@@ -79,16 +88,29 @@
     {
         boost::system::error_code ec;
         boost::asio::write(peer->socket, boost::asio::buffer(m_answer), ec);
+        if (!m_rest.empty())
+            writeRest(peer);
         if (m_end == ScriptEnd::Close)
             peer->socket.close(ec);
         else
             read(peer);
     }
 
+    void writeRest(const std::shared_ptr<Peer>& peer)
+    {
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_acceptor.get_executor(), m_delay);
+        timer->async_wait([this, peer, timer](boost::system::error_code) {
+            boost::system::error_code ec;
+            boost::asio::write(peer->socket, boost::asio::buffer(m_rest), ec);
+        });
+    }
+
     boost::asio::ip::tcp::acceptor m_acceptor;
     Endpoint m_endpoint;
     std::string m_answer;
     ScriptEnd m_end;
+    std::string m_rest;
+    std::chrono::milliseconds m_delay {};
     std::vector<std::shared_ptr<Peer>> m_sockets;
     int m_requests = 0;
 };
--- a/packages/gateway/tests/UpstreamExchangeTests.cpp
+++ b/packages/gateway/tests/UpstreamExchangeTests.cpp
@@ -203,6 +203,18 @@
     BOOST_TEST((stopping.exchange(200ms, 20ms).headerFailure == ExchangeFailure::TimedOut));
 }
 
+BOOST_AUTO_TEST_CASE(Neither_silence_nor_the_deadline_of_the_header_ends_a_body_that_comes_slowly)
+{
+    Bench bench { "HTTP/1.1 200 OK\r\nCarobpath-Request-Id: r-1\r\nContent-Length: 9\r\n\r\nsome", ScriptEnd::StaySilent };
+    bench.server().continueWith(" rest", 200ms);
+    const auto afterSilence = bench.exchange(5s, 50ms);
+    BOOST_TEST(!afterSilence.bodyFailure.has_value());
+    BOOST_TEST(afterSilence.body == "some rest");
+    const auto afterDeadline = bench.exchange(100ms, 5s);
+    BOOST_TEST(!afterDeadline.bodyFailure.has_value());
+    BOOST_TEST(afterDeadline.body == "some rest");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/packages/node/include/carobpath/node/UpstreamMonitor.h
+++ b/packages/node/include/carobpath/node/UpstreamMonitor.h
@@ -41,8 +41,9 @@
 
     /// The backend server says that this run of it ends. No announcement of it is taken any more, be it that a node which
     /// has started a moment ago hears of the run for the first time.
+    /// \param wallNow a run of the name that started later is another one, where the departure does not say which it is.
     /// \returns whether it was the run that is held; it is then forgotten.
-    bool onDeparture(const membership::BackendRun&);
+    bool onDeparture(const membership::BackendRun&, WallTime wallNow);
 
     /// \returns true where the last announcement has lapsed by now.
     bool onTick(MonotonicTime now);
@@ -59,6 +60,8 @@
     MonotonicTime m_announcedAt;
     /// The run that departed last.
     std::optional<membership::BackendRun> m_departed;
+    /// The run that departed last without having been held; it started then or earlier.
+    std::optional<membership::BackendRun> m_departedUnseen;
     /// The newest announcement that was taken, kept after it has lapsed: what came before it stays overtaken.
     std::optional<membership::BackendRun> m_newestRun;
     std::optional<std::uint64_t> m_newestSequence;
--- a/packages/node/src/UpstreamMonitor.cpp
+++ b/packages/node/src/UpstreamMonitor.cpp
@@ -45,6 +45,9 @@
 {
     if (m_departed && !it.run.instance.empty() && (*m_departed == it.run || isBefore(it.run, *m_departed)))
         return true;
+    const bool mayBeUnseen = m_departedUnseen && it.run.instance == m_departedUnseen->instance;
+    if (mayBeUnseen && !(it.run.startedAt && *it.run.startedAt > *m_departedUnseen->startedAt))
+        return true;
     if (!m_newestRun)
         return false;
     if (isBefore(it.run, *m_newestRun))
@@ -53,16 +56,18 @@
     return isSameRun && it.sequence && m_newestSequence && *it.sequence <= *m_newestSequence;
 }
 
-bool UpstreamMonitor::onDeparture(const membership::BackendRun& run)
+bool UpstreamMonitor::onDeparture(const membership::BackendRun& run, WallTime wallNow)
 {
-    const bool isOvertaken = (m_departed && isBefore(run, *m_departed)) || (m_newestRun && isBefore(run, *m_newestRun));
-    if (isOvertaken)
-        return false;
     const bool isHeld = m_announcement && m_announcement->run.instance == run.instance;
-    m_departed = isHeld ? m_announcement->run : run;
-    if (isHeld)
-        m_announcement.reset();
-    return isHeld;
+    if (!isHeld) {
+        m_departedUnseen = membership::BackendRun { run.instance, run.startedAt.value_or(wallNow) };
+        return false;
+    }
+    if (isBefore(run, m_announcement->run))
+        return false;
+    m_departed = m_announcement->run;
+    m_announcement.reset();
+    return true;
 }
 
 bool UpstreamMonitor::onTick(MonotonicTime now)
--- a/packages/node/src/internal/UpstreamDriver.cpp
+++ b/packages/node/src/internal/UpstreamDriver.cpp
@@ -37,7 +37,7 @@
 
 bool UpstreamDriver::onDeparture(const membership::BackendRun& run)
 {
-    if (!m_monitor.onDeparture(run))
+    if (!m_monitor.onDeparture(run, wallNow()))
         return false;
     forget("departed");
     return true;
--- a/packages/node/tests/UpstreamMonitorTests.cpp
+++ b/packages/node/tests/UpstreamMonitorTests.cpp
@@ -11,6 +11,7 @@
     using Verdict = AnnouncementVerdict;
 
     const MonotonicTime start { 1000s };
+    const WallTime wallNow { 1500ms };
 
     Announcement announcement(membership::UpstreamState state)
     {
@@ -85,7 +86,7 @@
     UpstreamMonitor monitor;
     monitor.onAnnouncement(ofRun(2000ms, 1, membership::UpstreamState::Ready), start);
     BOOST_CHECK(monitor.onAnnouncement(ofRun(1000ms, 90, membership::UpstreamState::Draining), start) == Verdict::Late);
-    BOOST_TEST(!monitor.onDeparture({ "i-1", WallTime { 1000ms } }));
+    BOOST_TEST(!monitor.onDeparture({ "i-1", WallTime { 1000ms } }, wallNow));
     BOOST_TEST(monitor.announcement().has_value());
 }
 
@@ -100,7 +101,7 @@
 {
     UpstreamMonitor monitor;
     monitor.onAnnouncement(ofRun(1000ms, 1, membership::UpstreamState::Ready), start);
-    BOOST_TEST(monitor.onDeparture({ "i-1", WallTime { 1000ms } }));
+    BOOST_TEST(monitor.onDeparture({ "i-1", WallTime { 1000ms } }, wallNow));
     BOOST_TEST(!monitor.announcement().has_value());
     BOOST_CHECK(monitor.onAnnouncement(ofRun(1000ms, 2, membership::UpstreamState::Ready), start) == Verdict::Late);
     BOOST_CHECK(monitor.onAnnouncement(ofRun(2000ms, 1, membership::UpstreamState::Ready), start) == Verdict::Changed);
@@ -109,16 +110,27 @@
 BOOST_AUTO_TEST_CASE(A_departure_binds_a_node_that_has_started_since_the_last_announcement)
 {
     UpstreamMonitor monitor;
-    BOOST_TEST(!monitor.onDeparture({ "i-1", WallTime { 1000ms } }));
+    BOOST_TEST(!monitor.onDeparture({ "i-1", WallTime { 1000ms } }, wallNow));
     BOOST_CHECK(monitor.onAnnouncement(ofRun(1000ms, 12, membership::UpstreamState::Ready), start) == Verdict::Late);
     BOOST_CHECK(monitor.onAnnouncement(ofRun(2000ms, 1, membership::UpstreamState::Ready), start) == Verdict::Changed);
 }
 
+BOOST_AUTO_TEST_CASE(A_departure_that_names_no_run_means_what_started_before_it_and_no_other_instance)
+{
+    UpstreamMonitor monitor;
+    BOOST_TEST(!monitor.onDeparture({ "i-1", std::nullopt }, wallNow));
+    auto successor = ofRun(1200ms, 1, membership::UpstreamState::Ready);
+    successor.run.instance = "i-2";
+    BOOST_CHECK(monitor.onAnnouncement(ofRun(1000ms, 12, membership::UpstreamState::Ready), start) == Verdict::Late);
+    BOOST_CHECK(monitor.onAnnouncement(successor, start) == Verdict::Changed);
+    BOOST_CHECK(monitor.onAnnouncement(ofRun(1600ms, 1, membership::UpstreamState::Ready), start) == Verdict::Changed);
+}
+
 BOOST_AUTO_TEST_CASE(A_departure_that_was_overtaken_says_nothing_of_the_run_that_is_held)
 {
     UpstreamMonitor monitor;
     monitor.onAnnouncement(ofRun(2000ms, 1, membership::UpstreamState::Ready), start);
-    BOOST_TEST(!monitor.onDeparture({ "i-0", WallTime { 1000ms } }));
+    BOOST_TEST(!monitor.onDeparture({ "i-0", WallTime { 1000ms } }, wallNow));
     BOOST_CHECK(monitor.onAnnouncement(ofRun(2000ms, 2, membership::UpstreamState::Ready), start) == Verdict::Unchanged);
 }
 
