--- a/packages/node/src/internal/DrainDriver.cpp
+++ b/packages/node/src/internal/DrainDriver.cpp
@@ -10,6 +10,8 @@
     constexpr std::chrono::milliseconds checkInterval { 20 };
     /// Time for the news of the leaving to reach the nodes that still forward calls here.
     constexpr std::chrono::milliseconds leaveNotice { 1'000 };
+    /// Time that a slow machine takes to end the process; whoever asked it to stop kills it when the grace is over.
+    constexpr std::chrono::milliseconds endTime { 400 };
 
 }
 
@@ -25,7 +27,7 @@
     m_ended = std::move(ended);
     m_stopAcceptingAt = now + settings.accept;
     m_closeIdleAt = std::max(now + leaveNotice, m_stopAcceptingAt);
-    m_giveUpAt = now + std::max<std::chrono::microseconds>(settings.grace, leaveNotice);
+    m_giveUpAt = now + std::max<std::chrono::microseconds>(settings.grace - endTime, leaveNotice);
     m_gateway.announceClose();
     check();
 }
