--- a/packages/client/src/Explanation.cpp
+++ b/packages/client/src/Explanation.cpp
@@ -63,9 +63,14 @@
         Milliseconds waiting {};
     };
 
+    /// A node may be asked twice; an attempt that did not run reached its backend server only where that refused it.
     const BackendEnded* backendOf(const CallTrace& trace, const AttemptEnded& attempt)
     {
-        const auto it = std::find_if(trace.backends.begin(), trace.backends.end(), [&](const BackendEnded& backend) { return backend.process == "node/" + attempt.node; });
+        const bool hasRun = attempt.outcome != "not-run";
+        const auto it = std::find_if(trace.backends.begin(), trace.backends.end(), [&](const BackendEnded& backend) {
+            const bool isRefusal = backend.result == "refused" || backend.result == "connect-failed";
+            return backend.process == "node/" + attempt.node && isRefusal != hasRun;
+        });
         return it == trace.backends.end() ? nullptr : &*it;
     }
 
--- a/packages/client/tests/ExplainTests.cpp
+++ b/packages/client/tests/ExplainTests.cpp
@@ -105,6 +105,18 @@
     BOOST_TEST(mentions(it, "its backend server: connection-lost after 70.0 ms"), textOf(it));
 }
 
+BOOST_AUTO_TEST_CASE(The_backend_server_of_a_node_that_was_asked_twice_belongs_to_the_attempt_that_ran)
+{
+    LogLines log;
+    log.add(900, "a", "attempt-ended", attempt(1, "b", "not-run", "overloaded", 2))
+        .add(980, "b", "backend-ended", backend("connection-lost", 70))
+        .add(990, "a", "attempt-ended", attempt(2, "b", "unknown", "upstream-connection-lost", 80))
+        .add(1000, "a", "call-ended", end(502, "unknown", "upstream-connection-lost", 85));
+    const auto it = explained(log);
+    BOOST_TEST(mentions(it, "Attempt 1 at b ended after 2.0 ms as not-run (overloaded); no line"), textOf(it));
+    BOOST_TEST(mentions(it, "Attempt 2 at b ended after 80.0 ms as unknown (upstream-connection-lost); its backend server: connection-lost"), textOf(it));
+}
+
 BOOST_AUTO_TEST_CASE(A_call_whose_end_is_not_in_the_logs_is_unfinished_and_one_without_a_line_is_not_seen)
 {
     LogLines log;
