--- a/tests/process/tests/ExplainTests.cpp
+++ b/tests/process/tests/ExplainTests.cpp
@@ -30,7 +30,7 @@
         arguments.insert(arguments.end(), { "explain", id, directory.write("node-a.log", a.process().output()), directory.write("node-b.log", b.process().output()) });
         Process client { programs::carobpath, arguments, (directory.path() / "explain.err").string() };
         BOOST_TEST(client.waitForExit() == 0);
-        const auto text = client.output();
+        auto text = client.output();
         BOOST_TEST_MESSAGE(text);
         return text;
     }
@@ -54,8 +54,10 @@
 {
     serveAtB();
     backendB.set(R"({"workMs": 1200})");
+    constexpr int busyCalls = 24;
     std::vector<std::future<CallerAnswer>> busy;
-    for (int i = 0; i < 24; ++i)
+    busy.reserve(busyCalls);
+    for (int i = 0; i < busyCalls; ++i)
         busy.push_back(std::async(std::launch::async, [&, i] { return call(a.outbound(), fleetRequest("/shop/orders/1", "busy-" + std::to_string(i), "POST")); }));
     std::this_thread::sleep_for(300ms);
     auto refused = fleetRequest("/shop/orders/2", "c-refused", "POST");
