--- a/packages/client/include/carobpath/client/Explanation.h
+++ b/packages/client/include/carobpath/client/Explanation.h
@@ -8,7 +8,7 @@
 namespace carobpath::client {
 
 /// What became of a call, from its caller's point of view.
-enum class CallFate {
+enum class CallResult {
     /// Answered by a backend server, within the route's objective where it has one.
     Served,
     /// Answered by a backend server later than the route's objective.
@@ -29,11 +29,11 @@
     NotSeen,
 };
 
-std::string_view toString(CallFate);
+std::string_view toString(CallResult);
 
 /// Why a call ended as it did.
 struct Explanation {
-    CallFate fate = CallFate::NotSeen;
+    CallResult result = CallResult::NotSeen;
     /// The reason code of the answer; empty where a backend server answered.
     std::string reason;
     /// Sentences for people: what happened, in the order of its weight.
--- a/packages/client/src/CallTrace.cpp
+++ b/packages/client/src/CallTrace.cpp
@@ -53,8 +53,8 @@
 
     std::string processOf(const std::string& node) { return "node/" + node; }
 
-    /// Lines about calls that one process wrote, or left out, between two lines of the same kind.
-    struct Silence {
+    /// Lines about calls that one process left out between two lines of the same kind that it wrote.
+    struct Gap {
         LeftOutLines lines;
         HybridTime from;
         HybridTime to;
@@ -80,7 +80,7 @@
 
         CallTrace take()
         {
-            keepSilences();
+            keepGaps();
             keepBeliefs();
             return std::move(m_trace);
         }
@@ -101,19 +101,19 @@
         void addCallEvent(const TimelineEvent& event, std::string_view name)
         {
             if (event.line.find("\"leftOut\"") != std::string::npos)
-                addSilence(event, name);
+                addGap(event, name);
             m_lastOfKind[{ event.process, std::string { name } }] = event.hybrid;
             if (event.line.find(m_mark) != std::string::npos)
                 addLine(event);
         }
 
-        void addSilence(const TimelineEvent& event, std::string_view name)
+        void addGap(const TimelineEvent& event, std::string_view name)
         {
             const std::string kind { name };
             const auto count = numberIn(json::parse(event.line, nullptr, false), "leftOut");
             const auto before = m_lastOfKind.find({ event.process, kind });
             const auto from = before == m_lastOfKind.end() ? HybridTime {} : before->second;
-            m_silences.push_back({ { event.process, kind, count }, from, event.hybrid });
+            m_gaps.push_back({ { event.process, kind, count }, from, event.hybrid });
         }
 
         void addLine(const TimelineEvent& event)
@@ -178,9 +178,9 @@
         HybridTime end() const { return m_trace.lines.back().hybrid; }
 
         /// A process may have left out a line of the call where its lines before and after enclose a part of the call.
-        void keepSilences()
+        void keepGaps()
         {
-            for (auto& it : m_silences) {
+            for (auto& it : m_gaps) {
                 const bool overlaps = m_trace.lines.empty() || (it.to >= m_start && it.from <= end());
                 const bool isOnPath = !m_trace.end || m_processes.contains(it.lines.process);
                 if (overlaps && isOnPath)
@@ -205,7 +205,7 @@
         CallTrace m_trace;
         std::set<std::string> m_processes;
         std::map<std::pair<std::string, std::string>, HybridTime> m_lastOfKind;
-        std::vector<Silence> m_silences;
+        std::vector<Gap> m_gaps;
         std::vector<const TimelineEvent*> m_beliefs;
         HybridTime m_start { WallTime::max(), 0 };
     };
--- a/packages/client/src/ExplainCommand.cpp
+++ b/packages/client/src/ExplainCommand.cpp
@@ -36,7 +36,7 @@
     {
         return {
             { "request", trace.request.value() },
-            { "result", toString(explanation.fate) },
+            { "result", toString(explanation.result) },
             { "reason", explanation.reason },
             { "causes", explanation.causes },
             { "nextStep", explanation.nextStep },
@@ -62,7 +62,7 @@
     void print(const Context& context, const CallTrace& trace, const Explanation& explanation)
     {
         const auto reason = explanation.reason.empty() ? std::string {} : " (" + explanation.reason + ")";
-        context.printText(trace.request.value() + ": " + std::string { toString(explanation.fate) } + reason);
+        context.printText(trace.request.value() + ": " + std::string { toString(explanation.result) } + reason);
         for (const auto& it : explanation.causes)
             context.printText("  " + it);
         context.printText("Next: " + explanation.nextStep);
@@ -81,7 +81,7 @@
         print(context, trace, explanation);
         if (!logs.isReadable)
             return ExitCode::WrongInput;
-        return explanation.fate == CallFate::NotSeen ? ExitCode::NotFound : ExitCode::Ok;
+        return explanation.result == CallResult::NotSeen ? ExitCode::NotFound : ExitCode::Ok;
     }
 
 }
--- a/packages/client/src/Explanation.cpp
+++ b/packages/client/src/Explanation.cpp
@@ -12,16 +12,16 @@
 
     using Milliseconds = std::chrono::duration<double, std::milli>;
 
-    constexpr std::array<EnumRow<CallFate>, 9> fates { {
-        { CallFate::Served, "served" },
-        { CallFate::Late, "late" },
-        { CallFate::ServerError, "server-error" },
-        { CallFate::Refused, "refused" },
-        { CallFate::Unknown, "unknown" },
-        { CallFate::CutShort, "cut-short" },
-        { CallFate::CallerGone, "caller-gone" },
-        { CallFate::Unfinished, "unfinished" },
-        { CallFate::NotSeen, "not-seen" },
+    constexpr std::array<EnumRow<CallResult>, 9> results { {
+        { CallResult::Served, "served" },
+        { CallResult::Late, "late" },
+        { CallResult::ServerError, "server-error" },
+        { CallResult::Refused, "refused" },
+        { CallResult::Unknown, "unknown" },
+        { CallResult::CutShort, "cut-short" },
+        { CallResult::CallerGone, "caller-gone" },
+        { CallResult::Unfinished, "unfinished" },
+        { CallResult::NotSeen, "not-seen" },
     } };
 
     constexpr unsigned firstServerError = 500;
@@ -33,24 +33,24 @@
         return buf.data();
     }
 
-    CallFate fateOf(const CallTrace& trace)
+    CallResult resultOf(const CallTrace& trace)
     {
         if (trace.lines.empty())
-            return CallFate::NotSeen;
+            return CallResult::NotSeen;
         if (!trace.end)
-            return CallFate::Unfinished;
+            return CallResult::Unfinished;
         const auto& end = *trace.end;
         if (end.reason == "cancelled")
-            return CallFate::CallerGone;
+            return CallResult::CallerGone;
         if (!end.cut.empty())
-            return CallFate::CutShort;
+            return CallResult::CutShort;
         if (end.outcome == "not-run")
-            return CallFate::Refused;
+            return CallResult::Refused;
         if (end.outcome != "ran" || !end.reason.empty())
-            return CallFate::Unknown;
+            return CallResult::Unknown;
         if (end.status >= firstServerError)
-            return CallFate::ServerError;
-        return end.objective && end.took > *end.objective ? CallFate::Late : CallFate::Served;
+            return CallResult::ServerError;
+        return end.objective && end.took > *end.objective ? CallResult::Late : CallResult::Served;
     }
 
     /// Where the time of a call went.
@@ -115,42 +115,42 @@
         return line + "; no line tells that its backend server got the call.";
     }
 
-    bool showsAttempts(CallFate fate) { return fate != CallFate::Served && fate != CallFate::NotSeen; }
+    bool showsAttempts(CallResult result) { return result != CallResult::Served && result != CallResult::NotSeen; }
 
-    std::string nextStepOf(CallFate fate, const CallTrace& trace)
+    std::string nextStepOf(CallResult result, const CallTrace& trace)
     {
-        switch (fate) {
-        case CallFate::Served:
+        switch (result) {
+        case CallResult::Served:
             return "Nothing: the call was served.";
-        case CallFate::Late:
+        case CallResult::Late:
             return nextStepAfter(timeSpent(trace));
-        case CallFate::ServerError:
+        case CallResult::ServerError:
             return "Look at the log of the backend server that answered.";
-        case CallFate::CutShort:
+        case CallResult::CutShort:
             return trace.end->cut == "cut-by-receiver" ? "Look at the caller: it took no more of the answer, or its connection broke."
                                                        : "Look at the backend server of the last attempt and the way to it: the answer's body broke off.";
-        case CallFate::Unfinished:
+        case CallResult::Unfinished:
             return "Take in the log of the node that the call entered; the call may be running, or the node ended in its midst.";
-        case CallFate::NotSeen:
+        case CallResult::NotSeen:
             return "Take in the logs of all nodes of that time; a caller may also have sent the call elsewhere.";
-        case CallFate::Refused:
-        case CallFate::Unknown:
-        case CallFate::CallerGone:
+        case CallResult::Refused:
+        case CallResult::Unknown:
+        case CallResult::CallerGone:
             break;
         }
         return std::string { Detail::guideOf(trace.end->reason).nextStep };
     }
 
-    std::vector<std::string> causesOf(CallFate fate, const CallTrace& trace)
+    std::vector<std::string> causesOf(CallResult result, const CallTrace& trace)
     {
         std::vector<std::string> causes;
         if (trace.end && !trace.end->reason.empty())
             causes.emplace_back(Detail::guideOf(trace.end->reason).meaning);
-        if (trace.end && fate == CallFate::Late)
+        if (trace.end && result == CallResult::Late)
             causes.push_back("The answer took longer than the objective of " + text(*trace.end->objective) + ".");
         if (trace.end && !trace.attempts.empty())
             causes.push_back(describeTime(trace));
-        if (showsAttempts(fate)) {
+        if (showsAttempts(result)) {
             for (const auto& it : trace.attempts)
                 causes.push_back(describeAttempt(trace, it));
         }
@@ -159,15 +159,15 @@
 
 }
 
-std::string_view toString(CallFate fate) { return enumText(fates, fate); }
+std::string_view toString(CallResult result) { return enumText(results, result); }
 
 Explanation explain(const CallTrace& trace)
 {
     Explanation it;
-    it.fate = fateOf(trace);
+    it.result = resultOf(trace);
     it.reason = trace.end ? trace.end->reason : "";
-    it.causes = causesOf(it.fate, trace);
-    it.nextStep = nextStepOf(it.fate, trace);
+    it.causes = causesOf(it.result, trace);
+    it.nextStep = nextStepOf(it.result, trace);
     return it;
 }
 
--- a/packages/client/tests/ExplainTests.cpp
+++ b/packages/client/tests/ExplainTests.cpp
@@ -40,7 +40,7 @@
 
     std::string textOf(const Explanation& it)
     {
-        std::string text { toString(it.fate) };
+        std::string text { toString(it.result) };
         for (const auto& cause : it.causes)
             text += " | " + cause;
         return text;
@@ -54,24 +54,24 @@
 {
     struct Row {
         nlohmann::ordered_json end;
-        CallFate fate;
+        CallResult result;
     };
     auto cut = end(200, "ran", "", 20);
     cut["answer"] = "cut-by-upstream";
     const std::vector<Row> rows {
-        { end(200, "ran", "", 20), CallFate::Served },
-        { end(200, "ran", "", 301), CallFate::Late },
-        { end(500, "ran", "", 20), CallFate::ServerError },
-        { end(503, "not-run", "overloaded", 20), CallFate::Refused },
-        { end(504, "unknown", "deadline-exceeded", 900), CallFate::Unknown },
-        { end(409, "ran", "duplicate-ran", 1), CallFate::Unknown },
-        { cut, CallFate::CutShort },
-        { end(0, "unknown", "cancelled", 20), CallFate::CallerGone },
+        { end(200, "ran", "", 20), CallResult::Served },
+        { end(200, "ran", "", 301), CallResult::Late },
+        { end(500, "ran", "", 20), CallResult::ServerError },
+        { end(503, "not-run", "overloaded", 20), CallResult::Refused },
+        { end(504, "unknown", "deadline-exceeded", 900), CallResult::Unknown },
+        { end(409, "ran", "duplicate-ran", 1), CallResult::Unknown },
+        { cut, CallResult::CutShort },
+        { end(0, "unknown", "cancelled", 20), CallResult::CallerGone },
     };
     for (const auto& row : rows) {
         LogLines log;
         log.add(1000, "a", "call-ended", row.end);
-        BOOST_TEST(toString(explained(log).fate) == toString(row.fate));
+        BOOST_TEST(toString(explained(log).result) == toString(row.result));
     }
 }
 
@@ -100,7 +100,7 @@
     LogLines log;
     log.add(980, "b", "backend-ended", backend("connection-lost", 70)).add(990, "a", "attempt-ended", attempt(1, "b", "unknown", "upstream-connection-lost", 80)).add(1000, "a", "call-ended", end(502, "unknown", "upstream-connection-lost", 81));
     const auto it = explained(log);
-    BOOST_TEST((it.fate == CallFate::Unknown));
+    BOOST_TEST((it.result == CallResult::Unknown));
     BOOST_TEST(it.reason == "upstream-connection-lost");
     BOOST_TEST(mentions(it, "its backend server: connection-lost after 70.0 ms"), textOf(it));
 }
@@ -120,9 +120,9 @@
 BOOST_AUTO_TEST_CASE(A_call_whose_end_is_not_in_the_logs_is_unfinished_and_one_without_a_line_is_not_seen)
 {
     LogLines log;
-    BOOST_TEST((explained(log).fate == CallFate::NotSeen));
+    BOOST_TEST((explained(log).result == CallResult::NotSeen));
     log.add(980, "b", "backend-ended", backend("answered", 70));
-    BOOST_TEST((explained(log).fate == CallFate::Unfinished));
+    BOOST_TEST((explained(log).result == CallResult::Unfinished));
 }
 
 BOOST_AUTO_TEST_CASE(Every_reason_that_a_node_gives_has_its_meaning_and_a_next_step)
