Answer a request that had come before its idle connection is closed

The read that had ended was dealt with after the close: the call ran and its answer met a closed socket. Ruled out: the time of grace (it ended later), the upstream (it answered). Change: idle connections are closed only after what has come was dealt with, and not where bytes wait; a request that is being read counts as busy; a stopping node ends no sooner than the check after that.

--- a/packages/gateway/src/internal/ServerSession.cpp
+++ b/packages/gateway/src/internal/ServerSession.cpp
@@ -3,6 +3,7 @@
 #include "internal/BodyRelay.h"
 #include "internal/SocketOptions.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
@@ -266,7 +267,14 @@
 {
     m_closeAnnounced = true;
     m_closeWhenIdle = true;
-    if (m_state == State::Idle)
+    // A request may be here whose bytes were not dealt with yet, after this process was held up.
+    boost::asio::post(m_stream.get_executor(), [self = shared_from_this()] { self->closeUnlessAsked(); });
+}
+
+void ServerSession::closeUnlessAsked()
+{
+    boost::system::error_code ec;
+    if (m_state == State::Idle && m_stream.socket().available(ec) == 0)
         close();
 }
 
--- a/packages/gateway/src/internal/ServerSession.h
+++ b/packages/gateway/src/internal/ServerSession.h
@@ -68,8 +68,8 @@
     /// No further request is taken; the connection closes once it is idle.
     void closeWhenIdle();
 
-    /// True while a request waits for its answer or the answer is being written.
-    bool isBusy() const { return m_state == State::Handling || m_state == State::Answering; }
+    /// True while a request is being read, waits for its answer, or the answer is being written.
+    bool isBusy() const { return m_state == State::Reading || m_state == State::Handling || m_state == State::Answering; }
 
 private:
     enum class State : std::uint8_t {
@@ -90,6 +90,7 @@
     void writeWhole();
     void writeInterim();
     void close();
+    void closeUnlessAsked();
 
     boost::beast::tcp_stream m_stream;
     boost::asio::steady_timer m_interimTimer;
--- a/packages/node/src/internal/DrainDriver.cpp
+++ b/packages/node/src/internal/DrainDriver.cpp
@@ -37,9 +37,10 @@
     const auto now = MonotonicClock::now();
     if (now >= m_stopAcceptingAt)
         m_gateway.stopAccepting();
-    if (now >= m_closeIdleAt)
+    // Requests that had come when the idle connections were closed show at the next check.
+    const bool isIdle = std::exchange(m_idleClosed, now >= m_closeIdleAt) && m_gateway.inFlight() == 0;
+    if (m_idleClosed)
         m_gateway.closeIdle();
-    const bool isIdle = now >= m_closeIdleAt && m_gateway.inFlight() == 0;
     if (isIdle || now >= m_giveUpAt)
         m_ended();
     else
--- a/packages/node/src/internal/DrainDriver.h
+++ b/packages/node/src/internal/DrainDriver.h
@@ -30,6 +30,7 @@
     MonotonicTime m_stopAcceptingAt;
     MonotonicTime m_closeIdleAt;
     MonotonicTime m_giveUpAt;
+    bool m_idleClosed = false;
 };
 
 }
