Let a reported service time fade

Cause: the service time that an upstream reports with an answer never faded, only its number of calls did. An upstream that reported a long time while it was busy, and was idle since, stayed the dearer of two candidates and got no call that would have corrected the report.

Change: the reported time decays with the half-life of the observed latency, down to half of the mean latency, so that the upstream is tried again and yet does not draw all calls.

Ruled out: decay towards the mean, which never falls below the time of a faster upstream that all calls go to.

--- a/packages/routing/include/carobpath/routing/UpstreamStatistics.h
+++ b/packages/routing/include/carobpath/routing/UpstreamStatistics.h
@@ -44,8 +44,11 @@
     static constexpr std::chrono::milliseconds s_notServingTime { 5000 };
     /// Half-life of the reported number of calls: half of them are assumed to have finished after this time.
     static constexpr std::chrono::milliseconds s_loadHalfLife { 300 };
-    /// Half-life of the observed latency, which decays without new answers.
+    /// Half-life of the observed latency and of the reported service time, which decay without new answers.
     static constexpr std::chrono::seconds s_latencyHalfLife { 10 };
+    /// The reported service time decays to this fraction of the mean latency: low enough that an upstream which was
+    /// slow is tried again, and not so low that all calls go to the upstream that was idle longest.
+    static constexpr double s_minServiceFraction = 0.5;
 
     enum class Status : std::uint8_t {
         Healthy,
@@ -70,7 +73,7 @@
     double latencySeconds(double mean, MonotonicTime now) const;
     bool hasLoad() const { return m_loadAt != MonotonicTime {} && m_load.limit > 0; }
     /// \returns the expected time until an answer, based on the load reported last and the calls that this node has
-    /// sent since; \p mean is used while nothing is known. The reported load decays with its age.
+    /// sent since; \p mean is used while nothing is known. The reported load and service time decay with their age.
     double expectedSeconds(double mean, MonotonicTime now) const;
     double errorRate() const { return m_errorRate; }
     std::uint32_t inFlight() const { return m_inFlight; }
@@ -78,6 +81,7 @@
     bool connectionsSuspect() const { return m_connectionsSuspect; }
 
 private:
+    double reportedServiceSeconds(double mean, MonotonicTime now) const;
     void countFailure(MonotonicTime now);
     void countAnswer(std::chrono::nanoseconds latency, bool error, MonotonicTime now);
 
--- a/packages/routing/src/UpstreamStatistics.cpp
+++ b/packages/routing/src/UpstreamStatistics.cpp
@@ -70,11 +70,20 @@
     const double reportedCalls = m_load.calls * std::exp2(-age / halfLife);
     const double sentSince = m_inFlight > m_inFlightAtLoad ? m_inFlight - m_inFlightAtLoad : 0;
     const double calls = std::max<double>(reportedCalls + sentSince, m_inFlight) + 1;
-    const double service = m_load.serviceTime.count() > 0 ? std::chrono::duration<double>(m_load.serviceTime).count() : mean;
+    const double service = m_load.serviceTime.count() > 0 ? reportedServiceSeconds(mean, now) : mean;
     // A few free slots make little difference, but a queue adds one service time for each round of calls in it.
     return service * std::max(1.0, calls / m_load.limit);
 }
 
+double UpstreamStatistics::reportedServiceSeconds(double mean, MonotonicTime now) const
+{
+    const std::chrono::duration<double> age = now - m_loadAt;
+    const std::chrono::duration<double> halfLife = s_latencyHalfLife;
+    const double reported = toSeconds(m_load.serviceTime);
+    const double floor = std::min(reported, s_minServiceFraction * mean);
+    return std::max(reported * std::exp2(-age / halfLife), floor);
+}
+
 void UpstreamStatistics::countFailure(MonotonicTime now)
 {
     ++m_failuresInRow;
