--- a/packages/foundation/include/carobpath/foundation/NodeSettings.h
+++ b/packages/foundation/include/carobpath/foundation/NodeSettings.h
@@ -67,6 +67,8 @@
     struct Limits {
         std::uint64_t headerBytes = 0;
         std::uint64_t bodyBytes = 0;
+        std::int64_t pipelinedRequests = 0;
+        std::uint64_t readAheadBytes = 0;
         std::int64_t callerConnections = 0;
         /// 0 where the link is not known.
         double linkMegabits = 0;
--- a/packages/foundation/src/NodeSettings.cpp
+++ b/packages/foundation/src/NodeSettings.cpp
@@ -124,6 +124,12 @@
         it.withDefault(
             "limits.body-bytes", sizeSetting(0, 64 * mebibyte), "1MiB", [](auto& s) -> auto& { return s.limits.bodyBytes; },
             "Size of a request's body.");
+        it.withDefault(
+            "limits.pipelined-requests", integerSetting(1, 1'000), "16", [](auto& s) -> auto& { return s.limits.pipelinedRequests; },
+            "Requests of one connection that are read before the first of them is answered.");
+        it.withDefault(
+            "limits.read-ahead-bytes", sizeSetting(kibibyte, 64 * mebibyte), "64KiB", [](auto& s) -> auto& { return s.limits.readAheadBytes; },
+            "Bytes of one connection that are held unread behind those requests.");
         it.withDefault(
             "limits.caller-connections", integerSetting(1, 100'000), "2000", [](auto& s) -> auto& { return s.limits.callerConnections; },
             "Open connections from callers.");
--- a/packages/gateway/include/carobpath/gateway/GatewayHooks.h
+++ b/packages/gateway/include/carobpath/gateway/GatewayHooks.h
@@ -97,6 +97,8 @@
     std::function<void(const CallObservation&)> onCall;
     std::function<void(const AttemptObservation&)> onAttempt;
     std::function<void(const AdmissionRefusal&)> onAdmissionRefused;
+    /// This many pipelined requests of callers were read and not handled when their connection ended.
+    std::function<void(std::size_t)> onRequestsDropped;
     /// Reads the hybrid clock as text, for a message to another node.
     std::function<std::string()> hybridNow;
     /// A message from another node came with this reading.
--- a/packages/gateway/src/AdminServer.cpp
+++ b/packages/gateway/src/AdminServer.cpp
@@ -11,20 +11,20 @@
 public:
     Implementation(boost::asio::io_context& context, Handler chosenHandler)
         : handler(std::move(chosenHandler))
-        , listener(std::make_shared<Detail::Listener>(context, limits, dialect, Detail::ServerSession::Handlers { [this](const auto& session) { handle(*session); }, nullptr }))
+        , listener(std::make_shared<Detail::Listener>(context, limits, dialect, Detail::ServerSession::Handlers { [this](const auto& exchange) { handle(*exchange); }, nullptr, nullptr, nullptr }))
     {
     }
 
-    void handle(Detail::ServerSession& session)
+    void handle(Detail::ServerExchange& exchange)
     {
-        const auto& request = session.request();
+        const auto& request = exchange.request();
         const std::string_view target = request.target();
         const AdminRequest asked { std::string { request.method_string() }, std::string { target.substr(0, target.find('?')) }, request.body() };
         AdminResponse answer = handler(asked);
         Detail::Response response { static_cast<Detail::http::status>(answer.status), 11 };
         response.set(Detail::http::field::content_type, answer.contentType);
         response.body() = std::move(answer.body);
-        session.respond(std::move(response));
+        exchange.respond(std::move(response));
     }
 
     GatewayLimits limits;
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -17,15 +17,17 @@
 
     constexpr std::chrono::seconds poolSweep { 1 };
 
-    Detail::ServerSession::Handlers handlersOf(Detail::EntryHandler& entry)
+    Detail::ServerSession::Handlers handlersOf(Detail::EntryHandler& entry, const GatewayHooks& hooks)
     {
-        return { [&entry](const auto& session) { entry.handle(session); },
-            [&entry](const routing::Refusal& refusal, MonotonicTime arrivedAt) { entry.onUnreadable(refusal, arrivedAt); } };
+        return { [&entry](const auto& exchange) { entry.handle(exchange); },
+            [&entry](const Detail::Request& request) { return entry.isSafe(request); },
+            [&entry](const routing::Refusal& refusal, MonotonicTime arrivedAt) { entry.onUnreadable(refusal, arrivedAt); },
+            hooks.onRequestsDropped };
     }
 
     Detail::ServerSession::Handlers handlersOf(Detail::AdmissionHandler& admission)
     {
-        return { [&admission](const auto& session) { admission.handle(session); }, nullptr };
+        return { [&admission](const auto& exchange) { admission.handle(exchange); }, nullptr, nullptr, nullptr };
     }
 
 }
@@ -40,7 +42,7 @@
         , pool(context, limits)
         , entry(context, router, pool, limits, hooks, dialect, std::move(identity))
         , admission(context, controller, pool, limits, hooks, dialect)
-        , callers(std::make_shared<Detail::Listener>(context, limits, dialect, handlersOf(entry)))
+        , callers(std::make_shared<Detail::Listener>(context, limits, dialect, handlersOf(entry, hooks)))
         , calls(std::make_shared<Detail::Listener>(context, limits, ownDialect, handlersOf(admission)))
         , sweep(context)
     {
--- a/packages/gateway/src/internal/AdmissionHandler.cpp
+++ b/packages/gateway/src/internal/AdmissionHandler.cpp
@@ -43,21 +43,21 @@
     m_backend = std::move(backend);
 }
 
-void AdmissionHandler::handle(const ServerSession::Pointer& session)
+void AdmissionHandler::handle(const ServerExchange::Pointer& exchange)
 {
     const auto now = MonotonicClock::now();
-    const auto request = admissionRequest(session->request(), now - waitOnTheWay(session->request(), now));
+    const auto request = admissionRequest(exchange->request(), now - waitOnTheWay(exchange->request(), now));
     if (!request) {
-        session->refuse(routing::Refusal { routing::Outcome::NotRun, routing::RefusalReason::MalformedRequest, std::nullopt }, {});
+        exchange->refuse(routing::Refusal { routing::Outcome::NotRun, routing::RefusalReason::MalformedRequest, std::nullopt }, {});
         return;
     }
     if (m_hooks.onHybridTime)
-        m_hooks.onHybridTime(hybridTimeOf(session->request()));
+        m_hooks.onHybridTime(hybridTimeOf(exchange->request()));
     if (m_calls.contains(request->id)) {
-        session->refuse(routing::Refusal { routing::Outcome::Unknown, routing::RefusalReason::DuplicateInProgress, std::nullopt }, request->id.value());
+        exchange->refuse(routing::Refusal { routing::Outcome::Unknown, routing::RefusalReason::DuplicateInProgress, std::nullopt }, request->id.value());
         return;
     }
-    auto call = std::make_shared<AdmittedCall>(*this, session, *request);
+    auto call = std::make_shared<AdmittedCall>(*this, exchange, *request);
     m_calls.emplace(request->id, call);
     call->wait();
     perform(m_controller.onArrival(*request, now));
--- a/packages/gateway/src/internal/AdmissionHandler.h
+++ b/packages/gateway/src/internal/AdmissionHandler.h
@@ -7,7 +7,7 @@
 #include "carobpath/routing/AdmissionController.h"
 #include "carobpath/routing/TransitDelay.h"
 #include "internal/ConnectionPool.h"
-#include "internal/ServerSession.h"
+#include "internal/ServerExchange.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -28,7 +28,7 @@
     /// Connections to the backend server before it are used no more.
     void setBackend(std::optional<Backend>);
 
-    void handle(const ServerSession::Pointer&);
+    void handle(const ServerExchange::Pointer&);
 
     /// Carries out what the admission controller decided outside of a call, such as on a change of the upstream.
     void perform(const routing::AdmissionCommands&);
--- a/packages/gateway/src/internal/AdmittedCall.cpp
+++ b/packages/gateway/src/internal/AdmittedCall.cpp
@@ -66,17 +66,17 @@
 
 }
 
-AdmittedCall::AdmittedCall(AdmissionHandler& handler, ServerSession::Pointer session, routing::AdmissionRequest request)
+AdmittedCall::AdmittedCall(AdmissionHandler& handler, ServerExchange::Pointer caller, routing::AdmissionRequest request)
     : m_handler(handler)
-    , m_session(std::move(session))
+    , m_caller(std::move(caller))
     , m_request(std::move(request))
 {
 }
 
 void AdmittedCall::wait()
 {
-    m_session->onGone([self = shared_from_this()] { self->onCallerGone(); });
-    m_session->sendInterimAnswers();
+    m_caller->onGone([self = shared_from_this()] { self->onCallerGone(); });
+    m_caller->sendInterimAnswers();
 }
 
 void AdmittedCall::dispatch(const std::optional<Backend>& backend)
@@ -93,14 +93,14 @@
     target.headerDeadline = m_request.deadline;
     target.requestId = m_request.id;
     target.requestIdField = m_handler.m_dialect.backendRequestId;
-    m_exchange->start(std::move(target), backendRequest(m_session->request(), m_request, m_handler.m_dialect, backend->instance, m_dispatchedAt),
+    m_exchange->start(std::move(target), backendRequest(m_caller->request(), m_request, m_handler.m_dialect, backend->instance, m_dispatchedAt),
         [self = shared_from_this()](std::optional<ExchangeFailure> failure) { self->onHeader(failure); });
 }
 
 void AdmittedCall::reject(const routing::Refusal& refusal)
 {
     m_finished = true;
-    m_session->refuse(refusal, m_request.id.value());
+    m_caller->refuse(refusal, m_request.id.value());
 }
 
 void AdmittedCall::onHeader(std::optional<ExchangeFailure> failure)
@@ -117,11 +117,11 @@
 void AdmittedCall::onFailure(ExchangeFailure failure)
 {
     if (failure == ExchangeFailure::Cancelled)
-        m_session->abandon();
+        m_caller->abandon();
     else if (failure == ExchangeFailure::ConnectionLost)
-        m_handler.probeBackend([self = shared_from_this(), failure] { self->m_session->refuse(refusalOf(failure), self->m_request.id.value()); });
+        m_handler.probeBackend([self = shared_from_this(), failure] { self->m_caller->refuse(refusalOf(failure), self->m_request.id.value()); });
     else
-        m_session->refuse(refusalOf(failure), m_request.id.value());
+        m_caller->refuse(refusalOf(failure), m_request.id.value());
     finish(resultOf(failure));
 }
 
@@ -129,7 +129,7 @@
 {
     const auto refusal = refusalOfBackend(m_exchange->header());
     m_exchange->discard();
-    m_session->refuse(refusal, m_request.id.value());
+    m_caller->refuse(refusal, m_request.id.value());
     finish(routing::BackendResult::Refused);
 }
 
@@ -143,7 +143,7 @@
     if (m_handler.m_hooks.hybridNow)
         header.set(HeaderName::hybridTime, m_handler.m_hooks.hybridNow());
     const bool serverError = header.result_int() >= firstServerError;
-    m_session->relay(m_exchange, std::move(header), [self = shared_from_this(), serverError](AnswerEnd end) {
+    m_caller->relay(m_exchange, std::move(header), [self = shared_from_this(), serverError](AnswerEnd end) {
         if (end != AnswerEnd::Whole)
             self->finish(self->m_exchange->failed() ? routing::BackendResult::ConnectionLost : routing::BackendResult::Cancelled);
         else
@@ -160,7 +160,7 @@
         return;
     }
     m_finished = true;
-    m_session->abandon();
+    m_caller->abandon();
     m_handler.m_calls.erase(m_request.id);
     m_handler.perform(m_handler.m_controller.onCancelled(m_request.id, MonotonicClock::now()));
 }
--- a/packages/gateway/src/internal/AdmittedCall.h
+++ b/packages/gateway/src/internal/AdmittedCall.h
@@ -3,7 +3,7 @@
 #include "carobpath/foundation/Endpoint.h"
 #include "carobpath/routing/Admission.h"
 #include "internal/AdmissionHandler.h"
-#include "internal/ServerSession.h"
+#include "internal/ServerExchange.h"
 #include "internal/UpstreamExchange.h"
 
 #include <memory>
@@ -13,7 +13,7 @@
 /// One forwarded call from its arrival at the admitting node to its answer.
 class AdmittedCall : public std::enable_shared_from_this<AdmittedCall> {
 public:
-    AdmittedCall(AdmissionHandler&, ServerSession::Pointer, routing::AdmissionRequest);
+    AdmittedCall(AdmissionHandler&, ServerExchange::Pointer, routing::AdmissionRequest);
 
     /// Watches for the caller's leaving and keeps the entry node informed while the call waits.
     void wait();
@@ -35,7 +35,7 @@
     void finish(routing::BackendResult);
 
     AdmissionHandler& m_handler;
-    ServerSession::Pointer m_session;
+    ServerExchange::Pointer m_caller;
     routing::AdmissionRequest m_request;
     std::shared_ptr<UpstreamExchange> m_exchange;
     MonotonicTime m_dispatchedAt;
--- a/packages/gateway/src/internal/EntryCall.cpp
+++ b/packages/gateway/src/internal/EntryCall.cpp
@@ -50,9 +50,9 @@
 
 }
 
-EntryCall::EntryCall(EntryHandler& handler, ServerSession::Pointer session, routing::CallRequest call)
+EntryCall::EntryCall(EntryHandler& handler, ServerExchange::Pointer caller, routing::CallRequest call)
     : m_handler(handler)
-    , m_session(std::move(session))
+    , m_caller(std::move(caller))
     , m_call(std::move(call))
     , m_ledgerTimer(handler.m_context)
 {
@@ -61,8 +61,8 @@
 void EntryCall::start()
 {
     const auto now = MonotonicClock::now();
-    m_decision = m_handler.m_router.begin(m_call, now);
-    m_session->onGone([self = shared_from_this()] { self->onCallerGone(); });
+    m_decision = m_handler.m_router.begin(m_call, m_caller->arrivedAt());
+    m_caller->onGone([self = shared_from_this()] { self->onCallerGone(); });
     perform(m_decision->start(now));
 }
 
@@ -87,7 +87,7 @@
     m_attempt = attempt;
     m_attemptStartedAt = MonotonicClock::now();
     m_exchange = std::make_shared<UpstreamExchange>(m_handler.m_pool, m_handler.m_limits);
-    auto request = forwardedRequest(m_session->request(), m_call, attempt, m_attemptStartedAt, m_handler.stampAt(m_attemptStartedAt));
+    auto request = forwardedRequest(m_caller->request(), m_call, attempt, m_attemptStartedAt, m_handler.stampAt(m_attemptStartedAt));
     m_exchange->start(targetOf(attempt), std::move(request),
         [self = shared_from_this()](std::optional<ExchangeFailure> failure) { self->onHeader(failure); });
 }
@@ -150,7 +150,7 @@
     if (std::exchange(m_answered, true))
         return;
     reportKeyOutcome();
-    m_session->refuse(refusal, m_call.id.value(), [self = shared_from_this(), refusal](AnswerEnd end) {
+    m_caller->refuse(refusal, m_call.id.value(), [self = shared_from_this(), refusal](AnswerEnd end) {
         self->observe(self->m_handler.m_dialect.refusalStatus(refusal), refusal.outcome, refusal.reason, end);
     });
 }
@@ -173,16 +173,16 @@
     const unsigned status = m_exchange->header().result_int();
     const auto outcome = outcomeOf(m_exchange->header()).value_or(routing::Outcome::Unknown);
     const auto reason = reasonOf(m_exchange->header());
-    m_session->relay(answerBody(), headerForCaller(), [self = shared_from_this(), status, outcome, reason](AnswerEnd end) {
+    m_caller->relay(answerBody(), headerForCaller(), [self = shared_from_this(), status, outcome, reason](AnswerEnd end) {
         self->observe(status, outcome, reason, end);
     });
 }
 
 std::shared_ptr<BodySource> EntryCall::answerBody()
 {
-    const bool wholeAsked = m_session->request().count(http::field::range) == 0;
+    const bool wholeAsked = m_caller->request().count(http::field::range) == 0;
     const auto body = resumableBodyOf(*m_exchange);
-    if (!wholeAsked || !body || m_session->request().method() != http::verb::get)
+    if (!wholeAsked || !body || m_caller->request().method() != http::verb::get)
         return m_exchange;
     return std::make_shared<ResumingBody>(m_exchange, *body,
         [self = shared_from_this()](const ResumableBody& it, std::uint64_t from, auto handOver) { self->askRest(it, from, std::move(handOver)); });
@@ -196,7 +196,7 @@
         handOver(nullptr);
         return;
     }
-    Request request { m_session->request() };
+    Request request { m_caller->request() };
     request.set(http::field::range, "bytes=" + std::to_string(from) + "-");
     request.set(http::field::if_range, body.entityTag);
     auto rest = std::make_shared<UpstreamExchange>(m_handler.m_pool, m_handler.m_limits);
@@ -222,7 +222,7 @@
         m_exchange->cancel();
     reportKeyOutcome();
     observe(0, routing::Outcome::Unknown, routing::RefusalReason::Cancelled, AnswerEnd::CutByReceiver);
-    m_session->abandon();
+    m_caller->abandon();
 }
 
 void EntryCall::observeAttempt(const routing::AttemptResult& result)
@@ -254,7 +254,7 @@
     observation.outcome = outcome;
     observation.reason = reason;
     observation.attempts = m_attempt ? m_attempt->number : 0;
-    observation.latency = MonotonicClock::now() - m_session->arrivedAt();
+    observation.latency = MonotonicClock::now() - m_caller->arrivedAt();
     observation.configuration = m_decision->configurationOffset();
     if (const auto* route = m_decision->route()) {
         observation.route = route->name;
--- a/packages/gateway/src/internal/EntryCall.h
+++ b/packages/gateway/src/internal/EntryCall.h
@@ -13,7 +13,7 @@
 /// One caller's call from its header to its final answer. Carries the commands of its decision out.
 class EntryCall : public std::enable_shared_from_this<EntryCall> {
 public:
-    EntryCall(EntryHandler&, ServerSession::Pointer, routing::CallRequest);
+    EntryCall(EntryHandler&, ServerExchange::Pointer, routing::CallRequest);
 
     void start();
 
@@ -35,7 +35,7 @@
     void observe(unsigned status, routing::Outcome, std::optional<routing::RefusalReason>, AnswerEnd);
 
     EntryHandler& m_handler;
-    ServerSession::Pointer m_session;
+    ServerExchange::Pointer m_caller;
     routing::CallRequest m_call;
     std::shared_ptr<routing::CallDecision> m_decision;
     std::shared_ptr<UpstreamExchange> m_exchange;
--- a/packages/gateway/src/internal/EntryHandler.cpp
+++ b/packages/gateway/src/internal/EntryHandler.cpp
@@ -76,9 +76,15 @@
     return { { m_identity.node, m_identity.incarnation, sentAt }, m_hooks.hybridNow ? m_hooks.hybridNow() : std::string {} };
 }
 
-void EntryHandler::handle(const ServerSession::Pointer& session)
+bool EntryHandler::isSafe(const Request& request) const
 {
-    const Request& request = session->request();
+    const std::string_view target = request.target();
+    return m_router.isRepeatable(hostWithoutPort(request[http::field::host]), request.method_string(), target.substr(0, target.find('?')));
+}
+
+void EntryHandler::handle(const ServerExchange::Pointer& exchange)
+{
+    const Request& request = exchange->request();
     routing::CallRequest call;
     const auto id = idOf(request);
     call.id = id.value_or(RequestId {});
@@ -91,17 +97,17 @@
     call.callerTimeout = milliseconds(request, m_dialect.callerTimeout);
     call.fingerprint = fingerprintOf(request);
     if (!id || isMalformed(request, call)) {
-        refuseMalformed(session, call.id);
+        refuseMalformed(exchange, call.id);
         return;
     }
-    std::make_shared<EntryCall>(*this, session, std::move(call))->start();
+    std::make_shared<EntryCall>(*this, exchange, std::move(call))->start();
 }
 
-void EntryHandler::refuseMalformed(const ServerSession::Pointer& session, const RequestId& id)
+void EntryHandler::refuseMalformed(const ServerExchange::Pointer& exchange, const RequestId& id)
 {
     const routing::Refusal refusal { routing::Outcome::NotRun, routing::RefusalReason::MalformedRequest, std::nullopt };
-    observeUnrouted(id, refusal, session->arrivedAt());
-    session->refuse(refusal, id.value());
+    observeUnrouted(id, refusal, exchange->arrivedAt());
+    exchange->refuse(refusal, id.value());
 }
 
 void EntryHandler::observeUnrouted(const RequestId& id, const routing::Refusal& refusal, MonotonicTime arrivedAt) const
--- a/packages/gateway/src/internal/EntryHandler.h
+++ b/packages/gateway/src/internal/EntryHandler.h
@@ -8,7 +8,7 @@
 #include "carobpath/routing/EntryRouter.h"
 #include "internal/ConnectionPool.h"
 #include "internal/ForwardedHeader.h"
-#include "internal/ServerSession.h"
+#include "internal/ServerExchange.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -30,7 +30,9 @@
 public:
     EntryHandler(boost::asio::io_context&, routing::EntryRouter&, ConnectionPool&, const GatewayLimits&, const GatewayHooks&, const Dialect&, EntryIdentity);
 
-    void handle(const ServerSession::Pointer&);
+    void handle(const ServerExchange::Pointer&);
+    /// \returns whether the request may be handled beside others of its connection.
+    bool isSafe(const Request&) const;
     /// A request that can't be read was refused.
     void onUnreadable(const routing::Refusal& refusal, MonotonicTime arrivedAt) { observeUnrouted(RequestId {}, refusal, arrivedAt); }
 
@@ -39,7 +41,7 @@
 
     /// \returns the caller's id, or a new one where it gave none; nothing where the dialect wants one.
     std::optional<RequestId> idOf(const Request&);
-    void refuseMalformed(const ServerSession::Pointer&, const RequestId&);
+    void refuseMalformed(const ServerExchange::Pointer&, const RequestId&);
     /// Reports the end of a call for which no route was looked up.
     void observeUnrouted(const RequestId&, const routing::Refusal&, MonotonicTime arrivedAt) const;
     ForwardingStamp stampAt(MonotonicTime now) const;
--- /dev/null
+++ b/packages/gateway/src/internal/RequestReader.cpp
@@ -0,0 +1,124 @@
+#include "internal/RequestReader.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <string_view>
+#include <utility>
+
+namespace carobpath::gateway::Detail {
+
+namespace {
+
+    constexpr std::size_t headerReadBytes = 4096;
+    constexpr std::size_t bodyReadBytes = 64ULL * 1024;
+
+    routing::RefusalReason refusalReason(boost::system::error_code ec)
+    {
+        if (ec == http::error::header_limit)
+            return routing::RefusalReason::HeaderTooLarge;
+        const bool isTooLarge = ec == http::error::body_limit || ec == http::error::buffer_overflow;
+        return isTooLarge ? routing::RefusalReason::RequestTooLarge : routing::RefusalReason::MalformedRequest;
+    }
+
+    /// \returns true where the end of the body cannot be known, so that its bytes could pass for another request
+    /// (RFC 9112, section 6.3).
+    bool hasUnknownLength(const Request& request)
+    {
+        const auto it = request.find(http::field::transfer_encoding);
+        if (it == request.end())
+            return false;
+        const bool isChunkedOnly = boost::beast::iequals(it->value(), "chunked");
+        return !isChunkedOnly || request.count(http::field::transfer_encoding) > 1 || request.version() < 11;
+    }
+
+}
+
+RequestReader::RequestReader(const GatewayLimits& limits)
+    : m_limits(limits)
+{
+}
+
+boost::asio::mutable_buffer RequestReader::prepare()
+{
+    const bool readsBody = m_parser && m_parser->is_header_done();
+    return m_buffer.prepare(readsBody ? bodyReadBytes : headerReadBytes);
+}
+
+void RequestReader::commit(std::size_t n, MonotonicTime now)
+{
+    m_buffer.commit(n);
+    m_received += n;
+    m_arrivals.push_back({ m_received, now });
+}
+
+std::optional<ReadResult> RequestReader::next()
+{
+    if (m_failed || (!m_parser && !skipEmptyLines()))
+        return std::nullopt;
+    if (!m_parser) {
+        m_parser.emplace();
+        m_parser->eager(true);
+        m_parser->header_limit(m_limits.headerBytes);
+        m_parser->body_limit(m_limits.bodyBytes);
+    }
+    const auto arrivedAt = partialRequestSince();
+    boost::system::error_code ec;
+    parse(ec);
+    if (ec == http::error::need_more)
+        return std::nullopt;
+    if (ec)
+        return fail(ec);
+    if (!m_parser->is_done())
+        return std::nullopt;
+    if (hasUnknownLength(m_parser->get()))
+        return fail(http::error::bad_transfer_encoding);
+    ReadRequest request { m_parser->release(), arrivedAt };
+    m_parser.reset();
+    forgetArrivals();
+    if (m_buffer.size() == 0 && m_buffer.capacity() > headerReadBytes)
+        m_buffer.shrink_to_fit();
+    return request;
+}
+
+bool RequestReader::skipEmptyLines()
+{
+    constexpr std::string_view lineEnd = "\r\n";
+    const auto bytes = m_buffer.data();
+    std::string_view text { static_cast<const char*>(bytes.data()), bytes.size() };
+    while (text.starts_with(lineEnd))
+        text.remove_prefix(lineEnd.size());
+    consume(m_buffer.size() - text.size());
+    forgetArrivals();
+    const bool mayBeEmptyLine = lineEnd.starts_with(text);
+    return !mayBeEmptyLine;
+}
+
+void RequestReader::consume(std::size_t n)
+{
+    m_buffer.consume(n);
+    m_parsed += n;
+}
+
+void RequestReader::parse(boost::system::error_code& ec)
+{
+    while (m_buffer.size() > 0 && !m_parser->is_done()) {
+        consume(m_parser->put(m_buffer.data(), ec));
+        if (ec)
+            return;
+    }
+}
+
+void RequestReader::forgetArrivals()
+{
+    while (!m_arrivals.empty() && m_arrivals.front().end <= m_parsed)
+        m_arrivals.pop_front();
+}
+
+UnreadableRequest RequestReader::fail(boost::system::error_code ec)
+{
+    m_failed = true;
+    return { refusalReason(ec), partialRequestSince() };
+}
+
+}
--- /dev/null
+++ b/packages/gateway/src/internal/RequestReader.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "carobpath/foundation/Time.h"
+#include "carobpath/gateway/GatewayLimits.h"
+#include "carobpath/routing/Outcome.h"
+#include "internal/HttpTypes.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <variant>
+
+namespace carobpath::gateway::Detail {
+
+/// A whole request, and when its first byte came.
+struct ReadRequest {
+    Request message;
+    MonotonicTime arrivedAt;
+};
+
+/// A request that cannot be read. No byte after it can be read as a request.
+struct UnreadableRequest {
+    routing::RefusalReason reason = routing::RefusalReason::MalformedRequest;
+    MonotonicTime arrivedAt;
+};
+
+using ReadResult = std::variant<ReadRequest, UnreadableRequest>;
+
+/// Parses the byte stream of one connection into requests. Bytes that come behind a request are kept for the next one.
+class RequestReader {
+public:
+    explicit RequestReader(const GatewayLimits&);
+
+    /// \returns space for bytes of the connection, of which \c commit takes the first.
+    boost::asio::mutable_buffer prepare();
+    void commit(std::size_t n, MonotonicTime now);
+
+    /// \returns the next request; nothing until more bytes have come, and after an unreadable request.
+    std::optional<ReadResult> next();
+
+    /// True from the first byte of a request until \c next returned it.
+    bool hasPartialRequest() const { return m_parser.has_value() || m_buffer.size() > 0; }
+    /// Valid where there is a partial request.
+    MonotonicTime partialRequestSince() const { return m_arrivals.front().at; }
+    /// \returns whether as many bytes were read ahead as the limits allow.
+    bool isFull() const { return m_buffer.size() >= m_limits.readAheadBytes; }
+
+private:
+    using Parser = http::request_parser<http::string_body>;
+
+    /// Bytes of the connection up to \c end came at \c at or before.
+    struct Arrival {
+        std::uint64_t end = 0;
+        MonotonicTime at;
+    };
+
+    /// Some callers send an empty line behind a body (RFC 9112, section 2.2).
+    /// \returns whether the first bytes of a request are there.
+    bool skipEmptyLines();
+    void consume(std::size_t n);
+    void parse(boost::system::error_code&);
+    void forgetArrivals();
+    UnreadableRequest fail(boost::system::error_code);
+
+    const GatewayLimits& m_limits;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<Parser> m_parser;
+    std::deque<Arrival> m_arrivals;
+    std::uint64_t m_received = 0;
+    std::uint64_t m_parsed = 0;
+    bool m_failed = false;
+};
+
+}
--- a/packages/gateway/src/internal/ServerSession.cpp
+++ b/packages/gateway/src/internal/ServerSession.cpp
@@ -1,291 +1,300 @@
 #include "internal/ServerSession.h"
 
-#include "internal/BodyRelay.h"
 #include "internal/SocketOptions.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/beast/core/error.hpp>
-#include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/write.hpp>
 
-#include <nlohmann/json.hpp>
-
-#include <array>
-#include <cstdio>
-#include <string>
+#include <algorithm>
 #include <utility>
 
 namespace carobpath::gateway::Detail {
 
-namespace {
-
-    constexpr std::size_t readBytes = 4096;
-
-    Response interimResponse()
-    {
-        Response response { http::status::processing, 11 };
-        return response;
-    }
-
-    std::string refusalBody(const routing::Refusal& refusal)
-    {
-        const nlohmann::json body {
-            { "outcome", routing::toString(refusal.outcome) },
-            { "reason", routing::toString(refusal.reason) },
-        };
-        return body.dump() + "\n";
-    }
-
-    /// \returns seconds, rounded up where the reader takes whole ones only.
-    std::string retryAfterText(std::chrono::milliseconds time, bool fractional)
-    {
-        if (!fractional)
-            return std::to_string(std::chrono::ceil<std::chrono::seconds>(time).count());
-        std::array<char, 32> text {};
-        std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(time).count());
-        return text.data();
-    }
-
-    bool isTooLarge(boost::system::error_code ec)
-    {
-        return ec == http::error::header_limit || ec == http::error::body_limit || ec == http::error::buffer_overflow;
-    }
-
-    routing::RefusalReason refusalReason(boost::system::error_code ec)
-    {
-        if (ec == http::error::header_limit)
-            return routing::RefusalReason::HeaderTooLarge;
-        return isTooLarge(ec) ? routing::RefusalReason::RequestTooLarge : routing::RefusalReason::MalformedRequest;
-    }
-
-    bool isMalformed(boost::system::error_code ec)
-    {
-        return ec.category() == http::make_error_code(http::error::bad_method).category()
-            && ec != http::error::end_of_stream && ec != http::error::partial_message;
-    }
-
-}
-
 ServerSession::ServerSession(boost::asio::ip::tcp::socket&& socket, const GatewayLimits& limits, const Dialect& dialect, Handlers handlers)
     : m_stream(std::move(socket))
-    , m_interimTimer(m_stream.get_executor())
+    , m_timeout(m_stream.get_executor())
+    , m_closeCheck(m_stream.get_executor())
     , m_limits(limits)
     , m_dialect(dialect)
     , m_handlers(std::move(handlers))
+    , m_reader(limits)
 {
 }
 
 void ServerSession::start()
 {
     setConnectionOptions(m_stream.socket());
-    waitForRequest();
+    m_idleSince = MonotonicClock::now();
+    scheduleTimeout();
+    readMore();
 }
 
-void ServerSession::waitForRequest()
+bool ServerSession::isBusy() const
 {
-    m_state = State::Idle;
-    if (m_buffer.size() != 0) {
-        readRequest();
-        return;
-    }
-    if (m_closeWhenIdle) {
-        close();
-        return;
-    }
-    m_stream.expires_after(m_limits.callerIdle);
-    m_stream.async_read_some(m_buffer.prepare(readBytes), [self = shared_from_this()](boost::system::error_code ec, std::size_t n) {
-        if (ec) {
-            self->close();
-            return;
-        }
-        self->m_buffer.commit(n);
-        self->readRequest();
-    });
+    if (m_state == State::Lingering)
+        return true;
+    return m_state == State::Open && (!m_exchanges.empty() || m_reader.hasPartialRequest());
 }
 
-void ServerSession::readRequest()
+// Reading
+
+void ServerSession::readMore()
 {
-    m_state = State::Reading;
-    m_arrivedAt = MonotonicClock::now();
-    m_parser.emplace();
-    m_parser->header_limit(m_limits.headerBytes);
-    m_parser->body_limit(m_limits.bodyBytes);
-    m_stream.expires_after(m_limits.requestTimeout);
-    http::async_read(m_stream, m_buffer, *m_parser,
-        [self = shared_from_this()](boost::system::error_code ec, std::size_t) { self->onRequest(ec); });
+    if (m_reading || m_peerClosed || m_state == State::Closed)
+        return;
+    if (m_state == State::Open && m_reader.isFull()) {
+        checkForClose();
+        return;
+    }
+    m_reading = true;
+    m_stream.socket().async_read_some(m_reader.prepare(),
+        [self = shared_from_this()](boost::system::error_code ec, std::size_t n) { self->onRead(ec, n); });
 }
 
-void ServerSession::onRequest(boost::system::error_code ec)
+void ServerSession::onRead(boost::system::error_code ec, std::size_t n)
 {
+    m_reading = false;
+    if (m_state == State::Closed)
+        return;
     if (ec) {
-        refuseMalformed(ec);
+        onPeerClosed();
         return;
     }
-    m_state = State::Handling;
-    m_requestKeepsAlive = request().keep_alive();
-    m_stream.expires_never();
-    watchForClose();
-    m_handlers.onRequest(shared_from_this());
+    if (m_state == State::Open) {
+        m_reader.commit(n, MonotonicClock::now());
+        takeRequests();
+    }
+    readMore();
 }
 
-void ServerSession::refuseMalformed(boost::system::error_code ec)
+void ServerSession::onPeerClosed()
 {
-    if (!isTooLarge(ec) && !isMalformed(ec)) {
+    m_peerClosed = true;
+    m_takesRequests = false;
+    if (!m_writing) {
         close();
         return;
     }
-    m_state = State::Handling;
-    m_requestKeepsAlive = false;
-    const routing::Refusal refusal { routing::Outcome::NotRun, refusalReason(ec), std::nullopt };
-    if (m_handlers.onUnreadable)
-        m_handlers.onUnreadable(refusal, m_arrivedAt);
-    refuse(refusal, {});
+    // The answer that is being written may be all that the other end still waits for.
+    dropExchanges(1);
 }
 
-void ServerSession::watchForClose()
+void ServerSession::checkForClose()
 {
-    if (std::exchange(m_watching, true))
-        return;
-    m_stream.socket().async_wait(boost::asio::socket_base::wait_read, [self = shared_from_this()](boost::system::error_code ec) {
-        self->m_watching = false;
-        if (ec || self->m_state != State::Handling || !isClosedByPeer(self->m_stream.socket()))
+    m_closeCheck.expires_after(s_closeCheckInterval);
+    m_closeCheck.async_wait([self = shared_from_this()](boost::system::error_code ec) {
+        if (ec || self->m_state == State::Closed || self->m_reading)
             return;
-        if (auto gone = std::exchange(self->m_onGone, nullptr))
-            gone();
+        if (hasPeerShutDown(self->m_stream.socket()))
+            self->onPeerClosed();
+        else
+            self->readMore();
     });
 }
 
-void ServerSession::onGone(std::function<void()> gone)
+// Requests
+
+bool ServerSession::mayTakeRequest() const
 {
-    m_onGone = std::move(gone);
+    if (m_state != State::Open || !m_takesRequests)
+        return false;
+    if (m_exchanges.empty())
+        return true;
+    return !m_closeAnnounced && m_exchanges.size() < m_limits.pipelinedRequests && m_heldBytes <= m_limits.bodyBytes;
 }
 
-void ServerSession::sendInterimAnswers()
+void ServerSession::takeRequests()
 {
-    m_interimTimer.expires_after(m_limits.interimInterval);
-    m_interimTimer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
-        if (ec || self->m_state != State::Handling)
+    while (mayTakeRequest()) {
+        auto result = m_reader.next();
+        if (!result)
             return;
-        self->writeInterim();
-    });
+        if (auto* request = std::get_if<ReadRequest>(&*result))
+            add(std::move(*request));
+        else
+            refuseUnreadable(std::get<UnreadableRequest>(*result));
+    }
 }
 
-void ServerSession::writeInterim()
+void ServerSession::add(ReadRequest&& request)
 {
-    m_writingInterim = true;
-    auto interim = std::make_shared<Response>(interimResponse());
-    m_stream.expires_after(m_limits.requestTimeout);
-    http::async_write(m_stream, *interim, [self = shared_from_this(), interim](boost::system::error_code ec, std::size_t) {
-        self->m_writingInterim = false;
-        if (auto next = std::exchange(self->m_afterInterim, nullptr)) {
-            next();
-            return;
-        }
-        if (!ec && self->m_state == State::Handling)
-            self->sendInterimAnswers();
-    });
+    m_takesRequests = request.message.keep_alive();
+    m_heldBytes += request.message.body().size();
+    m_exchanges.push_back(std::make_shared<ServerExchange>(shared_from_this(), std::move(request.message), request.arrivedAt));
+    beginQueued();
 }
 
-void ServerSession::beginAnswer()
+void ServerSession::refuseUnreadable(const UnreadableRequest& unreadable)
 {
-    m_state = State::Answering;
-    m_onGone = nullptr;
-    m_interimTimer.cancel();
+    m_takesRequests = false;
+    const routing::Refusal refusal { routing::Outcome::NotRun, unreadable.reason, std::nullopt };
+    if (m_handlers.onUnreadable)
+        m_handlers.onUnreadable(refusal, unreadable.arrivedAt);
+    const auto exchange = std::make_shared<ServerExchange>(shared_from_this(), Request { http::verb::get, "/", 11 }, unreadable.arrivedAt);
+    m_exchanges.push_back(exchange);
+    exchange->refuse(refusal, {});
 }
 
-void ServerSession::respond(Response&& response, AnswerDone done)
+bool ServerSession::isSafe(ServerExchange& exchange) const
 {
-    beginAnswer();
-    m_response = std::make_shared<Response>(std::move(response));
-    m_answerDone = std::move(done);
-    m_response->version(11);
-    m_response->keep_alive(m_requestKeepsAlive && !m_closeAnnounced);
-    m_response->prepare_payload();
-    if (m_writingInterim)
-        m_afterInterim = [this] { writeWhole(); };
-    else
-        writeWhole();
+    if (!exchange.m_isSafe)
+        exchange.m_isSafe = m_handlers.isSafe && m_handlers.isSafe(exchange.request());
+    return *exchange.m_isSafe;
 }
 
-void ServerSession::writeWhole()
+void ServerSession::beginQueued()
 {
-    m_stream.expires_after(m_limits.callerIdle);
-    http::async_write(m_stream, *m_response, [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
-        const bool keepAlive = self->m_response->keep_alive();
-        self->m_response = nullptr;
-        self->endAnswer(keepAlive, ec ? AnswerEnd::CutByReceiver : AnswerEnd::Whole);
-    });
+    for (std::size_t i = 0; m_state == State::Open && i < m_exchanges.size(); ++i) {
+        const auto exchange = m_exchanges[i];
+        // All before it are safe, else the loop would have ended.
+        if (i > 0 && !isSafe(*exchange))
+            return;
+        if (exchange->m_state == ServerExchange::State::Queued) {
+            exchange->m_state = ServerExchange::State::Handling;
+            m_handlers.onRequest(exchange);
+        }
+        const bool hasNext = i + 1 < m_exchanges.size();
+        if (hasNext && !isSafe(*exchange))
+            return;
+    }
 }
 
-void ServerSession::refuse(const routing::Refusal& refusal, std::string_view requestId, AnswerDone done)
+// Answers
+
+void ServerSession::writeNext()
 {
-    Response response { static_cast<http::status>(m_dialect.refusalStatus(refusal)), 11 };
-    response.set(http::field::content_type, "application/json");
-    response.set(HeaderName::outcome, routing::toString(refusal.outcome));
-    response.set(HeaderName::reason, routing::toString(refusal.reason));
-    if (!requestId.empty())
-        response.set(HeaderName::requestId, requestId);
-    if (refusal.retryAfter) {
-        response.set(http::field::retry_after, retryAfterText(*refusal.retryAfter, m_dialect.fractionalRetryAfter));
-        response.set(HeaderName::retryAfterMs, std::to_string(refusal.retryAfter->count()));
-    }
-    response.body() = refusalBody(refusal);
-    respond(std::move(response), std::move(done));
+    if (m_writing || m_state != State::Open || m_exchanges.empty())
+        return;
+    const auto first = m_exchanges.front();
+    if (first->m_state != ServerExchange::State::Answered || first->m_writingInterim)
+        return;
+    m_writing = true;
+    first->write(keepsOpenAfterFirst());
 }
 
-void ServerSession::relay(std::shared_ptr<BodySource> source, ResponseHeader header, AnswerDone done)
+bool ServerSession::keepsOpenAfterFirst() const
 {
-    beginAnswer();
-    m_answerDone = std::move(done);
-    RelayFraming framing;
-    framing.mayChunk = request().version() >= 11;
-    framing.headerOnly = request().method() == http::verb::head || source->bodyIsDone();
-    const bool lengthIsKnown = framing.headerOnly || source->contentLength().has_value();
-    framing.keepAlive = m_requestKeepsAlive && !m_closeAnnounced && (framing.mayChunk || lengthIsKnown);
-    auto relay = std::make_shared<BodyRelay>(m_stream, m_limits, std::move(source));
-    auto begin = [self = shared_from_this(), relay, framing, header = std::move(header)]() mutable {
-        relay->start(std::move(header), framing, [self, keepAlive = framing.keepAlive](AnswerEnd end) { self->endAnswer(keepAlive, end); });
-    };
-    if (m_writingInterim)
-        m_afterInterim = std::move(begin);
-    else
-        begin();
+    const bool hasNext = m_exchanges.size() > 1;
+    if (m_closeAnnounced)
+        return hasNext && m_exchanges[1]->m_state != ServerExchange::State::Queued;
+    return m_takesRequests || hasNext;
 }
 
-void ServerSession::endAnswer(bool keepAlive, AnswerEnd end)
+void ServerSession::onAnswerEnded(bool keepAlive, AnswerEnd end)
 {
-    if (auto done = std::exchange(m_answerDone, nullptr))
-        done(end);
-    if (end == AnswerEnd::Whole && keepAlive)
-        waitForRequest();
-    else
+    m_writing = false;
+    if (m_state != State::Open)
+        return;
+    m_heldBytes -= m_exchanges.front()->request().body().size();
+    m_exchanges.pop_front();
+    if (end != AnswerEnd::Whole || m_peerClosed) {
         close();
+        return;
+    }
+    if (!keepAlive) {
+        linger();
+        return;
+    }
+    m_idleSince = MonotonicClock::now();
+    beginQueued();
+    takeRequests();
+    writeNext();
+    readMore();
+    if (m_closeWhenIdle && m_exchanges.empty())
+        closeWhenIdle();
 }
 
+// Closing
+
 void ServerSession::closeWhenIdle()
 {
     m_closeAnnounced = true;
     m_closeWhenIdle = true;
     // A request may be here whose bytes were not dealt with yet, after this process was held up.
-    boost::asio::post(m_stream.get_executor(), [self = shared_from_this()] { self->closeUnlessAsked(); });
+    boost::asio::post(m_stream.get_executor(), [self = shared_from_this()] {
+        boost::system::error_code ec;
+        if (self->m_state == State::Open && !self->isBusy() && self->m_stream.socket().available(ec) == 0)
+            self->close();
+    });
+}
+
+void ServerSession::dropExchanges(std::size_t from)
+{
+    std::deque<ServerExchange::Pointer> dropped;
+    while (m_exchanges.size() > from) {
+        dropped.push_front(std::move(m_exchanges.back()));
+        m_exchanges.pop_back();
+    }
+    std::size_t unhandled = 0;
+    for (const auto& it : dropped) {
+        unhandled += it->m_state == ServerExchange::State::Queued ? 1 : 0;
+        it->drop();
+    }
+    if (unhandled > 0 && m_handlers.onDropped)
+        m_handlers.onDropped(unhandled);
 }
 
-void ServerSession::closeUnlessAsked()
+void ServerSession::resetOnClose()
 {
+    m_resetsOnClose = true;
     boost::system::error_code ec;
-    if (m_state == State::Idle && m_stream.socket().available(ec) == 0)
-        close();
+    m_stream.socket().set_option(boost::asio::socket_base::linger { true, 0 }, ec);
 }
 
-void ServerSession::close()
+void ServerSession::linger()
 {
-    m_state = State::Closed;
-    m_onGone = nullptr;
-    m_interimTimer.cancel();
+    m_state = State::Lingering;
     boost::system::error_code ec;
     m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+    dropExchanges(0);
+    m_idleSince = MonotonicClock::now();
+    scheduleTimeout();
+    readMore();
+}
+
+void ServerSession::close()
+{
+    if (std::exchange(m_state, State::Closed) == State::Closed)
+        return;
+    m_timeout.cancel();
+    m_closeCheck.cancel();
+    boost::system::error_code ec;
+    if (!m_resetsOnClose)
+        m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
     m_stream.close();
+    dropExchanges(0);
+}
+
+// Timeouts
+
+std::optional<MonotonicTime> ServerSession::timeoutAt() const
+{
+    if (m_state == State::Lingering)
+        return m_idleSince + s_lingerTime;
+    if (m_takesRequests && m_reader.hasPartialRequest() && mayTakeRequest())
+        return m_reader.partialRequestSince() + m_limits.requestTimeout;
+    if (m_exchanges.empty())
+        return m_idleSince + m_limits.callerIdle;
+    return std::nullopt;
+}
+
+void ServerSession::scheduleTimeout()
+{
+    const auto now = MonotonicClock::now();
+    const auto at = timeoutAt();
+    if (at && now >= *at) {
+        if (m_exchanges.empty())
+            close();
+        else
+            m_takesRequests = false;
+        return;
+    }
+    // Set anew at the latest when a request that begins in the meantime could time out, rather than for each request.
+    const auto latest = now + std::min(m_limits.requestTimeout, m_limits.callerIdle);
+    m_timeout.expires_at(at ? std::min(*at, latest) : latest);
+    m_timeout.async_wait([self = shared_from_this()](boost::system::error_code ec) {
+        if (!ec && self->m_state != State::Closed)
+            self->scheduleTimeout();
+    });
 }
 
 }
--- a/packages/gateway/src/internal/ServerSession.h
+++ b/packages/gateway/src/internal/ServerSession.h
@@ -5,111 +5,118 @@
 #include "carobpath/gateway/GatewayHooks.h"
 #include "carobpath/gateway/GatewayLimits.h"
 #include "carobpath/routing/Outcome.h"
-#include "internal/BodySource.h"
-#include "internal/HttpTypes.h"
+#include "internal/RequestReader.h"
+#include "internal/ServerExchange.h"
 
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
-#include <string_view>
 
 namespace carobpath::gateway::Detail {
 
-/// One accepted connection. Reads a request, hands it to the handler, and writes the one answer that the handler
-/// gives; then the next. Keeps itself alive while an operation runs.
+/// One accepted connection. Reads requests ahead, within bounds, hands them to the handler, and writes the answers in
+/// the order of the requests. Safe requests are handled side by side; any other is handled alone (RFC 9112, section
+/// 9.3.2). Keeps itself alive while an operation runs.
 class ServerSession : public std::enable_shared_from_this<ServerSession> {
 public:
     using Pointer = std::shared_ptr<ServerSession>;
-    using RequestHandler = std::function<void(const Pointer&)>;
-    /// What a session calls.
+    using RequestHandler = std::function<void(const ServerExchange::Pointer&)>;
+    /// What a session calls. All but the first may be empty.
     struct Handlers {
         RequestHandler onRequest;
-        /// A request that can't be read was refused; may be empty.
+        /// \returns whether the request may be handled beside others of its connection. Empty: none may.
+        std::function<bool(const Request&)> isSafe;
+        /// A request that can't be read was refused.
         std::function<void(const routing::Refusal&, MonotonicTime arrivedAt)> onUnreadable;
+        /// This many requests were read and not handled when their connection ended.
+        std::function<void(std::size_t)> onDropped;
     };
-    /// Called once the answer is out or cut short.
-    using AnswerDone = std::function<void(AnswerEnd)>;
 
     ServerSession(boost::asio::ip::tcp::socket&&, const GatewayLimits&, const Dialect&, Handlers);
 
     void start();
 
-    /// Valid from the call of the request handler until the answer is written.
-    const Request& request() const { return m_parser->get(); }
-    MonotonicTime arrivedAt() const { return m_arrivedAt; }
-
-    /// Writes a whole answer.
-    void respond(Response&&, AnswerDone = nullptr);
-
-    /// Writes a refusal with its outcome, reason and time to come back.
-    void refuse(const routing::Refusal&, std::string_view requestId, AnswerDone = nullptr);
-
-    /// Writes an answer, piece by piece as it comes.
-    /// Closes the connection where the body is cut short, so that the caller can see it.
-    void relay(std::shared_ptr<BodySource>, ResponseHeader, AnswerDone);
-
-    /// Says that the answer is still being worked on (status 102), from time to time, until the answer begins.
-    void sendInterimAnswers();
-
-    /// Called once if the other end goes away before the answer begins.
-    void onGone(std::function<void()>);
-
-    /// Closes the connection without an answer: nobody waits for it.
-    void abandon() { close(); }
-
-    /// The next answer tells the other end that the connection closes after it.
+    /// The connection closes after the answers to the requests that are being handled; no request behind them is taken.
     void announceClose() { m_closeAnnounced = true; }
 
     /// No further request is taken; the connection closes once it is idle.
     void closeWhenIdle();
 
-    /// True while a request is being read, waits for its answer, or the answer is being written.
-    bool isBusy() const { return m_state == State::Reading || m_state == State::Handling || m_state == State::Answering; }
+    /// True while a request is being read or handled, or its answer is on its way to the other end.
+    bool isBusy() const;
 
 private:
+    friend class ServerExchange;
+
+    /// Time for the other end to read the last answer and close, before the connection is closed from here. Closing it
+    /// with unread bytes would reset it and could destroy the answer (RFC 9112, section 9.6).
+    static constexpr std::chrono::seconds s_lingerTime { 1 };
+    /// Interval of checks for the other end's closing while no bytes are read.
+    static constexpr std::chrono::milliseconds s_closeCheckInterval { 200 };
+
     enum class State : std::uint8_t {
-        Idle,
-        Reading,
-        Handling,
-        Answering,
+        Open,
+        /// The last answer is out.
+        Lingering,
         Closed,
     };
 
-    void waitForRequest();
-    void readRequest();
-    void onRequest(boost::system::error_code);
-    void refuseMalformed(boost::system::error_code);
-    void watchForClose();
-    void beginAnswer();
-    void endAnswer(bool keepAlive, AnswerEnd);
-    void writeWhole();
-    void writeInterim();
+    boost::beast::tcp_stream& stream() { return m_stream; }
+    const GatewayLimits& limits() const { return m_limits; }
+    const Dialect& dialect() const { return m_dialect; }
+    bool isFirst(const ServerExchange& it) const { return !m_exchanges.empty() && m_exchanges.front().get() == &it; }
+
+    void readMore();
+    void onRead(boost::system::error_code, std::size_t n);
+    void onPeerClosed();
+    void checkForClose();
+
+    bool mayTakeRequest() const;
+    void takeRequests();
+    void add(ReadRequest&&);
+    void refuseUnreadable(const UnreadableRequest&);
+    void beginQueued();
+    bool isSafe(ServerExchange&) const;
+
+    void writeNext();
+    bool keepsOpenAfterFirst() const;
+    void onAnswerEnded(bool keepAlive, AnswerEnd);
+
+    /// Makes a cut answer without a stated length visible to the other end.
+    void resetOnClose();
+    void linger();
     void close();
-    void closeUnlessAsked();
+    void dropExchanges(std::size_t from);
+
+    void scheduleTimeout();
+    std::optional<MonotonicTime> timeoutAt() const;
 
     boost::beast::tcp_stream m_stream;
-    boost::asio::steady_timer m_interimTimer;
+    boost::asio::steady_timer m_timeout;
+    boost::asio::steady_timer m_closeCheck;
     const GatewayLimits& m_limits;
     const Dialect& m_dialect;
     Handlers m_handlers;
-    boost::beast::flat_buffer m_buffer;
-    std::optional<http::request_parser<http::string_body>> m_parser;
-    std::shared_ptr<Response> m_response;
-    AnswerDone m_answerDone;
-    std::function<void()> m_onGone;
-    std::function<void()> m_afterInterim;
-    MonotonicTime m_arrivedAt;
-    State m_state = State::Idle;
+    RequestReader m_reader;
+    /// Requests without a whole answer, in the order in which they came.
+    std::deque<ServerExchange::Pointer> m_exchanges;
+    /// Bytes of the bodies of \c m_exchanges.
+    std::uint64_t m_heldBytes = 0;
+    MonotonicTime m_idleSince;
+    State m_state = State::Open;
+    bool m_reading = false;
+    bool m_writing = false;
+    /// False once no request can follow: the last one said so, could not be read, or the other end has closed.
+    bool m_takesRequests = true;
     bool m_closeAnnounced = false;
     bool m_closeWhenIdle = false;
-    bool m_watching = false;
-    bool m_writingInterim = false;
-    bool m_requestKeepsAlive = false;
+    bool m_peerClosed = false;
+    bool m_resetsOnClose = false;
 };
 
 }
--- a/packages/gateway/src/internal/SocketOptions.cpp
+++ b/packages/gateway/src/internal/SocketOptions.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace carobpath::gateway::Detail {
@@ -47,9 +48,10 @@
     ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMilliseconds, sizeof userTimeoutMilliseconds);
 }
 
-bool isClosedByPeer(boost::asio::ip::tcp::socket& socket)
+bool hasPeerShutDown(boost::asio::ip::tcp::socket& socket)
 {
-    return peek(socket) == PeekResult::Closed;
+    pollfd polled { socket.native_handle(), POLLRDHUP, 0 };
+    return ::poll(&polled, 1, 0) > 0;
 }
 
 bool isOpenAndQuiet(boost::asio::ip::tcp::socket& socket)
--- a/packages/gateway/src/internal/SocketOptions.h
+++ b/packages/gateway/src/internal/SocketOptions.h
@@ -13,8 +13,9 @@
 /// other end no longer answers.
 void setConnectionOptions(boost::asio::ip::tcp::socket&);
 
-/// \returns true where the other end has closed, or the socket is broken. Reads nothing.
-bool isClosedByPeer(boost::asio::ip::tcp::socket&);
+/// \returns true where the other end sends no more, or the socket is broken, be it that bytes wait before its end.
+/// Reads nothing.
+bool hasPeerShutDown(boost::asio::ip::tcp::socket&);
 
 /// \returns true where the connection is open and no bytes wait on it. Reads nothing.
 bool isOpenAndQuiet(boost::asio::ip::tcp::socket&);
--- a/packages/gateway/tests/ServerSessionTests.cpp
+++ b/packages/gateway/tests/ServerSessionTests.cpp
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace carobpath::gateway::Detail {
 
@@ -31,13 +32,13 @@
         {
             tcp::acceptor acceptor { io, { boost::asio::ip::make_address("127.0.0.1"), 0 } };
             caller.connect(acceptor.local_endpoint());
-            const ServerSession::Handlers handlers { [this](const ServerSession::Pointer& it) { answer(it); }, nullptr };
+            const ServerSession::Handlers handlers { [this](const ServerExchange::Pointer& it) { answer(it); }, nullptr, nullptr, nullptr };
             session = std::make_shared<ServerSession>(acceptor.accept(), limits, dialect, handlers);
             session->start();
             io.poll();
         }
 
-        void answer(const ServerSession::Pointer& it)
+        void answer(const ServerExchange::Pointer& it)
         {
             ++requests;
             it->respond(Response { http::status::ok, 11 });
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -239,6 +239,7 @@
         m_metrics.onAdmissionRefused(refusal);
         m_callLog.onAdmissionRefused(refusal);
     };
+    hooks.onRequestsDropped = [this](std::size_t n) { m_metrics.onRequestsDropped(n); };
     return hooks;
 }
 
--- a/packages/node/src/internal/NodeMetrics.h
+++ b/packages/node/src/internal/NodeMetrics.h
@@ -25,6 +25,7 @@
     void onCall(const gateway::CallObservation&);
     void onAttempt(const gateway::AttemptObservation&);
     void onAdmissionRefused(const gateway::AdmissionRefusal&);
+    void onRequestsDropped(std::size_t n) { m_requestsDropped.Increment(static_cast<double>(n)); }
     void onBackend(const gateway::BackendObservation&);
     void onStoreCall(const platform::StoreCall&);
     void onRecord(std::string_view outcome);
@@ -52,6 +53,7 @@
     prometheus::Family<prometheus::Counter>& m_records;
     prometheus::Counter& m_retries;
     prometheus::Counter& m_cutShort;
+    prometheus::Counter& m_requestsDropped;
     prometheus::Family<prometheus::Gauge>& m_upstreamState;
     prometheus::Gauge& m_configurationOffset;
     prometheus::Gauge& m_ready;
--- a/packages/node/src/internal/SettingsConversions.cpp
+++ b/packages/node/src/internal/SettingsConversions.cpp
@@ -17,6 +17,8 @@
     gateway::GatewayLimits limits;
     limits.headerBytes = static_cast<std::uint32_t>(settings.limits.headerBytes);
     limits.bodyBytes = settings.limits.bodyBytes;
+    limits.pipelinedRequests = static_cast<std::uint32_t>(settings.limits.pipelinedRequests);
+    limits.readAheadBytes = settings.limits.readAheadBytes;
     limits.connections = static_cast<std::uint32_t>(settings.limits.callerConnections);
     limits.requestTimeout = duration_cast<milliseconds>(settings.timeouts.callerHeader);
     limits.callerIdle = duration_cast<milliseconds>(settings.timeouts.callerIdle);
--- a/packages/routing/include/carobpath/routing/EntryRouter.h
+++ b/packages/routing/include/carobpath/routing/EntryRouter.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <string_view>
 #include <vector>
 
 namespace carobpath::routing {
@@ -58,7 +59,11 @@
     /// A node that is not ready refuses every call as \c NotReady.
     void setReady(bool);
 
-    std::shared_ptr<CallDecision> begin(const CallRequest&, MonotonicTime now);
+    std::shared_ptr<CallDecision> begin(const CallRequest&, MonotonicTime arrivedAt);
+
+    /// \returns whether a call may run more than once and beside others. True also for one that no route matches, since
+    /// it does not run.
+    bool isRepeatable(std::string_view host, std::string_view method, std::string_view path) const;
 
     /// \returns the observations of other nodes since the last call of this function; the oldest are dropped if there
     /// are too many.
--- a/packages/routing/src/EntryRouter.cpp
+++ b/packages/routing/src/EntryRouter.cpp
@@ -31,9 +31,18 @@
 void EntryRouter::setPolicy(const EntryPolicy& policy) { m_state->setPolicy(policy); }
 void EntryRouter::setReady(bool ready) { m_state->ready = ready; }
 
-std::shared_ptr<CallDecision> EntryRouter::begin(const CallRequest& request, MonotonicTime now)
+std::shared_ptr<CallDecision> EntryRouter::begin(const CallRequest& request, MonotonicTime arrivedAt)
 {
-    return std::make_shared<CallDecision>(m_state, request, now);
+    return std::make_shared<CallDecision>(m_state, request, arrivedAt);
+}
+
+bool EntryRouter::isRepeatable(std::string_view host, std::string_view method, std::string_view path) const
+{
+    if (!m_state->table->configuration())
+        return true;
+    const auto found = m_state->table->find(host, method, path);
+    const auto* route = std::get_if<RouteTable::Match>(&found);
+    return !route || (*route)->repeatability == publication::Repeatability::Repeatable;
 }
 
 std::vector<NodeObservation> EntryRouter::takeObservations()
