Bound answers without an end, and pass over a late second copy of an answer

Cause: interim answers that come without a pause never met the deadline: each read completed from bytes that were there before the stream's timer was looked at. A body without a stated length was relayed for as long as bytes came. A second copy of an earlier answer on a connection that was in use again failed the exchange that was running, although the answer to it came next; a call that must not be repeated was then answered as if it might have run.

Change: the deadline is checked at each interim answer; a body without a stated length ends openBodyTime after the call's deadline; on a reused connection one answer that names another request is read and dropped, and the connection is closed after the exchange.

--- a/packages/gateway/include/carobpath/gateway/GatewayLimits.h
+++ b/packages/gateway/include/carobpath/gateway/GatewayLimits.h
@@ -30,6 +30,8 @@
     std::chrono::milliseconds connectTimeout { 1'000 };
     /// Time without a byte after which the body of an answer counts as lost.
     std::chrono::milliseconds bodyProgress { 5'000 };
+    /// Time past a call's deadline after which the body of an answer without a stated length counts as endless.
+    std::chrono::milliseconds openBodyTime { 10'000 };
     /// An admitting node that has no answer yet says so this often.
     std::chrono::milliseconds interimInterval { 200 };
     /// Whether silence of another node ends an attempt before its deadline. Not at a node that is stopping: another
--- a/packages/gateway/src/internal/UpstreamExchange.cpp
+++ b/packages/gateway/src/internal/UpstreamExchange.cpp
@@ -155,12 +155,20 @@
         return;
     }
     if (isInterim(header())) {
+        // Bytes that come without a pause complete each read before the stream's own timer is looked at.
+        if (MonotonicClock::now() >= m_target.headerDeadline) {
+            fail(ExchangeFailure::TimedOut);
+            return;
+        }
         awaitSign();
         readHeader();
         return;
     }
     if (!answersRequest()) {
-        fail(ExchangeFailure::Mismatched);
+        if (isStale())
+            skipStale(0);
+        else
+            fail(ExchangeFailure::Mismatched);
         return;
     }
     if (m_silenceTimer)
@@ -175,6 +183,36 @@
     return it == header().end() || it->value() == m_target.requestId.value();
 }
 
+bool UpstreamExchange::isStale() const
+{
+    return m_connection->reused && !m_skippedStale && m_parser->keep_alive();
+}
+
+void UpstreamExchange::skipStale(std::uint64_t read)
+{
+    m_skippedStale = true;
+    if (m_parser->is_done()) {
+        readHeader();
+        return;
+    }
+    auto& body = m_parser->get().body();
+    body.data = m_piece.data();
+    body.size = m_piece.size();
+    http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser,
+        [self = shared_from_this(), read](boost::system::error_code ec, std::size_t) {
+            const auto total = read + self->m_piece.size() - self->m_parser->get().body().size;
+            if ((ec && ec != http::error::need_buffer) || self->m_wentSilent || total > s_staleBytes)
+                self->fail(self->m_cancelled ? ExchangeFailure::Cancelled : ExchangeFailure::Mismatched);
+            else
+                self->skipStale(total);
+        });
+}
+
+bool UpstreamExchange::isEndless() const
+{
+    return !m_parser->content_length() && MonotonicClock::now() > m_target.headerDeadline + m_limits.openBodyTime;
+}
+
 std::optional<std::uint64_t> UpstreamExchange::contentLength() const
 {
     const auto length = m_parser->content_length();
@@ -190,6 +228,11 @@
         handler(std::nullopt, {});
         return;
     }
+    if (isEndless()) {
+        fail(ExchangeFailure::ConnectionLost);
+        handler(ExchangeFailure::ConnectionLost, {});
+        return;
+    }
     auto& body = m_parser->get().body();
     body.data = m_piece.data();
     body.size = m_piece.size();
@@ -235,7 +278,7 @@
 {
     if (std::exchange(m_finished, true))
         return;
-    if (m_parser->keep_alive() && !m_cancelled) {
+    if (m_parser->keep_alive() && !m_cancelled && !m_skippedStale) {
         m_connection->stream.expires_never();
         m_connection->idleLimit = idleLimitOf(header());
         m_pool.give(m_target.endpoint, m_connection, MonotonicClock::now());
--- a/packages/gateway/src/internal/UpstreamExchange.h
+++ b/packages/gateway/src/internal/UpstreamExchange.h
@@ -36,7 +36,7 @@
 };
 
 /// One request and its answer on one connection. The connection goes back to the pool only after a complete answer
-/// to the request; otherwise it is closed. Keeps itself alive while an operation runs.
+/// to the request and no other; otherwise it is closed. Keeps itself alive while an operation runs.
 class UpstreamExchange : public BodySource, public std::enable_shared_from_this<UpstreamExchange> {
 public:
     /// Called once: with nothing when the header is there, else with the failure.
@@ -63,6 +63,8 @@
 private:
     static constexpr std::size_t s_pieceBytes = 16ULL * 1024;
     static constexpr std::uint64_t s_discardBytes = 4ULL * 1024;
+    /// Size of a stale answer that is read for the sake of the one behind it.
+    static constexpr std::uint64_t s_staleBytes = 64ULL * 1024;
 
     using Parser = http::response_parser<http::buffer_body>;
 
@@ -71,6 +73,13 @@
     void readHeader();
     void onHeader(boost::system::error_code);
     bool answersRequest() const;
+    /// \returns whether the answer is a late copy of one to an earlier request on the connection, behind which the answer
+    /// to this one may come.
+    bool isStale() const;
+    /// Reads the rest of a stale answer, then the next header.
+    void skipStale(std::uint64_t read);
+    /// \returns whether a body without a stated length has gone on for longer than the limits allow.
+    bool isEndless() const;
     /// Starts the time anew within which the other end must show a sign of life.
     void awaitSign();
     void onSilence();
@@ -93,6 +102,7 @@
     std::optional<Parser> m_parser;
     std::array<char, s_pieceBytes> m_piece {};
     std::uint64_t m_bodyBytes = 0;
+    bool m_skippedStale = false;
     bool m_cancelled = false;
     bool m_wentSilent = false;
     bool m_finished = false;
