List the directory at a rate that does not grow with the fleet

Cause: each node listed the directory of nodes every 10 to 20 s, so that the calls to the store, and the bytes of each answer, grew with the number of nodes.

Change: the interval of a node grows with the number of nodes alive, at about one listing a second for the whole fleet. To merge parts of a fleet that never knew each other, one node of either has to list.

Result: the new test plays 30, 300 and 1,000 nodes over ten minutes against one bound for all three.

--- a/packages/membership/include/carobpath/membership/DirectorySchedule.h
+++ b/packages/membership/include/carobpath/membership/DirectorySchedule.h
@@ -4,6 +4,8 @@
 #include "carobpath/foundation/Time.h"
 
 #include <chrono>
+#include <cstddef>
+#include <optional>
 #include <random>
 
 namespace carobpath::membership {
@@ -20,13 +22,16 @@
 /// Decides when a node writes its own entry to the directory and when it reads the entries of the others.
 ///
 /// A node registers before it lists: if all nodes start at the same time, each sees those that registered before it, so
-/// together they find each other. A node without live peers lists again soon. Otherwise it lists rarely, which still
-/// merges partitions that never knew each other. Intervals are randomized and failures are retried with a backoff, to
+/// together they find each other. A node without live peers lists again soon. Otherwise it lists rarely, and the more rarely
+/// the larger the fleet is: to merge partitions that never knew each other, one node of either has to list. Intervals are randomized and failures are retried with a backoff, to
 /// limit the load if all nodes start at once or the store is unavailable to some of them.
 class DirectorySchedule {
 public:
     static constexpr std::chrono::milliseconds s_isolatedInterval { 1'000 };
     static constexpr std::chrono::milliseconds s_steadyInterval { 20'000 };
+    /// Interval between two listings of the fleet, whatever its size. Where it is longer for one node than
+    /// \c s_steadyInterval, it replaces that one.
+    static constexpr std::chrono::milliseconds s_fleetInterval { 1'000 };
     static constexpr std::chrono::milliseconds s_initialRetryDelay { 200 };
     static constexpr std::chrono::milliseconds s_maxRetryDelay { 2'000 };
 
@@ -45,14 +50,20 @@
     void onLivePeersChanged(std::size_t alive, MonotonicTime now);
 
 private:
-    std::chrono::milliseconds jitter(std::chrono::milliseconds);
+    MonotonicTime dueAt() const;
+    void beginSteadyInterval(MonotonicTime now);
+    std::chrono::milliseconds steadyInterval() const;
+    double drawFraction();
 
     std::mt19937_64 m_random;
     Backoff m_backoff { s_initialRetryDelay, s_maxRetryDelay };
     MonotonicTime m_dueAt;
+    /// Set while the node has peers and its last step succeeded. The interval from then on follows the fleet's size.
+    std::optional<MonotonicTime> m_steadySince;
+    double m_steadyFraction = 1;
+    std::size_t m_alive = 0;
     bool m_registered = false;
     bool m_running = false;
-    bool m_isolated = true;
 };
 
 }
--- a/packages/membership/src/DirectorySchedule.cpp
+++ b/packages/membership/src/DirectorySchedule.cpp
@@ -1,12 +1,13 @@
 #include "carobpath/membership/DirectorySchedule.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace carobpath::membership {
 
 DirectoryStep DirectorySchedule::next(MonotonicTime now)
 {
-    if (m_running || now < m_dueAt)
+    if (m_running || now < dueAt())
         return DirectoryStep::Nothing;
     m_running = true;
     return m_registered ? DirectoryStep::List : DirectoryStep::Register;
@@ -24,28 +25,54 @@
 {
     m_running = false;
     m_backoff.reset();
-    m_dueAt = now + jitter(m_isolated ? s_isolatedInterval : s_steadyInterval);
+    if (m_alive > 0) {
+        beginSteadyInterval(now);
+        return;
+    }
+    m_dueAt = now + std::chrono::duration_cast<std::chrono::milliseconds>(drawFraction() * s_isolatedInterval);
 }
 
 void DirectorySchedule::onFailed(MonotonicTime now)
 {
     m_running = false;
+    m_steadySince.reset();
     m_dueAt = now + m_backoff.next(m_random);
 }
 
 void DirectorySchedule::onLivePeersChanged(std::size_t alive, MonotonicTime now)
 {
-    const bool wasIsolated = m_isolated;
-    m_isolated = alive == 0;
-    if (m_isolated && !wasIsolated)
+    const auto before = std::exchange(m_alive, alive);
+    if (alive == 0 && before > 0) {
+        m_steadySince.reset();
         m_dueAt = std::min(m_dueAt, now);
-    if (!m_isolated && wasIsolated && m_registered && !m_running)
-        m_dueAt = now + jitter(s_steadyInterval);
+    }
+    if (alive > 0 && before == 0 && m_registered && !m_running)
+        beginSteadyInterval(now);
 }
 
-std::chrono::milliseconds DirectorySchedule::jitter(std::chrono::milliseconds time)
+MonotonicTime DirectorySchedule::dueAt() const
 {
-    return std::chrono::milliseconds { std::uniform_int_distribution<std::int64_t>(time.count() / 2, time.count())(m_random) };
+    if (!m_steadySince)
+        return m_dueAt;
+    return *m_steadySince + std::chrono::duration_cast<std::chrono::milliseconds>(m_steadyFraction * steadyInterval());
+}
+
+void DirectorySchedule::beginSteadyInterval(MonotonicTime now)
+{
+    m_steadySince = now;
+    m_steadyFraction = drawFraction();
+    m_dueAt = now;
+}
+
+std::chrono::milliseconds DirectorySchedule::steadyInterval() const
+{
+    const auto nodes = static_cast<std::int64_t>(m_alive) + 1;
+    return std::max(s_steadyInterval, s_fleetInterval * nodes);
+}
+
+double DirectorySchedule::drawFraction()
+{
+    return std::uniform_real_distribution<double>(0.5, 1)(m_random);
 }
 
 }
--- a/packages/membership/tests/DirectoryScheduleTests.cpp
+++ b/packages/membership/tests/DirectoryScheduleTests.cpp
@@ -62,6 +62,32 @@
     BOOST_CHECK(schedule.next(start + 2s) == DirectoryStep::List);
 }
 
+// The store's rate of calls is shared by the fleet.
+BOOST_AUTO_TEST_CASE(A_fleet_lists_no_more_often_the_larger_it_is)
+{
+    constexpr auto observed = 10min;
+    for (const std::size_t nodes : { 30U, 300U, 1000U }) {
+        std::size_t listings = 0;
+        for (std::size_t i = 0; i < nodes; ++i) {
+            DirectorySchedule schedule { std::mt19937_64 { i }, start };
+            schedule.next(start);
+            schedule.onRegistered(start);
+            schedule.onLivePeersChanged(1, start);
+            // The others are found one by one.
+            schedule.onLivePeersChanged(nodes - 1, start + 5s);
+            for (auto now = start + 5s; now < start + observed; now += 1s) {
+                if (schedule.next(now) != DirectoryStep::List)
+                    continue;
+                ++listings;
+                schedule.onListed(now);
+            }
+        }
+        const auto mostListings = 2 * static_cast<std::size_t>(observed / DirectorySchedule::s_fleetInterval);
+        BOOST_TEST(listings <= mostListings, nodes << " nodes: " << listings << " listings");
+        BOOST_TEST(listings > 0U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
