Bound the offers of calls to nodes that refuse them, and count the time that nodes add

Nodes fell behind, calls waited untried and ended as if they might have run, and callers sent them again.

Change: a token bucket for each service bounds the offers after one that was refused for load, by the number of calls; while less than half of it is left, a call is offered to one local node before a remote one. The expected time of an upstream includes what its node adds to the time of the backend server, so that nodes that fall behind get fewer calls.

--- a/packages/routing/include/carobpath/routing/EntryRouter.h
+++ b/packages/routing/include/carobpath/routing/EntryRouter.h
@@ -26,6 +26,9 @@
 /// Policy of the entry node for the choice of upstreams and for calls that fail.
 struct EntryPolicy {
     RetryAllowance retries;
+    /// Offers of calls to further nodes after one refused them for load. If most nodes are full, each offer costs two
+    /// nodes processor time and few are accepted, so that without a limit a small instance fails under them.
+    RetryAllowance offers { .perCall = 1.5, .perSecond = 5, .capacity = 20 };
     /// Whether a repeatable call is cancelled after half of its time to allow a retry, if its upstream is
     /// unresponsive.
     bool splitDeadline = true;
@@ -38,6 +41,8 @@
     /// Maximum number of local candidate nodes among them. Without this limit, a large failure domain at capacity
     /// would use up all offers of a call and leave none for remote nodes.
     std::uint32_t maxLocalCandidates = 3;
+    /// The same while less than half of the offers are left, so that the last ones go where nodes may be less busy.
+    std::uint32_t maxLocalCandidatesWhenBusy = 1;
 };
 
 /// Makes the routing decisions of an entry node. It creates a \c CallDecision for each call and holds the state that
--- a/packages/routing/include/carobpath/routing/UpstreamStatistics.h
+++ b/packages/routing/include/carobpath/routing/UpstreamStatistics.h
@@ -72,8 +72,8 @@
     /// upstream that was slow once is tried again.
     double latencySeconds(double mean, MonotonicTime now) const;
     bool hasLoad() const { return m_loadAt != MonotonicTime {} && m_load.limit > 0; }
-    /// \returns the expected time until an answer, based on the load reported last and the calls that this node has
-    /// sent since; \p mean is used while nothing is known. The reported load and service time decay with their age.
+    /// \returns the expected time until an answer, based on the load reported last, the calls that this node has sent since
+    /// and the observed overhead of the node next to the upstream; \p mean is used while nothing is known. The reported load and service time decay with their age.
     double expectedSeconds(double mean, MonotonicTime now) const;
     double errorRate() const { return m_errorRate; }
     std::uint32_t inFlight() const { return m_inFlight; }
@@ -81,6 +81,9 @@
     bool connectionsSuspect() const { return m_connectionsSuspect; }
 
 private:
+    /// \returns the part of the observed latency that the backend server does not account for: the node next to it may have
+    /// little processor time, or a busy link. The value decays with its age.
+    double overheadSeconds(MonotonicTime now) const;
     double reportedServiceSeconds(double mean, MonotonicTime now) const;
     void countFailure(MonotonicTime now);
     void countAnswer(std::chrono::nanoseconds latency, bool error, MonotonicTime now);
@@ -91,6 +94,7 @@
     bool m_probeRunning = false;
     bool m_connectionsSuspect = false;
     double m_latencySeconds = 0;
+    double m_overheadSeconds = 0;
     double m_errorRate = 0;
     MonotonicTime m_latencyAt {};
     MonotonicTime m_ejectedUntil {};
--- a/packages/routing/src/AttemptClassification.cpp
+++ b/packages/routing/src/AttemptClassification.cpp
@@ -81,13 +81,17 @@
     return result.outcome != Outcome::NotRun || reasonOf(result) == RefusalReason::UpstreamRefused;
 }
 
+bool wasRefusedForLoad(const AttemptResult& result)
+{
+    return result.outcome == Outcome::NotRun && reasonOf(result) == RefusalReason::Overloaded;
+}
+
 bool causedNoLoad(const AttemptResult& result)
 {
     if (result.outcome != Outcome::NotRun)
         return false;
     const auto signal = signalOf(result);
-    const bool refusedByNode = reasonOf(result) == RefusalReason::Overloaded;
-    return refusedByNode || signal == UpstreamSignal::NotServing || signal == UpstreamSignal::Unreachable;
+    return wasRefusedForLoad(result) || signal == UpstreamSignal::NotServing || signal == UpstreamSignal::Unreachable;
 }
 
 RefusalReason reasonOf(const AttemptResult& result)
--- a/packages/routing/src/AttemptClassification.h
+++ b/packages/routing/src/AttemptClassification.h
@@ -26,6 +26,9 @@
 /// \returns whether a backend server received or may have received the call, including one that refused it.
 bool reachedBackend(const AttemptResult&);
 
+/// \returns whether the admitting node refused the attempt because its backend server is busy.
+bool wasRefusedForLoad(const AttemptResult&);
+
 /// \returns whether the attempt put no load on any backend server, so that a retry cannot multiply load.
 bool causedNoLoad(const AttemptResult&);
 
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -76,6 +76,7 @@
         return finish(AnswerRefusal { *refusal });
     drawDestination();
     m_state->budgetOf(m_service).onCall(now);
+    m_state->offerBudgetOf(m_service).onCall(now);
     if (repeatable() || !m_request.idempotencyKey)
         return sendFirst(now);
     m_phase = Phase::AwaitingClaimResult;
@@ -130,7 +131,7 @@
         return attempt;
     if (!m_state->policy.localDomainFirst)
         return pickAttempt(DomainScope::Any, now);
-    if (m_localCandidates < m_state->policy.maxLocalCandidates) {
+    if (m_localCandidates < m_state->maxLocalCandidates(m_service)) {
         if (auto local = pickAttempt(DomainScope::Local, now))
             return local;
     }
@@ -208,8 +209,7 @@
 
 void CallDecision::recordRefusedOffer(const AttemptResult& result)
 {
-    const bool forLoad = result.outcome == Outcome::NotRun && routing::reasonOf(result) == RefusalReason::Overloaded;
-    if (!forLoad || !result.retryAfter)
+    if (!wasRefusedForLoad(result) || !result.retryAfter)
         return;
     if (!m_bestRefusedOffer || *result.retryAfter < m_bestRefusedOffer->wait)
         m_bestRefusedOffer = RefusedOffer { m_sent, *result.retryAfter };
@@ -346,6 +346,8 @@
 {
     if (!mayRetry(result, now))
         return std::nullopt;
+    if (wasRefusedForLoad(result) && !m_state->offerBudgetOf(m_service).tryWithdraw(now))
+        return std::nullopt;
     auto attempt = nextAttempt(now);
     if (!attempt)
         return std::nullopt;
--- a/packages/routing/src/EntryState.cpp
+++ b/packages/routing/src/EntryState.cpp
@@ -31,11 +31,24 @@
     return budgets.try_emplace(service, policy.retries).first->second;
 }
 
+RetryBudget& EntryState::offerBudgetOf(const ServiceName& service)
+{
+    return offerBudgets.try_emplace(service, policy.offers).first->second;
+}
+
+std::uint32_t EntryState::maxLocalCandidates(const ServiceName& service)
+{
+    const bool isBusy = offerBudgetOf(service).tokens() < policy.offers.capacity / 2;
+    return isBusy ? policy.maxLocalCandidatesWhenBusy : policy.maxLocalCandidates;
+}
+
 void EntryState::setPolicy(const EntryPolicy& chosen)
 {
     policy = chosen;
     for (auto& [service, budget] : budgets)
         budget.setAllowance(policy.retries);
+    for (auto& [service, budget] : offerBudgets)
+        budget.setAllowance(policy.offers);
 }
 
 void EntryState::observe(NodeObservation it)
--- a/packages/routing/src/EntryState.h
+++ b/packages/routing/src/EntryState.h
@@ -26,6 +26,9 @@
     /// \returns the service that receives the next call of the route.
     ServiceName destinationOf(const publication::Route&);
     RetryBudget& budgetOf(const ServiceName&);
+    RetryBudget& offerBudgetOf(const ServiceName&);
+    /// \returns the maximum number of local nodes that a call of the service is offered to.
+    std::uint32_t maxLocalCandidates(const ServiceName&);
     void setPolicy(const EntryPolicy&);
     void observe(NodeObservation);
     /// \returns the time extended by a random amount of up to half, so that callers refused at the same moment do not
@@ -35,6 +38,7 @@
     UpstreamPicker picker;
     EntryPolicy policy;
     std::unordered_map<ServiceName, RetryBudget> budgets;
+    std::unordered_map<ServiceName, RetryBudget> offerBudgets;
     std::unordered_map<RouteName, WeightedRoundRobin> roundRobins;
     std::shared_ptr<const RouteTable> table = std::make_shared<RouteTable>();
     TrafficSplitSource trafficSplitSource;
--- a/packages/routing/src/UpstreamStatistics.cpp
+++ b/packages/routing/src/UpstreamStatistics.cpp
@@ -72,7 +72,7 @@
     const double calls = std::max<double>(reportedCalls + sentSince, m_inFlight) + 1;
     const double service = m_load.serviceTime.count() > 0 ? reportedServiceSeconds(mean, now) : mean;
     // A few free slots make little difference, but a queue adds one service time for each round of calls in it.
-    return service * std::max(1.0, calls / m_load.limit);
+    return service * std::max(1.0, calls / m_load.limit) + overheadSeconds(now);
 }
 
 double UpstreamStatistics::reportedServiceSeconds(double mean, MonotonicTime now) const
@@ -84,6 +84,13 @@
     return std::max(reported * std::exp2(-age / halfLife), floor);
 }
 
+double UpstreamStatistics::overheadSeconds(MonotonicTime now) const
+{
+    const std::chrono::duration<double> age = now - m_latencyAt;
+    const std::chrono::duration<double> halfLife = s_latencyHalfLife;
+    return m_overheadSeconds * std::exp2(-age / halfLife);
+}
+
 void UpstreamStatistics::countFailure(MonotonicTime now)
 {
     ++m_failuresInRow;
@@ -100,6 +107,11 @@
 void UpstreamStatistics::countAnswer(std::chrono::nanoseconds latency, bool error, MonotonicTime now)
 {
     const double sample = toSeconds(latency);
+    if (hasLoad()) {
+        const double overhead = std::max(0.0, sample - toSeconds(m_load.serviceTime));
+        const double previous = overheadSeconds(now);
+        m_overheadSeconds = previous + latencyWeight * (overhead - previous);
+    }
     const double before = latencySeconds(sample, now);
     m_latencySeconds = before + latencyWeight * (sample - before);
     m_latencyAt = now;
@@ -118,6 +130,7 @@
         m_ejections = 0;
         m_ejectedUntil = {};
         m_latencyAt = {};
+        m_overheadSeconds = 0;
         m_errorRate = 0;
     }
     if (revision != m_revision)
--- a/packages/routing/tests/UpstreamStatisticsTests.cpp
+++ b/packages/routing/tests/UpstreamStatisticsTests.cpp
@@ -48,6 +48,23 @@
     BOOST_TEST(upstream.expectedSeconds(meanSeconds, start + 1h) >= meanSeconds / 2);
 }
 
+// The backend servers are equally fast, but the node next to one of them lacks processor time.
+BOOST_AUTO_TEST_CASE(An_upstream_whose_node_adds_much_time_is_expected_to_answer_later)
+{
+    UpstreamStatistics starved;
+    UpstreamStatistics other;
+    MonotonicTime now { 1h };
+    for (int i = 0; i < 20; ++i, now += 100ms) {
+        starved.onLoad(idleLoad(2200us), now);
+        other.onLoad(idleLoad(2200us), now);
+        starved.onFinished(UpstreamSignal::Answered, 50ms, 0ms, now);
+        other.onFinished(UpstreamSignal::Answered, 3ms, 0ms, now);
+    }
+    BOOST_TEST(starved.expectedSeconds(meanSeconds, now) > 4 * other.expectedSeconds(meanSeconds, now));
+    const auto later = now + 10 * UpstreamStatistics::s_latencyHalfLife;
+    BOOST_TEST(starved.expectedSeconds(meanSeconds, later) < 2 * meanSeconds);
+}
+
 BOOST_AUTO_TEST_CASE(A_short_service_time_does_not_grow_with_its_age)
 {
     UpstreamStatistics upstream;
