--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -10,11 +10,6 @@
 
 namespace {
 
-    /// A repeatable attempt gets the time left divided by this, so that an unresponsive node leaves time for another
-    /// attempt.
-    constexpr int attemptDivisor = 2;
-    /// A repeatable attempt gets at least this multiple of the mean latency, so that a slow call is not cut short.
-    constexpr int latencyFactor = 10;
     constexpr std::chrono::milliseconds duplicateRetryAfter { 500 };
 
     RefusalReason reasonOf(RouteLookupError miss)
@@ -125,88 +120,6 @@
     return refuse(RefusalReason::NoUpstream);
 }
 
-std::optional<SendAttempt> CallDecision::nextAttempt(MonotonicTime now)
-{
-    if (auto attempt = loadTestAttempt(now))
-        return attempt;
-    if (!m_state->policy.localDomainFirst)
-        return pickAttempt(DomainScope::Any, now);
-    if (m_localCandidates < m_state->maxLocalCandidates(m_service)) {
-        if (auto local = pickAttempt(DomainScope::Local, now))
-            return local;
-    }
-    // A download waits for a local node rather than crossing failure domains.
-    const bool isDownload = m_route->trafficClass == publication::TrafficClass::Download;
-    if (isDownload) {
-        if (auto late = lateAttempt(now))
-            return late;
-    }
-    if (auto remote = pickAttempt(DomainScope::Remote, now))
-        return remote;
-    return lateAttempt(now);
-}
-
-std::optional<SendAttempt> CallDecision::pickAttempt(DomainScope scope, MonotonicTime now)
-{
-    if (m_tried.size() >= m_state->policy.maxCandidates)
-        return std::nullopt;
-    const auto split = m_state->trafficSplitOf(m_service);
-    std::vector<VersionFilter> versions;
-    if (m_wantsNext && split.next)
-        versions.emplace_back(*split.next);
-    // A call that was not drawn for the next version is never sent to it: the version is unproven beyond its share.
-    versions.push_back(split.current.empty() ? VersionFilter::allExcept(split.next.value_or(VersionName {})) : VersionFilter { split.current });
-    const bool mayProbe = repeatable() && m_request.bodyReplayable && m_tried.empty();
-    for (const bool allowEjected : { false, true }) {
-        for (const auto& version : versions) {
-            const PickConstraints constraints { m_tried, mayProbe, allowEjected, scope, {} };
-            const auto choice = m_state->picker.pick(m_service, version, constraints, now);
-            if (!choice)
-                continue;
-            return beginAttempt(*choice, scope, split.next == choice->version, now);
-        }
-    }
-    return std::nullopt;
-}
-
-std::optional<SendAttempt> CallDecision::loadTestAttempt(MonotonicTime now)
-{
-    if (!m_wantsNext || !m_tried.empty())
-        return std::nullopt;
-    const auto split = m_state->trafficSplitOf(m_service);
-    if (!split.next || split.loadTestNode.empty())
-        return std::nullopt;
-    const PickConstraints constraints { m_tried, false, true, DomainScope::Any, split.loadTestNode };
-    const auto choice = m_state->picker.pick(m_service, VersionFilter { *split.next }, constraints, now);
-    if (!choice)
-        return std::nullopt;
-    return beginAttempt(*choice, DomainScope::Any, true, now);
-}
-
-SendAttempt CallDecision::beginAttempt(const UpstreamChoice& choice, DomainScope scope, bool toNext, MonotonicTime now)
-{
-    m_attempt = Attempt { choice.node, toNext, now };
-    m_localCandidates += scope == DomainScope::Local ? 1 : 0;
-    m_state->picker.onSent(choice.node, choice.probe);
-    m_version = choice.version;
-    auto attempt = attemptAt(choice, m_version, attemptDeadline(now));
-    attempt.objective = objectiveFor(scope, now);
-    attempt.inactivityTimeout = inactivityTimeout(now);
-    return attempt;
-}
-
-std::optional<SendAttempt> CallDecision::lateAttempt(MonotonicTime now)
-{
-    if (!m_bestRefusedOffer || std::exchange(m_triedLate, true))
-        return std::nullopt;
-    auto attempt = m_bestRefusedOffer->attempt;
-    attempt.mayBeLate = true;
-    attempt.number = static_cast<std::uint32_t>(m_tried.size() + 1);
-    m_attempt = Attempt { attempt.node, false, now };
-    m_state->picker.onSent(attempt.node, false);
-    return attempt;
-}
-
 void CallDecision::recordRefusedOffer(const AttemptResult& result)
 {
     if (!wasRefusedForLoad(result) || !result.retryAfter)
@@ -215,37 +128,6 @@
         m_bestRefusedOffer = RefusedOffer { m_sent, *result.retryAfter };
 }
 
-std::optional<MonotonicTime> CallDecision::objectiveFor(DomainScope scope, MonotonicTime now) const
-{
-    if (m_route->objective.count() == 0)
-        return std::nullopt;
-    // A caller whose timeout is shorter than the route's has already spent the difference waiting.
-    const auto waited = std::max<MonotonicClock::duration>(m_arrivedAt + m_route->timeout - m_deadline, {});
-    const auto objective = m_arrivedAt + m_route->objective - waited;
-    const bool reservesRemoteTime = scope == DomainScope::Local && m_route->trafficClass != publication::TrafficClass::Download && objective > now;
-    if (!reservesRemoteTime)
-        return objective;
-    return now + std::chrono::duration_cast<MonotonicClock::duration>((objective - now) * s_localDomainFraction);
-}
-
-SendAttempt CallDecision::attemptAt(const UpstreamChoice& choice, const VersionName& version, MonotonicTime deadline) const
-{
-    SendAttempt it;
-    it.number = static_cast<std::uint32_t>(m_tried.size() + 1);
-    it.node = choice.node;
-    it.calls = choice.calls;
-    it.service = m_service;
-    it.route = m_route->name;
-    it.version = version;
-    it.deadline = deadline;
-    it.repeatability = m_route->repeatability;
-    it.trafficClass = m_route->trafficClass;
-    it.priority = m_route->priority;
-    it.freshConnection = choice.freshConnection;
-    it.basis = choice.basis;
-    return it;
-}
-
 std::optional<SendAttempt> CallDecision::resume(MonotonicTime now)
 {
     const bool relayed = m_final && std::holds_alternative<RelayAnswer>(*m_final);
@@ -270,24 +152,6 @@
     closeAttempt(signalOf(result), result.latency, result.retryAfter.value_or(std::chrono::milliseconds {}), now);
 }
 
-std::optional<std::chrono::milliseconds> CallDecision::inactivityTimeout(MonotonicTime now) const
-{
-    if (!repeatable())
-        return std::nullopt;
-    const auto part = std::chrono::duration_cast<std::chrono::milliseconds>((m_deadline - now) / s_inactivityDivisor);
-    return std::max(s_minInactivityTimeout, part);
-}
-
-MonotonicTime CallDecision::attemptDeadline(MonotonicTime now) const
-{
-    const auto mean = m_state->picker.meanLatency();
-    const bool last = m_tried.size() + 1 >= s_maxAttempts;
-    if (!m_state->policy.splitDeadline || !repeatable() || !m_request.bodyReplayable || !mean || last)
-        return m_deadline;
-    const MonotonicClock::duration part = (m_deadline - now) / attemptDivisor;
-    return std::min(m_deadline, now + std::max<MonotonicClock::duration>(part, *mean * latencyFactor));
-}
-
 CallCommand CallDecision::send(SendAttempt attempt)
 {
     m_phase = Phase::Attempting;
