Tell the dependencies of each compile command of a file that is linted

Cause: a file that belongs to two targets has two compile commands, and lint-one.sh asked only the last one for its dependencies; the first compiled the file and left an object file in the work tree.

Change: each command is asked by itself, and all of them are part of the key.

Result: the test of the lint cache plays a file of two targets and fails on the script before.

--- a/tests/tools/lint_cache_test.sh
+++ b/tests/tools/lint_cache_test.sh
@@ -11,12 +11,18 @@
 good_name='inline int twice(int n) { return 2 * n; }'
 bad_name='inline int Twice_(int n) { return 2 * n; }'
 
+# The file belongs to two targets.
 write_command() {
     cat >compile_commands.json <<EOF
 [
 {
   "directory": "$dir",
-  "command": "/usr/bin/c++ -std=c++20 $1 -o $dir/unit.o -c $dir/unit.cpp",
+  "command": "/usr/bin/c++ -std=c++20 -o $dir/first.o -c $dir/unit.cpp",
+  "file": "$dir/unit.cpp"
+},
+{
+  "directory": "$dir",
+  "command": "/usr/bin/c++ -std=c++20 $1 -o $dir/second.o -c $dir/unit.cpp",
   "file": "$dir/unit.cpp"
 }
 ]
@@ -76,3 +82,8 @@
 echo "$good_name // changed" >unit.h
 expect linted "changed header"
 expect remembered "nothing changed since the header"
+
+if ls ./*.o >/dev/null 2>&1; then
+    echo "lint left object files behind"
+    exit 1
+fi
--- a/tools/lint-one.sh
+++ b/tools/lint-one.sh
@@ -13,23 +13,31 @@
     [ -z "${LINT_VERBOSE:-}" ] || echo "$1 $file"
 }
 
-# The entry of compile_commands.json for the file, with the quotes of JSON taken off.
-compile_command() {
+# The entries of compile_commands.json for the file, a line each, with the quotes of JSON taken off. A file that belongs to
+# two targets has two.
+compile_commands() {
     grep -B1 -F "\"file\": \"$(realpath "$file")\"" "$build/compile_commands.json" | sed -n 's/^ *"command": "\(.*\)",$/\1/p' | sed 's/\\"/"/g'
 }
 
+# The files that the compiler reads for one of these commands.
+dependencies() {
+    eval "$(sed 's/ -o [^ ]*//' <<<"$1") -M" 2>/dev/null | sed 's/^[^:]*://; s/\\$//' | tr -s ' \n' '\n\n' | sed '/^$/d'
+}
+
 # Prints nothing where the dependencies cannot be told, so that the file is linted.
 key() {
-    local command dependencies
-    command=$(compile_command)
-    [ -n "$command" ] || return
-    dependencies=$(eval "$(sed 's/ -o [^ ]*//' <<<"$command") -M" 2>/dev/null) || return
+    local commands command files=""
+    commands=$(compile_commands)
+    [ -n "$commands" ] || return
+    while read -r command; do
+        files+=$(dependencies "$command")$'\n' || return
+    done <<<"$commands"
     {
         clang-tidy --version
         clang-tidy --dump-config -p "$build" "$file"
         cat "$0"
-        echo "$command"
-        sed 's/^[^:]*://; s/\\$//' <<<"$dependencies" | tr -s ' \n' '\n\n' | sed '/^$/d' | xargs sha256sum
+        echo "$commands"
+        sed '/^$/d' <<<"$files" | xargs sha256sum
     } 2>&1 | sha256sum | cut -d' ' -f1
 }
 
