Finish an answer that has begun for a caller that sends no more

Cause: where the caller ended its side of the connection, the requests behind the answer that was being written were cancelled, and each of them closed the connection under that answer.

Change: a request that its session has dropped does not close the connection; the session does so after the answer.

Result: the new case of PipeliningTests fails before, with the header alone, and passes.

--- a/packages/gateway/src/internal/ServerExchange.cpp
+++ b/packages/gateway/src/internal/ServerExchange.cpp
@@ -51,7 +51,9 @@
 
 void ServerExchange::abandon()
 {
-    m_session->close();
+    // A session that dropped this exchange may still write the answer before it.
+    if (m_state != State::Ended)
+        m_session->close();
 }
 
 void ServerExchange::respond(Response&& response, AnswerDone done)
--- a/packages/gateway/tests/PipeliningTests.cpp
+++ b/packages/gateway/tests/PipeliningTests.cpp
@@ -61,7 +61,10 @@
         void handle(const ServerExchange::Pointer& it)
         {
             Handled request { it, std::string { it->request().target() } };
-            it->onGone([gone = request.gone] { *gone = true; });
+            it->onGone([gone = request.gone, it] {
+                *gone = true;
+                it->abandon();
+            });
             handled.push_back(std::move(request));
         }
 
@@ -152,6 +155,34 @@
         bool m_cancelled = false;
     };
 
+    /// A body whose first piece comes when the test says so.
+    class HeldBody : public BodySource {
+    public:
+        void release()
+        {
+            m_done = true;
+            std::exchange(m_handler, nullptr)(std::nullopt, "held");
+        }
+
+        std::optional<std::uint64_t> contentLength() const override { return 4; }
+        bool bodyIsDone() const override { return m_done; }
+        bool hasBufferedBody() const override { return false; }
+        void readBody(BodyHandler handler) override
+        {
+            if (m_done)
+                handler(std::nullopt, {});
+            else
+                m_handler = std::move(handler);
+        }
+        void discard() override { }
+        void cancel() override { }
+        bool failed() const override { return false; }
+
+    private:
+        BodyHandler m_handler;
+        bool m_done = false;
+    };
+
 }
 
 BOOST_AUTO_TEST_SUITE(Pipelining)
@@ -311,6 +342,20 @@
     BOOST_TEST(*caller.handled[0].gone);
 }
 
+BOOST_AUTO_TEST_CASE(An_answer_that_has_begun_is_written_whole_for_a_caller_that_sends_no_more)
+{
+    Caller caller;
+    caller.send(get("/1") + get("/2"));
+    const auto body = std::make_shared<HeldBody>();
+    caller.handled[0].exchange->relay(body, ResponseHeader {}, nullptr);
+    caller.run();
+    caller.socket.shutdown(tcp::socket::shutdown_send);
+    caller.run();
+    BOOST_TEST(*caller.handled[1].gone);
+    body->release();
+    checkEqual(caller.answers(), { "held", "end" });
+}
+
 BOOST_AUTO_TEST_CASE(Requests_before_one_that_cannot_be_read_are_answered_first)
 {
     Caller caller;
