--- a/packages/node/src/internal/CallLog.cpp
+++ b/packages/node/src/internal/CallLog.cpp
@@ -15,6 +15,11 @@
         event.with("calls", load.calls).with("limit", load.limit).with("serviceMs", load.serviceTime);
     }
 
+    bool hasNoRoute(const gateway::CallObservation& call)
+    {
+        return call.reason == routing::RefusalReason::UnknownRoute || call.reason == routing::RefusalReason::UnknownHost;
+    }
+
 }
 
 void CallLog::onCall(const gateway::CallObservation& call)
@@ -28,6 +33,10 @@
         it.with("objectiveMs", call.objective);
     if (call.configuration)
         it.with("configuration", *call.configuration);
+    if (hasNoRoute(call) && m_configurationAge) {
+        if (const auto age = m_configurationAge())
+            it.with("configurationAgeMs", *age);
+    }
     if (call.answerEnd != gateway::AnswerEnd::Whole)
         it.with("answer", gateway::toString(call.answerEnd));
     m_events.record(it);
--- a/packages/node/src/internal/FleetDriver.cpp
+++ b/packages/node/src/internal/FleetDriver.cpp
@@ -72,6 +72,11 @@
         m_announcements->stop();
 }
 
+std::optional<std::chrono::milliseconds> FleetDriver::orderAge() const
+{
+    return m_reader ? m_reader->answerAge(MonotonicClock::now()) : std::nullopt;
+}
+
 void FleetDriver::onView(const membership::MembershipView& view)
 {
     if (m_directory)
--- a/packages/node/src/internal/FleetDriver.h
+++ b/packages/node/src/internal/FleetDriver.h
@@ -34,6 +34,9 @@
 
     OrderedMoveDriver& moves() const { return *m_moves; }
 
+    /// \returns the time since the store last answered a read of the operator's stream; nothing before the first answer.
+    std::optional<std::chrono::milliseconds> orderAge() const;
+
     /// Fails with \c gateway::ListenFailure.
     Result<void> listen();
     /// \param peer where this node listens for peers.
--- a/packages/node/src/internal/KeyedReader.h
+++ b/packages/node/src/internal/KeyedReader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carobpath/foundation/Backoff.h"
+#include "carobpath/foundation/Time.h"
 #include "carobpath/publication/KeyedFollower.h"
 
 #include <boost/asio/io_context.hpp>
@@ -10,6 +11,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -42,6 +44,14 @@
 
     void start() { read(); }
 
+    /// \returns the time since the store last answered a read of the stream; nothing before the first answer.
+    std::optional<std::chrono::milliseconds> answerAge(MonotonicTime now) const
+    {
+        if (!m_answeredAt)
+            return std::nullopt;
+        return std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_answeredAt);
+    }
+
     /// Reads no more and reports nothing any more.
     void stop()
     {
@@ -74,6 +84,7 @@
             return;
         }
         m_backoff.reset();
+        m_answeredAt = MonotonicClock::now();
         if (!std::exchange(m_available, true))
             m_hooks.onAvailable(true, {});
         if (std::holds_alternative<publication::Trimmed>(result)) {
@@ -126,6 +137,7 @@
     std::mt19937_64 m_random;
     boost::asio::steady_timer m_retry;
     Backoff m_backoff { s_retryBase, s_retryCap };
+    std::optional<MonotonicTime> m_answeredAt;
     bool m_available = true;
     bool m_stopped = false;
 };
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -144,6 +144,7 @@
 Result<void> NodeAssembly::startFleet()
 {
     m_fleet.emplace(m_context, m_log, *m_upstream, fleetHooks());
+    m_callLog.setConfigurationAge([this] { return m_fleet->orderAge(); });
     return m_fleet->listen();
 }
 
