--- a/tests/process/tests/StoreSilenceTests.cpp
+++ b/tests/process/tests/StoreSilenceTests.cpp
@@ -53,6 +53,7 @@
     a.announce("i-a", "ready", 1);
     swallowReads();
     std::this_thread::sleep_for(settleTime);
+    a.announce("i-a", "ready", 2);
     putOrder(store.endpoint(), "config", versionOf(9, "/second/"));
     for (auto* node : { &a, &b })
         eventually("the new route is served", [&] { return serves(*node, "/second/1"); }, applyBound);
