Repeat reads that a silent store swallowed, by what the fleet knows of a stream's end

Cause: "no answer yet" to a long poll was taken as "nothing new". A read that is sent while the store is silent is never answered, also after its return, and it was waited for up to 30 s. Nodes read at the same moments, a second after news, so one silent second left all of them without news, and no peer had any for the others.

Change: a few nodes, the log readers elected in each failure domain, ask for the end of each stream that they follow, four times a second in the whole fleet. An end that no read delivers within 200 ms is announced along the relay tree; gossip carries it as well. ReadWatchdog, without I/O, decides when a pending read is given up for a listing: once for each end that is known, or when the store answers a check again after it failed to. A shorter poll was weighed: it costs each node a call every one or two seconds, which is the largest price at 294 nodes; the checks cost the same at any size.

--- a/packages/distribution/include/carobpath/distribution/GossipEngine.h
+++ b/packages/distribution/include/carobpath/distribution/GossipEngine.h
@@ -58,7 +58,12 @@
     bool ready = false;
 };
 
-using Command = std::variant<SendGossip, SendPush, FetchSnapshot, ReadLog, ActivateConfiguration, PublishView, SetReady>;
+/// Report that a peer knows a stream of the log to reach further than this node does.
+struct AdvanceStream {
+    StreamEnd reached;
+};
+
+using Command = std::variant<SendGossip, SendPush, FetchSnapshot, ReadLog, ActivateConfiguration, PublishView, SetReady, AdvanceStream>;
 using Commands = std::vector<Command>;
 
 /// Counters since the start of the engine, for metrics.
@@ -150,6 +155,11 @@
     /// Reports that this node has read the log to its end.
     Commands onLogEnd(MonotonicTime now);
 
+    /// Reports how far this node has read a stream. Gossip rounds pass it on.
+    void onStreamRead(const StreamEnd& reached) { m_streamEnds.advance(reached); }
+    /// Tells all nodes at once how far a stream reaches, since their reads may not deliver it.
+    Commands announceStreamEnd(const StreamEnd&);
+
     /// Adds seeds found after the start; only the latest are kept. Immediately contacts each seed that is not known to be
     /// alive: if all nodes start at the same time, none has joined yet and none can serve a snapshot.
     Commands addSeeds(const std::vector<Endpoint>&);
@@ -219,6 +229,9 @@
     /// \returns the time to wait before a newer configuration is fetched from a peer.
     std::chrono::milliseconds fetchGrace(bool deltaExpected) const;
     bool isLocal(const NodeName&) const;
+    void processStreamEnds(const PeerMessage&, Commands&);
+    /// Sends to all neighbours in the relay tree except one what has not been sent before.
+    void forwardStreamEnds(const std::vector<StreamEnd>&, const Endpoint& except, Commands&);
     void answerComparison(const PeerMessage&, Commands&);
     void onAdoption(Adoption, const publication::ConfigurationPointer& before, const Endpoint& source, MonotonicTime now, Commands&);
     bool comparisonDue(const PeerMessage& request, MonotonicTime now);
@@ -236,6 +249,8 @@
     SnapshotTransferLimit m_slots;
     SnapshotFetch m_fetch;
     EvidenceGossip m_evidence;
+    StreamEnds m_streamEnds;
+    StreamEnds m_forwardedStreamEnds;
     GossipCounters m_counters;
 
     MonotonicTime m_startedAt;
--- a/packages/distribution/include/carobpath/distribution/PeerMessage.h
+++ b/packages/distribution/include/carobpath/distribution/PeerMessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carobpath/distribution/Delta.h"
+#include "carobpath/distribution/StreamEnds.h"
 #include "carobpath/membership/MembershipUpdate.h"
 #include "carobpath/membership/TableDigest.h"
 #include "carobpath/moves/Evidence.h"
@@ -30,6 +31,8 @@
     membership::MembershipUpdate membership;
     moves::EvidenceUpdate evidence;
     std::shared_ptr<const Delta> delta;
+    /// How far the sender knows streams of the log to reach. In a push, the receiver forwards what is new to it.
+    std::vector<StreamEnd> streamEnds;
     /// Hybrid logical clock of the sender, written and read by the transport.
     std::uint64_t hybridMilliseconds = 0;
     std::uint32_t hybridCounter = 0;
--- a/packages/distribution/include/carobpath/distribution/ReaderElection.h
+++ b/packages/distribution/include/carobpath/distribution/ReaderElection.h
@@ -17,4 +17,7 @@
 /// \returns whether the node is one of the log readers of its failure domain.
 bool isLogReader(const membership::MembershipView&, const NodeName&, const FailureDomainName&);
 
+/// \returns the number of log readers in all failure domains.
+std::size_t countLogReaders(const membership::MembershipView&);
+
 }
--- a/packages/distribution/src/GossipEngine.cpp
+++ b/packages/distribution/src/GossipEngine.cpp
@@ -231,6 +231,14 @@
     return commands;
 }
 
+Commands GossipEngine::announceStreamEnd(const StreamEnd& reached)
+{
+    Commands commands;
+    m_streamEnds.advance(reached);
+    forwardStreamEnds({ reached }, Endpoint {}, commands);
+    return commands;
+}
+
 Commands GossipEngine::addSeeds(const std::vector<Endpoint>& found)
 {
     for (const auto& it : found) {
--- a/packages/distribution/src/GossipMessages.cpp
+++ b/packages/distribution/src/GossipMessages.cpp
@@ -52,6 +52,7 @@
 {
     Commands commands;
     processMessage(message, now, commands);
+    forwardStreamEnds(message.streamEnds, message.sender, commands);
     answerComparison(message, commands);
     publishState(now, commands);
     return commands;
@@ -131,12 +132,36 @@
     m_isViewUrgent = m_isViewUrgent || !merged.urgent.empty();
     push(content, message.sender, commands);
     pushNotices(m_evidence.merge(message.evidence), message.sender, commands);
+    processStreamEnds(message, commands);
     const bool hadDelta = message.delta != nullptr;
     if (hadDelta)
         processDelta(message, now, commands);
     compareStamps(message, !hadDelta, now);
 }
 
+void GossipEngine::processStreamEnds(const PeerMessage& message, Commands& commands)
+{
+    for (const auto& it : message.streamEnds) {
+        if (m_streamEnds.advance(it))
+            commands.emplace_back(AdvanceStream { it });
+    }
+}
+
+void GossipEngine::forwardStreamEnds(const std::vector<StreamEnd>& ends, const Endpoint& except, Commands& commands)
+{
+    PeerMessage message = header();
+    for (const auto& it : ends) {
+        if (m_forwardedStreamEnds.advance(it))
+            message.streamEnds.push_back(it);
+    }
+    if (message.streamEnds.empty())
+        return;
+    for (const auto* it : m_tree.neighbours()) {
+        if (it->addresses.peer != except)
+            commands.emplace_back(SendPush { it->addresses.peer, message });
+    }
+}
+
 void GossipEngine::recordFloor(const PeerMessage& message)
 {
     // A starting node also treats the current version of a witness as a floor, since the witness may have evicted the
@@ -321,6 +346,7 @@
     if (includeSelf)
         message.membership.records.push_back(*m_members.find(m_members.self().name));
     message.evidence = m_evidence.take(s_evidenceBudget, transmissions());
+    message.streamEnds = m_streamEnds.all();
     return message;
 }
 
--- a/packages/distribution/src/ReaderElection.cpp
+++ b/packages/distribution/src/ReaderElection.cpp
@@ -3,6 +3,7 @@
 #include "carobpath/foundation/RendezvousHash.h"
 
 #include <algorithm>
+#include <map>
 
 namespace carobpath::distribution {
 
@@ -34,4 +35,17 @@
     return std::any_of(ranked.begin(), end, [&](const auto* it) { return it->entry.name == node; });
 }
 
+std::size_t countLogReaders(const membership::MembershipView& view)
+{
+    std::map<FailureDomainName, std::size_t> nodes;
+    for (const auto& it : view.nodes) {
+        if (it.liveness != membership::Liveness::Dead && !it.entry.leaving)
+            ++nodes[it.entry.domain];
+    }
+    std::size_t readers = 0;
+    for (const auto& [domain, n] : nodes)
+        readers += std::min(n, logReadersPerDomain);
+    return readers;
+}
+
 }
--- a/packages/distribution/tests/Fleet.cpp
+++ b/packages/distribution/tests/Fleet.cpp
@@ -289,6 +289,8 @@
         activate(node, active->configuration);
     else if (const auto* ready = std::get_if<SetReady>(&command))
         m_nodes[node].ready = ready->ready;
+    else if (const auto* advanced = std::get_if<AdvanceStream>(&command))
+        m_nodes[node].streamEnd = std::max(m_nodes[node].streamEnd, advanced->reached.end);
     else if (const auto* role = std::get_if<ReadLog>(&command)) {
         m_nodes[node].reading = role->enabled;
         if (role->enabled)
--- a/packages/foundation/include/carobpath/foundation/EventNames.h
+++ b/packages/foundation/include/carobpath/foundation/EventNames.h
@@ -28,6 +28,7 @@
     inline constexpr EventName logUnavailable { "log-unavailable" };
     inline constexpr EventName logAvailable { "log-available" };
 
+    inline constexpr EventName readAbandoned { "read-abandoned" };
     inline constexpr EventName directoryFailed { "directory-failed" };
 
     inline constexpr EventName upstreamAnnounced { "upstream-announced" };
--- a/packages/node/src/internal/FleetDriver.cpp
+++ b/packages/node/src/internal/FleetDriver.cpp
@@ -1,5 +1,6 @@
 #include "internal/FleetDriver.h"
 
+#include "carobpath/distribution/ReaderElection.h"
 #include "carobpath/platform/AnnouncementDocument.h"
 #include "carobpath/platform/ConfigurationDocument.h"
 #include "carobpath/platform/FleetDialect.h"
@@ -11,6 +12,9 @@
 namespace {
 
     constexpr std::chrono::milliseconds longPoll { 28'000 };
+    /// Time between two checks of a stream by the whole fleet: a small part of the time within which a change is to be in
+    /// force.
+    constexpr std::chrono::milliseconds fleetCheckInterval { 250 };
     constexpr unsigned statusOk = 200;
     constexpr unsigned statusBadRequest = 400;
     constexpr unsigned statusNotFound = 404;
@@ -29,7 +33,7 @@
     , m_store(store)
     , m_upstream(upstream)
     , m_hooks(std::move(hooks))
-    , m_moves(std::make_shared<OrderedMoveDriver>(context, m_store, m_hooks.onNotice))
+    , m_moves(std::make_shared<OrderedMoveDriver>(context, m_store, m_hooks.onNotice, streamHooks(platform::statusStream)))
 {
 }
 
@@ -51,6 +55,7 @@
 {
     m_reader = std::make_shared<Reader>(m_context.io, m_store, std::string { platform::operatorStream }, longPoll, readerHooks(), m_context.random());
     m_directory = std::make_shared<DirectoryDriver>(m_context, m_store, peer, m_hooks.onPeersFound);
+    m_reader->setCheckInterval(m_checkInterval);
     m_reader->start();
     m_directory->start();
     m_moves->start();
@@ -79,13 +84,44 @@
 
 void FleetDriver::onView(const membership::MembershipView& view)
 {
-    if (m_directory)
-        m_directory->onView(view);
+    const auto& settings = m_context.settings;
+    m_checkInterval.reset();
+    if (distribution::isLogReader(view, settings.name, settings.failureDomain))
+        m_checkInterval = fleetCheckInterval * distribution::countLogReaders(view);
+    m_moves->setCheckInterval(m_checkInterval);
+    if (!m_reader)
+        return;
+    m_directory->onView(view);
+    m_reader->setCheckInterval(m_checkInterval);
+}
+
+void FleetDriver::onStreamAdvanced(const distribution::StreamEnd& reached)
+{
+    if (reached.stream == platform::operatorStream && m_reader)
+        m_reader->onEndKnown(reached.end);
+    if (reached.stream == platform::statusStream)
+        m_moves->onStatusEndKnown(reached.end);
+}
+
+StreamHooks FleetDriver::streamHooks(std::string_view stream)
+{
+    StreamHooks hooks;
+    hooks.onPosition = [this, name = std::string { stream }](publication::Offset end) { m_hooks.onStreamRead({ name, end }); };
+    hooks.onReadAbandoned = [this, name = std::string { stream }](const AbandonedRead& read) {
+        m_context.events.record(Event(event::readAbandoned)
+                                    .with("stream", name)
+                                    .with("offset", read.from)
+                                    .with("end", read.knownEnd)
+                                    .with("openMs", read.open));
+        m_hooks.onStreamAhead({ name, read.knownEnd });
+    };
+    return hooks;
 }
 
 KeyedReaderHooks FleetDriver::readerHooks()
 {
     KeyedReaderHooks hooks;
+    hooks.stream = streamHooks(platform::operatorStream);
     hooks.onRecord = [this](const publication::KeyedRecord& record) { return onOrder(record); };
     hooks.onEnd = [this] { m_hooks.onStoreRead(); };
     hooks.onAvailable = [this](bool available, const publication::LogFailure& failure) {
--- a/packages/node/src/internal/FleetDriver.h
+++ b/packages/node/src/internal/FleetDriver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "carobpath/distribution/StreamEnds.h"
 #include "carobpath/gateway/AdminServer.h"
 #include "carobpath/platform/StoreClient.h"
 #include "carobpath/publication/ConfigurationSet.h"
@@ -12,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 namespace carobpath::node::Detail {
 
@@ -25,6 +27,10 @@
     /// A finding about a move must be spread at once.
     std::function<void()> onNotice;
     std::function<void(bool)> onStoreAvailable;
+    /// A stream of the store was read up to this end.
+    std::function<void(const distribution::StreamEnd&)> onStreamRead;
+    /// A stream of the store reaches further than a pending read has delivered, here and maybe elsewhere.
+    std::function<void(const distribution::StreamEnd&)> onStreamAhead;
 };
 
 /// The node's ends towards the shared fleet: its store, its readiness questions and its backend servers' announcements.
@@ -46,11 +52,15 @@
     void stop();
 
     void onView(const membership::MembershipView&);
+    /// A peer knows that a stream reaches this end.
+    void onStreamAdvanced(const distribution::StreamEnd&);
+    void onTick(MonotonicTime now) { m_reader->onTick(now); }
 
 private:
     using Reader = KeyedReader<platform::StoreClient>;
 
     KeyedReaderHooks readerHooks();
+    StreamHooks streamHooks(std::string_view stream);
     /// Both return whether the record can be used.
     bool onOrder(const publication::KeyedRecord&);
     bool onConfigurationRecord(const publication::KeyedRecord&);
@@ -65,6 +75,8 @@
     UpstreamDriver& m_upstream;
     FleetHooks m_hooks;
     std::shared_ptr<Reader> m_reader;
+    /// Time between two checks of the streams by this node; nothing if other nodes check them.
+    std::optional<std::chrono::milliseconds> m_checkInterval;
     std::shared_ptr<DirectoryDriver> m_directory;
     std::shared_ptr<OrderedMoveDriver> m_moves;
     std::optional<gateway::AdminServer> m_readiness;
--- a/packages/node/src/internal/KeyedReader.h
+++ b/packages/node/src/internal/KeyedReader.h
@@ -3,12 +3,14 @@
 #include "carobpath/foundation/Backoff.h"
 #include "carobpath/foundation/Time.h"
 #include "carobpath/publication/KeyedFollower.h"
+#include "carobpath/publication/ReadWatchdog.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -18,6 +20,22 @@
 
 namespace carobpath::node::Detail {
 
+/// A read that was given up before it was answered.
+struct AbandonedRead {
+    publication::Offset from = 0;
+    /// The stream is known to reach this end.
+    publication::Offset knownEnd = 0;
+    /// Time since the read was sent.
+    std::chrono::milliseconds open {};
+};
+
+/// What a reader reports of its position in a stream.
+struct StreamHooks {
+    /// The stream was read up to this end.
+    std::function<void(publication::Offset end)> onPosition;
+    std::function<void(const AbandonedRead&)> onReadAbandoned;
+};
+
 /// What a reader of a keyed stream reports. All are called on the context's thread.
 struct KeyedReaderHooks {
     /// \returns whether the record can be used; if not, the one of its key before it is reported, where there is one.
@@ -26,9 +44,10 @@
     std::function<void()> onEnd;
     /// The store answers again, or answers no more; with the failure.
     std::function<void(bool available, const publication::LogFailure&)> onAvailable;
+    StreamHooks stream;
 };
 
-/// Follows a keyed stream by long polls.
+/// Follows a keyed stream by long polls. \c onTick must be called several times a second.
 template <publication::KeyedStore Store>
 class KeyedReader : public std::enable_shared_from_this<KeyedReader<Store>> {
 public:
@@ -38,12 +57,35 @@
         , m_wait(wait)
         , m_hooks(std::move(hooks))
         , m_random(random)
+        , m_watchdog(std::mt19937_64(m_random()))
         , m_retry(context)
     {
     }
 
     void start() { read(); }
 
+    /// Sets how often this node asks for the end of the stream; nothing if it leaves that to others.
+    void setCheckInterval(std::optional<std::chrono::milliseconds> interval) { m_watchdog.setCheckInterval(interval, MonotonicClock::now()); }
+
+    /// Another node knows that the stream reaches this end.
+    void onEndKnown(publication::Offset end) { m_watchdog.onEndKnown(end, MonotonicClock::now()); }
+
+    void onTick(MonotonicTime now)
+    {
+        if (m_stopped)
+            return;
+        switch (m_watchdog.next(now)) {
+        case publication::ReadStep::ReadAgain:
+            readAgain();
+            break;
+        case publication::ReadStep::CheckEnd:
+            checkEnd();
+            break;
+        case publication::ReadStep::Wait:
+            break;
+        }
+    }
+
     /// \returns the time since the store last answered a read of the stream; nothing before the first answer.
     std::optional<std::chrono::milliseconds> answerAge(MonotonicTime now) const
     {
@@ -67,26 +109,60 @@
 
     void read()
     {
-        auto handler = [self = this->shared_from_this()](publication::KeyedResult result) {
-            if (!self->m_stopped)
+        auto handler = [self = this->shared_from_this(), number = ++m_readNumber](publication::KeyedResult result) {
+            if (!self->m_stopped && number == self->m_readNumber)
                 self->onResult(std::move(result));
         };
+        m_sentAt = MonotonicClock::now();
+        m_watchdog.onReadSent(m_follower.nextRead(), m_sentAt);
         if (m_follower.needsListing())
             m_store.listNewest(m_stream, std::move(handler));
         else
             m_store.readKeyed(m_stream, m_follower.nextRead(), m_wait, std::move(handler));
     }
 
+    void readAgain()
+    {
+        m_retry.cancel();
+        const auto open = std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicClock::now() - m_sentAt);
+        m_hooks.stream.onReadAbandoned({ m_follower.nextRead(), m_watchdog.knownEnd(), open });
+        m_follower.onInterrupted();
+        read();
+    }
+
+    void checkEnd()
+    {
+        m_store.checkEnd(m_stream, m_follower.nextRead(), [self = this->shared_from_this()](const publication::EndResult& result) {
+            if (self->m_stopped)
+                return;
+            const auto now = MonotonicClock::now();
+            self->reportAvailable(result);
+            if (const auto* end = std::get_if<publication::Offset>(&result))
+                self->m_watchdog.onCheckAnswered(*end, now);
+            else
+                self->m_watchdog.onCheckFailed(now);
+        });
+    }
+
+    template <typename Result>
+    void reportAvailable(const Result& result)
+    {
+        const auto* failure = std::get_if<publication::LogFailure>(&result);
+        if (std::exchange(m_available, !failure) == !failure)
+            return;
+        m_hooks.onAvailable(!failure, failure ? *failure : publication::LogFailure {});
+    }
+
     void onResult(publication::KeyedResult result)
     {
-        if (const auto* failure = std::get_if<publication::LogFailure>(&result)) {
-            onFailure(*failure);
+        reportAvailable(result);
+        if (std::holds_alternative<publication::LogFailure>(result)) {
+            onFailure();
             return;
         }
         m_backoff.reset();
+        m_watchdog.onReadAnswered();
         m_answeredAt = MonotonicClock::now();
-        if (!std::exchange(m_available, true))
-            m_hooks.onAvailable(true, {});
         if (std::holds_alternative<publication::Trimmed>(result)) {
             m_follower.onTrimmed();
             read();
@@ -117,15 +193,15 @@
             if (!isUsed)
                 m_follower.onRefused(news);
         }
+        m_hooks.stream.onPosition(m_follower.nextRead());
         m_hooks.onEnd();
     }
 
-    void onFailure(const publication::LogFailure& failure)
+    void onFailure()
     {
+        m_watchdog.onReadFailed();
         // A read that timed out where nothing was due may have met a connection that fell silent.
         m_follower.onInterrupted();
-        if (std::exchange(m_available, false))
-            m_hooks.onAvailable(false, failure);
         readAfter(m_backoff.next(m_random));
     }
 
@@ -135,8 +211,12 @@
     std::chrono::milliseconds m_wait;
     KeyedReaderHooks m_hooks;
     std::mt19937_64 m_random;
+    publication::ReadWatchdog m_watchdog;
+    /// An answer to any read but the last one is ignored.
+    std::uint64_t m_readNumber = 0;
     boost::asio::steady_timer m_retry;
     Backoff m_backoff { s_retryBase, s_retryCap };
+    MonotonicTime m_sentAt;
     std::optional<MonotonicTime> m_answeredAt;
     bool m_available = true;
     bool m_stopped = false;
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -160,6 +160,8 @@
     hooks.ready = [this] { return serving(); };
     hooks.onNotice = [this] { m_peers->notifyEvidence(); };
     hooks.onStoreAvailable = [this](bool available) { m_metrics.setLogAvailable(available); };
+    hooks.onStreamRead = [this](const distribution::StreamEnd& reached) { m_peers->reportStreamEnd(reached); };
+    hooks.onStreamAhead = [this](const distribution::StreamEnd& reached) { m_peers->announceStreamEnd(reached); };
     return hooks;
 }
 
@@ -272,6 +274,10 @@
             m_reader->setEnabled(reader);
     };
     callbacks.onReady = [this](bool ready) { onReady(ready); };
+    callbacks.onStreamAdvanced = [this](const distribution::StreamEnd& reached) {
+        if (m_fleet)
+            m_fleet->onStreamAdvanced(reached);
+    };
     callbacks.onClaim = [this](const peer::ClaimRequest& request, peer::ClaimReply reply) { m_ledger.onPeerClaim(request, std::move(reply)); };
     callbacks.onEndClaim = [this](const peer::EndRequest& request) { m_ledger.onPeerEnd(request); };
     callbacks.onCrashes = [this](const routing::CrashUpdate& update) { m_quarantine.onPeerUpdate(update); };
@@ -410,6 +416,8 @@
 void NodeAssembly::tick()
 {
     m_upstream->onTick();
+    if (m_fleet)
+        m_fleet->onTick(MonotonicClock::now());
     m_metrics.setAdmission(m_controller.inFlight(), m_controller.waiting());
     for (const auto& it : m_router.takeObservations())
         m_peers->reportCall(it.node, it.reachability == routing::NodeReachability::Answered);
--- a/packages/node/src/internal/OrderedMoveDriver.cpp
+++ b/packages/node/src/internal/OrderedMoveDriver.cpp
@@ -49,10 +49,11 @@
 
 }
 
-OrderedMoveDriver::OrderedMoveDriver(NodeContext& context, platform::StoreClient& store, std::function<void()> onNotice)
+OrderedMoveDriver::OrderedMoveDriver(NodeContext& context, platform::StoreClient& store, std::function<void()> onNotice, StreamHooks statusHooks)
     : m_context(context)
     , m_store(store)
     , m_onNotice(std::move(onNotice))
+    , m_statusHooks(std::move(statusHooks))
     , m_engine(context.settings.name, context.incarnation, moves::ExposureBound { context.settings.exposure.part, context.settings.exposure.slack })
     , m_timer(context.io)
 {
@@ -115,12 +116,27 @@
     if (m_reader || m_stopped)
         return;
     m_reader = std::make_shared<Reader>(m_context.io, m_store, statusStream, statusPoll, readerHooks(), m_context.random());
+    m_reader->setCheckInterval(m_checkInterval);
     m_reader->start();
 }
 
+void OrderedMoveDriver::setCheckInterval(std::optional<std::chrono::milliseconds> interval)
+{
+    m_checkInterval = interval;
+    if (m_reader)
+        m_reader->setCheckInterval(interval);
+}
+
+void OrderedMoveDriver::onStatusEndKnown(publication::Offset end)
+{
+    if (m_reader)
+        m_reader->onEndKnown(end);
+}
+
 KeyedReaderHooks OrderedMoveDriver::readerHooks()
 {
     KeyedReaderHooks hooks;
+    hooks.stream = m_statusHooks;
     hooks.onRecord = [this](const publication::KeyedRecord& record) { return onStatusRecord(record); };
     hooks.onEnd = [this] {
         if (std::exchange(m_statusKnown, true))
@@ -187,7 +203,10 @@
 
 void OrderedMoveDriver::tick()
 {
-    for (const auto& command : m_engine.tick(MonotonicClock::now()))
+    const auto now = MonotonicClock::now();
+    if (m_reader)
+        m_reader->onTick(now);
+    for (const auto& command : m_engine.tick(now))
         std::visit([this](const auto& it) { perform(it); }, command);
 }
 
--- a/packages/node/src/internal/OrderedMoveDriver.h
+++ b/packages/node/src/internal/OrderedMoveDriver.h
@@ -20,13 +20,18 @@
 class OrderedMoveDriver : public std::enable_shared_from_this<OrderedMoveDriver> {
 public:
     /// \param onNotice called when a finding must be spread at once.
-    OrderedMoveDriver(NodeContext&, platform::StoreClient&, std::function<void()> onNotice);
+    /// \param statusHooks told of the positions in the stream of states.
+    OrderedMoveDriver(NodeContext&, platform::StoreClient&, std::function<void()> onNotice, StreamHooks statusHooks);
 
     void start();
     void stop();
 
     moves::OrderedMoves& engine() { return m_engine; }
 
+    /// See \c KeyedReader, for the stream of states.
+    void setCheckInterval(std::optional<std::chrono::milliseconds>);
+    void onStatusEndKnown(publication::Offset end);
+
     /// A record about a move in the operator's stream.
     /// \returns whether the order can be read.
     bool onOrder(const publication::KeyedRecord&);
@@ -52,6 +57,8 @@
     NodeContext& m_context;
     platform::StoreClient& m_store;
     std::function<void()> m_onNotice;
+    StreamHooks m_statusHooks;
+    std::optional<std::chrono::milliseconds> m_checkInterval;
     moves::OrderedMoves m_engine;
     boost::asio::steady_timer m_timer;
     std::shared_ptr<Reader> m_reader;
--- /dev/null
+++ b/packages/node/tests/KeyedReaderTests.cpp
@@ -0,0 +1,122 @@
+#include "internal/KeyedReader.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace carobpath::node::Detail {
+
+namespace {
+
+    using namespace std::chrono_literals;
+    using publication::KeyedRecord;
+    using publication::LogError;
+    using publication::LogFailure;
+    using publication::Offset;
+
+    constexpr auto longPoll = 28s;
+
+    /// A store that keeps the calls of readers until the test answers them.
+    struct HeldStore {
+        std::vector<KeyedRecord> records;
+        std::vector<publication::KeyedHandler> listings;
+        std::vector<publication::KeyedHandler> reads;
+        std::vector<publication::EndHandler> checks;
+
+        void listNewest(const std::string&, publication::KeyedHandler handler) { listings.push_back(std::move(handler)); }
+        void readKeyed(const std::string&, Offset, std::chrono::milliseconds, publication::KeyedHandler handler) { reads.push_back(std::move(handler)); }
+        void checkEnd(const std::string&, Offset, publication::EndHandler handler) { checks.push_back(std::move(handler)); }
+        void put(const std::string&, const KeyedRecord&, std::optional<Offset>, publication::AppendHandler) { }
+
+        Offset end() const { return records.size(); }
+        void append(std::string value) { records.push_back({ end(), "config", std::move(value) }); }
+        void answerListing() { std::exchange(listings.back(), {})({ publication::KeyedBatch { end(), { records.back() } } }); }
+    };
+    static_assert(publication::KeyedStore<HeldStore>);
+
+    /// A reader that has listed the first record and waits for the next one.
+    struct WaitingReader {
+        boost::asio::io_context io;
+        HeldStore store;
+        std::vector<std::string> delivered;
+        std::vector<Offset> abandonedFor;
+        std::vector<bool> availability;
+        std::shared_ptr<KeyedReader<HeldStore>> reader;
+
+        WaitingReader()
+        {
+            store.append("first");
+            reader = std::make_shared<KeyedReader<HeldStore>>(io, store, "orders", longPoll, hooks(), std::mt19937_64 { 1 });
+            reader->start();
+            store.answerListing();
+            BOOST_REQUIRE(store.reads.size() == 1U);
+        }
+
+        KeyedReaderHooks hooks()
+        {
+            KeyedReaderHooks it;
+            it.onRecord = [this](const KeyedRecord& record) {
+                delivered.push_back(record.value.value_or(""));
+                return true;
+            };
+            it.onEnd = [] {};
+            it.onAvailable = [this](bool available, const LogFailure&) { availability.push_back(available); };
+            it.stream.onPosition = [](Offset) {};
+            it.stream.onReadAbandoned = [this](const AbandonedRead& read) { abandonedFor.push_back(read.knownEnd); };
+            return it;
+        }
+
+        void tickAfter(std::chrono::milliseconds time) const { reader->onTick(MonotonicClock::now() + time); }
+    };
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(Keyed_readers, WaitingReader)
+
+BOOST_AUTO_TEST_CASE(A_record_that_a_swallowed_read_does_not_deliver_is_listed_once_a_peer_knows_of_it)
+{
+    store.append("second");
+    reader->onEndKnown(store.end());
+    tickAfter(publication::ReadWatchdog::s_deliveryTimeout);
+    BOOST_REQUIRE(store.listings.size() == 2U);
+    BOOST_TEST((abandonedFor == std::vector<Offset> { 2 }));
+    store.answerListing();
+    BOOST_TEST((delivered == std::vector<std::string> { "first", "second" }));
+}
+
+BOOST_AUTO_TEST_CASE(A_late_answer_to_an_abandoned_read_is_ignored)
+{
+    store.append("second");
+    reader->onEndKnown(store.end());
+    tickAfter(publication::ReadWatchdog::s_deliveryTimeout);
+    store.reads.front()(publication::KeyedBatch { 2, { store.records.back() } });
+    BOOST_TEST((delivered == std::vector<std::string> { "first" }));
+    store.answerListing();
+    BOOST_TEST((delivered == std::vector<std::string> { "first", "second" }));
+}
+
+BOOST_AUTO_TEST_CASE(A_check_that_fails_and_one_that_is_answered_tell_that_the_store_was_away)
+{
+    reader->setCheckInterval(100ms);
+    tickAfter(1s);
+    BOOST_REQUIRE(store.checks.size() == 1U);
+    store.checks.back()(LogFailure { LogError::TimedOut, 0 });
+    tickAfter(5s);
+    BOOST_REQUIRE(store.checks.size() == 2U);
+    store.checks.back()(store.end());
+    BOOST_TEST((availability == std::vector<bool> { false, true }));
+    tickAfter(6s);
+    BOOST_TEST(store.listings.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(A_stopped_reader_abandons_and_checks_nothing)
+{
+    reader->setCheckInterval(100ms);
+    reader->onEndKnown(9);
+    reader->stop();
+    tickAfter(1min);
+    BOOST_TEST(store.listings.size() == 1U);
+    BOOST_TEST(store.checks.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
--- a/packages/peer/include/carobpath/peer/ExchangeRunner.h
+++ b/packages/peer/include/carobpath/peer/ExchangeRunner.h
@@ -25,6 +25,8 @@
     std::function<void(bool)> onReaderRole;
     /// Whether this node may serve callers.
     std::function<void(bool)> onReady;
+    /// A peer knows that a stream of the log reaches further than this node has read.
+    std::function<void(const distribution::StreamEnd&)> onStreamAdvanced;
     /// Another node forwards a claim of an idempotency key; the reply may be given later.
     std::function<void(const ClaimRequest&, ClaimReply)> onClaim;
     /// A call whose claim was forwarded here has ended.
@@ -68,6 +70,10 @@
     void publishConfiguration(publication::ConfigurationPointer);
     /// This node has read the log to its end.
     void reportLogEnd();
+    /// This node has read a stream up to this end.
+    void reportStreamEnd(const distribution::StreamEnd&);
+    /// Tells all nodes at once how far a stream reaches.
+    void announceStreamEnd(const distribution::StreamEnd&);
     /// Nodes to join by that were found after the start.
     void introduce(const std::vector<Endpoint>& found);
     void setUpstream(std::optional<membership::Upstream>);
--- a/packages/peer/schema/Peer.capnp
+++ b/packages/peer/schema/Peer.capnp
@@ -102,6 +102,11 @@
   removedMoves @9 :List(Text);
 }
 
+struct StreamEnd {
+  stream @0 :Text;
+  end @1 :UInt64;
+}
+
 struct PeerMessage {
   from @0 :Text;
   sender @1 :Endpoint;
@@ -118,6 +123,7 @@
   hybridMilliseconds @12 :UInt64;
   hybridCounter @13 :UInt32;
   membershipSummary @14 :RecordSummary;
+  streamEnds @15 :List(StreamEnd);
 }
 
 struct WholeState {
--- a/packages/peer/src/ExchangeRunner.cpp
+++ b/packages/peer/src/ExchangeRunner.cpp
@@ -170,6 +170,12 @@
             callbacks.onReady(it.ready);
     }
 
+    void execute(const distribution::AdvanceStream& it) const
+    {
+        if (callbacks.onStreamAdvanced)
+            callbacks.onStreamAdvanced(it.reached);
+    }
+
     std::function<void(PeerError)> failure(GossipId id)
     {
         return guarded<PeerError>([this, id](PeerError error) {
@@ -247,6 +253,16 @@
     m_impl->run(m_impl->exchange->onLogEnd(MonotonicClock::now()));
 }
 
+void ExchangeRunner::reportStreamEnd(const distribution::StreamEnd& reached)
+{
+    m_impl->exchange->onStreamRead(reached);
+}
+
+void ExchangeRunner::announceStreamEnd(const distribution::StreamEnd& reached)
+{
+    m_impl->run(m_impl->exchange->announceStreamEnd(reached));
+}
+
 void ExchangeRunner::introduce(const std::vector<Endpoint>& found)
 {
     m_impl->run(m_impl->exchange->addSeeds(found));
--- a/packages/peer/src/internal/MessageConversions.cpp
+++ b/packages/peer/src/internal/MessageConversions.cpp
@@ -80,6 +80,29 @@
         return summary;
     }
 
+    void writeStreamEnds(const std::vector<distribution::StreamEnd>& ends, capnp::List<schema::StreamEnd>::Builder list)
+    {
+        unsigned index = 0;
+        for (const auto& it : ends) {
+            auto to = list[index++];
+            to.setStream(textOf(it.stream));
+            to.setEnd(it.end);
+        }
+    }
+
+    Result<std::vector<distribution::StreamEnd>> readStreamEnds(capnp::List<schema::StreamEnd>::Reader list)
+    {
+        if (list.size() > distribution::StreamEnds::s_maxStreams)
+            return malformed(MessageFault::TooManyEntries);
+        std::vector<distribution::StreamEnd> ends;
+        ends.reserve(list.size());
+        for (const auto it : list) {
+            BOOST_LEAF_AUTO(stream, Detail::readName<NodeName>(it.getStream()));
+            ends.push_back({ stream.value(), it.getEnd() });
+        }
+        return ends;
+    }
+
     Result<Endpoint> readSender(schema::Endpoint::Reader from)
     {
         if (from.getAddress().size() == 0 || from.getAddress().size() > maxNameLength || from.getPort() == 0)
@@ -106,6 +129,8 @@
     if (message.membershipSummary)
         writeSummary(*message.membershipSummary, to.initMembershipSummary());
     writeNews(message, to);
+    if (!message.streamEnds.empty())
+        writeStreamEnds(message.streamEnds, to.initStreamEnds(sizeOf(message.streamEnds)));
     to.setHybridMilliseconds(message.hybridMilliseconds);
     to.setHybridCounter(message.hybridCounter);
 }
@@ -132,6 +157,7 @@
     auto news = readNews(from, message);
     if (!news)
         return news.error();
+    BOOST_LEAF_ASSIGN(message.streamEnds, readStreamEnds(from.getStreamEnds()));
     message.hybridMilliseconds = from.getHybridMilliseconds();
     message.hybridCounter = from.getHybridCounter();
     return message;
--- a/packages/publication/include/carobpath/publication/KeyedStore.h
+++ b/packages/publication/include/carobpath/publication/KeyedStore.h
@@ -34,6 +34,10 @@
 using KeyedResult = std::variant<KeyedBatch, Trimmed, LogFailure>;
 using KeyedHandler = std::function<void(KeyedResult)>;
 
+/// The end of a stream: the offset that its next record will have.
+using EndResult = std::variant<Offset, LogFailure>;
+using EndHandler = std::function<void(EndResult)>;
+
 /// Reads and writes keyed streams without blocking. Handlers run on the thread of the store's executor, never inside the call.
 template <typename T>
 concept KeyedStore = requires(T& store, std::string stream, KeyedRecord record, Offset from, std::optional<Offset> at, std::chrono::milliseconds wait)
@@ -44,6 +48,9 @@
     {
         store.readKeyed(stream, from, wait, KeyedHandler {})
         } -> std::same_as<void>;
+    {
+        store.checkEnd(stream, from, EndHandler {})
+        } -> std::same_as<void>;
     {
         store.put(stream, record, at, AppendHandler {})
         } -> std::same_as<void>;
--- /dev/null
+++ b/packages/publication/include/carobpath/publication/ReadWatchdog.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "carobpath/foundation/Backoff.h"
+#include "carobpath/foundation/Time.h"
+#include "carobpath/publication/LogService.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <random>
+
+namespace carobpath::publication {
+
+/// What is due for a read of a stream.
+enum class ReadStep : std::uint8_t {
+    Wait,
+    /// Ask the store for the end of the stream.
+    CheckEnd,
+    /// Abandon the pending read, or the pause after a failed one, and read again.
+    ReadAgain,
+};
+
+/// Detects long polls that will never be answered. A store that was unresponsive for a moment may have dropped the calls
+/// that it received meanwhile without closing their connections, so a pending read does not prove that nothing was written.
+/// The proof is the end of the stream, which some nodes of a fleet ask the store for and all tell each other.
+/// The class does no I/O: the caller reports events and performs what \c next returns.
+class ReadWatchdog {
+public:
+    /// Time in which a pending read must deliver a record that exists.
+    static constexpr std::chrono::milliseconds s_deliveryTimeout { 200 };
+    static constexpr std::chrono::milliseconds s_checkRetryBase { 200 };
+    static constexpr std::chrono::milliseconds s_checkRetryCap { 1'000 };
+
+    explicit ReadWatchdog(std::mt19937_64 random)
+        : m_random(random)
+    {
+    }
+
+    /// Sets the time between two checks by this node; nothing if other nodes check the stream.
+    void setCheckInterval(std::optional<std::chrono::milliseconds>, MonotonicTime now);
+
+    void onReadSent(Offset from, MonotonicTime now);
+    void onReadAnswered();
+    void onReadFailed();
+
+    /// Reports that the stream is known to have reached this end.
+    void onEndKnown(Offset, MonotonicTime now);
+    void onCheckAnswered(Offset end, MonotonicTime now);
+    void onCheckFailed(MonotonicTime now);
+
+    /// \returns what is due. A step that is not \c ReadStep::Wait counts as begun.
+    ReadStep next(MonotonicTime now);
+
+    /// \returns the furthest known end of the stream.
+    Offset knownEnd() const { return m_knownEnd; }
+
+private:
+    struct Read {
+        Offset from = 0;
+        MonotonicTime sentAt;
+        bool hasFailed = false;
+    };
+
+    bool isOverdue(MonotonicTime now) const;
+    bool isCheckDue(MonotonicTime now) const;
+
+    std::mt19937_64 m_random;
+    /// Empty while the last read is answered and the next one is not sent.
+    std::optional<Read> m_read;
+    /// The pending read was sent before the store was found unresponsive.
+    bool m_isReadSuspect = false;
+    Offset m_knownEnd = 0;
+    MonotonicTime m_knownEndAt;
+    /// The known end for which a read was repeated. It is not repeated for the same end again: the store may have lost
+    /// records, and a node that it refuses would call it on each tick.
+    Offset m_repeatedFor = 0;
+
+    std::optional<std::chrono::milliseconds> m_checkInterval;
+    MonotonicTime m_checkAt;
+    bool m_isChecking = false;
+    std::optional<MonotonicTime> m_checkFailedAt;
+    Backoff m_checkBackoff { s_checkRetryBase, s_checkRetryCap };
+};
+
+}
--- /dev/null
+++ b/packages/publication/src/ReadWatchdog.cpp
@@ -0,0 +1,89 @@
+#include "carobpath/publication/ReadWatchdog.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace carobpath::publication {
+
+void ReadWatchdog::setCheckInterval(std::optional<std::chrono::milliseconds> interval, MonotonicTime now)
+{
+    if (interval == m_checkInterval)
+        return;
+    m_checkInterval = interval;
+    if (!interval)
+        return;
+    // The checks of nodes that start together are spread over the interval.
+    std::uniform_int_distribution<std::int64_t> spread { 0, interval->count() };
+    m_checkAt = now + std::chrono::milliseconds { spread(m_random) };
+}
+
+void ReadWatchdog::onReadSent(Offset from, MonotonicTime now)
+{
+    m_read = Read { from, now, false };
+    m_isReadSuspect = false;
+}
+
+void ReadWatchdog::onReadAnswered() { m_read.reset(); }
+
+void ReadWatchdog::onReadFailed()
+{
+    if (m_read)
+        m_read->hasFailed = true;
+}
+
+void ReadWatchdog::onEndKnown(Offset end, MonotonicTime now)
+{
+    if (end <= m_knownEnd)
+        return;
+    m_knownEnd = end;
+    m_knownEndAt = now;
+}
+
+void ReadWatchdog::onCheckAnswered(Offset end, MonotonicTime now)
+{
+    m_isChecking = false;
+    m_checkBackoff.reset();
+    if (m_checkInterval)
+        m_checkAt = now + *m_checkInterval;
+    if (const auto failedAt = std::exchange(m_checkFailedAt, std::nullopt))
+        m_isReadSuspect = m_read && m_read->sentAt < *failedAt;
+    onEndKnown(end, now);
+}
+
+void ReadWatchdog::onCheckFailed(MonotonicTime now)
+{
+    m_isChecking = false;
+    m_checkFailedAt = now;
+    m_checkAt = now + m_checkBackoff.next(m_random);
+}
+
+ReadStep ReadWatchdog::next(MonotonicTime now)
+{
+    if (isOverdue(now)) {
+        m_repeatedFor = m_knownEnd;
+        return ReadStep::ReadAgain;
+    }
+    if (!isCheckDue(now))
+        return ReadStep::Wait;
+    m_isChecking = true;
+    return ReadStep::CheckEnd;
+}
+
+bool ReadWatchdog::isOverdue(MonotonicTime now) const
+{
+    if (!m_read)
+        return false;
+    if (m_isReadSuspect && !m_read->hasFailed)
+        return true;
+    const bool isBehind = m_knownEnd > m_read->from && m_knownEnd > m_repeatedFor;
+    return isBehind && now - std::max(m_knownEndAt, m_read->sentAt) >= s_deliveryTimeout;
+}
+
+bool ReadWatchdog::isCheckDue(MonotonicTime now) const
+{
+    // A read that failed is repeated soon, which shows as much as a check.
+    const bool isPending = m_read && !m_read->hasFailed;
+    return m_checkInterval && isPending && !m_isChecking && now >= m_checkAt;
+}
+
+}
--- a/tests/process/tests/StoreSilenceTests.cpp
+++ b/tests/process/tests/StoreSilenceTests.cpp
@@ -31,7 +31,8 @@
     {
         putOrder(store.endpoint(), "config", versionOf(5, "/first/"));
         for (auto* node : { &a, &b })
-            eventually("the node has the news", [&] { return serves(*node, "/first/1"); }, applyBound);
+            eventually(
+                "the node has the news", [&] { return serves(*node, "/first/1"); }, applyBound);
         store.set(R"({"silent": true})");
         std::this_thread::sleep_for(readOnTime);
         store.set(R"({"silent": false})");
@@ -56,7 +57,8 @@
     a.announce("i-a", "ready", 2);
     putOrder(store.endpoint(), "config", versionOf(9, "/second/"));
     for (auto* node : { &a, &b })
-        eventually("the new route is served", [&] { return serves(*node, "/second/1"); }, applyBound);
+        eventually(
+            "the new route is served", [&] { return serves(*node, "/second/1"); }, applyBound);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
