Read on for omitted records after an interruption in place of a listing

Found in review: where the newest record of a key cannot be used, the records that a listing left out are read. If that read failed, the follower listed again, left the refused record out and went on at the end: the good records between were never read, and the node kept an older configuration until the next one. It now repeats the read. Records_that_a_listing_omitted_are_not_ lost_if_reading_them_is_interrupted failed before.

--- a/packages/publication/include/carobpath/publication/KeyedFollower.h
+++ b/packages/publication/include/carobpath/publication/KeyedFollower.h
@@ -22,6 +22,8 @@
     /// \returns whether the next request must be a listing rather than a read from \c nextRead.
     bool needsListing() const { return m_needsListing; }
     Offset nextRead() const { return m_nextRead; }
+    /// \returns whether the next read is for records that a listing omitted.
+    bool isReadingOmitted() const { return m_isReadingOmitted; }
     /// \returns whether the next request should be delayed, so that one answer contains more updates.
     bool shouldPause() const { return m_shouldPause; }
 
@@ -34,10 +36,15 @@
     void onRefused(const KeyUpdates&);
 
     /// Must be called when the store no longer keeps the record at \c nextRead.
-    void onTrimmed() { m_needsListing = true; }
+    void onTrimmed()
+    {
+        m_isReadingOmitted = false;
+        m_needsListing = true;
+    }
 
-    /// Must be called when a connection was lost; a listing provides the records written in the meantime.
-    void onInterrupted() { m_needsListing = true; }
+    /// Must be called when a connection was lost; a listing provides the records written in the meantime. It would omit
+    /// again those that are read after a refused record.
+    void onInterrupted() { m_needsListing = !m_isReadingOmitted; }
 
 private:
     std::vector<KeyUpdates> collectUpdates(const KeyedBatch&);
@@ -52,6 +59,7 @@
     std::optional<Offset> m_refused;
     Offset m_nextRead = 0;
     bool m_needsListing = true;
+    bool m_isReadingOmitted = false;
     bool m_shouldPause = false;
     bool m_caughtUp = false;
     /// A key was replaced more than once between two requests.
--- a/packages/publication/src/KeyedFollower.cpp
+++ b/packages/publication/src/KeyedFollower.cpp
@@ -11,6 +11,7 @@
     m_previousNextRead = wasListing && m_caughtUp ? std::optional { m_nextRead } : std::nullopt;
     auto updates = collectUpdates(batch);
     m_nextRead = batch.next;
+    m_isReadingOmitted = false;
     planNext(wasListing, updates);
     m_caughtUp = true;
     return updates;
@@ -56,6 +57,7 @@
     m_refused = updates.front().offset;
     m_nextRead = *m_previousNextRead;
     m_needsListing = false;
+    m_isReadingOmitted = true;
     m_shouldPause = false;
 }
 
--- a/packages/publication/tests/KeyedFollowerTests.cpp
+++ b/packages/publication/tests/KeyedFollowerTests.cpp
@@ -114,6 +114,22 @@
     BOOST_TEST(follower.shouldPause());
 }
 
+BOOST_AUTO_TEST_CASE(Records_that_a_listing_omitted_are_not_lost_if_reading_them_is_interrupted)
+{
+    auto follower = caughtUp();
+    follower.onBatch({ 2, { record(0, "a", "1"), record(1, "a", "2") } });
+    const auto listed = follower.onBatch({ 5, { record(4, "a", "wrong") } });
+    follower.onRefused(listed.front());
+    follower.onInterrupted();
+    if (follower.needsListing())
+        follower.onBatch({ 5, { record(4, "a", "wrong") } });
+    BOOST_TEST(!follower.needsListing());
+    BOOST_TEST(follower.nextRead() == 2);
+    const auto read = follower.onBatch({ 5, { record(2, "a", "3"), record(3, "a", "4"), record(4, "a", "wrong") } });
+    BOOST_REQUIRE_EQUAL(read.size(), 1);
+    BOOST_TEST((offsetsOf(read.front()) == std::vector<Offset> { 3, 2 }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
