--- a/packages/node/src/internal/FleetDriver.cpp
+++ b/packages/node/src/internal/FleetDriver.cpp
@@ -122,7 +122,8 @@
                                     .with("offset", read.from)
                                     .with("end", read.knownEnd)
                                     .with("openMs", read.open));
-        m_hooks.onStreamAhead({ name, read.knownEnd });
+        if (read.knownEnd > read.from)
+            m_hooks.onStreamAhead({ name, read.knownEnd });
     };
     return hooks;
 }
