Count resumed downloads against the route's limit on backend servers

What callers saw: a download whose answer broke was fetched again from up to four nodes, also where its route allows fewer backend servers. One request could so run on more backend servers than its max-attempts.

Cause: CallDecision::resume compared the nodes tried with the default limit, not the backend servers reached with the limit of the route, and resumed attempts were not counted as reaching a backend server.

A resume now follows the rule of mayRetry: the backend servers reached, resumes included, against maxAttempts(). Nodes that refused the call before a backend server got it no longer count.

Evidence: A_resume_does_not_send_a_call_to_more_backend_servers_than_its_ route_allows failed before (check !it.call->resume(it.now) has failed) and passes now; the routing tests pass.

--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -131,7 +131,7 @@
 std::optional<SendAttempt> CallDecision::resume(MonotonicTime now)
 {
     const bool relayed = m_final && std::holds_alternative<RelayAnswer>(*m_final);
-    if (!relayed || m_attempt || !repeatable() || !m_request.bodyReplayable || m_tried.size() >= s_maxAttempts)
+    if (!relayed || m_attempt || !repeatable() || !m_request.bodyReplayable || m_backendsReached >= maxAttempts())
         return std::nullopt;
     const auto choice = m_state->picker.pick(m_service, m_version, PickConstraints { m_tried, false, false, DomainScope::Any, {} }, now);
     if (!choice || !m_state->budgetOf(m_service).tryWithdraw(now))
@@ -148,6 +148,8 @@
 {
     if (!m_attempt)
         return;
+    if (reachedBackend(result))
+        ++m_backendsReached;
     m_state->observe({ m_attempt->node, reachabilityOf(result), now });
     closeAttempt(signalOf(result), result.latency, result.retryAfter.value_or(std::chrono::milliseconds {}), now);
 }
--- a/packages/routing/tests/EntryFixture.h
+++ b/packages/routing/tests/EntryFixture.h
@@ -45,6 +45,15 @@
     return it;
 }
 
+/// The sample configuration, whose routes have this limit on the number of backend servers that one call is sent to.
+inline publication::ConfigurationPointer makeConfigurationWithMaxAttempts(std::uint32_t maxAttempts)
+{
+    auto it = std::make_shared<publication::ConfigurationVersion>(*makeConfiguration());
+    for (auto& [name, entry] : it->set.routes)
+        entry.route.maxAttempts = maxAttempts;
+    return it;
+}
+
 inline membership::KnownNode makeNode(std::string name, std::string version, std::string domain = "amman-a",
     membership::UpstreamState state = membership::UpstreamState::Ready)
 {
--- a/packages/routing/tests/ResumeTests.cpp
+++ b/packages/routing/tests/ResumeTests.cpp
@@ -8,10 +8,12 @@
 
     /// A call whose answer is being relayed.
     struct RelayedCall : EntryFixture {
-        RelayedCall(const std::string& method, const std::string& path, std::vector<membership::KnownNode> nodes)
+        RelayedCall(const std::string& method, const std::string& path, std::vector<membership::KnownNode> nodes,
+            publication::ConfigurationPointer configuration = makeConfiguration())
             : EntryFixture(std::move(nodes))
-            , call(router.begin(makeCall(method, path), now))
         {
+            router.setConfiguration(std::move(configuration));
+            call = router.begin(makeCall(method, path), now);
             first = std::get<SendAttempt>(call->start(now));
             relay = call->onAttemptFinished(answered(200), now);
         }
@@ -68,6 +70,27 @@
     BOOST_TEST(!it.call->resume(it.now));
 }
 
+BOOST_AUTO_TEST_CASE(A_resume_does_not_send_a_call_to_more_backend_servers_than_its_route_allows)
+{
+    RelayedCall it { "GET", "/report", { makeNode("n1", "v1"), makeNode("n2", "v1"), makeNode("n3", "v1") },
+        makeConfigurationWithMaxAttempts(2) };
+    BOOST_REQUIRE(it.call->resume(it.now));
+    it.call->onResumed(ended(Outcome::Unknown, RefusalReason::UpstreamConnectionLost), it.now);
+    BOOST_TEST(!it.call->resume(it.now));
+}
+
+BOOST_AUTO_TEST_CASE(Nodes_that_refused_a_call_before_a_backend_server_got_it_leave_room_for_a_resume)
+{
+    EntryFixture fixture { { makeNode("n1", "v1"), makeNode("n2", "v1"), makeNode("n3", "v1") } };
+    fixture.router.setConfiguration(makeConfigurationWithMaxAttempts(2));
+    const auto call = fixture.router.begin(makeCall("GET", "/report"), fixture.now);
+    call->start(fixture.now);
+    const auto second = call->onAttemptFinished(ended(Outcome::NotRun, RefusalReason::Draining, 503), fixture.now);
+    BOOST_REQUIRE(std::holds_alternative<SendAttempt>(second));
+    BOOST_REQUIRE(std::holds_alternative<RelayAnswer>(call->onAttemptFinished(answered(200), fixture.now)));
+    BOOST_TEST(call->resume(fixture.now).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
