Give the last attempt that a route allows all the time left

What callers saw: where a route allows fewer backend servers than the default and attempts divide the time (outside the shared fleet), the last attempt was ended at half of the time left although no other could follow: 504 for a call that still had time.

Cause: CallDecision::attemptDeadline recognized the last attempt by the number of nodes tried and the default limit. mayRetry counts the backend servers reached, against the limit of the route.

Both now use the same rule. With the default limit, an attempt after refused offers leaves time for another one, which mayRetry allows.

Evidence: The_only_attempt_that_a_route_allows_is_not_cut_short and Only_the_last_attempt_that_a_route_allows_gets_all_the_time_left failed before and pass now; the routing tests pass.

--- a/packages/routing/src/AttemptChoice.cpp
+++ b/packages/routing/src/AttemptChoice.cpp
@@ -142,7 +142,7 @@
 MonotonicTime CallDecision::attemptDeadline(MonotonicTime now) const
 {
     const auto mean = m_state->picker.meanLatency();
-    const bool last = m_tried.size() + 1 >= s_maxAttempts;
+    const bool last = m_backendsReached + 1 >= maxAttempts();
     if (!m_state->policy.splitDeadline || !repeatable() || !m_request.bodyReplayable || !mean || last)
         return m_deadline;
     const MonotonicClock::duration part = (m_deadline - now) / attemptDivisor;
