Remember a request that came again for as long as any other

What callers saw: nothing yet. Under load, a node could take a second copy of a request as new long before 8192 other requests had arrived, and run it twice.

Cause: SeenRequests::forget removed a request from the set, but not from the order of eviction. When it came again, its old place evicted the new entry, and each refused offer took the room of an accepted request.

Both are now removed together; the order is a list whose places the map holds, so the object is not copied.

--- a/packages/routing/include/carobpath/routing/SeenRequests.h
+++ b/packages/routing/include/carobpath/routing/SeenRequests.h
@@ -2,8 +2,8 @@
 
 #include "carobpath/foundation/Identifier.h"
 
-#include <deque>
-#include <unordered_set>
+#include <list>
+#include <unordered_map>
 
 namespace carobpath::routing {
 
@@ -14,14 +14,21 @@
 public:
     static constexpr std::size_t s_maxRemembered = 8192;
 
+    SeenRequests() = default;
+    SeenRequests(const SeenRequests&) = delete;
+    SeenRequests& operator=(const SeenRequests&) = delete;
+
     /// \returns whether the request is new.
     bool insert(const RequestId&);
     /// Forgets a request that was refused for load before it ran; the same entry node may send it again.
-    void forget(const RequestId& id) { m_known.erase(id); }
+    void forget(const RequestId&);
 
 private:
-    std::deque<RequestId> m_order;
-    std::unordered_set<RequestId> m_known;
+    using Order = std::list<RequestId>;
+
+    /// The remembered requests, oldest first.
+    Order m_order;
+    std::unordered_map<RequestId, Order::iterator> m_known;
 };
 
 }
