--- a/packages/routing/include/carobpath/routing/AdmissionQueue.h
+++ b/packages/routing/include/carobpath/routing/AdmissionQueue.h
@@ -76,6 +76,8 @@
     std::vector<AdmissionRequest> removeAll();
 
     std::size_t size() const;
+    /// \returns the number of calls in the queue of the class. Unless the order is by class, all calls are in the queue
+    /// of the first class.
     std::size_t size(QueueClass it) const { return m_classes[static_cast<std::size_t>(it)].size(); }
     /// \returns the earliest deadline of a queued call.
     std::optional<MonotonicTime> earliestDeadline() const;
--- a/packages/routing/include/carobpath/routing/CallDecision.h
+++ b/packages/routing/include/carobpath/routing/CallDecision.h
@@ -58,7 +58,7 @@
 
     /// The body of the relayed answer was truncated. A repeatable call fetches the rest from another upstream of the same
     /// version, within the retry budget.
-    /// \returns the attempt that fetches the rest, whose result is reported to \c onResumed; nothing if there is none.
+    /// \returns the attempt that fetches the rest, whose result is reported to \c onResumed; empty if there is none.
     std::optional<SendAttempt> resume(MonotonicTime now);
     void onResumed(const AttemptResult&, MonotonicTime now);
 
@@ -70,7 +70,7 @@
     bool ended() const { return m_phase == Phase::Ended; }
 
     /// Outcome to report to the owner of the idempotency key once the call has ended.
-    /// \returns nothing if the call claimed no key or if another call holds the key.
+    /// \returns the outcome; empty if the call claimed no key or if another call holds the key.
     std::optional<Outcome> keyOutcome() const;
 
 private:
--- a/packages/routing/include/carobpath/routing/ClaimResult.h
+++ b/packages/routing/include/carobpath/routing/ClaimResult.h
@@ -14,7 +14,8 @@
     DuplicateInProgress,
     /// Another call held the key and ran.
     DuplicateRan,
-    /// The claim could not be recorded, so the call does not hold the key.
+    /// The owner did not decide the claim, so the call must not run. The claim may be recorded all the same; it is
+    /// then released.
     Unavailable,
 };
 
--- a/packages/routing/include/carobpath/routing/ConcurrencyLimit.h
+++ b/packages/routing/include/carobpath/routing/ConcurrencyLimit.h
@@ -7,8 +7,8 @@
 
 namespace carobpath::routing {
 
-/// Limits the number of concurrent calls at an upstream, from 1 to the number of announced slots. The limit starts
-/// small, grows with answers (slow start), and decreases when the upstream itself refuses calls.
+/// Limits the number of concurrent calls at an upstream, from 1 to the number of announced slots. The limit starts at
+/// half of the slots, grows with answers while it is reached, and decreases when the upstream itself refuses calls.
 class ConcurrencyLimit {
 public:
     /// Factor by which a refusal reduces the limit.
@@ -19,7 +19,7 @@
     /// Time for which an answer is evidence of how many concurrent calls the upstream can handle.
     static constexpr std::chrono::seconds s_answeredLevelLifetime { 1 };
 
-    /// Starts again from a small limit, for an upstream that is new or has recovered.
+    /// Starts again from half of the slots, for an upstream that is new or has recovered.
     void restart(const membership::Upstream&);
     /// Handles a repeated announcement of the same upstream, possibly with another number of slots or another state.
     void update(const membership::Upstream&);
--- a/packages/routing/include/carobpath/routing/CrashDetector.h
+++ b/packages/routing/include/carobpath/routing/CrashDetector.h
@@ -14,7 +14,8 @@
 
 /// Distinguishes a crash of the backend server from a lost connection. A lost connection starts a suspicion, which
 /// records the requests in flight at the first loss. It is confirmed as a crash if the server then refuses a
-/// connection, restarts, or has lost all of several requests. An answer before that ends the suspicion.
+/// connection, restarts, or has lost all of several requests. An answer before that ends the suspicion, unless its
+/// request was sent before the first loss and is answered within \c s_burstTime: it then only clears its own request.
 class CrashDetector {
 public:
     /// Time after the first loss within which a suspicion can be confirmed as a crash.
@@ -32,7 +33,7 @@
     /// The server refused a probe connection.
     void onProbeRefused(MonotonicTime now);
 
-    /// \returns the requests that may have caused the earliest crash that was not taken yet; nothing if there is none.
+    /// \returns the requests that may have caused the earliest crash that was not taken yet; empty if there is none.
     std::optional<std::vector<Fingerprint>> takeCrash();
 
 private:
--- a/packages/routing/include/carobpath/routing/CrashQuarantine.h
+++ b/packages/routing/include/carobpath/routing/CrashQuarantine.h
@@ -16,7 +16,7 @@
 /// them for the quarantine time.
 ///
 /// Each crash is attributed in equal parts to those of its suspects that are involved in the most crashes. A request is
-/// a culprit once it alone explains two crashes; a crash that a culprit explains is no evidence against other requests.
+/// a culprit once the parts attributed to it add up to two crashes; a crash that a culprit explains is no evidence against other requests.
 /// A request that a server answered shortly before a crash, or at any time after it, is cleared of that crash. Therefore
 /// a request that runs on all servers all the time is never a culprit of crashes that other requests cause. Two suspects
 /// of the same crashes cannot be distinguished. To avoid this, a node does not run two suspects at the same time
@@ -43,7 +43,7 @@
     /// Removes expired entries; to be called every few seconds.
     void onTick(Now);
 
-    /// \returns for how long the request is still to be refused; nothing if it is not in quarantine.
+    /// \returns for how long the request is still to be refused; empty if it is not in quarantine.
     std::optional<std::chrono::milliseconds> refusedFor(Fingerprint, MonotonicTime now) const;
     /// \returns whether the request is suspected of a crash and not cleared.
     bool isSuspect(Fingerprint fingerprint) const { return m_suspects.contains(fingerprint); }
--- a/packages/routing/include/carobpath/routing/EntryRouter.h
+++ b/packages/routing/include/carobpath/routing/EntryRouter.h
@@ -19,7 +19,7 @@
 /// Provides the current split of a service's calls between its versions.
 using TrafficSplitSource = std::function<moves::TrafficSplit(const ServiceName&)>;
 
-/// \returns how long a request with this fingerprint is to be refused; nothing if it may run.
+/// \returns how long a request with this fingerprint is to be refused; empty if it may run.
 using QuarantineSource
     = std::function<std::optional<std::chrono::milliseconds>(std::uint64_t fingerprint, MonotonicTime now)>;
 
--- a/packages/routing/include/carobpath/routing/IdempotencyLedger.h
+++ b/packages/routing/include/carobpath/routing/IdempotencyLedger.h
@@ -30,7 +30,7 @@
     /// To be called at \c nextTick or later.
     LedgerCommands onTick(MonotonicTime now);
 
-    /// \returns the time of the next due action; nothing if no action is due.
+    /// \returns the time of the next due action; empty if no action is due.
     std::optional<MonotonicTime> nextTick() const;
     /// \returns the number of keys in memory.
     std::size_t keys() const;
--- a/packages/routing/include/carobpath/routing/IntentKey.h
+++ b/packages/routing/include/carobpath/routing/IntentKey.h
@@ -25,7 +25,7 @@
 std::string intentStream(Partition);
 
 /// \returns the node that decides the claims on the partition's keys, by rendezvous hashing among live nodes that are
-/// not leaving; nothing if there is none. Nodes with different membership views may choose different owners, which
+/// not leaving; empty if there is none. Nodes with different membership views may choose different owners, which
 /// causes refusals but does not affect safety.
 std::optional<NodeName> intentOwner(Partition, const membership::MembershipView&);
 
--- a/packages/routing/include/carobpath/routing/Outcome.h
+++ b/packages/routing/include/carobpath/routing/Outcome.h
@@ -39,7 +39,7 @@
     DuplicateInProgress,
     /// The idempotency key was used and its call ran or may have run.
     DuplicateRan,
-    /// The key could not be recorded because its owner or the log is unavailable.
+    /// The key could not be claimed because its owner or the log is unavailable.
     IdempotencyUnavailable,
     UpstreamUnreachable,
     UpstreamConnectionLost,
--- a/packages/routing/include/carobpath/routing/RunningCalls.h
+++ b/packages/routing/include/carobpath/routing/RunningCalls.h
@@ -21,7 +21,7 @@
 class RunningCalls {
 public:
     void add(RunningCall);
-    /// Removes the call. \returns the call; nothing if it is not running.
+    /// Removes the call. \returns the call; empty if it is not running.
     std::optional<RunningCall> remove(const RequestId&);
 
     std::uint32_t size() const { return static_cast<std::uint32_t>(m_calls.size()); }
--- a/packages/routing/include/carobpath/routing/TransitDelay.h
+++ b/packages/routing/include/carobpath/routing/TransitDelay.h
@@ -28,7 +28,8 @@
 public:
     /// The smallest difference is remembered for one to two windows, which allows for clock drift.
     static constexpr std::chrono::seconds s_window { 10 };
-    /// Maximum number of senders. When it is reached, senders that were inactive for two windows are evicted.
+    /// Number of stored senders from which a new one evicts those whose window began two windows ago or earlier. It does
+    /// not limit the number of active senders.
     static constexpr std::size_t s_maxSenders = 2048;
 
     /// \returns the time that the message waited in transit; 0 for the first message of a sender.
--- a/packages/routing/include/carobpath/routing/UpstreamPicker.h
+++ b/packages/routing/include/carobpath/routing/UpstreamPicker.h
@@ -106,7 +106,7 @@
 
     void onLoad(const NodeName&, const UpstreamLoad&, MonotonicTime now);
 
-    /// \returns the mean latency of the answered calls of all upstreams; nothing before the first answer.
+    /// \returns the mean latency of the answered calls of all upstreams; empty before the first answer.
     std::optional<std::chrono::nanoseconds> meanLatency() const;
     /// \returns a random number from 0 to 1, from the generator that is also used for picks.
     double drawUnit();
--- a/packages/routing/include/carobpath/routing/UpstreamStatistics.h
+++ b/packages/routing/include/carobpath/routing/UpstreamStatistics.h
@@ -26,12 +26,13 @@
     Abandoned,
 };
 
-/// Statistics of one upstream, from the calls of this node only. Information that other nodes gossip never changes
-/// them.
+/// Statistics of one upstream, from the calls of this node and the load that the upstream's node reports with its
+/// answers. Observations of other nodes never change them; a new revision of the upstream's entry resets some of them.
 class UpstreamStatistics {
 public:
     /// Consecutive failures after which an upstream is ejected.
     static constexpr std::uint32_t s_ejectAfter = 3;
+    /// Duration of the first ejection; each further one takes twice as long, up to \c s_maxEjection.
     static constexpr std::chrono::milliseconds s_initialEjection { 500 };
     static constexpr std::chrono::milliseconds s_maxEjection { 10000 };
     /// Time after the end of an ejection at which the upstream counts as healthy again even without a probe.
@@ -62,7 +63,8 @@
     void onFinished(UpstreamSignal, std::chrono::nanoseconds latency, std::chrono::milliseconds cooldown, MonotonicTime now);
     /// Handles the load that the node of the upstream reported at the end of a call of this node.
     void onLoad(const UpstreamLoad&, MonotonicTime now);
-    /// Handles the revision of the entry that the node publishes about itself.
+    /// Handles the revision of the entry that the node publishes about itself. A new revision ends the time for which
+    /// the upstream is skipped as not serving; a new incarnation also resets failures, ejection, latency and errors.
     void onRevision(const Revision&);
 
     Status status(MonotonicTime now) const;
--- a/packages/routing/include/carobpath/routing/WeightedRoundRobin.h
+++ b/packages/routing/include/carobpath/routing/WeightedRoundRobin.h
@@ -6,9 +6,9 @@
 
 namespace carobpath::routing {
 
-/// Distributes calls over destinations in proportion to their weights, as evenly as possible: in any sequence of
-/// calls, the number of calls of each destination is within one call of its exact share. Random choice would be far
-/// off for a few hundred calls.
+/// Distributes calls over destinations in proportion to their weights. After any number of calls, the number of calls of
+/// each of two destinations is within one call of its exact share; with more destinations it may be slightly further
+/// off. Random choice would be far off for a few hundred calls.
 class WeightedRoundRobin {
 public:
     /// Sets the destinations of the active configuration; if they are unchanged, the sequence continues.
--- a/packages/routing/src/AttemptClassification.h
+++ b/packages/routing/src/AttemptClassification.h
@@ -35,7 +35,7 @@
 /// \returns the reason of the result, or the default reason for its outcome if it has none.
 RefusalReason reasonOf(const AttemptResult&);
 
-/// \returns the default delay after which a caller may retry a refused call; nothing if a retry does not help.
+/// \returns the default delay after which a caller may retry a refused call; empty if a retry does not help.
 /// \param repeatable whether the call may run twice. If not, an unknown outcome must not invite a second call.
 std::optional<std::chrono::milliseconds> defaultRetryAfter(RefusalReason, Outcome, bool repeatable);
 
--- a/packages/routing/src/CrashAttribution.cpp
+++ b/packages/routing/src/CrashAttribution.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-    /// Number of crashes that a request must explain alone to be a culprit.
+    /// Sum of the parts of crashes that must be attributed to a request for it to be a culprit.
     constexpr double minExplainedCrashes = 2;
+    /// Tolerance for rounding errors in that sum.
     constexpr double roundingTolerance = 1e-9;
 
     std::map<Fingerprint, std::size_t> countCrashes(const std::vector<CrashSuspects>& crashes)
--- a/packages/routing/src/CrashAttribution.h
+++ b/packages/routing/src/CrashAttribution.h
@@ -11,7 +11,7 @@
 using CrashSuspects = std::set<Fingerprint>;
 
 /// \param known culprits found before; each of them explains all crashes that it is a suspect of.
-/// \returns the requests that alone explain at least two crashes, and the known culprits that explain any.
+/// \returns the requests whose attributed parts add up to at least two crashes, and the known culprits that explain any.
 std::set<Fingerprint> findCulprits(std::vector<CrashSuspects> crashes, const std::set<Fingerprint>& known);
 
 }
--- a/packages/routing/src/PartitionOwner.cpp
+++ b/packages/routing/src/PartitionOwner.cpp
@@ -90,7 +90,8 @@
 
 void PartitionOwner::queue(Intent intent, MonotonicTime now)
 {
-    // Dropping a release or ran intent only leaves its key held for longer. Claims have a limit of their own.
+    // Without its release, a key stays held until the log trims its claim. Without its ran intent, duplicates of the call
+    // are told that its outcome is not known. Neither lets a second call run. Claims have a limit of their own.
     if (intent.kind != IntentKind::Claim && m_queue.size() >= s_maxQueued)
         return;
     const auto due = intent.kind == IntentKind::Ran ? now + s_ranInterval : now;
--- a/packages/routing/src/UpstreamStatistics.cpp
+++ b/packages/routing/src/UpstreamStatistics.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-    /// Weights of a new sample in the moving averages.
+    /// Weight of a new sample in the moving averages of latency and overhead.
     constexpr double latencyWeight = 0.2;
+    /// Weight of a new answer in the moving average of the error rate.
     constexpr double errorWeight = 0.1;
     /// Number of doublings after which the ejection time no longer grows.
     constexpr std::uint32_t maxDoublings = 8;
