Make the comments of moves say what the code does

EvidenceCounts::answered counts failures without an answer too; the rate of false positives bounds only the sequential test; a regression is kept by its notice, not by the assessment; one affected instance is enough while the others had few calls. Each constant of the comparison has its own comment. No code is changed.

--- a/packages/moves/include/carobpath/moves/Evidence.h
+++ b/packages/moves/include/carobpath/moves/Evidence.h
@@ -29,7 +29,7 @@
     std::uint64_t refused = 0;
     std::array<std::uint64_t, latencyClasses> latency {};
 
-    /// \returns the calls that were answered, successfully or not.
+    /// \returns the calls that succeeded or failed, including those that failed without an answer.
     std::uint64_t answered() const { return succeeded + failed; }
     EvidenceCounts& operator+=(const EvidenceCounts& other)
     {
--- a/packages/moves/include/carobpath/moves/MoveAssessor.h
+++ b/packages/moves/include/carobpath/moves/MoveAssessor.h
@@ -42,7 +42,8 @@
     WaitReason wait = WaitReason::None;
     /// Route that delays the next stage; empty if there is none.
     RouteName waitRoute;
-    /// Set if the evidence shows a regression of the new version. It persists once it has been acted on.
+    /// Set while the evidence shows a regression of the new version. A regression that was acted on is kept as a
+    /// \c TakeBackNotice, not here.
     std::optional<publication::MoveVerdict> regression;
     /// Set once the verdict of the move is due.
     std::optional<publication::MoveVerdict> due;
@@ -59,8 +60,10 @@
 /// with the same evidence reach the same result.
 class MoveAssessor {
 public:
-    /// Probability of ever taking back a version that is not worse, over all routes.
+    /// Upper bound of the probability that \c logEvidence ever reaches the threshold for a version that is not worse, over
+    /// all routes and kinds of regression. It does not cover the other reasons to take a version back.
     static constexpr double s_falsePositiveRate = 0.001;
+    /// Maximum number of routes that are compared.
     static constexpr std::size_t s_maxRoutes = 64;
 
     explicit MoveAssessor(const publication::MoveEntry&);
--- a/packages/moves/include/carobpath/moves/MoveReport.h
+++ b/packages/moves/include/carobpath/moves/MoveReport.h
@@ -32,7 +32,7 @@
     std::uint64_t failed = 0;
     std::uint64_t refused = 0;
     double errorRate = 0;
-    /// Upper bounds of the latency classes that contain the median and the 99th percentile; nothing without calls.
+    /// Upper bounds of the latency classes that contain the median and the 99th percentile; empty without calls.
     std::optional<std::chrono::microseconds> latencyP50;
     std::optional<std::chrono::microseconds> latencyP99;
 };
--- a/packages/moves/include/carobpath/moves/OrderedMoves.h
+++ b/packages/moves/include/carobpath/moves/OrderedMoves.h
@@ -78,7 +78,7 @@
     void onOrder(const MoveOrder&, std::chrono::milliseconds age, MonotonicTime now);
     void onStatus(const MoveStatus&);
     /// Counts a call that this node admitted. Calls to services without a move are ignored.
-    /// \param latency nothing if it is not representative of the version, for example while the backend server is cold
+    /// \param latency empty if it is not representative of the version, for example while the backend server is cold
     void observe(const ServiceName&, const RouteName&, const VersionName&, CallResult, std::optional<std::chrono::nanoseconds> latency, MonotonicTime now);
     void merge(const EvidenceUpdate&);
     EvidenceUpdate changedSince(EvidenceCursor&) const;
--- a/packages/moves/include/carobpath/moves/VersionComparison.h
+++ b/packages/moves/include/carobpath/moves/VersionComparison.h
@@ -21,13 +21,13 @@
 
 /// Compares a new version with the previous one by concurrent calls, so that a fault which affects both is not taken for
 /// a regression of the new one. A finding requires two affected instances of the new version if it has that many, since a
-/// single instance may be slow, overloaded or shutting down.
+/// single instance may be slow, overloaded or shutting down. One is enough while the others had few calls.
 class VersionComparison {
 public:
     void addOld(const EvidenceGrowth&);
     void addNew(const EvidenceGrowth&);
 
-    /// \returns nothing while no regression of the new version is detected.
+    /// \returns the first finding; empty while no regression of the new version is detected.
     std::optional<VersionFinding> finding() const;
 
     std::uint64_t oldCalls() const { return m_oldCalls; }
--- a/packages/moves/src/VersionComparison.cpp
+++ b/packages/moves/src/VersionComparison.cpp
@@ -10,20 +10,24 @@
 
     /// Minimum number of failed calls for a finding.
     constexpr std::uint64_t minFailures = 4;
-    /// The new version's failure rate must exceed the old one's by this and by three standard deviations of the old rate
-    /// over the same number of calls. Nested calls that fail under load raise both rates alike.
+    /// Minimum difference of the failure rates. Nested calls that fail under load raise both rates alike.
     constexpr double minFailureGap = 0.15;
+    /// Minimum difference of the failure rates in standard deviations of the old rate over the same number of calls.
     constexpr double deviations = 3;
     /// Minimum failure rate assumed for the old version, so that a few calls without a failure do not prove a rate of 0.
     constexpr double minOldRate = 0.02;
+    /// Minimum number of refused calls that mask faults of the new version.
     constexpr std::uint64_t minRefused = 4;
+    /// Minimum fraction of refused calls that mask faults of the new version.
     constexpr double maskingFraction = 0.15;
+    /// Minimum number of timed calls of each version for a comparison of latencies.
     constexpr std::uint64_t minTimedCalls = 8;
     /// Number of latency classes by which the median of the new version must exceed the old one's. Each class bound is twice
     /// the previous one.
     constexpr std::size_t slowClasses = 2;
     /// Minimum number of calls for an instance to be considered.
     constexpr std::uint64_t minInstanceCalls = 2;
+    /// Number of affected instances required for a finding if the new version has that many.
     constexpr std::size_t requiredInstances = 2;
     /// Number of calls on unaffected instances from which one affected instance is no longer enough for a finding.
     constexpr std::uint64_t minClearingCalls = 20;
