--- a/packages/distribution/include/carobpath/distribution/PeerMessage.h
+++ b/packages/distribution/include/carobpath/distribution/PeerMessage.h
@@ -17,7 +17,7 @@
     NodeName from;
     /// Address at which the sender listens for peers.
     Endpoint sender;
-    /// Current configuration version of the sender; nothing before its first one.
+    /// Current configuration version of the sender; empty before its first one.
     std::optional<publication::ConfigurationStamp> stamp;
     /// The newest configuration version that the sender saw at the receiver's address.
     std::optional<publication::ConfigurationStamp> versionFloor;
--- a/packages/distribution/include/carobpath/distribution/SnapshotTransferLimit.h
+++ b/packages/distribution/include/carobpath/distribution/SnapshotTransferLimit.h
@@ -6,9 +6,11 @@
 
 namespace carobpath::distribution {
 
-/// Limits the number of snapshots that a node serves at the same time.
+/// Limits the number of snapshots that a node serves at the same time. The end of a transfer is not observed: each is
+/// taken to last for \c s_transferTime.
 class SnapshotTransferLimit {
 public:
+    /// Maximum number of transfers at the same time.
     static constexpr std::size_t s_slots = 2;
     /// Time that a transfer occupies a slot.
     static constexpr std::chrono::milliseconds s_transferTime { 250 };
--- a/packages/distribution/include/carobpath/distribution/VersionFloorGate.h
+++ b/packages/distribution/include/carobpath/distribution/VersionFloorGate.h
@@ -11,7 +11,7 @@
 
 /// Decides whether this node may serve: it must know the version floor of its address and must have reached it.
 ///
-/// The floor is known once the log was read to its end or the node's witnesses were queried. Some witnesses are in the
+/// The floor is known once the log was read to its end or enough of the node's witnesses answered. Some witnesses are in the
 /// local failure domain, since they remain reachable during a partition and have received the versions that the node had
 /// before it stopped. Others are in remote failure domains, since a whole failure domain can fail.
 class VersionFloorGate {
@@ -30,7 +30,8 @@
     void onFailed(const NodeName& peer);
     /// Records that the log was read to its end, so no node can ever have had a newer version.
     void onLogEnd() { m_confirmed = true; }
-    /// Determines whether the floor is known.
+    /// Determines from the witnesses whether the floor is known: of each kind, one must have answered or all must have
+    /// failed, and the required number of answers, but at least one, must have arrived. A known floor remains known.
     /// \param local witnesses in the local failure domain, including those considered dead.
     /// \param remote witnesses in other failure domains, including those considered dead.
     void update(const std::vector<NodeName>& local, const std::vector<NodeName>& remote);
--- a/packages/membership/include/carobpath/membership/Announcement.h
+++ b/packages/membership/include/carobpath/membership/Announcement.h
@@ -14,7 +14,7 @@
 struct BackendRun {
     /// Chosen by the backend server, which may reuse the name after a restart. Empty if it reports none.
     std::string instance;
-    /// Start time by the clock of the backend server; nothing if it reports none.
+    /// Start time by the clock of the backend server; empty if it reports none.
     std::optional<WallTime> startedAt;
 
     friend bool operator==(const BackendRun&, const BackendRun&) = default;
@@ -26,7 +26,7 @@
     /// Address at which the backend server accepts requests from the node.
     Endpoint backend;
     BackendRun run;
-    /// Increases with each announcement of a run, so that delayed ones are detected; nothing if the run does not count them.
+    /// Increases with each announcement of a run, so that delayed ones are detected; empty if the run does not count them.
     std::optional<std::uint64_t> sequence;
 
     friend bool operator==(const Announcement&, const Announcement&) = default;
--- a/packages/membership/include/carobpath/membership/GossipQueue.h
+++ b/packages/membership/include/carobpath/membership/GossipQueue.h
@@ -10,7 +10,8 @@
 namespace carobpath::membership {
 
 /// Queue of updates that are each sent a limited number of times. Items sent least often come first; among those, the one
-/// that has waited longest. A replaced item keeps its position, so that items that change constantly are not starved.
+/// that has waited longest. A replaced item counts as not sent, but keeps the time since which it has waited, so that items
+/// that change constantly are not starved.
 /// \tparam Key identifies an item; a later item replaces an earlier one with the same key.
 template <typename Key, typename Item>
 class GossipQueue {
--- a/packages/membership/include/carobpath/membership/MembershipTable.h
+++ b/packages/membership/include/carobpath/membership/MembershipTable.h
@@ -44,7 +44,7 @@
     /// \returns whether a later incarnation of this node was seen at another address, so that this process was replaced.
     bool superseded() const { return m_superseded; }
 
-    /// Sets the announced state of the backend server, or nothing if it is gone. A change of load alone is rarely sent to
+    /// Sets the announced state of the backend server; empty if it is gone. A change of load alone is rarely sent to
     /// peers. \returns whether a new revision was created.
     bool setUpstream(std::optional<Upstream>, MonotonicTime now);
     /// Marks this node as leaving.
--- a/packages/membership/include/carobpath/membership/SuspicionTable.h
+++ b/packages/membership/include/carobpath/membership/SuspicionTable.h
@@ -8,8 +8,8 @@
 
 namespace carobpath::membership {
 
-/// Tracks which observers suspect which nodes. A node is declared dead only after several observers have suspected the
-/// same revision for some time.
+/// Tracks which observers suspect which nodes. A node is declared dead only after two observers have suspected the same
+/// revision for some time; in a fleet of two nodes, one observer is enough.
 class SuspicionTable {
 public:
     /// Number of observers that must agree before a node is declared dead.
