Make the comments of publication say what the code does

Keys, signatures and digests are read from lower-case digits only. An absent optional value is 'empty'. No code is changed.

--- a/packages/foundation/include/carobpath/foundation/Digest.h
+++ b/packages/foundation/include/carobpath/foundation/Digest.h
@@ -23,7 +23,7 @@
 /// \returns 64 lower-case hexadecimal digits.
 std::string toHex(const Digest&);
 
-/// \returns nothing unless the text is 64 hexadecimal digits.
+/// \returns the digest; empty unless the text is 64 lower-case hexadecimal digits.
 std::optional<Digest> digestFromHex(std::string_view text);
 
 }
--- a/packages/foundation/include/carobpath/foundation/HybridTime.h
+++ b/packages/foundation/include/carobpath/foundation/HybridTime.h
@@ -21,7 +21,7 @@
 /// \returns "MILLIS.COUNTER", such as "1796338200123.4".
 std::string toString(const HybridTime&);
 
-/// \returns nothing unless the text is "MILLIS.COUNTER" in decimal digits and within the range of both numbers.
+/// \returns the time; empty unless the text is "MILLIS.COUNTER" in decimal digits and within the range of both numbers.
 std::optional<HybridTime> hybridTimeFromText(std::string_view text);
 
 }
--- a/packages/foundation/include/carobpath/foundation/LineRate.h
+++ b/packages/foundation/include/carobpath/foundation/LineRate.h
@@ -14,7 +14,7 @@
     static constexpr double s_linesPerSecond = 100;
     static constexpr double s_burst = 300;
 
-    /// \returns the lines left out since the last one written; nothing where this one is to be left out too.
+    /// \returns the lines left out since the last one written; empty where this one is to be left out too.
     std::optional<std::uint64_t> next(MonotonicTime now);
     /// Lines that were let through could not be written, or the count that they told.
     void onLost(std::uint64_t lines) { m_leftOut += lines; }
--- a/packages/foundation/include/carobpath/foundation/SettingDescription.h
+++ b/packages/foundation/include/carobpath/foundation/SettingDescription.h
@@ -11,7 +11,7 @@
     std::string key;
     /// Type and unit, such as "duration" or "list of endpoints".
     std::string type;
-    /// Text of the default; nothing where the key is required or may be absent.
+    /// Text of the default; empty where the key is required or may be absent.
     std::optional<std::string> fallback;
     bool isRequired = false;
     /// "LOWEST to HIGHEST", or empty.
--- a/packages/foundation/include/carobpath/foundation/SettingsDocument.h
+++ b/packages/foundation/include/carobpath/foundation/SettingsDocument.h
@@ -52,7 +52,7 @@
     /// Whether the text is a mapping at all; where it is not, its keys are not worth a look.
     bool isMapping() const { return m_values.contains(""); }
 
-    /// \returns nothing where the path is absent.
+    /// \returns null where the path is absent.
     const SettingsValue* find(const std::string& path) const;
 
     /// \returns where the last key of the path stands, or line 0 where the path is no key.
--- a/packages/foundation/src/SettingParsers.cpp
+++ b/packages/foundation/src/SettingParsers.cpp
@@ -35,7 +35,7 @@
 
     constexpr std::size_t maximumPathLength = 4096;
 
-    /// \returns the amount in the smallest unit, or nothing where the text or its unit is wrong or too large.
+    /// \returns the amount in the smallest unit; empty where the text or its unit is wrong or too large.
     template <std::size_t count>
     std::optional<std::uint64_t> amount(std::string_view text, const std::array<Unit, count>& units)
     {
--- a/packages/publication/include/carobpath/publication/ConfigurationLogFollower.h
+++ b/packages/publication/include/carobpath/publication/ConfigurationLogFollower.h
@@ -57,7 +57,7 @@
     /// \returns the checkpoint that the state machine was loaded from, once after each load.
     std::optional<CheckpointMatched> takeStartCheckpoint() { return std::exchange(m_start, std::nullopt); }
 
-    /// \returns the state that a checkpoint contains; nothing while no record can be applied.
+    /// \returns the state that a checkpoint contains; empty while no record can be applied.
     std::optional<ReplicatedState> replicatedState() const;
 
 private:
--- a/packages/publication/include/carobpath/publication/Keys.h
+++ b/packages/publication/include/carobpath/publication/Keys.h
@@ -46,7 +46,7 @@
 
     PublicKey publicKey() const;
     Signature sign(std::string_view bytes) const;
-    /// \returns the private key as 64 hexadecimal digits.
+    /// \returns the private key as 64 lower-case hexadecimal digits.
     std::string privateHex() const;
 
 private:
@@ -77,9 +77,9 @@
 
 std::string toHex(const PublicKey&);
 std::string toHex(const Signature&);
-/// \returns BadKeyText unless the text is 64 hexadecimal digits.
+/// \returns BadKeyText unless the text is 64 lower-case hexadecimal digits.
 Result<PublicKey> publicKeyFromHex(std::string_view text);
-/// \returns BadKeyText unless the text is 128 hexadecimal digits.
+/// \returns BadKeyText unless the text is 128 lower-case hexadecimal digits.
 Result<Signature> signatureFromHex(std::string_view text);
 
 }
--- a/packages/publication/include/carobpath/publication/ObjectRef.h
+++ b/packages/publication/include/carobpath/publication/ObjectRef.h
@@ -36,7 +36,7 @@
 
 /// \returns "kind/name", such as "route/booking-create".
 std::string toString(const ObjectRef&);
-/// Reads "kind/name". \returns nothing if the kind is unknown or the name is invalid.
+/// Reads "kind/name". \returns an empty value if the kind is unknown or the name is invalid.
 std::optional<ObjectRef> objectRefFromString(std::string_view);
 
 /// \returns whether the text consists of 1 to 64 characters from a-z, 0-9, '.', '_' and '-'.
--- a/packages/publication/src/internal/Hex.h
+++ b/packages/publication/src/internal/Hex.h
@@ -22,7 +22,7 @@
     return text;
 }
 
-/// \returns nothing unless the text is exactly 2 * size lower-case hexadecimal digits.
+/// \returns the bytes; empty unless the text is exactly 2 * size lower-case hexadecimal digits.
 template <std::size_t size>
 std::optional<std::array<std::uint8_t, size>> bytesFromHex(std::string_view text)
 {
