--- a/packages/client/src/PublishCommand.cpp
+++ b/packages/client/src/PublishCommand.cpp
@@ -183,7 +183,7 @@
         json m_json;
     };
 
-    /// \returns what is missing in the settings for publishing, or nothing.
+    /// \returns what is missing in the settings for publishing; empty if nothing is.
     std::optional<std::string> missingSetting(const Context& context)
     {
         const auto& settings = *context.settings;
--- a/packages/client/src/internal/AdminClient.h
+++ b/packages/client/src/internal/AdminClient.h
@@ -32,10 +32,10 @@
 /// Asks a node's admin address, and waits for the answer.
 AdminResult adminGet(const Endpoint&, const std::string& target, std::chrono::milliseconds timeout);
 
-/// \returns the answer of the first node that gives one with the status 200 or 404, or nothing.
+/// \returns the answer of the first node that gives one with the status 200 or 404; empty if none does.
 std::optional<AdminAnswer> firstAnswer(const std::vector<Endpoint>& nodes, const std::string& target, std::chrono::milliseconds timeout);
 
-/// \returns the offset of the configuration in the body of /v1/status; nothing where the node has none.
+/// \returns the offset of the configuration in the body of /v1/status; empty where the node has none.
 std::optional<publication::Offset> configurationOffset(const nlohmann::json& status);
 
 }
--- a/packages/client/src/internal/Context.h
+++ b/packages/client/src/internal/Context.h
@@ -32,7 +32,7 @@
     /// Reports why the command failed: as JSON with "result" on the output, or as text on the error output.
     ExitCode fail(ExitCode, const std::string& result, const std::string& message) const;
 
-    /// \returns the duration of an option such as --timeout, or nothing where it is not given.
+    /// \returns the duration of an option such as --timeout; empty where it is not given.
     /// Throws a parse error of cxxopts for any other text.
     std::optional<std::chrono::milliseconds> duration(const std::string& option) const;
 };
--- a/packages/gateway/include/carobpath/gateway/GatewayHooks.h
+++ b/packages/gateway/include/carobpath/gateway/GatewayHooks.h
@@ -47,7 +47,7 @@
     std::optional<routing::RefusalReason> reason;
     std::uint32_t attempts = 0;
     std::chrono::nanoseconds latency {};
-    /// Offset of the configuration that decided; nothing where there was none.
+    /// Offset of the configuration that decided; empty where there was none.
     std::optional<std::uint64_t> configuration;
     /// The route's objective for the latency; 0 where it has none.
     std::chrono::milliseconds objective {};
--- a/packages/gateway/src/internal/ConnectionPool.h
+++ b/packages/gateway/src/internal/ConnectionPool.h
@@ -27,7 +27,7 @@
     boost::beast::flat_buffer buffer;
     MonotonicTime madeAt;
     MonotonicTime usedAt;
-    /// Time that the other end lets it stand unused; nothing where it did not say.
+    /// Time that the other end lets it stand unused; empty where it did not say.
     std::optional<std::chrono::milliseconds> idleLimit;
     /// True once an exchange was completed on it.
     bool reused = false;
@@ -40,7 +40,7 @@
 public:
     ConnectionPool(boost::asio::io_context&, const GatewayLimits&);
 
-    /// \returns an open connection whose other end has not closed it, or nothing.
+    /// \returns an open connection whose other end has not closed it; null if there is none.
     ConnectionPointer take(const Endpoint&, MonotonicTime now);
 
     /// Keeps a connection after a complete, matched exchange.
--- a/packages/gateway/src/internal/EntryHandler.h
+++ b/packages/gateway/src/internal/EntryHandler.h
@@ -39,7 +39,7 @@
 private:
     friend class EntryCall;
 
-    /// \returns the caller's id, or a new one where it gave none; nothing where the dialect wants one.
+    /// \returns the caller's id, or a new one where it gave none; empty where the dialect wants one.
     std::optional<RequestId> idOf(const Request&);
     void refuseMalformed(const ServerExchange::Pointer&, const RequestId&);
     /// Reports the end of a call for which no route was looked up.
--- a/packages/gateway/src/internal/ForwardedHeader.cpp
+++ b/packages/gateway/src/internal/ForwardedHeader.cpp
@@ -93,7 +93,7 @@
             fields.erase(name);
     }
 
-    /// \returns the parts of "A/B/C", where C may hold slashes; nothing where there are fewer.
+    /// \returns the parts of "A/B/C", where C may hold slashes; empty where there are fewer.
     std::optional<std::array<std::string_view, 3>> threeParts(std::string_view text)
     {
         const auto first = text.find('/');
--- a/packages/gateway/src/internal/ForwardedHeader.h
+++ b/packages/gateway/src/internal/ForwardedHeader.h
@@ -25,17 +25,17 @@
 /// that carobpath itself uses are gone, those of the attempt are added.
 std::shared_ptr<const Request> forwardedRequest(const Request&, const routing::CallRequest&, const routing::SendAttempt&, MonotonicTime now, const ForwardingStamp&);
 
-/// \returns what the admitting node needs of a forwarded request, or nothing where a field lacks or makes no sense.
+/// \returns what the admitting node needs of a forwarded request; empty where a field lacks or makes no sense.
 std::optional<routing::AdmissionRequest> admissionRequest(const Request&, MonotonicTime now);
 
-/// \returns when the other node sent the request, by its own clock; nothing where it doesn't say.
+/// \returns when the other node sent the request, by its own clock; empty where it doesn't say.
 std::optional<routing::SendStamp> sendStampOf(const Request&);
 
 /// \returns the request as the backend server gets it: without the fields that only nodes read.
 /// \param instance the run of the backend server that the request is meant for; empty where it has no name.
 std::shared_ptr<const Request> backendRequest(const Request&, const routing::AdmissionRequest&, const Dialect&, const std::string& instance, MonotonicTime now);
 
-/// \returns the milliseconds in a header field, or nothing where it is absent or no number.
+/// \returns the milliseconds in a header field; empty where it is absent or no number.
 std::optional<std::chrono::milliseconds> milliseconds(const http::fields&, std::string_view name);
 
 /// \returns the outcome that the header of an answer carries.
--- a/packages/gateway/src/internal/RequestReader.h
+++ b/packages/gateway/src/internal/RequestReader.h
@@ -39,7 +39,7 @@
     boost::asio::mutable_buffer prepare();
     void commit(std::size_t n, MonotonicTime now);
 
-    /// \returns the next request; nothing until more bytes have come, and after an unreadable request.
+    /// \returns the next request; empty until more bytes have come, and after an unreadable request.
     std::optional<ReadResult> next();
 
     /// True from the first byte of a request until \c next returned it.
--- a/packages/gateway/src/internal/ResumingBody.h
+++ b/packages/gateway/src/internal/ResumingBody.h
@@ -18,7 +18,7 @@
     std::uint64_t length = 0;
 };
 
-/// \returns what a resume needs, or nothing where the answer has no strong entity tag or no length, or is no whole body.
+/// \returns what a resume needs; empty where the answer has no strong entity tag or no length, or is no whole body.
 std::optional<ResumableBody> resumableBodyOf(const UpstreamExchange&);
 
 /// \returns whether the answer of the exchange is the rest of the body from the offset on.
@@ -28,7 +28,7 @@
 class ResumingBody : public BodySource, public std::enable_shared_from_this<ResumingBody> {
 public:
     using ExchangePointer = std::shared_ptr<UpstreamExchange>;
-    /// Asks for the rest; hands over an exchange whose answer is it, or nothing.
+    /// Asks for the rest; hands over an exchange whose answer is it, or null.
     using AskRest = std::function<void(const ResumableBody&, std::uint64_t from, std::function<void(ExchangePointer)>)>;
 
     ResumingBody(ExchangePointer, ResumableBody, AskRest);
--- a/packages/gateway/src/internal/SocketOptions.h
+++ b/packages/gateway/src/internal/SocketOptions.h
@@ -20,7 +20,7 @@
 /// \returns true where the connection is open and no bytes wait on it. Reads nothing.
 bool isOpenAndQuiet(boost::asio::ip::tcp::socket&);
 
-/// \returns nothing where the address is no IP number.
+/// \returns the address; empty where the text is no IP number.
 std::optional<boost::asio::ip::tcp::endpoint> toTcp(const Endpoint&);
 
 Endpoint fromTcp(const boost::asio::ip::tcp::endpoint&);
--- a/packages/gateway/src/internal/UpstreamExchange.cpp
+++ b/packages/gateway/src/internal/UpstreamExchange.cpp
@@ -24,7 +24,7 @@
     /// Part of the other end's idle time after which a connection is not used again, so that it is not closed meanwhile.
     constexpr double usableIdlePart = 0.8;
 
-    /// \returns the time that the connection may stand unused, from "Keep-Alive: timeout=SECONDS"; nothing where the
+    /// \returns the time that the connection may stand unused, from "Keep-Alive: timeout=SECONDS"; empty where the
     /// other end does not say.
     std::optional<std::chrono::milliseconds> idleLimitOf(const ResponseHeader& header)
     {
--- a/packages/gateway/src/internal/UpstreamExchange.h
+++ b/packages/gateway/src/internal/UpstreamExchange.h
@@ -25,7 +25,7 @@
     Endpoint endpoint;
     /// When the header of the answer must be there.
     MonotonicTime headerDeadline;
-    /// Longest time without a byte before the header; nothing where only the deadline counts.
+    /// Longest time without a byte before the header; empty where only the deadline counts.
     std::optional<std::chrono::milliseconds> silence;
     /// An answer that names another request than this one is refused.
     RequestId requestId;
