Mark comments on whole files as such

A doc comment before 'namespace' documents the namespace, so that the comments of several files ran together. They stand at the top now, behind \file. packages/node and platform are left as they are. No code is changed.

--- a/packages/client/include/carobpath/client/CallTrace.h
+++ b/packages/client/include/carobpath/client/CallTrace.h
@@ -1,5 +1,8 @@
 #pragma once
 
+/// \file
+/// Collects what the event logs of all processes hold about one call.
+
 #include "carobpath/client/Timeline.h"
 #include "carobpath/foundation/Identifier.h"
 
@@ -10,7 +13,6 @@
 #include <string>
 #include <vector>
 
-/// Collects what the event logs of all processes hold about one call.
 namespace carobpath::client {
 
 /// The end of the call at the node that it entered.
--- a/packages/client/include/carobpath/client/Timeline.h
+++ b/packages/client/include/carobpath/client/Timeline.h
@@ -1,5 +1,8 @@
 #pragma once
 
+/// \file
+/// Merges the event logs of several processes into one time line.
+
 #include "carobpath/foundation/HybridTime.h"
 
 #include <cstddef>
@@ -7,7 +10,6 @@
 #include <string>
 #include <vector>
 
-/// Merges the event logs of several processes into one time line.
 namespace carobpath::client {
 
 inline constexpr std::size_t maximumTimelineEvents = 2'000'000;
--- a/packages/client/src/internal/EventFields.h
+++ b/packages/client/src/internal/EventFields.h
@@ -1,5 +1,8 @@
 #pragma once
 
+/// \file
+/// Reads fields of one line of an event log. A field that is missing or of another type counts as not there.
+
 #include <nlohmann/json.hpp>
 
 #include <chrono>
@@ -7,7 +10,6 @@
 #include <optional>
 #include <string>
 
-/// Reads fields of one line of an event log. A field that is missing or of another type counts as not there.
 namespace carobpath::client::Detail {
 
 std::optional<std::string> textIn(const nlohmann::json&, const char* key);
--- a/packages/foundation/include/carobpath/foundation/EventNames.h
+++ b/packages/foundation/include/carobpath/foundation/EventNames.h
@@ -1,5 +1,8 @@
 #pragma once
 
+/// \file
+/// Every kind of event that the project's processes write.
+
 #include <string_view>
 
 namespace carobpath {
@@ -9,7 +12,6 @@
     std::string_view text;
 };
 
-/// Every kind of event that the project's processes write.
 namespace event {
 
     inline constexpr EventName started { "started" };
--- a/packages/foundation/include/carobpath/foundation/Time.h
+++ b/packages/foundation/include/carobpath/foundation/Time.h
@@ -1,8 +1,10 @@
 #pragma once
 
+/// \file
+/// The two clocks of the system. Decisions never read a clock: they are given a time point.
+
 #include <chrono>
 
-/// The two clocks of the system. Decisions never read a clock: they are given a time point.
 namespace carobpath {
 
 /// Clock for timeouts, leases and latencies. It never steps back and means nothing on another node.
--- a/packages/gateway/src/internal/ForwardedHeader.h
+++ b/packages/gateway/src/internal/ForwardedHeader.h
@@ -1,5 +1,8 @@
 #pragma once
 
+/// \file
+/// The header fields between the entry node and the admitting node, see docs/INTERFACES.md.
+
 #include "carobpath/foundation/Time.h"
 #include "carobpath/gateway/Dialect.h"
 #include "carobpath/routing/Admission.h"
@@ -11,7 +14,6 @@
 #include <optional>
 #include <string>
 
-/// The header fields between the entry node and the admitting node, see docs/INTERFACES.md.
 namespace carobpath::gateway::Detail {
 
 /// The clocks of the node that forwards a request.
--- a/packages/gateway/src/internal/HttpTypes.h
+++ b/packages/gateway/src/internal/HttpTypes.h
@@ -1,12 +1,14 @@
 #pragma once
 
+/// \file
+/// The message types and header names that the sessions share.
+
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <string_view>
 
-/// The message types and header names that the sessions share.
 namespace carobpath::gateway::Detail {
 
 namespace http = boost::beast::http;
--- a/packages/moves/include/carobpath/moves/Comparison.h
+++ b/packages/moves/include/carobpath/moves/Comparison.h
@@ -1,10 +1,12 @@
 #pragma once
 
+/// \file
+/// Statistics that compare the two versions of a move on one route. All are pure functions of merged counts.
+
 #include "carobpath/moves/RouteEvidence.h"
 
 #include <cstdint>
 
-/// Statistics that compare the two versions of a move on one route. All are pure functions of merged counts.
 namespace carobpath::moves {
 
 /// Minimum difference of rates that counts as a regression, however statistically significant it is.
--- a/packages/peer/src/internal/ConversionParts.h
+++ b/packages/peer/src/internal/ConversionParts.h
@@ -1,11 +1,13 @@
 #pragma once
 
+/// \file
+/// Parts that all conversions share.
+
 #include "Conversions.h"
 #include "carobpath/foundation/Identifier.h"
 
 #include <string>
 
-/// Parts that all conversions share.
 namespace carobpath::peer::Detail {
 
 inline kj::StringPtr textOf(const std::string& text)
--- a/packages/peer/src/internal/Conversions.h
+++ b/packages/peer/src/internal/Conversions.h
@@ -1,12 +1,14 @@
 #pragma once
 
+/// \file
+/// Between the schema's messages and the typed ones. Reading reports \c MessageError.
+
 #include "Peer.capnp.h"
 #include "carobpath/distribution/PeerMessage.h"
 #include "carobpath/foundation/Result.h"
 #include "carobpath/peer/PeerError.h"
 #include "carobpath/routing/CrashReport.h"
 
-/// Between the schema's messages and the typed ones. Reading reports \c MessageError.
 namespace carobpath::peer {
 
 /// Longest name that is taken from a peer.
--- a/packages/publication/include/carobpath/publication/Bounds.h
+++ b/packages/publication/include/carobpath/publication/Bounds.h
@@ -1,10 +1,12 @@
 #pragma once
 
+/// \file
+/// Limits on everything that is published or remembered. A record that exceeds a limit on its contents is rejected with
+/// a typed fault; where a limit concerns what is kept, the oldest entries are removed.
+
 #include <chrono>
 #include <cstddef>
 
-/// Limits on everything that is published or remembered. A record that exceeds a limit on its contents is rejected with
-/// a typed fault; where a limit concerns what is kept, the oldest entries are removed.
 namespace carobpath::publication::bounds {
 
 inline constexpr std::size_t kibibyte = 1024;
--- a/packages/publication/include/carobpath/publication/Codec.h
+++ b/packages/publication/include/carobpath/publication/Codec.h
@@ -1,5 +1,9 @@
 #pragma once
 
+/// \file
+/// The canonical encoding: JSON with sorted keys, without white space and without floating-point numbers. Equal values have
+/// equal encodings on every node, so digests and signatures are computed over the encoding.
+
 #include "carobpath/foundation/Result.h"
 #include "carobpath/publication/ConfigurationSet.h"
 
@@ -8,8 +12,6 @@
 #include <string>
 #include <string_view>
 
-/// The canonical encoding: JSON with sorted keys, without white space and without floating-point numbers. Equal values have
-/// equal encodings on every node, so digests and signatures are computed over the encoding.
 namespace carobpath::publication {
 
 /// Reason why a text could not be decoded.
--- a/packages/publication/include/carobpath/publication/EnumText.h
+++ b/packages/publication/include/carobpath/publication/EnumText.h
@@ -1,11 +1,13 @@
 #pragma once
 
+/// \file
+/// The texts of the enums that are used in object files, records, headers and logs.
+
 #include "carobpath/publication/ConfigurationSet.h"
 
 #include <optional>
 #include <string_view>
 
-/// The texts of the enums that are used in object files, records, headers and logs.
 namespace carobpath::publication {
 
 std::string_view toString(Repeatability);
--- a/packages/publication/include/carobpath/publication/KeyedStore.h
+++ b/packages/publication/include/carobpath/publication/KeyedStore.h
@@ -1,5 +1,8 @@
 #pragma once
 
+/// \file
+/// The interface to streams of the platform's log that keep the newest record of each key indefinitely.
+
 #include "carobpath/publication/LogService.h"
 
 #include <concepts>
@@ -10,7 +13,6 @@
 #include <variant>
 #include <vector>
 
-/// The interface to streams of the platform's log that keep the newest record of each key indefinitely.
 namespace carobpath::publication {
 
 struct KeyedRecord {
--- a/packages/publication/include/carobpath/publication/Keys.h
+++ b/packages/publication/include/carobpath/publication/Keys.h
@@ -1,5 +1,10 @@
 #pragma once
 
+/// \file
+/// Keys and signatures that authenticate the writer of a record. Members sign what they publish with their own keys; nodes
+/// sign verdicts and checkpoints with the fleet key. All keys are Ed25519 keys, so a process that can verify records need
+/// not be able to create them.
+
 #include "carobpath/foundation/Identifier.h"
 #include "carobpath/foundation/Result.h"
 
@@ -10,9 +15,6 @@
 #include <string_view>
 #include <vector>
 
-/// Keys and signatures that authenticate the writer of a record. Members sign what they publish with their own keys; nodes
-/// sign verdicts and checkpoints with the fleet key. All keys are Ed25519 keys, so a process that can verify records need
-/// not be able to create them.
 namespace carobpath::publication {
 
 /// Error: the text of a key or signature does not have the required number of lower-case hexadecimal digits.
--- a/packages/publication/include/carobpath/publication/LogService.h
+++ b/packages/publication/include/carobpath/publication/LogService.h
@@ -1,5 +1,8 @@
 #pragma once
 
+/// \file
+/// The interface to the platform's append-only log.
+
 #include "carobpath/foundation/Endpoint.h"
 #include "carobpath/publication/ConfigurationSet.h"
 
@@ -14,7 +17,6 @@
 #include <variant>
 #include <vector>
 
-/// The interface to the platform's append-only log.
 namespace carobpath::publication {
 
 /// Stream of published records, verdicts and checkpoints.
--- a/packages/publication/include/carobpath/publication/ObjectFile.h
+++ b/packages/publication/include/carobpath/publication/ObjectFile.h
@@ -1,5 +1,9 @@
 #pragma once
 
+/// \file
+/// Object files: YAML documents in which members define their objects. A document is either one object with a key "kind",
+/// or lists of objects under "services", "routes", "versions" and "moves".
+
 #include "carobpath/foundation/Time.h"
 #include "carobpath/publication/Fault.h"
 #include "carobpath/publication/Record.h"
@@ -10,8 +14,6 @@
 #include <utility>
 #include <vector>
 
-/// Object files: YAML documents in which members define their objects. A document is either one object with a key "kind",
-/// or lists of objects under "services", "routes", "versions" and "moves".
 namespace carobpath::publication {
 
 /// Position in a file. Lines and columns are counted from 1; line 0 means that the position is unknown.
--- a/packages/publication/include/carobpath/publication/Objects.h
+++ b/packages/publication/include/carobpath/publication/Objects.h
@@ -1,5 +1,8 @@
 #pragma once
 
+/// \file
+/// The named objects that members publish. Objects refer to each other by name.
+
 #include "carobpath/foundation/Identifier.h"
 #include "carobpath/foundation/Time.h"
 
@@ -8,7 +11,6 @@
 #include <string>
 #include <vector>
 
-/// The named objects that members publish. Objects refer to each other by name.
 namespace carobpath::publication {
 
 /// One service of a member; nodes accept calls for its hosts.
--- a/packages/publication/include/carobpath/publication/Record.h
+++ b/packages/publication/include/carobpath/publication/Record.h
@@ -1,5 +1,8 @@
 #pragma once
 
+/// \file
+/// The records of the stream \c configuration.
+
 #include "carobpath/foundation/Incarnation.h"
 #include "carobpath/foundation/Result.h"
 #include "carobpath/publication/Codec.h"
@@ -13,7 +16,6 @@
 #include <variant>
 #include <vector>
 
-/// The records of the stream \c configuration.
 namespace carobpath::publication {
 
 struct PutService {
--- a/packages/publication/include/carobpath/publication/SetCheck.h
+++ b/packages/publication/include/carobpath/publication/SetCheck.h
@@ -1,10 +1,12 @@
 #pragma once
 
+/// \file
+/// The checks that every published object and every version of the full set must pass. Object files and the state machine
+/// use the same checks.
+
 #include "carobpath/publication/Fault.h"
 #include "carobpath/publication/Record.h"
 
-/// The checks that every published object and every version of the full set must pass. Object files and the state machine
-/// use the same checks.
 namespace carobpath::publication {
 
 /// Checks one object in isolation: names, limits and ranges.
--- a/packages/publication/src/internal/Json.h
+++ b/packages/publication/src/internal/Json.h
@@ -1,5 +1,9 @@
 #pragma once
 
+/// \file
+/// JSON representations of the published types. Reading tolerates extra keys and other number types: every decoder compares
+/// the text with the canonical encoding of the value that was read, and thereby rejects all of them.
+
 #include "carobpath/foundation/Identifier.h"
 #include "carobpath/publication/Codec.h"
 #include "carobpath/publication/EnumText.h"
@@ -12,8 +16,6 @@
 #include <chrono>
 #include <optional>
 
-/// JSON representations of the published types. Reading tolerates extra keys and other number types: every decoder compares
-/// the text with the canonical encoding of the value that was read, and thereby rejects all of them.
 namespace carobpath::publication::Detail {
 
 using Json = nlohmann::json;
--- a/packages/publication/tests/HistoryRun.h
+++ b/packages/publication/tests/HistoryRun.h
@@ -1,5 +1,8 @@
 #pragma once
 
+/// \file
+/// Histories of competing operators, and the invariants that are checked after each record.
+
 #include "Samples.h"
 #include "carobpath/publication/ConfigurationStateMachine.h"
 #include "carobpath/publication/SetCheck.h"
@@ -8,7 +11,6 @@
 #include <ostream>
 #include <set>
 
-/// Histories of competing operators, and the invariants that are checked after each record.
 namespace carobpath::publication::samples {
 
 /// A mechanism that a run disables to verify that the checks detect its absence.
--- a/packages/publication/tests/Samples.h
+++ b/packages/publication/tests/Samples.h
@@ -1,10 +1,12 @@
 #pragma once
 
+/// \file
+/// Objects, keys and records that the tests of this package share.
+
 #include "carobpath/publication/Record.h"
 
 #include <string>
 
-/// Objects, keys and records that the tests of this package share.
 namespace carobpath::publication::samples {
 
 inline const MemberName petra { "petra" };
--- a/packages/publication/tests/StateMachineFixture.h
+++ b/packages/publication/tests/StateMachineFixture.h
@@ -1,5 +1,8 @@
 #pragma once
 
+/// \file
+/// State machines for the tests.
+
 #include "Samples.h"
 #include "carobpath/publication/ConfigurationStateMachine.h"
 
@@ -7,7 +10,6 @@
 
 #include <algorithm>
 
-/// State machines for the tests.
 namespace carobpath::publication::samples {
 
 /// A state machine with helpers that append records to it.
--- a/packages/routing/include/carobpath/routing/Admission.h
+++ b/packages/routing/include/carobpath/routing/Admission.h
@@ -1,5 +1,9 @@
 #pragma once
 
+/// \file
+/// Types of the admitting node. That node runs on the instance of the upstream, and it alone dispatches calls to the
+/// upstream's slots.
+
 #include "carobpath/foundation/Identifier.h"
 #include "carobpath/foundation/Time.h"
 #include "carobpath/publication/Objects.h"
@@ -12,8 +16,6 @@
 #include <variant>
 #include <vector>
 
-/// Types of the admitting node. That node runs on the instance of the upstream, and it alone dispatches calls to the
-/// upstream's slots.
 namespace carobpath::routing {
 
 /// A call that another node forwarded to this one.
--- a/packages/routing/include/carobpath/routing/Call.h
+++ b/packages/routing/include/carobpath/routing/Call.h
@@ -1,5 +1,8 @@
 #pragma once
 
+/// \file
+/// Commands and results exchanged between the entry decision and the sessions that carry bytes.
+
 #include "carobpath/foundation/Endpoint.h"
 #include "carobpath/foundation/Identifier.h"
 #include "carobpath/foundation/Time.h"
@@ -13,7 +16,6 @@
 #include <string>
 #include <variant>
 
-/// Commands and results exchanged between the entry decision and the sessions that carry bytes.
 namespace carobpath::routing {
 
 /// A caller's call, as known to the entry node once its header has been read.
--- a/packages/routing/include/carobpath/routing/CrashReport.h
+++ b/packages/routing/include/carobpath/routing/CrashReport.h
@@ -1,5 +1,8 @@
 #pragma once
 
+/// \file
+/// Entries about crashed backend servers that nodes send each other.
+
 #include "carobpath/foundation/Identifier.h"
 #include "carobpath/foundation/Incarnation.h"
 #include "carobpath/foundation/Time.h"
@@ -7,7 +10,6 @@
 #include <cstdint>
 #include <vector>
 
-/// Entries about crashed backend servers that nodes send each other.
 namespace carobpath::routing {
 
 /// Hash that identifies a request that is sent again.
--- a/packages/routing/include/carobpath/routing/LedgerCommand.h
+++ b/packages/routing/include/carobpath/routing/LedgerCommand.h
@@ -1,5 +1,8 @@
 #pragma once
 
+/// \file
+/// Inputs and commands of the idempotency ledger.
+
 #include "carobpath/foundation/Time.h"
 #include "carobpath/publication/ConfigurationSet.h"
 #include "carobpath/routing/ClaimResult.h"
@@ -10,7 +13,6 @@
 #include <variant>
 #include <vector>
 
-/// Inputs and commands of the idempotency ledger.
 namespace carobpath::routing {
 
 /// A call claims its key, once. A claim that is not decided by the deadline is answered with \c Unavailable.
--- a/packages/routing/tests/AdmissionFixture.h
+++ b/packages/routing/tests/AdmissionFixture.h
@@ -1,11 +1,13 @@
 #pragma once
 
+/// \file
+/// Upstream and requests for tests of the admitting node.
+
 #include "carobpath/routing/AdmissionController.h"
 
 #include <algorithm>
 #include <string>
 
-/// Upstream and requests for tests of the admitting node.
 namespace carobpath::routing::tests {
 
 using namespace std::chrono_literals;
--- a/packages/routing/tests/CheckedHistory.h
+++ b/packages/routing/tests/CheckedHistory.h
@@ -1,5 +1,8 @@
 #pragma once
 
+/// \file
+/// Property tests over generated histories with a fixed seed.
+
 #include <rapidcheck.h>
 #include <rapidcheck/detail/TestListenerAdapter.h>
 
@@ -8,7 +11,6 @@
 #include <string>
 #include <vector>
 
-/// Property tests over generated histories with a fixed seed.
 namespace carobpath::routing::tests {
 
 /// One step of a history: its action, and a number that selects the details.
--- a/packages/routing/tests/EntryFixture.h
+++ b/packages/routing/tests/EntryFixture.h
@@ -1,12 +1,14 @@
 #pragma once
 
+/// \file
+/// Sample configuration, membership and calls for the tests of the entry decision.
+
 #include "carobpath/routing/EntryRouter.h"
 #include "carobpath/routing/RetryBudget.h"
 
 #include <string>
 #include <utility>
 
-/// Sample configuration, membership and calls for the tests of the entry decision.
 namespace carobpath::routing::tests {
 
 using namespace std::chrono_literals;
