--- a/packages/publication/src/internal/Hex.h
+++ b/packages/foundation/include/carobpath/foundation/Hex.h
@@ -1,15 +1,20 @@
 #pragma once
 
+/// \file
+/// Bytes as lower-case hexadecimal digits, the form of digests, keys and signatures in texts.
+
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
-namespace carobpath::publication::Detail {
+namespace carobpath {
 
 inline constexpr std::string_view hexDigits = "0123456789abcdef";
 
+/// \returns two lower-case hexadecimal digits for each byte.
 template <std::size_t size>
 std::string bytesToHex(const std::array<std::uint8_t, size>& bytes)
 {
--- a/packages/foundation/src/SettingParsers.cpp
+++ b/packages/foundation/src/SettingParsers.cpp
@@ -1,5 +1,7 @@
 #include "carobpath/foundation/SettingParsers.h"
 
+#include "carobpath/foundation/Hex.h"
+
 #include <boost/asio/ip/address.hpp>
 
 #include <algorithm>
@@ -190,7 +192,7 @@
         if (c >= 'A' && c <= 'F')
             c = static_cast<char>(c - 'A' + 'a');
     }
-    const bool isHex = key.digits.find_first_not_of("0123456789abcdef") == std::string::npos;
+    const bool isHex = key.digits.find_first_not_of(hexDigits) == std::string::npos;
     if (!isHex || key.digits.size() != hexKeyDigits)
         return SettingProblem { SettingsFaultKind::BadKey, "must be 64 hexadecimal digits" };
     return key;
--- a/packages/foundation/tests/DigestTests.cpp
+++ b/packages/foundation/tests/DigestTests.cpp
@@ -22,6 +22,7 @@
     BOOST_TEST(!digestFromHex(""));
     BOOST_TEST(!digestFromHex("zz"));
     BOOST_TEST(!digestFromHex(std::string(64, 'g')));
+    BOOST_TEST(!digestFromHex(std::string(64, 'A')));
     BOOST_TEST(!digestFromHex(std::string(63, 'a')));
 }
 
--- a/packages/publication/src/Codec.cpp
+++ b/packages/publication/src/Codec.cpp
@@ -1,8 +1,8 @@
 #include "carobpath/publication/Codec.h"
 
 #include "carobpath/foundation/EnumTable.h"
+#include "carobpath/foundation/Hex.h"
 #include "carobpath/publication/Bounds.h"
-#include "internal/Hex.h"
 #include "internal/Json.h"
 
 namespace carobpath::publication {
@@ -160,7 +160,7 @@
 
 void from_json(const nlohmann::json& in, Signature& it)
 {
-    it.bytes = Detail::valueOrThrow(Detail::bytesFromHex<Signature::s_size>(in.get_ref<const std::string&>()));
+    it.bytes = Detail::valueOrThrow(bytesFromHex<Signature::s_size>(in.get_ref<const std::string&>()));
 }
 
 template <Encodable T>
--- a/packages/publication/src/Keys.cpp
+++ b/packages/publication/src/Keys.cpp
@@ -1,6 +1,6 @@
 #include "carobpath/publication/Keys.h"
 
-#include "internal/Hex.h"
+#include "carobpath/foundation/Hex.h"
 
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
@@ -72,7 +72,7 @@
 
 Result<KeyPair> KeyPair::fromHex(std::string_view text)
 {
-    const auto seed = Detail::bytesFromHex<32>(text);
+    const auto seed = bytesFromHex<32>(text);
     if (!seed)
         return boost::leaf::new_error(BadKeyText {});
     KeyPair pair;
@@ -108,7 +108,7 @@
 
 std::string KeyPair::privateHex() const
 {
-    return Detail::bytesToHex(m_seed);
+    return bytesToHex(m_seed);
 }
 
 void TrustedKeys::addMember(const MemberName& member, const PublicKey& key)
@@ -132,12 +132,12 @@
     return m_trustsAnyFleet || verifyAny(m_fleet, bytes, signature);
 }
 
-std::string toHex(const PublicKey& it) { return Detail::bytesToHex(it.bytes); }
-std::string toHex(const Signature& it) { return Detail::bytesToHex(it.bytes); }
+std::string toHex(const PublicKey& it) { return bytesToHex(it.bytes); }
+std::string toHex(const Signature& it) { return bytesToHex(it.bytes); }
 
 Result<PublicKey> publicKeyFromHex(std::string_view text)
 {
-    const auto bytes = Detail::bytesFromHex<PublicKey::s_size>(text);
+    const auto bytes = bytesFromHex<PublicKey::s_size>(text);
     if (!bytes)
         return boost::leaf::new_error(BadKeyText {});
     return PublicKey { *bytes };
@@ -145,7 +145,7 @@
 
 Result<Signature> signatureFromHex(std::string_view text)
 {
-    const auto bytes = Detail::bytesFromHex<Signature::s_size>(text);
+    const auto bytes = bytesFromHex<Signature::s_size>(text);
     if (!bytes)
         return boost::leaf::new_error(BadKeyText {});
     return Signature { *bytes };
