--- a/packages/foundation/src/SettingParsers.cpp
+++ b/packages/foundation/src/SettingParsers.cpp
@@ -1,5 +1,7 @@
 #include "carobpath/foundation/SettingParsers.h"
 
+#include "carobpath/foundation/Hex.h"
+
 #include <boost/asio/ip/address.hpp>
 
 #include <algorithm>
@@ -35,7 +37,7 @@
 
     constexpr std::size_t maximumPathLength = 4096;
 
-    /// \returns the amount in the smallest unit, or nothing where the text or its unit is wrong or too large.
+    /// \returns the amount in the smallest unit; empty where the text or its unit is wrong or too large.
     template <std::size_t count>
     std::optional<std::uint64_t> amount(std::string_view text, const std::array<Unit, count>& units)
     {
@@ -190,7 +192,7 @@
         if (c >= 'A' && c <= 'F')
             c = static_cast<char>(c - 'A' + 'a');
     }
-    const bool isHex = key.digits.find_first_not_of("0123456789abcdef") == std::string::npos;
+    const bool isHex = key.digits.find_first_not_of(hexDigits) == std::string::npos;
     if (!isHex || key.digits.size() != hexKeyDigits)
         return SettingProblem { SettingsFaultKind::BadKey, "must be 64 hexadecimal digits" };
     return key;
--- a/packages/routing/tests/EntryFixture.h
+++ b/packages/routing/tests/EntryFixture.h
@@ -1,12 +1,14 @@
 #pragma once
 
+/// \file
+/// Sample configuration, membership and calls for the tests of the entry decision.
+
 #include "carobpath/routing/EntryRouter.h"
 #include "carobpath/routing/RetryBudget.h"
 
 #include <string>
 #include <utility>
 
-/// Sample configuration, membership and calls for the tests of the entry decision.
 namespace carobpath::routing::tests {
 
 using namespace std::chrono_literals;
@@ -45,6 +47,15 @@
     return it;
 }
 
+/// The sample configuration, whose routes have this limit on the number of backend servers that one call is sent to.
+inline publication::ConfigurationPointer makeConfigurationWithMaxAttempts(std::uint32_t maxAttempts)
+{
+    auto it = std::make_shared<publication::ConfigurationVersion>(*makeConfiguration());
+    for (auto& [name, entry] : it->set.routes)
+        entry.route.maxAttempts = maxAttempts;
+    return it;
+}
+
 inline membership::KnownNode makeNode(std::string name, std::string version, std::string domain = "amman-a",
     membership::UpstreamState state = membership::UpstreamState::Ready)
 {
