Close idle store connections that fell silent together with one that timed out

What callers saw: a call to the store after its silence could wait for its whole timeout once for each idle connection: two timeouts of 2 s, with the retry between them, where a new connection would have been answered at once.

Cause: EndpointPool kept idle connections to an endpoint after another connection to it had timed out. A connection that gives nothing any more looks idle and open, so the next call was sent on it.

Change: when an exchange times out, the idle connections to its endpoint that were not heard since that exchange was sent are closed. One that answered in the meantime is kept.

Idle_connections_that_fell_silent_together_cost_one_timeout failed before (a second timeout, no third connection) and passes; A_timeout_leaves_idle_connections_that_were_heard_since passes before and after.

--- a/packages/publication/include/carobpath/publication/EndpointPool.h
+++ b/packages/publication/include/carobpath/publication/EndpointPool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "carobpath/foundation/Time.h"
 #include "carobpath/publication/HttpExchange.h"
 
 #include <deque>
@@ -33,10 +34,13 @@
     struct IdleConnection {
         std::size_t endpoint = 0;
         StreamPointer stream;
+        MonotonicTime answeredAt;
     };
 
     void sendOnNew(std::size_t endpoint, HttpRequest, HttpHandler);
-    void onResult(std::size_t endpoint, HttpResult, const HttpHandler&);
+    void onResult(std::size_t endpoint, MonotonicTime sentAt, HttpResult, const HttpHandler&);
+    /// Closes the idle connections that were not heard since the time: they may have fallen silent with another one.
+    void closeUnheard(std::size_t endpoint, MonotonicTime since);
     StreamPointer takeIdle(std::size_t endpoint);
     std::shared_ptr<HttpExchange> makeExchange(std::size_t endpoint, HttpRequest, HttpHandler);
 
--- a/packages/publication/src/EndpointPool.cpp
+++ b/packages/publication/src/EndpointPool.cpp
@@ -26,14 +26,14 @@
     if (!idle)
         return sendOnNew(endpoint, std::move(request), std::move(handler));
     // If no byte could be written to the idle connection, the request is sent over a new one.
-    const auto exchange = makeExchange(endpoint, request, [weak = weak_from_this(), endpoint, request, handler](HttpResult result) {
+    const auto exchange = makeExchange(endpoint, request, [weak = weak_from_this(), endpoint, request, handler, sentAt = MonotonicClock::now()](HttpResult result) {
         const auto self = weak.lock();
         if (!self)
             return;
         const auto* failure = std::get_if<HttpFailure>(&result);
         if (failure && *failure == HttpFailure::NotSent)
             return self->sendOnNew(endpoint, request, handler);
-        self->onResult(endpoint, std::move(result), handler);
+        self->onResult(endpoint, sentAt, std::move(result), handler);
     });
     exchange->startOn(std::move(idle));
 }
@@ -51,28 +51,36 @@
 
 void EndpointPool::sendOnNew(std::size_t endpoint, HttpRequest request, HttpHandler handler)
 {
-    const auto exchange = makeExchange(endpoint, std::move(request), [weak = weak_from_this(), endpoint, handler = std::move(handler)](HttpResult result) {
+    const auto exchange = makeExchange(endpoint, std::move(request), [weak = weak_from_this(), endpoint, handler = std::move(handler), sentAt = MonotonicClock::now()](HttpResult result) {
         if (const auto self = weak.lock())
-            self->onResult(endpoint, std::move(result), handler);
+            self->onResult(endpoint, sentAt, std::move(result), handler);
     });
     exchange->start();
 }
 
-void EndpointPool::onResult(std::size_t endpoint, HttpResult result, const HttpHandler& handler)
+void EndpointPool::onResult(std::size_t endpoint, MonotonicTime sentAt, HttpResult result, const HttpHandler& handler)
 {
     if (m_isClosed)
         return;
+    const auto* failure = std::get_if<HttpFailure>(&result);
+    if (failure && *failure == HttpFailure::TimedOut)
+        closeUnheard(endpoint, sentAt);
     auto* answer = std::get_if<HttpAnswer>(&result);
     if (answer)
         m_preferred = endpoint;
     if (answer && answer->reusable) {
-        m_idle.push_back({ endpoint, std::move(answer->reusable) });
+        m_idle.push_back({ endpoint, std::move(answer->reusable), MonotonicClock::now() });
         if (m_idle.size() > m_maxIdleConnections)
             m_idle.pop_front();
     }
     handler(std::move(result));
 }
 
+void EndpointPool::closeUnheard(std::size_t endpoint, MonotonicTime since)
+{
+    std::erase_if(m_idle, [&](const IdleConnection& it) { return it.endpoint == endpoint && it.answeredAt < since; });
+}
+
 StreamPointer EndpointPool::takeIdle(std::size_t endpoint)
 {
     std::erase_if(m_idle, [](IdleConnection& it) { return isStale(*it.stream); });
