Read all records that a listing omitted before a record that can't be used

What callers see: a node keeps an older configuration, and refuses routes added since, until the next version is written.

Cause: while a key changes fast its reader uses listings, which hold the newest record of each key. If that record can't be used, the records before it are read. When one answer did not hold them all, or the read failed, KeyedFollower listed again; the listing holds only the refused record, which is left out, and reading went on from the end: the usable records between were never read. An answer holds 1 MiB, a few versions of a large configuration.

Change: the follower notes that it reads omitted records. Until it is past the refused record it doesn't list of its own accord, and a listing after a failed read doesn't move its position, unless that listing has a newer record of the key or the store has deleted the records.

Four tests were added.

--- a/packages/publication/include/carobpath/publication/KeyedFollower.h
+++ b/packages/publication/include/carobpath/publication/KeyedFollower.h
@@ -34,7 +34,11 @@
     void onRefused(const KeyUpdates&);
 
     /// Must be called when the store no longer keeps the record at \c nextRead.
-    void onTrimmed() { m_needsListing = true; }
+    void onTrimmed()
+    {
+        m_needsListing = true;
+        m_isRereading = false;
+    }
 
     /// Must be called when a connection was lost; a listing provides the records written in the meantime.
     void onInterrupted() { m_needsListing = true; }
@@ -42,6 +46,9 @@
 private:
     std::vector<KeyUpdates> collectUpdates(const KeyedBatch&);
     void planNext(bool wasListing, const std::vector<KeyUpdates>&);
+    bool isRefused(const KeyedRecord&) const;
+    /// \returns whether a newer record has replaced the refused one, so that the omitted ones are not needed.
+    bool hasSuccessor(const std::vector<KeyUpdates>&) const;
 
     /// The newest known offset of each key.
     std::map<std::string, Offset> m_newest;
@@ -49,7 +56,11 @@
     /// last listing; the offset is empty after a read.
     std::map<std::string, Offset> m_previousNewest;
     std::optional<Offset> m_previousNextRead;
-    std::optional<Offset> m_refused;
+    /// The record of the last refusal, without its value.
+    std::optional<KeyedRecord> m_refused;
+    /// Records are being read that the listing with the refused record omitted. They may take several reads; a listing in
+    /// between does not contain them.
+    bool m_isRereading = false;
     Offset m_nextRead = 0;
     bool m_needsListing = true;
     bool m_shouldPause = false;
--- a/packages/publication/src/KeyedFollower.cpp
+++ b/packages/publication/src/KeyedFollower.cpp
@@ -10,7 +10,9 @@
     m_previousNewest = m_newest;
     m_previousNextRead = wasListing && m_caughtUp ? std::optional { m_nextRead } : std::nullopt;
     auto updates = collectUpdates(batch);
-    m_nextRead = batch.next;
+    if (!wasListing || !m_isRereading || hasSuccessor(updates))
+        m_nextRead = batch.next;
+    m_isRereading = m_isRereading && m_nextRead <= m_refused->offset;
     planNext(wasListing, updates);
     m_caughtUp = true;
     return updates;
@@ -22,7 +24,7 @@
     for (const auto& record : batch.records) {
         const auto known = m_newest.find(record.key);
         const bool isNewer = known == m_newest.end() || record.offset > known->second;
-        if (isNewer && record.offset != m_refused)
+        if (isNewer && !isRefused(record))
             byKey[record.key].push_back(record);
     }
     std::vector<KeyUpdates> updates;
@@ -41,6 +43,20 @@
     m_isBusy = wasListing ? m_isBusy && !updates.empty() : wasReplaced;
     m_needsListing = m_isBusy;
     m_shouldPause = m_caughtUp && !updates.empty();
+    if (m_isRereading) {
+        m_needsListing = false;
+        m_shouldPause = false;
+    }
+}
+
+bool KeyedFollower::isRefused(const KeyedRecord& record) const
+{
+    return m_refused && m_refused->offset == record.offset;
+}
+
+bool KeyedFollower::hasSuccessor(const std::vector<KeyUpdates>& updates) const
+{
+    return std::any_of(updates.begin(), updates.end(), [&](const KeyUpdates& it) { return it.front().key == m_refused->key; });
 }
 
 void KeyedFollower::onRefused(const KeyUpdates& updates)
@@ -53,7 +69,9 @@
         m_newest.erase(key);
     else
         m_newest[key] = before->second;
-    m_refused = updates.front().offset;
+    m_refused = updates.front();
+    m_refused->value.reset();
+    m_isRereading = true;
     m_nextRead = *m_previousNextRead;
     m_needsListing = false;
     m_shouldPause = false;
--- a/packages/publication/tests/KeyedFollowerTests.cpp
+++ b/packages/publication/tests/KeyedFollowerTests.cpp
@@ -19,6 +19,15 @@
         return follower;
     }
 
+    /// A follower that has listed a record that it refused, and is to read on from offset 2.
+    KeyedFollower afterRefusedListing()
+    {
+        auto follower = caughtUp();
+        follower.onBatch({ 2, { record(0, "a", "1"), record(1, "a", "2") } });
+        follower.onRefused(follower.onBatch({ 7, { record(6, "a", "wrong") } }).front());
+        return follower;
+    }
+
     std::vector<Offset> offsetsOf(const KeyUpdates& updates)
     {
         std::vector<Offset> offsets;
@@ -114,6 +123,49 @@
     BOOST_TEST(follower.shouldPause());
 }
 
+BOOST_AUTO_TEST_CASE(All_records_that_a_listing_omitted_are_read_if_one_answer_does_not_hold_them)
+{
+    auto follower = afterRefusedListing();
+    follower.onBatch({ 4, { record(2, "a", "3"), record(3, "a", "4") } });
+    BOOST_TEST(!follower.needsListing());
+    BOOST_TEST(!follower.shouldPause());
+    BOOST_REQUIRE_EQUAL(follower.nextRead(), 4);
+    const auto read = follower.onBatch({ 7, { record(4, "a", "5"), record(5, "a", "6"), record(6, "a", "wrong") } });
+    BOOST_REQUIRE_EQUAL(read.size(), 1);
+    BOOST_TEST((offsetsOf(read.front()) == std::vector<Offset> { 5, 4 }));
+    BOOST_TEST(follower.nextRead() == 7);
+}
+
+BOOST_AUTO_TEST_CASE(Records_that_a_listing_omitted_are_read_if_the_first_read_of_them_fails)
+{
+    auto follower = afterRefusedListing();
+    follower.onInterrupted();
+    BOOST_TEST(follower.needsListing());
+    BOOST_TEST(follower.onBatch({ 7, { record(6, "a", "wrong") } }).empty());
+    BOOST_TEST(!follower.needsListing());
+    BOOST_TEST(follower.nextRead() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(Records_that_a_listing_omitted_are_skipped_once_a_newer_one_is_listed)
+{
+    auto follower = afterRefusedListing();
+    follower.onInterrupted();
+    follower.onBatch({ 8, { record(6, "a", "wrong"), record(7, "b", "1") } });
+    BOOST_TEST(follower.nextRead() == 2);
+    follower.onInterrupted();
+    follower.onBatch({ 9, { record(8, "a", "9"), record(7, "b", "1") } });
+    BOOST_TEST(follower.nextRead() == 9);
+}
+
+BOOST_AUTO_TEST_CASE(Records_that_a_listing_omitted_are_given_up_once_they_are_deleted)
+{
+    auto follower = afterRefusedListing();
+    follower.onTrimmed();
+    follower.onBatch({ 7, { record(6, "a", "wrong") } });
+    BOOST_TEST(!follower.needsListing());
+    BOOST_TEST(follower.nextRead() == 7);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
