Test what the fleet hears of a stream's end when messages are lost or few nodes have read it

Properties of the repetition of swallowed reads that no test showed: an announced end passes nodes that stand still and links that lose messages; an end that the checking nodes have read, so that none of them announces it, reaches a node that has not within a second, and one that all others have read within a gossip round; the checks of a settled fleet don't grow with it.

--- a/packages/distribution/tests/StreamEndTests.cpp
+++ b/packages/distribution/tests/StreamEndTests.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 namespace carobpath::distribution {
 
 namespace {
@@ -18,6 +20,14 @@
         return options;
     }
 
+    NodeName nameOf(std::size_t node) { return NodeName { "booking-" + std::to_string(node) }; }
+
+    bool isChecking(const membership::MembershipView& view, std::size_t node)
+    {
+        return std::any_of(view.nodes.begin(), view.nodes.end(),
+            [&](const auto& it) { return it.entry.name == nameOf(node) && isLogReader(view, it.entry.name, it.entry.domain); });
+    }
+
     /// Nodes that know each other.
     struct JoinedFleet {
         Fleet fleet;
@@ -86,6 +96,83 @@
     BOOST_TEST(elected == 9U);
 }
 
+BOOST_AUTO_TEST_CASE(An_announced_end_passes_nodes_that_lose_messages_or_stand_still)
+{
+    auto options = optionsOf(69);
+    options.loss = 0.2;
+    Fleet fleet { options };
+    fleet.publish();
+    fleet.startAll();
+    fleet.run(seconds { 40 });
+    for (std::size_t i = 3; i < 12; ++i)
+        fleet.pause(i);
+    fleet.execute(0, fleet.engine(0).announceStreamEnd({ "orders", 5 }));
+    const auto took = fleet.runUntil([&] {
+        for (std::size_t i = 12; i < fleet.size(); ++i) {
+            if (fleet.streamEnd(i) < 5)
+                return false;
+        }
+        return true;
+    },
+        seconds { 30 });
+    BOOST_TEST_REQUIRE(took.has_value());
+    BOOST_TEST(took->count() <= 5000, took->count() << " ms");
+}
+
+BOOST_AUTO_TEST_CASE(The_checks_of_a_fleet_do_not_grow_with_it)
+{
+    for (const std::size_t nodes : { 2U, 14U, 69U }) {
+        JoinedFleet it { nodes };
+        it.fleet.run(seconds { 10 });
+        double share = 0;
+        for (std::size_t i = 0; i < nodes; ++i) {
+            const auto& view = *it.fleet.engine(i).currentView();
+            if (isChecking(view, i))
+                share += 1.0 / static_cast<double>(countLogReaders(view));
+        }
+        BOOST_TEST(share == 1.0, boost::test_tools::tolerance(0.01));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(An_end_that_all_others_have_read_reaches_a_deaf_node_within_a_gossip_round)
+{
+    for (const std::size_t nodes : { 3U, 14U, 69U }) {
+        JoinedFleet it { nodes };
+        for (publication::Offset end = 5; end < 25; ++end) {
+            for (std::size_t i = 1; i < nodes; ++i)
+                it.fleet.engine(i).onStreamRead({ "orders", end });
+            const auto took = it.fleet.runUntil([&] { return it.fleet.streamEnd(0) == end; }, seconds { 5 });
+            BOOST_TEST_REQUIRE(took.has_value());
+            BOOST_TEST(took->count() <= 1300, nodes << " nodes: " << took->count() << " ms");
+            it.fleet.run(seconds { 3 });
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(An_end_that_only_the_checking_nodes_have_read_reaches_another_node_soon)
+{
+    for (const std::size_t nodes : { 14U, 69U, 294U }) {
+        JoinedFleet it { nodes };
+        const auto& view = *it.fleet.engine(0).currentView();
+        std::vector<std::size_t> others;
+        for (std::size_t i = 0; i < nodes; ++i) {
+            if (!isChecking(view, i))
+                others.push_back(i);
+        }
+        for (publication::Offset end = 5; end < 15; ++end) {
+            for (std::size_t i = 0; i < nodes; ++i) {
+                if (isChecking(view, i))
+                    it.fleet.engine(i).onStreamRead({ "orders", end });
+            }
+            const auto oneHeard = [&] { return std::any_of(others.begin(), others.end(), [&](std::size_t i) { return it.fleet.streamEnd(i) >= end; }); };
+            const auto took = it.fleet.runUntil(oneHeard, seconds { 5 });
+            BOOST_TEST_REQUIRE(took.has_value());
+            BOOST_TEST(took->count() <= 1000, nodes << " nodes: " << took->count() << " ms");
+            it.fleet.run(seconds { 10 });
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
