--- a/packages/node/tests/KeyedReaderTests.cpp
+++ b/packages/node/tests/KeyedReaderTests.cpp
@@ -117,6 +117,16 @@
     BOOST_TEST(store.checks.empty());
 }
 
+BOOST_AUTO_TEST_CASE(A_check_that_ends_after_the_reader_stopped_is_ignored)
+{
+    reader->setCheckInterval(100ms);
+    tickAfter(1s);
+    BOOST_REQUIRE(store.checks.size() == 1U);
+    reader->stop();
+    store.checks.back()(LogFailure { LogError::TimedOut, 0 });
+    BOOST_TEST(availability.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
