--- a/packages/node/src/internal/KeyedReader.h
+++ b/packages/node/src/internal/KeyedReader.h
@@ -119,7 +119,7 @@
         if (m_follower.needsListing())
             m_store.listNewest(m_stream, std::move(handler));
         else
-            m_store.readKeyed(m_stream, m_follower.nextRead(), m_wait, std::move(handler));
+            m_store.readKeyed(m_stream, m_follower.nextRead(), isImmediate ? std::chrono::milliseconds { 0 } : m_wait, std::move(handler));
     }
 
     void readAgain()
--- a/packages/publication/include/carobpath/publication/KeyedFollower.h
+++ b/packages/publication/include/carobpath/publication/KeyedFollower.h
@@ -23,7 +23,7 @@
     bool needsListing() const { return m_needsListing; }
     Offset nextRead() const { return m_nextRead; }
     /// \returns whether the next read is for records that a listing omitted.
-    bool isReadingOmitted() const { return m_isReadingOmitted; }
+    bool isReadingOmitted() const { return m_isRereading; }
     /// \returns whether the next request should be delayed, so that one answer contains more updates.
     bool shouldPause() const { return m_shouldPause; }
 
@@ -38,17 +38,19 @@
     /// Must be called when the store no longer keeps the record at \c nextRead.
     void onTrimmed()
     {
-        m_isReadingOmitted = false;
         m_needsListing = true;
+        m_isRereading = false;
     }
 
-    /// Must be called when a connection was lost; a listing provides the records written in the meantime. It would omit
-    /// again those that are read after a refused record.
-    void onInterrupted() { m_needsListing = !m_isReadingOmitted; }
+    /// Must be called when a connection was lost; a listing provides the records written in the meantime.
+    void onInterrupted() { m_needsListing = true; }
 
 private:
     std::vector<KeyUpdates> collectUpdates(const KeyedBatch&);
     void planNext(bool wasListing, const std::vector<KeyUpdates>&);
+    bool isRefused(const KeyedRecord&) const;
+    /// \returns whether a newer record has replaced the refused one, so that the omitted ones are not needed.
+    bool hasSuccessor(const std::vector<KeyUpdates>&) const;
 
     /// The newest known offset of each key.
     std::map<std::string, Offset> m_newest;
@@ -56,10 +58,13 @@
     /// last listing; the offset is empty after a read.
     std::map<std::string, Offset> m_previousNewest;
     std::optional<Offset> m_previousNextRead;
-    std::optional<Offset> m_refused;
+    /// The record of the last refusal, without its value.
+    std::optional<KeyedRecord> m_refused;
+    /// Records are being read that the listing with the refused record omitted. They may take several reads; a listing in
+    /// between does not contain them.
+    bool m_isRereading = false;
     Offset m_nextRead = 0;
     bool m_needsListing = true;
-    bool m_isReadingOmitted = false;
     bool m_shouldPause = false;
     bool m_caughtUp = false;
     /// A key was replaced more than once between two requests.
