--- a/packages/node/tests/KeyedReaderTests.cpp
+++ b/packages/node/tests/KeyedReaderTests.cpp
@@ -24,7 +24,7 @@
         void listNewest(const std::string&, publication::KeyedHandler handler) { listings.push_back(std::move(handler)); }
         void readKeyed(const std::string&, Offset, std::chrono::milliseconds, publication::KeyedHandler handler) { reads.push_back(std::move(handler)); }
         void checkEnd(const std::string&, Offset, publication::EndHandler handler) { checks.push_back(std::move(handler)); }
-        void put(const std::string&, const KeyedRecord&, std::optional<Offset>, publication::AppendHandler) { }
+        void put(const std::string&, const KeyedRecord&, std::optional<Offset>, const publication::AppendHandler&) { }
 
         Offset end() const { return records.size(); }
         void append(std::string value) { records.push_back({ end(), "config", std::move(value) }); }
