Compute delays that double up to a bound in one place

The backoff of a partition owner, the ejection of an upstream and the retries of a verdict's writers each shifted their first delay by a number of doublings, each with a bound of its own against overflow. They now call exponentialDelay, which cannot overflow. The delays are the same: each former bound on the doublings lay beyond the longest delay.

The tests of foundation, routing and moves pass.

--- a/packages/moves/src/VerdictWriter.cpp
+++ b/packages/moves/src/VerdictWriter.cpp
@@ -1,15 +1,11 @@
 #include "carobpath/moves/VerdictWriter.h"
 
+#include "carobpath/foundation/ExponentialDelay.h"
+
 #include <algorithm>
 
 namespace carobpath::moves {
 
-namespace {
-
-    constexpr std::uint32_t maxDoublings = 16;
-
-}
-
 VerdictWriter::VerdictWriter(std::size_t rank)
     : m_rank(rank)
 {
@@ -25,8 +21,7 @@
     if (now < m_nextAt)
         return false;
     const auto maxDelay = m_rank < s_frequentRanks ? s_maxRetry : s_maxRetryOfOtherRanks;
-    const auto doublings = std::min(m_attempts, maxDoublings);
-    const std::chrono::milliseconds ceiling = std::min(maxDelay, std::chrono::milliseconds { s_initialRetry * (1L << doublings) });
+    const auto ceiling = exponentialDelay(s_initialRetry, m_attempts, maxDelay);
     // Half of the delay is random, so that writers that failed at the same time do not retry at the same time.
     std::uniform_int_distribution<std::chrono::milliseconds::rep> draw(ceiling.count() / 2, ceiling.count());
     m_nextAt = now + std::chrono::milliseconds { draw(random) };
--- a/packages/routing/src/PartitionOwner.cpp
+++ b/packages/routing/src/PartitionOwner.cpp
@@ -1,5 +1,7 @@
 #include "carobpath/routing/PartitionOwner.h"
 
+#include "carobpath/foundation/ExponentialDelay.h"
+
 #include <algorithm>
 
 namespace carobpath::routing {
@@ -10,8 +12,6 @@
 
     constexpr milliseconds unavailableRetryAfter { 1000 };
     constexpr milliseconds inProgressRetryAfter { 500 };
-    /// Maximum number of doublings of the backoff.
-    constexpr std::uint32_t maxDoublings = 6;
 
     ClaimResult unavailable() { return { ClaimStatus::Unavailable, unavailableRetryAfter }; }
 
@@ -160,10 +160,9 @@
 
 void PartitionOwner::fail(LedgerCommands& commands, MonotonicTime now)
 {
-    const auto backoff = s_minBackoff * (1LL << std::min(m_failures, maxDoublings));
-    ++m_failures;
     m_phase = Phase::Waiting;
-    m_phaseDeadline = now + std::min<milliseconds>(backoff, s_maxBackoff);
+    m_phaseDeadline = now + exponentialDelay(s_minBackoff, m_failures, s_maxBackoff);
+    ++m_failures;
     if (m_failures >= s_maxLogFailures)
         abandonClaims(commands, MonotonicTime::max(), now);
 }
--- a/packages/routing/src/UpstreamStatistics.cpp
+++ b/packages/routing/src/UpstreamStatistics.cpp
@@ -1,5 +1,7 @@
 #include "carobpath/routing/UpstreamStatistics.h"
 
+#include "carobpath/foundation/ExponentialDelay.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -11,8 +13,6 @@
     constexpr double latencyWeight = 0.2;
     /// Weight of a new answer in the moving average of the error rate.
     constexpr double errorWeight = 0.1;
-    /// Number of doublings after which the ejection time no longer grows.
-    constexpr std::uint32_t maxDoublings = 8;
 
     double toSeconds(std::chrono::nanoseconds it) { return std::chrono::duration<double>(it).count(); }
 
@@ -100,9 +100,8 @@
         return;
     if (now < m_ejectedUntil)
         return;
-    const auto time = std::min<std::chrono::milliseconds>(s_initialEjection * (1LL << m_ejections), s_maxEjection);
-    m_ejections = std::min(m_ejections + 1, maxDoublings);
-    m_ejectedUntil = now + time;
+    m_ejectedUntil = now + exponentialDelay(s_initialEjection, m_ejections, s_maxEjection);
+    ++m_ejections;
 }
 
 void UpstreamStatistics::countAnswer(std::chrono::nanoseconds latency, bool error, MonotonicTime now)
