Give each constant of comparison, budget and evidence windows its own comment

One comment stood over two or three constants. Comparison.cpp had two unnamed namespaces in a row, now one. Overlong lines of a comment are wrapped. No logic is changed; the changed files compile.

--- a/packages/moves/include/carobpath/moves/OrderedMoves.h
+++ b/packages/moves/include/carobpath/moves/OrderedMoves.h
@@ -88,9 +88,11 @@
     bool hasUnfinishedMove() const;
 
 private:
-    /// Evidence windows: calls while the new version gets a part of the calls, while it gets all, and during the load test.
+    /// Evidence window of the calls while the new version gets a part of the calls.
     static constexpr std::uint32_t s_canaryWindow = 0;
+    /// Evidence window of the calls while the new version gets all calls.
     static constexpr std::uint32_t s_fullWindow = 1;
+    /// Evidence window of the calls during the load test.
     static constexpr std::uint32_t s_loadTestWindow = 2;
 
     struct Move {
--- a/packages/moves/src/Comparison.cpp
+++ b/packages/moves/src/Comparison.cpp
@@ -11,8 +11,9 @@
     constexpr std::array<double, 3> failedRatios { 4, 20, 100 };
     constexpr std::array<double, 3> slowRatios { 2, 4, 8 };
 
-    /// Bounds that keep the arithmetic finite. They are far beyond any threshold.
+    /// Upper bound that keeps the arithmetic finite, far beyond any threshold.
     constexpr double maxEvidence = 1e100;
+    /// Lower bound that keeps the logarithm finite.
     constexpr double minEvidence = 1e-100;
 
     constexpr double minFailedExcess = 0.01;
@@ -67,10 +68,6 @@
         return static_cast<double>(to.events) * std::log(ratio) - events * std::log(ratio * part + 1 - part);
     }
 
-}
-
-namespace {
-
     /// \returns the regressed calls of the serving version in the cautious part of the window and of the next one.
     Frequency cautiousControl(const RouteEvidence& evidence, RegressionKind kind, std::size_t slowClass, std::uint32_t window)
     {
--- a/packages/routing/include/carobpath/routing/CrashQuarantine.h
+++ b/packages/routing/include/carobpath/routing/CrashQuarantine.h
@@ -16,11 +16,11 @@
 /// them for the quarantine time.
 ///
 /// Each crash is attributed in equal parts to those of its suspects that are involved in the most crashes. A request is
-/// a culprit once the parts attributed to it add up to two crashes; a crash that a culprit explains is no evidence against other requests.
-/// A request that a server answered shortly before a crash, or at any time after it, is cleared of that crash. Therefore
-/// a request that runs on all servers all the time is never a culprit of crashes that other requests cause. Two suspects
-/// of the same crashes cannot be distinguished. To avoid this, a node does not run two suspects at the same time
-/// (\c isSuspect).
+/// a culprit once the parts attributed to it add up to two crashes; a crash that a culprit explains is no evidence
+/// against other requests. A request that a server answered shortly before a crash, or at any time after it, is cleared
+/// of that crash. Therefore a request that runs on all servers all the time is never a culprit of crashes that other
+/// requests cause. Two suspects of the same crashes cannot be distinguished. To avoid this, a node does not run two
+/// suspects at the same time (\c isSuspect).
 class CrashQuarantine {
 public:
     static constexpr std::chrono::minutes s_quarantineTime { 5 };
--- a/packages/routing/src/RetryBudget.cpp
+++ b/packages/routing/src/RetryBudget.cpp
@@ -6,9 +6,10 @@
 
 namespace {
 
-    /// Fraction of the fleet's slack that nodes can save up, and fraction that they earn within one window. The rest is
-    /// left to nodes that restart with a full budget.
+    /// Fraction of the fleet's slack that nodes can save up. What this and \c earnedFraction leave is for nodes that
+    /// restart with a full budget.
     constexpr double savedFraction = 0.4;
+    /// Fraction of the fleet's slack that nodes earn within one window.
     constexpr double earnedFraction = 0.2;
     constexpr double nestedCallFraction = 0.5;
 
