--- a/packages/routing/src/UpstreamStatistics.cpp
+++ b/packages/routing/src/UpstreamStatistics.cpp
@@ -14,6 +14,12 @@
     /// Weight of a new answer in the moving average of the error rate.
     constexpr double errorWeight = 0.1;
 
+    /// \returns the fraction of a value that is left at this age.
+    double remainingFraction(MonotonicClock::duration age, std::chrono::duration<double> halfLife)
+    {
+        return std::exp2(-std::chrono::duration<double> { age } / halfLife);
+    }
+
     double toSeconds(std::chrono::nanoseconds it) { return std::chrono::duration<double>(it).count(); }
 
 }
@@ -66,9 +72,7 @@
 {
     if (!hasLoad())
         return mean * (1 + m_inFlight);
-    const std::chrono::duration<double> age = now - m_loadAt;
-    const std::chrono::duration<double> halfLife = s_loadHalfLife;
-    const double reportedCalls = m_load.calls * std::exp2(-age / halfLife);
+    const double reportedCalls = m_load.calls * remainingFraction(now - m_loadAt, s_loadHalfLife);
     const double sentSince = m_inFlight > m_inFlightAtLoad ? m_inFlight - m_inFlightAtLoad : 0;
     const double calls = std::max<double>(reportedCalls + sentSince, m_inFlight) + 1;
     const double service = m_load.serviceTime.count() > 0 ? reportedServiceSeconds(mean, now) : mean;
@@ -78,18 +82,14 @@
 
 double UpstreamStatistics::reportedServiceSeconds(double mean, MonotonicTime now) const
 {
-    const std::chrono::duration<double> age = now - m_loadAt;
-    const std::chrono::duration<double> halfLife = s_latencyHalfLife;
     const double reported = toSeconds(m_load.serviceTime);
     const double floor = std::min(reported, s_minServiceFraction * mean);
-    return std::max(reported * std::exp2(-age / halfLife), floor);
+    return std::max(reported * remainingFraction(now - m_loadAt, s_latencyHalfLife), floor);
 }
 
 double UpstreamStatistics::overheadSeconds(MonotonicTime now) const
 {
-    const std::chrono::duration<double> age = now - m_latencyAt;
-    const std::chrono::duration<double> halfLife = s_latencyHalfLife;
-    return m_overheadSeconds * std::exp2(-age / halfLife);
+    return m_overheadSeconds * remainingFraction(now - m_latencyAt, s_latencyHalfLife);
 }
 
 void UpstreamStatistics::countFailure(MonotonicTime now)
@@ -159,9 +159,7 @@
 {
     if (m_latencyAt == MonotonicTime {})
         return mean;
-    const std::chrono::duration<double> age = now - m_latencyAt;
-    const std::chrono::duration<double> halfLife = s_latencyHalfLife;
-    return m_latencySeconds * std::exp2(-age / halfLife);
+    return m_latencySeconds * remainingFraction(now - m_latencyAt, s_latencyHalfLife);
 }
 
 }
