Refuse a queued call before its entry node stops waiting

Callers got 504, "may have run", for calls that had only waited in a queue and never ran (process-explain beside load, once).

Cause: a queued call that may be late, or has no objective, stayed queued up to its deadline at the admitting node, which is 5 ms before the entry node's, and was refused by the next tick, which comes up to 20 ms later. The entry node's timeout was mostly first, and without an answer it can't know whether the call ran. rejectUnattainable left out just these calls.

Ruled out: interim answers that tell "still waiting". The call may be dispatched after the last of them, so that they prove nothing; only the refusal itself does.

Change: a queued call is refused as not run once not even the shortest of the recent runs of its class would meet its deadline, and 50 ms before the deadline at the latest (half of its time, if it came with less than 100 ms). A slot that is free by then is still given to it. Calls that need not wait are taken as before, whatever the recent times were.

--- a/packages/routing/include/carobpath/routing/AdmissionController.h
+++ b/packages/routing/include/carobpath/routing/AdmissionController.h
@@ -51,6 +51,10 @@
     /// Before any answer was timed, the service time is estimated as the time to the call's objective divided by this.
     static constexpr int s_initialEstimateDivisor = 2;
 
+    /// A queued call is refused this long before its deadline at the latest, or once half of its time is left if that
+    /// is shorter, so that its entry node learns that it did not run before it stops waiting.
+    static constexpr std::chrono::milliseconds s_refusalLead { 50 };
+
     explicit AdmissionController(AdmissionPolicy policy = {});
 
     /// Refuses a request that arrived before as \c DuplicateInProgress with the outcome \c Unknown. That command is
@@ -61,7 +65,8 @@
     /// Handles a disconnected caller or entry node. A queued call is removed without a command; a dispatched call
     /// occupies its slot until \c onFinished.
     AdmissionCommands onCancelled(const RequestId&, MonotonicTime now);
-    /// Refuses queued calls whose deadline has passed. Call this at the time returned by \c nextTick, or later.
+    /// Refuses queued calls that can no longer be served before their deadline. To be called several times within
+    /// \c s_refusalLead.
     AdmissionCommands onTick(MonotonicTime now);
 
     /// Updates the upstream after an announcement of the backend server; without a value, the announcement has
@@ -100,8 +105,11 @@
     void dispatchWaiting(AdmissionCommands&, MonotonicTime now);
     void dispatch(const AdmissionRequest&, AdmissionCommands&, MonotonicTime now);
     void rejectExpired(AdmissionCommands&, MonotonicTime now);
-    /// Refuses queued calls that can no longer meet their objective, instead of holding them until their deadline.
+    /// Refuses queued calls that can no longer meet their objective or their deadline, instead of holding them.
     void rejectUnattainable(AdmissionCommands&, MonotonicTime now);
+    bool isUnattainable(const AdmissionRequest&, MonotonicTime now) const;
+    /// Refuses calls that got no slot and whose refusal would reach the entry node too late if it waited any longer.
+    void rejectBeforeDeadline(AdmissionCommands&, MonotonicTime now);
     void rejectAll(AdmissionCommands&, RefusalReason, std::chrono::milliseconds retryAfter);
     bool fits(const AdmissionRequest&, MonotonicTime now) const;
     bool isSuspect(const AdmissionRequest&) const;
--- a/packages/routing/include/carobpath/routing/AdmissionQueue.h
+++ b/packages/routing/include/carobpath/routing/AdmissionQueue.h
@@ -72,7 +72,7 @@
     bool remove(const RequestId&);
     /// Removes the calls whose deadline has passed.
     std::vector<AdmissionRequest> removeExpired(MonotonicTime now);
-    std::vector<AdmissionRequest> removeIf(const Fits&);
+    std::vector<AdmissionRequest> removeIf(const std::function<bool(const Waiting&)>&);
     std::vector<AdmissionRequest> removeAll();
 
     std::size_t size() const;
--- a/packages/routing/src/AdmissionController.cpp
+++ b/packages/routing/src/AdmissionController.cpp
@@ -217,6 +217,7 @@
     const auto canDispatch = [this, now](const AdmissionRequest& it) { return fits(it, now); };
     while (const auto next = m_queue.pop(canDispatch, now))
         dispatch(*next, commands, now);
+    rejectBeforeDeadline(commands, now);
 }
 
 void AdmissionController::dispatch(const AdmissionRequest& request, AdmissionCommands& commands, MonotonicTime now)
@@ -302,13 +303,25 @@
 
 void AdmissionController::rejectUnattainable(AdmissionCommands& commands, MonotonicTime now)
 {
-    if (!m_policy.order.byObjective)
-        return;
-    const auto isUnattainable = [&](const AdmissionRequest& it) {
-        const auto service = expectedTime(it, now);
-        return it.objective && !it.mayBeLate && now + service > *it.objective;
+    for (const auto& it : m_queue.removeIf([&](const auto& waiting) { return isUnattainable(waiting.request, now); }))
+        rejectForLoad(it, commands, now);
+}
+
+bool AdmissionController::isUnattainable(const AdmissionRequest& it, MonotonicTime now) const
+{
+    if (now + m_times.least(queueClassOf(it)) > it.deadline)
+        return true;
+    const bool hasToMeetObjective = m_policy.order.byObjective && it.objective && !it.mayBeLate;
+    return hasToMeetObjective && now + expectedTime(it, now) > *it.objective;
+}
+
+void AdmissionController::rejectBeforeDeadline(AdmissionCommands& commands, MonotonicTime now)
+{
+    const auto isDue = [now](const AdmissionQueue::Waiting& it) {
+        const MonotonicClock::duration halfOfTime = (it.request.deadline - it.arrivedAt) / 2;
+        return now + std::min<MonotonicClock::duration>(s_refusalLead, halfOfTime) >= it.request.deadline;
     };
-    for (const auto& it : m_queue.removeIf(isUnattainable))
+    for (const auto& it : m_queue.removeIf(isDue))
         rejectForLoad(it, commands, now);
 }
 
--- a/packages/routing/src/AdmissionQueue.cpp
+++ b/packages/routing/src/AdmissionQueue.cpp
@@ -139,15 +139,15 @@
 
 std::vector<AdmissionRequest> AdmissionQueue::removeExpired(MonotonicTime now)
 {
-    return removeIf([now](const AdmissionRequest& it) { return now >= it.deadline; });
+    return removeIf([now](const Waiting& it) { return now >= it.request.deadline; });
 }
 
-std::vector<AdmissionRequest> AdmissionQueue::removeIf(const Fits& matches)
+std::vector<AdmissionRequest> AdmissionQueue::removeIf(const std::function<bool(const Waiting&)>& matches)
 {
     std::vector<AdmissionRequest> removed;
     for (auto& queue : m_classes) {
         std::erase_if(queue, [&](const Waiting& it) {
-            if (!matches(it.request))
+            if (!matches(it))
                 return false;
             removed.push_back(it.request);
             return true;
--- a/packages/routing/tests/ObjectiveAdmissionTests.cpp
+++ b/packages/routing/tests/ObjectiveAdmissionTests.cpp
@@ -35,6 +35,37 @@
             }
         }
 
+        /// Runs enough calls of 200 ms for the node to know of no faster ones.
+        void runOnlySlowCalls()
+        {
+            for (int i = 0; i < 250; ++i) {
+                finish(running.front().id, BackendResult::Answered, serviceTime);
+                running.erase(running.begin());
+                running.push_back(request());
+                arrive(running.back());
+            }
+        }
+
+        /// A call past its objective that may be queued all the same.
+        AdmissionRequest late(std::chrono::milliseconds timeLeft)
+        {
+            auto it = within(0ms);
+            it.mayBeLate = true;
+            it.deadline = now + timeLeft;
+            return it;
+        }
+
+        /// Ticks as a node does until the call is refused. \returns its refusal; nothing once its deadline has passed.
+        std::optional<Refusal> tickUntilRefused(const AdmissionRequest& it)
+        {
+            while (now < it.deadline) {
+                now += 20ms;
+                if (const auto refusal = refusalOf(controller.onTick(now), it.id))
+                    return refusal;
+            }
+            return std::nullopt;
+        }
+
         AdmissionRequest within(std::chrono::milliseconds objective, std::uint32_t priority = 1)
         {
             auto it = request();
@@ -203,6 +234,40 @@
     BOOST_TEST(refusalOf(fixture.arrive(second), second.id).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(A_call_that_may_be_late_is_refused_as_not_run_before_its_entry_node_stops_waiting)
+{
+    BusyFixture fixture;
+    fixture.now += 120ms;
+    const auto call = fixture.late(410ms);
+    BOOST_REQUIRE(!refusalOf(fixture.arrive(call), call.id));
+    const auto refusal = fixture.tickUntilRefused(call);
+    BOOST_REQUIRE(refusal);
+    BOOST_TEST((refusal->outcome == Outcome::NotRun));
+    BOOST_TEST((refusal->reason == RefusalReason::Overloaded));
+    BOOST_TEST((fixture.now + 20ms <= call.deadline));
+}
+
+BOOST_AUTO_TEST_CASE(A_call_that_may_be_late_is_refused_once_the_fastest_run_would_miss_its_deadline)
+{
+    BusyFixture fixture;
+    fixture.runOnlySlowCalls();
+    fixture.now += 120ms;
+    const auto call = fixture.late(410ms);
+    BOOST_REQUIRE(!refusalOf(fixture.arrive(call), call.id));
+    BOOST_REQUIRE(fixture.tickUntilRefused(call));
+    BOOST_TEST((fixture.now + serviceTime <= call.deadline + 20ms));
+}
+
+BOOST_AUTO_TEST_CASE(A_slot_that_comes_free_shortly_before_a_deadline_is_used_where_fast_runs_were_seen)
+{
+    BusyFixture fixture;
+    fixture.now += 120ms;
+    const auto call = fixture.late(400ms);
+    BOOST_REQUIRE(!refusalOf(fixture.arrive(call), call.id));
+    fixture.now = call.deadline - 30ms;
+    BOOST_TEST(isDispatched(fixture.finish(fixture.running.front().id, BackendResult::Answered, serviceTime), call.id));
+}
+
 BOOST_AUTO_TEST_CASE(Under_overload_nearly_all_answers_are_in_time)
 {
     OverloadRun run { byObjective() };
