Wait for the other node's lines before a call is explained from them

process-explain failed in 9 of 30 runs, six at a time beside three busy loops; in 8 of them A_late_answer or An_unknown_outcome missed a line of the node beside the backend server ("no line tells that its backend server got the call").

Cause: a fault of the test. The admitting node logs the end of a call when its answer has been written, which may be after the caller has it, and the harness reads the outputs of the two nodes apart. The test waited for the line of the entry node alone and took what the other one had written by then.

Change: the tests wait for the very lines that they then look for, as the harness does elsewhere, and fail where these don't come within its bound of 30 s. No expectation is dropped.

--- a/tests/process/tests/ExplainTests.cpp
+++ b/tests/process/tests/ExplainTests.cpp
@@ -22,6 +22,12 @@
         eventually("a call is served", [&] { return call(a.outbound(), fleetRequest("/shop/1", "c-" + std::to_string(std::rand()))).status == 200; });
     }
 
+    /// Node b may log its part of a call after the caller has its answer.
+    void awaitAtB(const std::string& event, const std::string& id)
+    {
+        b.process().waitForEvent(event, [&](const EventLine& it) { return it.value("request", "") == id; });
+    }
+
     /// \returns what the client says of the call, once its end is logged.
     std::string explain(const std::string& id, const std::vector<std::string>& options = {})
     {
@@ -64,6 +70,7 @@
     refused.headers["Carobpath-Deadline-Remaining-Ms"] = "400";
     BOOST_TEST(call(a.outbound(), refused).status == 503U);
 
+    awaitAtB("admission-refused", "c-refused");
     const auto text = explain("c-refused");
     BOOST_TEST(contains(text, "c-refused: refused (overloaded)"), text);
     BOOST_TEST(contains(text, "Attempt 1 at node-b"), text);
@@ -81,6 +88,8 @@
     backendB.process().kill();
     BOOST_TEST(answer.get().status == 502U);
 
+    awaitAtB("backend-ended", "c-unknown");
+    b.process().waitForEvent("backend-crashed");
     const auto text = explain("c-unknown");
     BOOST_TEST(contains(text, "c-unknown: unknown (upstream-connection-lost)"), text);
     BOOST_TEST(contains(text, "its backend server: connection-lost"), text);
@@ -93,6 +102,7 @@
     backendB.set(R"({"workMs": 900})");
     BOOST_TEST(call(a.outbound(), fleetRequest("/shop/orders/1", "c-late", "POST")).status == 200U);
 
+    awaitAtB("backend-ended", "c-late");
     const auto text = explain("c-late");
     BOOST_TEST(contains(text, "c-late: late"), text);
     BOOST_TEST(contains(text, "longer than the objective of 500.0 ms"), text);
