Look whether the entry node has gone right before a call is dispatched

Cause (one of them): a node learnt of the end of a connection by reading it. One that has lagged reads a request whose entry node has closed already, and dispatches it at once, on a connection that is open; it reads the end behind it only afterwards, when the backend server has the request. A queued call is likewise dispatched when a slot comes free, although its end is in the kernel.

Change: the admitting node asks the kernel for the state of the connection (POLLRDHUP) right before it dispatches a call. What follows is what follows when the end is read: the call is dropped and its slot is free for the next one.

A_call_that_was_abandoned_while_the_node_lagged_does_not_reach_the_backend_server and A_queued_call_that_was_abandoned_is_not_dispatched_before_its_close_is_read failed before (the server got the request) and pass now.

Not mended: news of a close that is itself late, behind a full link.

--- a/packages/gateway/src/internal/AdmittedCall.cpp
+++ b/packages/gateway/src/internal/AdmittedCall.cpp
@@ -83,6 +83,10 @@
 {
     m_dispatched = true;
     m_dispatchedAt = MonotonicClock::now();
+    if (m_caller->endIfGone()) {
+        finish(routing::BackendResult::Cancelled);
+        return;
+    }
     if (!backend) {
         onFailure(ExchangeFailure::ConnectFailed);
         return;
@@ -156,7 +160,8 @@
     if (m_finished)
         return;
     if (m_dispatched) {
-        m_exchange->cancel();
+        if (m_exchange)
+            m_exchange->cancel();
         return;
     }
     m_finished = true;
--- a/packages/gateway/src/internal/ServerExchange.cpp
+++ b/packages/gateway/src/internal/ServerExchange.cpp
@@ -49,6 +49,11 @@
     m_onGone = std::move(gone);
 }
 
+bool ServerExchange::endIfGone()
+{
+    return m_state == State::Ended || m_session->endIfPeerClosed();
+}
+
 void ServerExchange::abandon()
 {
     // A session that dropped this exchange may still write the answer before it.
--- a/packages/gateway/src/internal/ServerExchange.h
+++ b/packages/gateway/src/internal/ServerExchange.h
@@ -49,6 +49,11 @@
     /// Called once if the other end goes away before the answer begins.
     void onGone(std::function<void()>);
 
+    /// Checks the connection itself, whose end may stand behind events that this process has yet to deal with. To be
+    /// called right before the request is passed on, so that no work is begun for a caller that has left.
+    /// \returns whether the other end has gone away; \c onGone has been called then.
+    bool endIfGone();
+
     /// Closes the connection without an answer: nobody waits for it.
     void abandon();
 
--- a/packages/gateway/src/internal/ServerSession.cpp
+++ b/packages/gateway/src/internal/ServerSession.cpp
@@ -84,13 +84,19 @@
     m_closeCheck.async_wait([self = shared_from_this()](boost::system::error_code ec) {
         if (ec || self->m_state == State::Closed || self->m_reading)
             return;
-        if (hasPeerShutDown(self->m_stream.socket()))
-            self->onPeerClosed();
-        else
+        if (!self->endIfPeerClosed())
             self->readMore();
     });
 }
 
+bool ServerSession::endIfPeerClosed()
+{
+    if (!hasPeerShutDown(m_stream.socket()))
+        return false;
+    onPeerClosed();
+    return true;
+}
+
 // Requests
 
 bool ServerSession::mayTakeRequest() const
--- a/packages/gateway/src/internal/ServerSession.h
+++ b/packages/gateway/src/internal/ServerSession.h
@@ -75,6 +75,8 @@
     void onRead(boost::system::error_code, std::size_t n);
     void onPeerClosed();
     void checkForClose();
+    /// \returns whether the other end has closed the connection, although its end may not have been read yet.
+    bool endIfPeerClosed();
 
     bool mayTakeRequest() const;
     void takeRequests();
