Look whether the caller has gone right before a call is offered to a node

The same cause at the entry node: one that has lagged reads a request whose caller has closed already and sends it on at once, and offers a call that a node refused to the next one, before it reads the end of the caller's connection. The admitting node then learns of it by one more hop, later still.

Change: the entry node asks the kernel for the state of the caller's connection right before each attempt.

A_call_whose_caller_left_while_the_entry_node_lagged_is_offered_to_no_node failed before (the node got the request) and passes now. A further attempt after a refusal takes the same way; it has no test of its own.

--- a/packages/gateway/src/internal/EntryCall.cpp
+++ b/packages/gateway/src/internal/EntryCall.cpp
@@ -84,6 +84,8 @@
 
 void EntryCall::send(const routing::SendAttempt& attempt)
 {
+    if (m_caller->endIfGone())
+        return;
     m_attempt = attempt;
     m_attemptStartedAt = MonotonicClock::now();
     m_exchange = std::make_shared<UpstreamExchange>(m_handler.m_pool, m_handler.m_limits);
--- a/packages/gateway/tests/AbandonedCallTests.cpp
+++ b/packages/gateway/tests/AbandonedCallTests.cpp
@@ -1,5 +1,7 @@
 #include "ScriptedServer.h"
+#include "carobpath/routing/EntryRouter.h"
 #include "internal/AdmissionHandler.h"
+#include "internal/EntryHandler.h"
 #include "internal/ForwardedHeader.h"
 #include "internal/ServerSession.h"
 
@@ -10,6 +12,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
+#include <random>
 #include <sstream>
 #include <string>
 
@@ -51,6 +54,78 @@
         return text.str();
     }
 
+    /// One route to any version of the service "booking".
+    publication::ConfigurationPointer bookingRoute()
+    {
+        auto it = std::make_shared<publication::ConfigurationVersion>();
+        publication::ServiceEntry service;
+        service.service.name = ServiceName { "booking" };
+        service.service.hosts = { "shop.example" };
+        service.currentVersion = VersionName { "v1" };
+        it->set.services[service.service.name] = service;
+        it->set.versions[service.currentVersion].version.name = service.currentVersion;
+        publication::Route route;
+        route.name = RouteName { "read" };
+        route.service = service.service.name;
+        route.pathPrefix = "/";
+        route.methods = { "GET" };
+        route.repeatability = publication::Repeatability::Repeatable;
+        route.timeout = 10s;
+        it->set.routes[route.name].route = route;
+        return it;
+    }
+
+    std::shared_ptr<const membership::MembershipView> onlyNode(const Endpoint& calls)
+    {
+        membership::KnownNode node;
+        node.entry.name = NodeName { "only" };
+        node.entry.revision = { Incarnation { 1 }, 1 };
+        node.entry.addresses.calls = calls;
+        node.entry.upstream = bookingServer(2);
+        auto it = std::make_shared<membership::MembershipView>();
+        it->nodes = { node };
+        return it;
+    }
+
+    /// An entry node, the one node that it can send calls to, and connections of callers to it.
+    struct EntryNode {
+        boost::asio::io_context io;
+        GatewayLimits limits;
+        GatewayHooks hooks;
+        Dialect dialect;
+        ScriptedServer node { io, "HTTP/1.1 200 OK\r\nCarobpath-Outcome: ran\r\nContent-Length: 0\r\n\r\n", ScriptEnd::StaySilent };
+        ConnectionPool pool { io, limits };
+        routing::EntryRouter router { std::mt19937_64 { 7 } };
+        EntryHandler handler { io, router, pool, limits, hooks, dialect, { NodeName { "entry" }, Incarnation { 1 }, {} } };
+        tcp::acceptor acceptor { io, { boost::asio::ip::make_address("127.0.0.1"), 0 } };
+
+        EntryNode()
+        {
+            router.setLocalNode(NodeName { "entry" }, FailureDomainName { "amman-a" });
+            router.setConfiguration(bookingRoute());
+            router.setMembership(onlyNode(node.endpoint()));
+            router.setReady(true);
+        }
+
+        tcp::socket call()
+        {
+            tcp::socket caller { io };
+            caller.connect(acceptor.local_endpoint());
+            ServerSession::Handlers handlers;
+            handlers.onRequest = [this](const ServerExchange::Pointer& it) { handler.handle(it); };
+            std::make_shared<ServerSession>(acceptor.accept(), limits, dialect, handlers)->start();
+            io.poll();
+            boost::asio::write(caller, boost::asio::buffer(std::string { "GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n" }));
+            return caller;
+        }
+
+        void run()
+        {
+            io.restart();
+            io.run_for(50ms);
+        }
+    };
+
     /// An admitting node beside a backend server, and connections of entry nodes to it.
     struct AdmittingNode {
         boost::asio::io_context io;
@@ -147,6 +222,17 @@
     BOOST_TEST(node.controller.inFlight() < node.controller.limit());
 }
 
+BOOST_AUTO_TEST_CASE(A_call_whose_caller_left_while_the_entry_node_lagged_is_offered_to_no_node)
+{
+    EntryNode entry;
+    const auto served = entry.call();
+    entry.run();
+    BOOST_REQUIRE(entry.node.requests() == 1);
+    entry.call().close();
+    entry.run();
+    BOOST_TEST(entry.node.requests() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
