Read the store's era from every answer

Listings, records, ends and acknowledgements carry the era of their answer.

The programs of the node are adapted to the new types and were not run for this commit.

--- a/packages/node/src/internal/KeyedReader.h
+++ b/packages/node/src/internal/KeyedReader.h
@@ -137,8 +137,8 @@
                 return;
             const auto now = MonotonicClock::now();
             self->reportAvailable(result);
-            if (const auto* end = std::get_if<publication::Offset>(&result))
-                self->m_watchdog.onCheckAnswered(*end, now);
+            if (const auto* end = std::get_if<publication::StreamPosition>(&result))
+                self->m_watchdog.onCheckAnswered(end->offset, now);
             else
                 self->m_watchdog.onCheckFailed(now);
         });
--- a/packages/node/src/internal/OrderedMoveDriver.cpp
+++ b/packages/node/src/internal/OrderedMoveDriver.cpp
@@ -235,7 +235,7 @@
             orderedAt = stored.orderedAt;
     }
     const publication::KeyedRecord record { 0, key, platform::writeMoveStatus({ status, orderedAt }) };
-    m_store.put(statusStream, record, listing.next, [self = shared_from_this(), status](const publication::AppendResult& result) {
+    m_store.put(statusStream, record, listing.end(), [self = shared_from_this(), status](const publication::AppendResult& result) {
         if (const auto* failure = std::get_if<publication::LogFailure>(&result))
             self->reportFailure(status, *failure);
         else
--- a/packages/node/tests/KeyedReaderTests.cpp
+++ b/packages/node/tests/KeyedReaderTests.cpp
@@ -24,7 +24,7 @@
         void listNewest(const std::string&, publication::KeyedHandler handler) { listings.push_back(std::move(handler)); }
         void readKeyed(const std::string&, Offset, std::chrono::milliseconds, publication::KeyedHandler handler) { reads.push_back(std::move(handler)); }
         void checkEnd(const std::string&, Offset, publication::EndHandler handler) { checks.push_back(std::move(handler)); }
-        void put(const std::string&, const KeyedRecord&, std::optional<Offset>, publication::AppendHandler) { }
+        void put(const std::string&, const KeyedRecord&, std::optional<publication::StreamPosition>, publication::AppendHandler) { }
 
         Offset end() const { return records.size(); }
         void append(std::string value) { records.push_back({ end(), "config", std::move(value) }); }
@@ -101,7 +101,7 @@
     store.checks.back()(LogFailure { LogError::TimedOut, 0 });
     tickAfter(5s);
     BOOST_REQUIRE(store.checks.size() == 2U);
-    store.checks.back()(store.end());
+    store.checks.back()(publication::StreamPosition { {}, store.end() });
     BOOST_TEST((availability == std::vector<bool> { false, true }));
     tickAfter(6s);
     BOOST_TEST(store.listings.size() == 2U);
--- a/packages/publication/include/carobpath/publication/HttpExchange.h
+++ b/packages/publication/include/carobpath/publication/HttpExchange.h
@@ -26,11 +26,15 @@
     std::chrono::milliseconds connectTimeout {};
     std::chrono::milliseconds answerTimeout {};
     std::size_t answerBytes = 0;
+    /// Header field of the answer that is returned in \c HttpAnswer::field; may be empty.
+    std::string answerField;
 };
 
 struct HttpAnswer {
     unsigned status = 0;
     std::string body;
+    /// Value of the header field \c HttpRequest::answerField; empty if the answer has none.
+    std::string field;
     /// The connection if it can be reused for another exchange, otherwise null.
     StreamPointer reusable;
 };
--- a/packages/publication/include/carobpath/publication/KeyedStore.h
+++ b/packages/publication/include/carobpath/publication/KeyedStore.h
@@ -18,6 +18,8 @@
     std::string key;
     /// Empty if the record removes the key.
     std::optional<std::string> value;
+    /// Era in which the record was read.
+    StoreEra era {};
 
     friend bool operator==(const KeyedRecord&, const KeyedRecord&) = default;
 };
@@ -27,6 +29,10 @@
     /// Offset from which reading continues.
     Offset next = 0;
     std::vector<KeyedRecord> records;
+    /// Era of the store when it answered.
+    StoreEra era {};
+
+    StreamPosition end() const { return { era, next }; }
 
     friend bool operator==(const KeyedBatch&, const KeyedBatch&) = default;
 };
@@ -34,13 +40,13 @@
 using KeyedResult = std::variant<KeyedBatch, Trimmed, LogFailure>;
 using KeyedHandler = std::function<void(KeyedResult)>;
 
-/// The end of a stream: the offset that its next record will have.
-using EndResult = std::variant<Offset, LogFailure>;
+/// The end of a stream: the position that its next record will have.
+using EndResult = std::variant<StreamPosition, LogFailure>;
 using EndHandler = std::function<void(EndResult)>;
 
 /// Reads and writes keyed streams without blocking. Handlers run on the thread of the store's executor, never inside the call.
 template <typename T>
-concept KeyedStore = requires(T& store, std::string stream, KeyedRecord record, Offset from, std::optional<Offset> at, std::chrono::milliseconds wait)
+concept KeyedStore = requires(T& store, std::string stream, KeyedRecord record, Offset from, std::optional<StreamPosition> at, std::chrono::milliseconds wait)
 {
     {
         store.listNewest(stream, KeyedHandler {})
--- a/packages/publication/include/carobpath/publication/LogService.h
+++ b/packages/publication/include/carobpath/publication/LogService.h
@@ -2,6 +2,7 @@
 
 #include "carobpath/foundation/Endpoint.h"
 #include "carobpath/publication/ConfigurationSet.h"
+#include "carobpath/publication/StoreEra.h"
 
 #include <chrono>
 #include <concepts>
@@ -47,6 +48,8 @@
 /// The record was appended to the log.
 struct Appended {
     Offset offset = 0;
+    /// Era in which the log acknowledged the record.
+    StoreEra era {};
 
     friend bool operator==(const Appended&, const Appended&) = default;
 };
--- /dev/null
+++ b/packages/publication/include/carobpath/publication/StoreEra.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "carobpath/publication/ConfigurationSet.h"
+
+#include <compare>
+#include <cstdint>
+
+namespace carobpath::publication {
+
+/// Counts how often the platform's store has come back from a copy that lacks records that it had acknowledged. Offsets are
+/// assigned again after each return, so an offset of one era identifies nothing in another. It is 0 for a store that does not
+/// report one.
+struct StoreEra {
+    std::uint64_t number = 0;
+
+    friend auto operator<=>(const StoreEra&, const StoreEra&) = default;
+};
+
+/// A position in a stream. Any position of a later era follows those of the eras before it.
+struct StreamPosition {
+    StoreEra era;
+    Offset offset = 0;
+
+    friend auto operator<=>(const StreamPosition&, const StreamPosition&) = default;
+};
+
+}
--- a/packages/publication/src/HttpExchange.cpp
+++ b/packages/publication/src/HttpExchange.cpp
@@ -89,6 +89,8 @@
     HttpAnswer answer;
     answer.status = m_parser.get().result_int();
     answer.body = std::move(m_parser.get().body());
+    if (!m_parameters.answerField.empty())
+        answer.field = std::string { m_parser.get()[m_parameters.answerField] };
     if (m_parser.keep_alive() && m_buffer.size() == 0) {
         m_stream->expires_never();
         answer.reusable = std::move(m_stream);
