Continue moves whose order is read again after the store came back

An order is now identified by era and offset, packed into one number. Read again in a later era, it is recognized by service, version and duration: its move goes on with its evidence, its finding and its recorded state, which is requested to be written again by rank. An order that a later one had replaced is passed over until the later one was read again. A state of an earlier era counts for the order of the same version, so that a node that starts then does not begin an ended move anew.

Nine new tests of OrderedMoveDecisions pass (carobpath-moves-tests). With the era ignored (isSameOrder and isStatusOf comparing numbers alone) five of them fail: taken back, completed, running, replaced, started after the return. The other four were not seen failing by that change: few writers, a version that fails after the return, a finding of some nodes, a new order after the return.

--- a/packages/moves/include/carobpath/moves/OrderedMoves.h
+++ b/packages/moves/include/carobpath/moves/OrderedMoves.h
@@ -6,6 +6,7 @@
 #include "carobpath/moves/OrderedMovePlan.h"
 #include "carobpath/moves/TrafficSplit.h"
 #include "carobpath/moves/VersionComparison.h"
+#include "carobpath/publication/StoreEra.h"
 
 #include <map>
 #include <optional>
@@ -19,7 +20,8 @@
     ServiceName service;
     VersionName to;
     std::chrono::milliseconds duration {};
-    /// Offset of the order's record, which identifies the order among those for the service.
+    /// Packed position of the order's record, which identifies the order among those for the service. It changes when the
+    /// store comes back from a copy, though the order is the same.
     publication::Offset offset = 0;
 };
 
@@ -34,11 +36,18 @@
 struct MoveStatus {
     ServiceName service;
     VersionName to;
-    /// Offset of the order that this status belongs to.
+    /// \c MoveOrder::offset of the order that this status belongs to.
     publication::Offset order = 0;
     OrderedMoveState state = OrderedMoveState::Running;
 };
 
+/// \returns whether both are the same order to the operator: one may be read again from a store that came back from a copy.
+bool isSameOrder(const MoveOrder& earlier, const MoveOrder& later);
+
+/// \returns whether the status is that of the order. A status from an earlier era of the store is, if it names the same version:
+/// an order that is repeated only in the later era gets a status of that era from the nodes that knew the first one.
+bool isStatusOf(const MoveStatus&, const MoveOrder&);
+
 /// Write a move's state to the store, unless the store already has a final state for the same order. The command is
 /// repeated until \c OrderedMoves::onStatus reports the state.
 struct WriteStatus {
@@ -51,6 +60,9 @@
 /// splits calls, detects regressions, and requests that the state is written. Time is measured on the monotonic clock
 /// from the moment at which the node learnt of the order, since wall clocks step and differ between nodes.
 ///
+/// If the store comes back from a copy, what nodes know goes before what it has forgotten: an order that is read again continues its
+/// move, one that a known order had replaced stays replaced, and a recorded state is requested to be written again.
+///
 /// All nodes follow the same plan, so traffic splits are not gossiped. A detected regression is broadcast at once.
 class OrderedMoves {
 public:
@@ -106,9 +118,20 @@
         double reportedShare = 0;
         std::optional<OrderedMoveState> wantedState;
         MonotonicTime writeAt;
+        /// The state was recorded in an earlier era of the store, which may have lost it.
+        bool isRecordSuspect = false;
+        /// Orders of the service that this one replaced, in the order in which they were given.
+        std::vector<MoveOrder> replaced;
     };
 
+    /// Orders of a service that are remembered after they were replaced; the oldest are forgotten first.
+    static constexpr std::size_t s_maxReplaced = 16;
+
     static MoveId idOf(const MoveOrder&);
+    /// \returns whether the order was given before the known one, and comes from a store that lost the known one.
+    static bool isReplaced(const Move& known, const MoveOrder&);
+    /// Continues a move whose order was read again in a later era.
+    void rebind(Move&, const MoveOrder&, MonotonicTime now);
     std::chrono::milliseconds elapsed(const Move&, MonotonicTime now) const;
     /// \returns whether the store has a final state of the move.
     static bool hasEnded(const Move&);
--- a/packages/moves/src/OrderedMoves.cpp
+++ b/packages/moves/src/OrderedMoves.cpp
@@ -35,6 +35,20 @@
 
 }
 
+bool isSameOrder(const MoveOrder& earlier, const MoveOrder& later)
+{
+    const bool isLaterEra = publication::eraOfPacked(earlier.offset) < publication::eraOfPacked(later.offset);
+    const bool isEqual = earlier.service == later.service && earlier.to == later.to && earlier.duration == later.duration;
+    return isEqual && (isLaterEra || earlier.offset == later.offset);
+}
+
+bool isStatusOf(const MoveStatus& status, const MoveOrder& order)
+{
+    if (status.order == order.offset)
+        return true;
+    return publication::eraOfPacked(status.order) < publication::eraOfPacked(order.offset) && status.to == order.to;
+}
+
 OrderedMoves::OrderedMoves(NodeName self, Incarnation incarnation, const ExposureBound& bound)
     : m_self(std::move(self))
     , m_bound(bound)
@@ -54,7 +68,8 @@
 void OrderedMoves::addPendingOrder(const MoveOrder& order)
 {
     const auto known = m_moves.find(order.service);
-    if (known == m_moves.end() || known->second.order.offset < order.offset)
+    const bool isNew = known == m_moves.end() || (known->second.order.offset < order.offset && !isSameOrder(known->second.order, order) && !isReplaced(known->second, order));
+    if (isNew)
         m_pendingOrders.insert_or_assign(order.service, order);
 }
 
@@ -62,18 +77,57 @@
 {
     m_pendingOrders.erase(order.service);
     const auto known = m_moves.find(order.service);
-    if (known != m_moves.end() && known->second.order.offset >= order.offset)
-        return;
-    Move move { order, OrderedMovePlan { order.duration, m_bound }, now - age, {}, {}, {}, std::nullopt, 0, std::nullopt, now };
+    if (known != m_moves.end()) {
+        const bool isKnown = known->second.order.offset >= order.offset || isReplaced(known->second, order);
+        if (isKnown)
+            return;
+        if (isSameOrder(known->second.order, order))
+            return rebind(known->second, order, now);
+    }
+    Move move { order, OrderedMovePlan { order.duration, m_bound }, now - age, {}, {}, {}, std::nullopt, 0, std::nullopt, now, false, {} };
+    if (known != m_moves.end()) {
+        move.replaced = std::move(known->second.replaced);
+        move.replaced.push_back(known->second.order);
+        if (move.replaced.size() > s_maxReplaced)
+            move.replaced.erase(move.replaced.begin());
+    }
     const auto status = m_statuses.find(order.service);
-    if (status != m_statuses.end() && status->second.order == order.offset)
+    if (status != m_statuses.end() && isStatusOf(status->second, order)) {
         move.recorded = status->second.state;
+        move.isRecordSuspect = status->second.order != order.offset;
+    }
     m_moves.insert_or_assign(order.service, std::move(move));
     retain();
     for (const auto& growth : m_evidence.total(idOf(order)))
         add({ growth });
 }
 
+bool OrderedMoves::isReplaced(const Move& known, const MoveOrder& order)
+{
+    // Once the known order was read in the later era, whatever follows it there is new.
+    if (publication::eraOfPacked(known.order.offset) == publication::eraOfPacked(order.offset))
+        return false;
+    return !isSameOrder(known.order, order) && std::any_of(known.replaced.begin(), known.replaced.end(), [&](const MoveOrder& it) { return isSameOrder(it, order); });
+}
+
+void OrderedMoves::rebind(Move& move, const MoveOrder& order, MonotonicTime now)
+{
+    const auto* notice = m_evidence.notice(idOf(move.order));
+    const auto taken = notice ? std::optional { *notice } : std::nullopt;
+    move.order = order;
+    move.isRecordSuspect = move.recorded.has_value();
+    move.wantedState.reset();
+    move.writeAt = now;
+    retain();
+    if (taken)
+        m_evidence.addNotice({ taken->move, idOf(order).publishedAt, taken->observer, taken->verdict });
+    // Calls from now on are counted under the order's new number; those before are in the comparisons already.
+    add(m_evidence.total(idOf(order)));
+    const auto status = m_statuses.find(order.service);
+    if (status != m_statuses.end())
+        onStatus(MoveStatus { status->second });
+}
+
 void OrderedMoves::retain()
 {
     std::vector<MoveId> active;
@@ -89,12 +143,14 @@
 {
     m_statuses.insert_or_assign(status.service, status);
     const auto it = m_moves.find(status.service);
-    if (it == m_moves.end() || it->second.order.offset != status.order)
+    if (it == m_moves.end() || !isStatusOf(status, it->second.order))
         return;
-    auto& recorded = it->second.recorded;
+    auto& move = it->second;
     // The first recorded final state wins.
-    if (!recorded || *recorded == OrderedMoveState::Running)
-        recorded = status.state;
+    if (!move.recorded || *move.recorded == OrderedMoveState::Running)
+        move.recorded = status.state;
+    const bool isForgotten = hasEnded(move) && status.state == OrderedMoveState::Running;
+    move.isRecordSuspect = status.order != move.order.offset || isForgotten;
 }
 
 void OrderedMoves::observe(const ServiceName& service, const RouteName& route, const VersionName& version, CallResult result, std::optional<std::chrono::nanoseconds> latency, MonotonicTime now)
@@ -279,8 +335,8 @@
 
 void OrderedMoves::requestWrite(Move& move, MonotonicTime now, std::vector<OrderedMoveCommand>& commands)
 {
-    const auto state = stateOf(move, now);
-    if (hasEnded(move) || move.recorded == state)
+    const auto state = hasEnded(move) ? *move.recorded : stateOf(move, now);
+    if (move.recorded == state && !move.isRecordSuspect)
         return;
     const auto rank = static_cast<int>(writerRank(idOf(move.order), m_self, m_nodes));
     if (move.wantedState != state) {
--- a/packages/moves/tests/OrderedMovesTests.cpp
+++ b/packages/moves/tests/OrderedMovesTests.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <utility>
@@ -19,6 +20,9 @@
 
     MoveOrder order(publication::Offset offset = 5) { return { service, newVersion, 16s, offset }; }
 
+    /// The order as it is read after the store has come back from a copy as often as given.
+    MoveOrder orderOfEra(std::uint64_t era, publication::Offset offset) { return order(publication::pack({ { era }, offset })); }
+
     /// Nodes that gossip evidence with a settable delay, and a store in which the first final state wins.
     struct Fleet {
         std::vector<OrderedMoves> nodes;
@@ -299,6 +303,133 @@
     BOOST_TEST(node.trafficSplit(service, start + 5s).nextShare == 0);
 }
 
+BOOST_AUTO_TEST_CASE(A_move_that_was_taken_back_does_not_come_back_when_its_order_is_written_again)
+{
+    for (const publication::Offset offset : { 3U, 5U, 9U }) {
+        Fleet fleet { 4 };
+        fleet.addOrder(order(), start);
+        fleet.run(0ms, 8s, always);
+        BOOST_REQUIRE(fleet.finalState() == OrderedMoveState::TakenBack);
+        const auto harmed = fleet.harmed;
+        fleet.written.clear();
+        fleet.addOrder(orderOfEra(1, offset), start + 10s);
+        fleet.run(10s, 40s, always);
+        BOOST_TEST(fleet.harmed == harmed);
+        BOOST_REQUIRE(fleet.written.size() == 1U);
+        BOOST_CHECK(fleet.written.front().state == OrderedMoveState::TakenBack);
+        BOOST_TEST(fleet.written.front().order == orderOfEra(1, offset).offset);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(A_completed_move_stays_completed_over_two_returns_of_the_store)
+{
+    Fleet fleet { 4 };
+    fleet.addOrder(order(), start);
+    fleet.run(0ms, 16s, never);
+    for (const std::uint64_t era : { 1U, 2U }) {
+        const auto at = start + 20s * era;
+        fleet.written.clear();
+        fleet.addOrder(orderOfEra(era, 2), at);
+        fleet.run(20s * era, 20s * era + 5s, never);
+        BOOST_CHECK(fleet.finalState() == OrderedMoveState::Done);
+        BOOST_TEST(fleet.written.size() == 1U);
+        BOOST_TEST(fleet.nodes.back().trafficSplit(service, at + 5s).current.value() == "v2");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(A_state_that_was_recorded_is_written_by_few_of_a_large_fleet)
+{
+    Fleet fleet { 60 };
+    fleet.addOrder(order(), start);
+    for (auto& node : fleet.nodes)
+        node.onStatus({ service, newVersion, 5, OrderedMoveState::Done });
+    fleet.addOrder(orderOfEra(1, 2), start + 20s);
+    std::size_t requests = 0;
+    for (auto at = start + 20s; at < start + 21s; at += 100ms) {
+        for (auto& node : fleet.nodes) {
+            const auto commands = node.tick(at);
+            requests += static_cast<std::size_t>(std::count_if(commands.begin(), commands.end(), [](const auto& it) { return std::holds_alternative<WriteStatus>(it); }));
+        }
+    }
+    BOOST_TEST(requests > 0U);
+    BOOST_TEST(requests < 15U);
+}
+
+BOOST_AUTO_TEST_CASE(A_move_that_is_running_goes_on_when_the_store_comes_back)
+{
+    Fleet fleet { 4 };
+    fleet.addOrder(order(), start);
+    fleet.run(0ms, 8s, never);
+    fleet.written.clear();
+    fleet.addOrder(orderOfEra(1, 2), start + 8s);
+    fleet.run(8s, 15'900ms, never);
+    BOOST_CHECK(fleet.finalState() == OrderedMoveState::Done);
+    BOOST_CHECK(fleet.written.front().state == OrderedMoveState::Running);
+}
+
+BOOST_AUTO_TEST_CASE(A_version_that_fails_after_the_return_of_the_store_is_taken_back)
+{
+    Fleet fleet { 4 };
+    fleet.addOrder(order(), start);
+    fleet.run(0ms, 8s, never);
+    fleet.addOrder(orderOfEra(1, 2), start + 8s);
+    fleet.run(8s, 17s, always);
+    BOOST_CHECK(fleet.finalState() == OrderedMoveState::TakenBack);
+}
+
+BOOST_AUTO_TEST_CASE(A_finding_of_nodes_that_read_the_store_holds_where_others_know_only_the_earlier_era)
+{
+    Fleet fleet { 6 };
+    fleet.addOrder(order(), start);
+    fleet.run(0ms, 8s, never);
+    for (std::size_t i = 0; i < 4; ++i)
+        fleet.nodes[i].onOrder(orderOfEra(1, 2), 0ms, start + 8s);
+    fleet.run(8s, 12s, always);
+    for (std::size_t i = 4; i < 6; ++i)
+        fleet.nodes[i].onOrder(orderOfEra(1, 2), 0ms, start + 12s);
+    fleet.run(12s, 12'500ms, always);
+    for (const auto& node : fleet.nodes)
+        BOOST_TEST(node.trafficSplit(service, start + 12'500ms).nextShare == 0);
+}
+
+BOOST_AUTO_TEST_CASE(An_order_that_was_replaced_does_not_come_back_from_a_copy)
+{
+    OrderedMoves node { NodeName { "n0" }, Incarnation { 1 }, ExposureBound {} };
+    node.onOrder(order(5), 0ms, start);
+    const VersionName third { "v3" };
+    node.onOrder({ service, third, 16s, 7 }, 0ms, start + 20s);
+    node.tick(start + 21s);
+    node.onOrder(orderOfEra(1, 5), 0ms, start + 21s);
+    BOOST_TEST(node.trafficSplit(service, start + 21s).next.value() == third);
+    node.onOrder({ service, third, 16s, publication::pack({ { 1 }, 6 }) }, 0ms, start + 22s);
+    BOOST_TEST(node.trafficSplit(service, start + 22s).next.value() == third);
+    node.onOrder(orderOfEra(1, 8), 0ms, start + 22s);
+    BOOST_TEST(node.trafficSplit(service, start + 22s).next.value() == newVersion);
+}
+
+BOOST_AUTO_TEST_CASE(An_order_that_is_given_after_the_return_of_the_store_starts_a_new_move)
+{
+    Fleet fleet { 2 };
+    fleet.addOrder(order(), start);
+    fleet.run(0ms, 8s, always);
+    fleet.addOrder(orderOfEra(1, 3), start + 10s);
+    fleet.written.clear();
+    fleet.run(10s, 12s, never);
+    fleet.written.clear();
+    fleet.addOrder(orderOfEra(1, 4), start + 20s);
+    fleet.run(20s, 36s, never);
+    BOOST_CHECK(fleet.finalState() == OrderedMoveState::Done);
+}
+
+BOOST_AUTO_TEST_CASE(A_node_that_starts_after_the_return_takes_the_state_that_was_recorded_before)
+{
+    OrderedMoves node { NodeName { "n0" }, Incarnation { 2 }, ExposureBound {} };
+    node.onStatus({ service, newVersion, 5, OrderedMoveState::TakenBack });
+    node.onOrder(orderOfEra(1, 7), 12s, start);
+    node.tick(start);
+    BOOST_TEST(node.trafficSplit(service, start).nextShare == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/packages/publication/include/carobpath/publication/StoreEra.h
+++ b/packages/publication/include/carobpath/publication/StoreEra.h
@@ -24,4 +24,15 @@
     friend auto operator<=>(const StreamPosition&, const StreamPosition&) = default;
 };
 
+/// Bits of a packed position that hold the offset.
+inline constexpr unsigned packedOffsetBits = 40;
+
+/// \returns the position as one number that orders positions as they are.
+constexpr Offset pack(const StreamPosition& position)
+{
+    return (position.era.number << packedOffsetBits) | position.offset;
+}
+
+constexpr StoreEra eraOfPacked(Offset packed) { return { packed >> packedOffsetBits }; }
+
 }
