Write a node's directory entry again where the store lost it

A listing without the node's own entry now has it written again. After a return of the store each node lists soon, at a time that is spread by 20 ms for each node, so that few of many write. Another address under the node's name is left alone, since it is that of a later run, unless the store has come back from a copy since. A node that leaves lists no more: it would add itself again.

--- a/packages/membership/include/carobpath/membership/DirectorySchedule.h
+++ b/packages/membership/include/carobpath/membership/DirectorySchedule.h
@@ -32,6 +32,8 @@
     /// Interval between two listings of the fleet, whatever its size. Where it is longer for one node than
     /// \c s_steadyInterval, it replaces that one.
     static constexpr std::chrono::milliseconds s_fleetInterval { 1'000 };
+    /// Interval between two nodes that look after their entries once the store may have lost some.
+    static constexpr std::chrono::milliseconds s_recoveryInterval { 20 };
     static constexpr std::chrono::milliseconds s_initialRetryDelay { 200 };
     static constexpr std::chrono::milliseconds s_maxRetryDelay { 2'000 };
 
@@ -44,7 +46,10 @@
     /// \returns the step that is due. No other step is due until it is reported as completed or failed.
     DirectoryStep next(MonotonicTime now);
     void onRegistered(MonotonicTime now);
-    void onListed(MonotonicTime now);
+    /// \param isSelfListed whether the listing had the node's own entry. If not, the store lost it, and it is written again.
+    void onListed(bool isSelfListed, MonotonicTime now);
+    /// Reports that the store may have lost entries. The directory is listed soon, spread over a time that grows with the fleet.
+    void onEntriesLost(MonotonicTime now);
     void onFailed(MonotonicTime now);
     /// Reports the number of other nodes that are considered alive.
     void onLivePeersChanged(std::size_t alive, MonotonicTime now);
@@ -52,6 +57,7 @@
 private:
     MonotonicTime dueAt() const;
     void beginSteadyInterval(MonotonicTime now);
+    MonotonicTime recoveryTime(MonotonicTime now);
     std::chrono::milliseconds steadyInterval() const;
     double drawFraction();
 
@@ -64,6 +70,8 @@
     std::size_t m_alive = 0;
     bool m_registered = false;
     bool m_running = false;
+    /// The step that is running began before the store lost entries.
+    bool m_isListingStale = false;
 };
 
 }
--- a/packages/membership/src/DirectorySchedule.cpp
+++ b/packages/membership/src/DirectorySchedule.cpp
@@ -21,10 +21,17 @@
     m_dueAt = now;
 }
 
-void DirectorySchedule::onListed(MonotonicTime now)
+void DirectorySchedule::onListed(bool isSelfListed, MonotonicTime now)
 {
     m_running = false;
     m_backoff.reset();
+    const bool isStale = std::exchange(m_isListingStale, false);
+    if (!isSelfListed || isStale) {
+        m_registered = isSelfListed;
+        m_steadySince.reset();
+        m_dueAt = recoveryTime(now);
+        return;
+    }
     if (m_alive > 0) {
         beginSteadyInterval(now);
         return;
@@ -32,6 +39,22 @@
     m_dueAt = now + std::chrono::duration_cast<std::chrono::milliseconds>(drawFraction() * s_isolatedInterval);
 }
 
+void DirectorySchedule::onEntriesLost(MonotonicTime now)
+{
+    m_isListingStale = m_running;
+    if (m_running)
+        return;
+    m_steadySince.reset();
+    m_dueAt = recoveryTime(now);
+}
+
+MonotonicTime DirectorySchedule::recoveryTime(MonotonicTime now)
+{
+    const auto nodes = static_cast<std::int64_t>(m_alive) + 1;
+    std::uniform_int_distribution<std::int64_t> spread { 0, (s_recoveryInterval * nodes).count() };
+    return now + std::chrono::milliseconds { spread(m_random) };
+}
+
 void DirectorySchedule::onFailed(MonotonicTime now)
 {
     m_running = false;
--- a/packages/node/src/internal/DirectoryDriver.cpp
+++ b/packages/node/src/internal/DirectoryDriver.cpp
@@ -39,6 +39,8 @@
 
 void DirectoryDriver::leave()
 {
+    // An entry that is missing from a later listing must not be written again.
+    stop();
     m_store.put(directoryStream, { 0, m_context.settings.name.value(), std::nullopt }, std::nullopt, [](const publication::AppendResult&) {
         // An entry that stays costs others one failed connection; the node's next run overwrites it.
     });
@@ -49,6 +51,12 @@
     m_plan.onLivePeersChanged(aliveOthers(view, m_context.settings.name), MonotonicClock::now());
 }
 
+void DirectoryDriver::onStoreReturned()
+{
+    m_isEntrySuspect = true;
+    m_plan.onEntriesLost(MonotonicClock::now());
+}
+
 void DirectoryDriver::schedule()
 {
     m_timer.expires_after(tickInterval);
@@ -96,14 +104,20 @@
         fail("list", *failure);
         return;
     }
+    bool isSelfListed = false;
     std::vector<Endpoint> peers;
     for (const auto& record : std::get<publication::KeyedBatch>(result).records) {
         const auto parsed = parseEndpoint(record.value.value_or(std::string {}));
         const auto* endpoint = std::get_if<Endpoint>(&parsed);
-        if (endpoint && *endpoint != m_peer)
+        const bool isSelf = endpoint && *endpoint == m_peer;
+        // Another address under this node's name is that of a later run, unless it comes from a copy.
+        const bool isCurrent = isSelf || !m_isEntrySuspect;
+        isSelfListed = isSelfListed || (isCurrent && record.key == m_context.settings.name.value());
+        if (endpoint && !isSelf)
             peers.push_back(*endpoint);
     }
-    m_plan.onListed(MonotonicClock::now());
+    m_isEntrySuspect = m_isEntrySuspect && !isSelfListed;
+    m_plan.onListed(isSelfListed, MonotonicClock::now());
     m_onFound(peers);
 }
 
--- a/packages/node/src/internal/DirectoryDriver.h
+++ b/packages/node/src/internal/DirectoryDriver.h
@@ -27,6 +27,8 @@
     void leave();
 
     void onView(const membership::MembershipView&);
+    /// The store has come back from a copy.
+    void onStoreReturned();
 
 private:
     void schedule();
@@ -42,6 +44,8 @@
     OnFound m_onFound;
     membership::DirectorySchedule m_plan;
     boost::asio::steady_timer m_timer;
+    /// The store has come back from a copy since this node's entry was last seen.
+    bool m_isEntrySuspect = false;
     bool m_stopped = false;
 };
 
