Begin streams again when the store came back from a copy

A position now carries its era. KeyedFollower drops what it knew at a later era and lists; the newest records are reported again and compared (a configuration older than the held one is refused by ConfigurationReplica, as before). An answer to a read that is of a later era than its position is dropped, since it lacks the records below. An end of a stream that nodes tell each other, and the one that ReadWatchdog compares, is a position too, so an end of an earlier era does not mask those of the new one. All readers list within 0.5 s of the change, at random times; one line, store-returned, tells of it.

With the era ignored (positions compared by offset, each answer accepted) these fail: the three new tests of KeyedFollowers, the three of Keyed_readers, the one of Read_watchdogs and the one of Stream_ends. All pass now: carobpath-publication-tests, carobpath-distribution-tests, carobpath-node-tests.

--- a/packages/distribution/include/carobpath/distribution/StreamEnds.h
+++ b/packages/distribution/include/carobpath/distribution/StreamEnds.h
@@ -1,16 +1,16 @@
 #pragma once
 
-#include "carobpath/publication/LogService.h"
+#include "carobpath/publication/StoreEra.h"
 
 #include <string>
 #include <vector>
 
 namespace carobpath::distribution {
 
-/// A stream of the platform's log has reached at least this offset.
+/// A stream of the platform's log has reached at least this position.
 struct StreamEnd {
     std::string stream;
-    publication::Offset end = 0;
+    publication::StreamPosition end;
 
     friend bool operator==(const StreamEnd&, const StreamEnd&) = default;
 };
--- a/packages/distribution/tests/Fleet.h
+++ b/packages/distribution/tests/Fleet.h
@@ -79,7 +79,7 @@
     /// \returns the active configuration of the node, or null while it is not ready.
     publication::ConfigurationPointer serving(std::size_t node) const;
     /// \returns the furthest end of any stream that a peer told the node of.
-    publication::Offset streamEnd(std::size_t node) const { return m_nodes[node].streamEnd; }
+    publication::StreamPosition streamEnd(std::size_t node) const { return m_nodes[node].streamEnd; }
     /// \returns whether every running node that is not paused serves with the offset.
     bool allServe(publication::Offset) const;
     /// \returns whether every running node knows this number of live nodes, including itself.
@@ -111,7 +111,7 @@
         /// Highest offset that was active at the address, over all incarnations.
         std::optional<publication::Offset> highest;
         std::uint64_t bytes = 0;
-        publication::Offset streamEnd = 0;
+        publication::StreamPosition streamEnd;
         std::vector<std::function<void()>> deferred;
     };
     struct Event {
--- a/packages/distribution/tests/StreamEndTests.cpp
+++ b/packages/distribution/tests/StreamEndTests.cpp
@@ -32,7 +32,7 @@
         }
 
         /// \returns whether all nodes but the first heard of the end.
-        bool allHeardOf(publication::Offset end) const
+        bool allHeardOf(publication::StreamPosition end) const
         {
             for (std::size_t i = 1; i < fleet.size(); ++i) {
                 if (fleet.running(i) && fleet.streamEnd(i) < end)
@@ -50,8 +50,8 @@
 {
     for (const std::size_t nodes : { 2U, 14U, 69U, 294U }) {
         JoinedFleet it { nodes };
-        it.fleet.execute(0, it.fleet.engine(0).announceStreamEnd({ "orders", 5 }));
-        const auto took = it.fleet.runUntil([&] { return it.allHeardOf(5); }, seconds { 5 });
+        it.fleet.execute(0, it.fleet.engine(0).announceStreamEnd({ "orders", { {}, 5 } }));
+        const auto took = it.fleet.runUntil([&] { return it.allHeardOf({ {}, 5 }); }, seconds { 5 });
         BOOST_TEST_REQUIRE(took.has_value());
         BOOST_TEST(took->count() <= milliseconds { 100 }.count(), nodes << " nodes: " << took->count() << " ms");
     }
@@ -60,19 +60,31 @@
 BOOST_AUTO_TEST_CASE(An_end_that_one_node_has_read_reaches_the_others_by_gossip)
 {
     JoinedFleet it { 14 };
-    it.fleet.engine(0).onStreamRead({ "orders", 5 });
-    BOOST_TEST(it.fleet.runUntil([&] { return it.fleet.streamEnd(13) == 5; }, seconds { 20 }).has_value());
+    it.fleet.engine(0).onStreamRead({ "orders", { {}, 5 } });
+    BOOST_TEST(it.fleet.runUntil([&] { return it.fleet.streamEnd(13).offset == 5; }, seconds { 20 }).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(An_older_end_changes_nothing_and_more_streams_than_expected_are_ignored)
 {
     StreamEnds ends;
-    BOOST_TEST(ends.advance({ "orders", 5 }));
-    BOOST_TEST(!ends.advance({ "orders", 4 }));
+    BOOST_TEST(ends.advance({ "orders", { {}, 5 } }));
+    BOOST_TEST(!ends.advance({ "orders", { {}, 4 } }));
     for (int i = 0; i < 100; ++i)
-        ends.advance({ "stream-" + std::to_string(i), 1 });
+        ends.advance({ "stream-" + std::to_string(i), { {}, 1 } });
     BOOST_TEST(ends.all().size() == StreamEnds::s_maxStreams);
-    BOOST_TEST(ends.all().front().end == 5U);
+    BOOST_TEST(ends.all().front().end.offset == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(A_lower_end_of_a_later_era_reaches_every_node_and_is_not_undone_by_a_late_one)
+{
+    JoinedFleet it { 14 };
+    it.fleet.execute(0, it.fleet.engine(0).announceStreamEnd({ "orders", { {}, 500 } }));
+    BOOST_TEST(it.fleet.runUntil([&] { return it.allHeardOf({ {}, 500 }); }, seconds { 5 }).has_value());
+    it.fleet.execute(0, it.fleet.engine(0).announceStreamEnd({ "orders", { { 1 }, 3 } }));
+    BOOST_TEST(it.fleet.runUntil([&] { return it.allHeardOf({ { 1 }, 3 }); }, seconds { 5 }).has_value());
+    it.fleet.execute(5, it.fleet.engine(5).announceStreamEnd({ "orders", { {}, 600 } }));
+    it.fleet.run(seconds { 20 });
+    BOOST_TEST(it.allHeardOf({ { 1 }, 3 }));
 }
 
 BOOST_AUTO_TEST_CASE(The_readers_that_are_counted_are_those_elected)
--- a/packages/foundation/include/carobpath/foundation/EventNames.h
+++ b/packages/foundation/include/carobpath/foundation/EventNames.h
@@ -29,6 +29,7 @@
     inline constexpr EventName logAvailable { "log-available" };
 
     inline constexpr EventName readAbandoned { "read-abandoned" };
+    inline constexpr EventName storeReturned { "store-returned" };
     inline constexpr EventName directoryFailed { "directory-failed" };
 
     inline constexpr EventName upstreamAnnounced { "upstream-announced" };
--- a/packages/node/src/internal/FleetDriver.cpp
+++ b/packages/node/src/internal/FleetDriver.cpp
@@ -103,15 +103,26 @@
         m_moves->onStatusEndKnown(reached.end);
 }
 
+void FleetDriver::onStoreReturned(const platform::StoreEraChange& change)
+{
+    m_context.events.record(Event(event::storeReturned).with("from", change.before.number).with("to", change.now.number));
+    if (m_reader)
+        m_reader->onEra(change.now);
+    if (m_directory)
+        m_directory->onStoreReturned();
+    m_moves->onEra(change.now);
+}
+
 StreamHooks FleetDriver::streamHooks(std::string_view stream)
 {
     StreamHooks hooks;
-    hooks.onPosition = [this, name = std::string { stream }](publication::Offset end) { m_hooks.onStreamRead({ name, end }); };
+    hooks.onPosition = [this, name = std::string { stream }](publication::StreamPosition end) { m_hooks.onStreamRead({ name, end }); };
     hooks.onReadAbandoned = [this, name = std::string { stream }](const AbandonedRead& read) {
         m_context.events.record(Event(event::readAbandoned)
                                     .with("stream", name)
-                                    .with("offset", read.from)
-                                    .with("end", read.knownEnd)
+                                    .with("offset", read.from.offset)
+                                    .with("end", read.knownEnd.offset)
+                                    .with("era", read.knownEnd.era.number)
                                     .with("openMs", read.open));
         m_hooks.onStreamAhead({ name, read.knownEnd });
     };
--- a/packages/node/src/internal/FleetDriver.h
+++ b/packages/node/src/internal/FleetDriver.h
@@ -54,6 +54,8 @@
     void onView(const membership::MembershipView&);
     /// A peer knows that a stream reaches this end.
     void onStreamAdvanced(const distribution::StreamEnd&);
+    /// The store has come back from a copy.
+    void onStoreReturned(const platform::StoreEraChange&);
     void onTick(MonotonicTime now) { m_reader->onTick(now); }
 
 private:
--- a/packages/node/src/internal/KeyedReader.h
+++ b/packages/node/src/internal/KeyedReader.h
@@ -22,9 +22,9 @@
 
 /// A read that was given up before it was answered.
 struct AbandonedRead {
-    publication::Offset from = 0;
+    publication::StreamPosition from;
     /// The stream is known to reach this end.
-    publication::Offset knownEnd = 0;
+    publication::StreamPosition knownEnd;
     /// Time since the read was sent.
     std::chrono::milliseconds open {};
 };
@@ -32,7 +32,7 @@
 /// What a reader reports of its position in a stream.
 struct StreamHooks {
     /// The stream was read up to this end.
-    std::function<void(publication::Offset end)> onPosition;
+    std::function<void(publication::StreamPosition end)> onPosition;
     std::function<void(const AbandonedRead&)> onReadAbandoned;
 };
 
@@ -68,7 +68,19 @@
     void setCheckInterval(std::optional<std::chrono::milliseconds> interval) { m_watchdog.setCheckInterval(interval, MonotonicClock::now()); }
 
     /// Another node knows that the stream reaches this end.
-    void onEndKnown(publication::Offset end) { m_watchdog.onEndKnown(end, MonotonicClock::now()); }
+    void onEndKnown(publication::StreamPosition end) { m_watchdog.onEndKnown(end, MonotonicClock::now()); }
+
+    /// The store has come back from a copy: the stream is listed again, at a random time soon.
+    void onEra(publication::StoreEra era)
+    {
+        if (m_stopped || !m_follower.onEra(era))
+            return;
+        // The answer to the pending read may be of the new era, but its position is not.
+        ++m_readNumber;
+        m_watchdog.onReadAnswered();
+        std::uniform_int_distribution<std::int64_t> spread { 0, s_eraSpread.count() };
+        readAfter(std::chrono::milliseconds { spread(m_random) });
+    }
 
     void onTick(MonotonicTime now)
     {
@@ -106,6 +118,8 @@
     static constexpr std::chrono::milliseconds s_retryCap { 1'500 };
     /// Pause after news, so that changes in quick succession are read together.
     static constexpr std::chrono::milliseconds s_newsPause { 1'000 };
+    /// Listings of the nodes that notice a new era together are spread over this time.
+    static constexpr std::chrono::milliseconds s_eraSpread { 500 };
 
     void read()
     {
@@ -114,7 +128,7 @@
                 self->onResult(std::move(result));
         };
         m_sentAt = MonotonicClock::now();
-        m_watchdog.onReadSent(m_follower.nextRead(), m_sentAt);
+        m_watchdog.onReadSent(m_follower.position(), m_sentAt);
         if (m_follower.needsListing())
             m_store.listNewest(m_stream, std::move(handler));
         else
@@ -125,7 +139,7 @@
     {
         m_retry.cancel();
         const auto open = std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicClock::now() - m_sentAt);
-        m_hooks.stream.onReadAbandoned({ m_follower.nextRead(), m_watchdog.knownEnd(), open });
+        m_hooks.stream.onReadAbandoned({ m_follower.position(), m_watchdog.knownEnd(), open });
         m_follower.onInterrupted();
         read();
     }
@@ -138,7 +152,7 @@
             const auto now = MonotonicClock::now();
             self->reportAvailable(result);
             if (const auto* end = std::get_if<publication::StreamPosition>(&result))
-                self->m_watchdog.onCheckAnswered(end->offset, now);
+                self->m_watchdog.onCheckAnswered(*end, now);
             else
                 self->m_watchdog.onCheckFailed(now);
         });
@@ -168,7 +182,14 @@
             read();
             return;
         }
-        report(std::get<publication::KeyedBatch>(result));
+        const auto& batch = std::get<publication::KeyedBatch>(result);
+        if (!m_follower.accepts(batch)) {
+            m_follower.onEra(batch.era);
+            m_follower.onInterrupted();
+            read();
+            return;
+        }
+        report(batch);
         if (m_stopped)
             return;
         if (m_follower.shouldPause())
@@ -193,7 +214,7 @@
             if (!isUsed)
                 m_follower.onRefused(news);
         }
-        m_hooks.stream.onPosition(m_follower.nextRead());
+        m_hooks.stream.onPosition(m_follower.position());
         m_hooks.onEnd();
     }
 
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -6,6 +6,7 @@
 #include "internal/SettingsConversions.h"
 #include "internal/StatusJson.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/system/system_error.hpp>
 
 #include <algorithm>
@@ -69,7 +70,7 @@
     , m_events(events, "node/" + settings.name.value(), m_incarnation, m_clock)
     , m_context { io, m_settings, m_incarnation, m_events, m_clock, m_logger }
     , m_callLog(m_events)
-    , m_log(io.get_executor(), storeOptionsOf(settings, [this](const platform::StoreCall& call) { m_metrics.onStoreCall(call); }))
+    , m_log(io.get_executor(), storeOptions())
     , m_router(m_context.random())
     , m_quarantine(m_context)
     , m_controller(admissionPolicyOf(settings))
@@ -148,6 +149,20 @@
     return m_fleet->listen();
 }
 
+platform::StoreClientOptions NodeAssembly::storeOptions()
+{
+    auto options = storeOptionsOf(m_settings);
+    options.onCall = [this](const platform::StoreCall& call) { m_metrics.onStoreCall(call); };
+    options.onEraChange = [this](const platform::StoreEraChange& change) {
+        // The answer that showed the change goes to its reader first.
+        boost::asio::post(m_context.io, [this, change] {
+            if (m_fleet)
+                m_fleet->onStoreReturned(change);
+        });
+    };
+    return options;
+}
+
 FleetHooks NodeAssembly::fleetHooks()
 {
     FleetHooks hooks;
--- a/packages/node/src/internal/NodeAssembly.h
+++ b/packages/node/src/internal/NodeAssembly.h
@@ -51,6 +51,7 @@
     Result<void> listenForAdmin();
     Result<void> startReader();
     Result<void> startFleet();
+    platform::StoreClientOptions storeOptions();
     FleetHooks fleetHooks();
     moves::TrafficSplit shareOf(const ServiceName&) const;
     distribution::EvidencePort evidencePort();
--- a/packages/node/src/internal/OrderedMoveDriver.cpp
+++ b/packages/node/src/internal/OrderedMoveDriver.cpp
@@ -100,7 +100,7 @@
 {
     milliseconds age { 0 };
     const auto stored = m_stored.find(order.service);
-    if (stored != m_stored.end() && stored->second.status.order == order.offset)
+    if (stored != m_stored.end() && moves::isStatusOf(stored->second.status, order))
         age = std::clamp<milliseconds>(wallNow() - stored->second.orderedAt, milliseconds { 0 }, order.duration);
     m_engine.onOrder(order, age, MonotonicClock::now());
     m_context.events.record(Event(event::moveOrdered)
@@ -127,7 +127,13 @@
         m_reader->setCheckInterval(interval);
 }
 
-void OrderedMoveDriver::onStatusEndKnown(publication::Offset end)
+void OrderedMoveDriver::onEra(publication::StoreEra era)
+{
+    if (m_reader)
+        m_reader->onEra(era);
+}
+
+void OrderedMoveDriver::onStatusEndKnown(publication::StreamPosition end)
 {
     if (m_reader)
         m_reader->onEndKnown(end);
@@ -224,21 +230,23 @@
 {
     const auto key = platform::moveKey(status.service);
     const auto held = std::find_if(listing.records.begin(), listing.records.end(), [&](const auto& it) { return it.key == key; });
-    auto orderedAt = wallNow();
     if (held != listing.records.end()) {
         onStatusRecord(*held);
         const auto& stored = m_stored[status.service];
         const bool sameOrder = stored.status.order == status.order;
         if (sameOrder && (stored.status.state != moves::OrderedMoveState::Running || stored.status.state == status.state))
             return;
-        if (sameOrder)
-            orderedAt = stored.orderedAt;
     }
+    // The order's age is known also where the store lost the state that told it.
+    auto orderedAt = wallNow();
+    const moves::MoveOrder order { status.service, status.to, {}, status.order };
+    if (const auto stored = m_stored.find(status.service); stored != m_stored.end() && moves::isStatusOf(stored->second.status, order))
+        orderedAt = stored->second.orderedAt;
     const publication::KeyedRecord record { 0, key, platform::writeMoveStatus({ status, orderedAt }) };
-    m_store.put(statusStream, record, listing.end(), [self = shared_from_this(), status](const publication::AppendResult& result) {
+    m_store.put(statusStream, record, listing.end(), [self = shared_from_this(), status, era = listing.era](const publication::AppendResult& result) {
         if (const auto* failure = std::get_if<publication::LogFailure>(&result))
             self->reportFailure(status, *failure);
-        else
+        else if (std::get<publication::Appended>(result).era == era)
             self->m_engine.onStatus(status);
     });
 }
--- a/packages/node/src/internal/OrderedMoveDriver.h
+++ b/packages/node/src/internal/OrderedMoveDriver.h
@@ -30,7 +30,8 @@
 
     /// See \c KeyedReader, for the stream of states.
     void setCheckInterval(std::optional<std::chrono::milliseconds>);
-    void onStatusEndKnown(publication::Offset end);
+    void onStatusEndKnown(publication::StreamPosition end);
+    void onEra(publication::StoreEra);
 
     /// A record about a move in the operator's stream.
     /// \returns whether the order can be read.
--- a/packages/node/src/internal/SettingsConversions.cpp
+++ b/packages/node/src/internal/SettingsConversions.cpp
@@ -27,7 +27,7 @@
     return limits;
 }
 
-platform::StoreClientOptions storeOptionsOf(const NodeSettings& settings, std::function<void(const platform::StoreCall&)> onCall)
+platform::StoreClientOptions storeOptionsOf(const NodeSettings& settings)
 {
     using std::chrono::duration_cast;
     using std::chrono::milliseconds;
@@ -35,7 +35,6 @@
     options.endpoints = settings.log.endpoints;
     options.connectTimeout = duration_cast<milliseconds>(settings.timeouts.connect);
     options.answerTimeout = duration_cast<milliseconds>(settings.timeouts.log);
-    options.onCall = std::move(onCall);
     return options;
 }
 
--- a/packages/node/src/internal/SettingsConversions.h
+++ b/packages/node/src/internal/SettingsConversions.h
@@ -14,7 +14,7 @@
 
 gateway::GatewayLimits limitsOf(const NodeSettings&);
 
-platform::StoreClientOptions storeOptionsOf(const NodeSettings&, std::function<void(const platform::StoreCall&)> onCall);
+platform::StoreClientOptions storeOptionsOf(const NodeSettings&);
 
 ExpectedBackend expectedBackendOf(const NodeSettings&);
 
--- a/packages/node/tests/KeyedReaderTests.cpp
+++ b/packages/node/tests/KeyedReaderTests.cpp
@@ -11,6 +11,7 @@
     using publication::LogError;
     using publication::LogFailure;
     using publication::Offset;
+    using publication::StreamPosition;
 
     constexpr auto longPoll = 28s;
 
@@ -24,11 +25,19 @@
         void listNewest(const std::string&, publication::KeyedHandler handler) { listings.push_back(std::move(handler)); }
         void readKeyed(const std::string&, Offset, std::chrono::milliseconds, publication::KeyedHandler handler) { reads.push_back(std::move(handler)); }
         void checkEnd(const std::string&, Offset, publication::EndHandler handler) { checks.push_back(std::move(handler)); }
-        void put(const std::string&, const KeyedRecord&, std::optional<publication::StreamPosition>, publication::AppendHandler) { }
+        void put(const std::string&, const KeyedRecord&, std::optional<StreamPosition>, publication::AppendHandler) { }
 
-        Offset end() const { return records.size(); }
-        void append(std::string value) { records.push_back({ end(), "config", std::move(value) }); }
-        void answerListing() { std::exchange(listings.back(), {})({ publication::KeyedBatch { end(), { records.back() } } }); }
+        publication::StoreEra era;
+
+        StreamPosition end() const { return { era, records.size() }; }
+        void append(std::string value) { records.push_back({ records.size(), "config", std::move(value), era }); }
+        void answerListing() { std::exchange(listings.back(), {})({ publication::KeyedBatch { records.size(), { records.back() }, era } }); }
+        /// Comes back from a copy that holds the first records only.
+        void comeBackWith(std::size_t count)
+        {
+            records.resize(count);
+            ++era.number;
+        }
     };
     static_assert(publication::KeyedStore<HeldStore>);
 
@@ -37,7 +46,7 @@
         boost::asio::io_context io;
         HeldStore store;
         std::vector<std::string> delivered;
-        std::vector<Offset> abandonedFor;
+        std::vector<StreamPosition> abandonedFor;
         std::vector<bool> availability;
         std::shared_ptr<KeyedReader<HeldStore>> reader;
 
@@ -59,7 +68,7 @@
             };
             it.onEnd = [] {};
             it.onAvailable = [this](bool available, const LogFailure&) { availability.push_back(available); };
-            it.stream.onPosition = [](Offset) {};
+            it.stream.onPosition = [](StreamPosition) {};
             it.stream.onReadAbandoned = [this](const AbandonedRead& read) { abandonedFor.push_back(read.knownEnd); };
             return it;
         }
@@ -77,7 +86,7 @@
     reader->onEndKnown(store.end());
     tickAfter(publication::ReadWatchdog::s_deliveryTimeout);
     BOOST_REQUIRE(store.listings.size() == 2U);
-    BOOST_TEST((abandonedFor == std::vector<Offset> { 2 }));
+    BOOST_TEST((abandonedFor == std::vector<StreamPosition> { { {}, 2 } }));
     store.answerListing();
     BOOST_TEST((delivered == std::vector<std::string> { "first", "second" }));
 }
@@ -101,16 +110,58 @@
     store.checks.back()(LogFailure { LogError::TimedOut, 0 });
     tickAfter(5s);
     BOOST_REQUIRE(store.checks.size() == 2U);
-    store.checks.back()(publication::StreamPosition { {}, store.end() });
+    store.checks.back()(store.end());
     BOOST_TEST((availability == std::vector<bool> { false, true }));
     tickAfter(6s);
     BOOST_TEST(store.listings.size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(A_read_that_a_store_answers_after_its_return_is_followed_by_a_listing)
+{
+    store.append("lost");
+    store.reads.back()(publication::KeyedBatch { 2, { store.records.back() }, store.era });
+    io.run_for(2s);
+    BOOST_REQUIRE(store.reads.size() == 2U);
+    store.comeBackWith(1);
+    store.append("below the cursor");
+    store.append("behind the cursor");
+    store.reads.back()(publication::KeyedBatch { 3, { { 2, "other", "behind the cursor", store.era } }, store.era });
+    BOOST_REQUIRE(store.listings.size() == 2U);
+    store.answerListing();
+    BOOST_TEST((delivered == std::vector<std::string> { "first", "lost", "behind the cursor" }));
+    BOOST_TEST(store.reads.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(A_store_that_is_known_to_have_come_back_is_listed_and_the_pending_read_is_dropped)
+{
+    store.comeBackWith(1);
+    reader->onEra(store.era);
+    io.run_for(1s);
+    BOOST_REQUIRE(store.listings.size() == 2U);
+    store.reads.front()(publication::KeyedBatch { 2, { { 1, "config", "late" } } });
+    store.answerListing();
+    BOOST_TEST((delivered == std::vector<std::string> { "first", "first" }));
+    reader->onEra(store.era);
+    io.restart();
+    io.run_for(1s);
+    BOOST_TEST(store.listings.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(A_peer_that_knows_of_a_later_era_ends_a_read_of_an_earlier_one)
+{
+    store.comeBackWith(0);
+    store.append("again");
+    reader->onEndKnown(store.end());
+    tickAfter(publication::ReadWatchdog::s_deliveryTimeout);
+    BOOST_REQUIRE(store.listings.size() == 2U);
+    store.answerListing();
+    BOOST_TEST((delivered == std::vector<std::string> { "first", "again" }));
+}
+
 BOOST_AUTO_TEST_CASE(A_stopped_reader_abandons_and_checks_nothing)
 {
     reader->setCheckInterval(100ms);
-    reader->onEndKnown(9);
+    reader->onEndKnown({ {}, 9 });
     reader->stop();
     tickAfter(1min);
     BOOST_TEST(store.listings.size() == 1U);
--- a/packages/peer/schema/Peer.capnp
+++ b/packages/peer/schema/Peer.capnp
@@ -105,6 +105,8 @@
 struct StreamEnd {
   stream @0 :Text;
   end @1 :UInt64;
+  # Returns of the store from a copy, before the end was reached.
+  era @2 :UInt64;
 }
 
 struct PeerMessage {
--- a/packages/peer/src/internal/MessageConversions.cpp
+++ b/packages/peer/src/internal/MessageConversions.cpp
@@ -86,7 +86,8 @@
         for (const auto& it : ends) {
             auto to = list[index++];
             to.setStream(textOf(it.stream));
-            to.setEnd(it.end);
+            to.setEnd(it.end.offset);
+            to.setEra(it.end.era.number);
         }
     }
 
@@ -98,7 +99,7 @@
         ends.reserve(list.size());
         for (const auto it : list) {
             BOOST_LEAF_AUTO(stream, Detail::readName<NodeName>(it.getStream()));
-            ends.push_back({ stream.value(), it.getEnd() });
+            ends.push_back({ stream.value(), { { it.getEra() }, it.getEnd() } });
         }
         return ends;
     }
--- a/packages/publication/include/carobpath/publication/KeyedFollower.h
+++ b/packages/publication/include/carobpath/publication/KeyedFollower.h
@@ -16,16 +16,23 @@
 /// first and then reads the records after it. It requests a new listing if records that it needs were deleted or the stream
 /// was recreated. While a key changes faster than the reader requests records, it uses listings, which omit replaced records:
 /// a series of large records would cause a high load although only the last one is needed.
+/// After the store has come back from a copy, the offsets of earlier eras mean nothing: a listing is requested, and the newest
+/// record of each key is reported again, for the caller to compare with what it holds.
 /// The class does no I/O: \c needsListing and \c nextRead determine the next request.
 class KeyedFollower {
 public:
     /// \returns whether the next request must be a listing rather than a read from \c nextRead.
     bool needsListing() const { return m_needsListing; }
     Offset nextRead() const { return m_nextRead; }
+    StreamPosition position() const { return { m_era, m_nextRead }; }
     /// \returns whether the next request should be delayed, so that one answer contains more updates.
     bool shouldPause() const { return m_shouldPause; }
 
-    /// Processes the answer to a listing or a read.
+    /// \returns whether an answer can be used. One of an earlier era cannot, and neither can an answer to a read if it is of a
+    /// later era than the position that was read from: it lacks the records before that position.
+    bool accepts(const KeyedBatch& batch) const { return batch.era == m_era || (m_needsListing && batch.era > m_era); }
+
+    /// Processes the answer to a listing or a read, which must be acceptable.
     /// \returns for each key the records that are newer than the known ones, ordered by the newest offset of each key.
     std::vector<KeyUpdates> onBatch(const KeyedBatch&);
 
@@ -39,10 +46,15 @@
     /// Must be called when a connection was lost; a listing provides the records written in the meantime.
     void onInterrupted() { m_needsListing = true; }
 
+    /// Reports the store's era.
+    /// \returns whether it is later than the known one, so that everything that is known of the stream was dropped.
+    bool onEra(StoreEra);
+
 private:
     std::vector<KeyUpdates> collectUpdates(const KeyedBatch&);
     void planNext(bool wasListing, const std::vector<KeyUpdates>&);
 
+    StoreEra m_era;
     /// The newest known offset of each key.
     std::map<std::string, Offset> m_newest;
     /// The newest known offsets before the last answer, and the offset from which reading would have continued before the
--- a/packages/publication/include/carobpath/publication/ReadWatchdog.h
+++ b/packages/publication/include/carobpath/publication/ReadWatchdog.h
@@ -39,24 +39,24 @@
     /// Sets the time between two checks by this node; nothing if other nodes check the stream.
     void setCheckInterval(std::optional<std::chrono::milliseconds>, MonotonicTime now);
 
-    void onReadSent(Offset from, MonotonicTime now);
+    void onReadSent(StreamPosition from, MonotonicTime now);
     void onReadAnswered();
     void onReadFailed();
 
-    /// Reports that the stream is known to have reached this end.
-    void onEndKnown(Offset, MonotonicTime now);
-    void onCheckAnswered(Offset end, MonotonicTime now);
+    /// Reports that the stream is known to have reached this end. An end of a later era is further than any before it.
+    void onEndKnown(StreamPosition, MonotonicTime now);
+    void onCheckAnswered(StreamPosition end, MonotonicTime now);
     void onCheckFailed(MonotonicTime now);
 
     /// \returns what is due. A step that is not \c ReadStep::Wait counts as begun.
     ReadStep next(MonotonicTime now);
 
     /// \returns the furthest known end of the stream.
-    Offset knownEnd() const { return m_knownEnd; }
+    StreamPosition knownEnd() const { return m_knownEnd; }
 
 private:
     struct Read {
-        Offset from = 0;
+        StreamPosition from;
         MonotonicTime sentAt;
         bool hasFailed = false;
     };
@@ -69,11 +69,11 @@
     std::optional<Read> m_read;
     /// The pending read was sent before the store was found unresponsive.
     bool m_isReadSuspect = false;
-    Offset m_knownEnd = 0;
+    StreamPosition m_knownEnd;
     MonotonicTime m_knownEndAt;
     /// The known end for which a read was repeated. It is not repeated for the same end again: the store may have lost
     /// records, and a node that it refuses would call it on each tick.
-    Offset m_repeatedFor = 0;
+    StreamPosition m_repeatedFor;
 
     std::optional<std::chrono::milliseconds> m_checkInterval;
     MonotonicTime m_checkAt;
--- a/packages/publication/src/KeyedFollower.cpp
+++ b/packages/publication/src/KeyedFollower.cpp
@@ -7,6 +7,7 @@
 std::vector<KeyUpdates> KeyedFollower::onBatch(const KeyedBatch& batch)
 {
     const bool wasListing = m_needsListing;
+    onEra(batch.era);
     m_previousNewest = m_newest;
     m_previousNextRead = wasListing && m_caughtUp ? std::optional { m_nextRead } : std::nullopt;
     auto updates = collectUpdates(batch);
@@ -16,6 +17,15 @@
     return updates;
 }
 
+bool KeyedFollower::onEra(StoreEra era)
+{
+    if (era <= m_era)
+        return false;
+    *this = KeyedFollower {};
+    m_era = era;
+    return true;
+}
+
 std::vector<KeyUpdates> KeyedFollower::collectUpdates(const KeyedBatch& batch)
 {
     std::map<std::string, KeyUpdates> byKey;
--- a/packages/publication/src/ReadWatchdog.cpp
+++ b/packages/publication/src/ReadWatchdog.cpp
@@ -17,7 +17,7 @@
     m_checkAt = now + std::chrono::milliseconds { spread(m_random) };
 }
 
-void ReadWatchdog::onReadSent(Offset from, MonotonicTime now)
+void ReadWatchdog::onReadSent(StreamPosition from, MonotonicTime now)
 {
     m_read = Read { from, now, false };
     m_isReadSuspect = false;
@@ -31,7 +31,7 @@
         m_read->hasFailed = true;
 }
 
-void ReadWatchdog::onEndKnown(Offset end, MonotonicTime now)
+void ReadWatchdog::onEndKnown(StreamPosition end, MonotonicTime now)
 {
     if (end <= m_knownEnd)
         return;
@@ -39,7 +39,7 @@
     m_knownEndAt = now;
 }
 
-void ReadWatchdog::onCheckAnswered(Offset end, MonotonicTime now)
+void ReadWatchdog::onCheckAnswered(StreamPosition end, MonotonicTime now)
 {
     m_isChecking = false;
     m_checkBackoff.reset();
--- a/packages/publication/tests/KeyedFollowerTests.cpp
+++ b/packages/publication/tests/KeyedFollowerTests.cpp
@@ -106,6 +106,38 @@
     BOOST_TEST((offsetsOf(read.front()) == std::vector<Offset> { 3, 2 }));
 }
 
+BOOST_AUTO_TEST_CASE(Offsets_that_are_given_out_again_in_a_later_era_are_not_taken_for_known_ones)
+{
+    auto follower = caughtUp();
+    follower.onBatch({ 9, { record(8, "a", "lost") } });
+    BOOST_TEST(follower.onEra({ 1 }));
+    BOOST_TEST(follower.needsListing());
+    const auto updates = follower.onBatch({ 6, { record(3, "a", "kept") }, { 1 } });
+    BOOST_REQUIRE_EQUAL(updates.size(), 1);
+    BOOST_TEST((follower.position() == StreamPosition { { 1 }, 6 }));
+    BOOST_TEST(!follower.needsListing());
+}
+
+BOOST_AUTO_TEST_CASE(A_read_that_is_answered_in_a_later_era_does_not_hide_the_records_before_its_position)
+{
+    auto follower = caughtUp();
+    follower.onBatch({ 9, { record(8, "a", "1") } });
+    const KeyedBatch grownAgain { 12, { record(9, "b", "1") }, { 1 } };
+    BOOST_TEST(!follower.accepts(grownAgain));
+    BOOST_TEST(follower.onEra(grownAgain.era));
+    BOOST_TEST(follower.accepts(grownAgain));
+}
+
+BOOST_AUTO_TEST_CASE(An_answer_of_an_earlier_era_is_not_accepted)
+{
+    auto follower = caughtUp();
+    follower.onEra({ 2 });
+    BOOST_TEST(!follower.accepts({ 9, { record(8, "a", "lost") }, { 1 } }));
+    BOOST_TEST(!follower.onEra({ 1 }));
+    BOOST_TEST(!follower.onEra({ 2 }));
+    BOOST_TEST(follower.accepts({ 1, {}, { 2 } }));
+}
+
 BOOST_AUTO_TEST_CASE(A_refused_record_from_a_read_causes_no_second_read)
 {
     auto follower = caughtUp();
--- a/packages/publication/tests/ReadWatchdogTests.cpp
+++ b/packages/publication/tests/ReadWatchdogTests.cpp
@@ -18,12 +18,12 @@
     struct WatchedRead {
         ReadWatchdog watchdog { std::mt19937_64 { 1 } };
         MonotonicTime now { 1h };
-        Offset end = 7;
+        StreamPosition end { {}, 7 };
         bool isStoreSilent = false;
         std::size_t checks = 0;
         std::size_t repeats = 0;
 
-        void send(Offset from)
+        void send(StreamPosition from)
         {
             watchdog.onReadSent(from, now);
         }
@@ -57,26 +57,44 @@
 BOOST_AUTO_TEST_CASE(A_read_that_does_not_deliver_a_record_known_to_exist_is_repeated)
 {
     WatchedRead it;
-    it.send(7);
+    it.send({ {}, 7 });
     it.run(60s);
     BOOST_TEST(it.repeats == 0U);
-    it.end = 9;
-    it.watchdog.onEndKnown(9, it.now);
+    it.end = { {}, 9 };
+    it.watchdog.onEndKnown({ {}, 9 }, it.now);
     it.run(ReadWatchdog::s_deliveryTimeout);
     BOOST_TEST(it.repeats == 0U);
     it.run(tick);
     BOOST_TEST(it.repeats == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(An_end_of_an_earlier_era_does_not_mask_the_ends_of_the_store_that_came_back)
+{
+    WatchedRead it;
+    it.send({ {}, 90 });
+    it.watchdog.onEndKnown({ {}, 90 }, it.now);
+    it.end = { { 1 }, 4 };
+    it.watchdog.onEndKnown({ { 1 }, 4 }, it.now);
+    it.run(ReadWatchdog::s_deliveryTimeout + tick);
+    BOOST_TEST(it.repeats == 1U);
+    it.watchdog.onEndKnown({ {}, 95 }, it.now);
+    it.run(60s);
+    BOOST_TEST(it.repeats == 1U);
+    it.end = { { 1 }, 5 };
+    it.watchdog.onEndKnown({ { 1 }, 5 }, it.now);
+    it.run(ReadWatchdog::s_deliveryTimeout + tick);
+    BOOST_TEST(it.repeats == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(A_read_that_delivers_in_time_is_not_repeated)
 {
     WatchedRead it;
-    it.send(7);
-    it.watchdog.onEndKnown(9, it.now);
+    it.send({ {}, 7 });
+    it.watchdog.onEndKnown({ {}, 9 }, it.now);
     it.run(tick);
     it.watchdog.onReadAnswered();
     it.run(1s);
-    it.send(9);
+    it.send({ {}, 9 });
     it.run(60s);
     BOOST_TEST(it.repeats == 0U);
 }
@@ -84,11 +102,11 @@
 BOOST_AUTO_TEST_CASE(A_read_is_repeated_once_for_an_end_that_the_store_does_not_confirm)
 {
     WatchedRead it;
-    it.send(7);
-    it.watchdog.onEndKnown(9, it.now);
+    it.send({ {}, 7 });
+    it.watchdog.onEndKnown({ {}, 9 }, it.now);
     it.run(60s);
     BOOST_TEST(it.repeats == 1U);
-    it.watchdog.onEndKnown(10, it.now);
+    it.watchdog.onEndKnown({ {}, 10 }, it.now);
     it.run(60s);
     BOOST_TEST(it.repeats == 2U);
 }
@@ -97,12 +115,12 @@
 {
     WatchedRead it;
     it.watchdog.setCheckInterval(checkInterval, it.now);
-    it.send(7);
+    it.send({ {}, 7 });
     it.run(10s);
     BOOST_TEST(it.checks >= 9U);
     BOOST_TEST(it.checks <= 11U);
     BOOST_TEST(it.repeats == 0U);
-    it.end = 8;
+    it.end = { {}, 8 };
     it.run(checkInterval + ReadWatchdog::s_deliveryTimeout + 2 * tick);
     BOOST_TEST(it.repeats == 1U);
 }
@@ -112,7 +130,7 @@
     WatchedRead it;
     it.watchdog.setCheckInterval(checkInterval, it.now);
     it.isStoreSilent = true;
-    it.send(7);
+    it.send({ {}, 7 });
     it.run(5s);
     BOOST_TEST(it.checks > 5U);
     BOOST_TEST(it.repeats == 0U);
@@ -126,11 +144,11 @@
 BOOST_AUTO_TEST_CASE(The_pause_after_a_failed_read_ends_when_a_newer_end_is_known)
 {
     WatchedRead it;
-    it.send(7);
+    it.send({ {}, 7 });
     it.watchdog.onReadFailed();
     it.run(1s);
     BOOST_TEST(it.repeats == 0U);
-    it.watchdog.onEndKnown(8, it.now);
+    it.watchdog.onEndKnown({ {}, 8 }, it.now);
     it.run(ReadWatchdog::s_deliveryTimeout + tick);
     BOOST_TEST(it.repeats == 1U);
 }
@@ -140,7 +158,7 @@
     WatchedRead it;
     it.watchdog.setCheckInterval(checkInterval, it.now);
     it.watchdog.setCheckInterval(std::nullopt, it.now);
-    it.send(7);
+    it.send({ {}, 7 });
     it.run(60s);
     BOOST_TEST(it.checks == 0U);
 }
@@ -154,7 +172,7 @@
         ReadWatchdog watchdog { std::mt19937_64 { i } };
         const MonotonicTime start { 1h };
         watchdog.setCheckInterval(interval, start);
-        watchdog.onReadSent(0, start);
+        watchdog.onReadSent({}, start);
         auto at = start;
         while (watchdog.next(at) != ReadStep::CheckEnd)
             at += tick;
