Play the return of the store from a copy with real nodes

The stand-in of the store can come back from a copy of a given age (comeBackFromCopyMs): records since are gone, their offsets are given out again, a read beyond the end gets 410, pending reads lose their connection, and each answer names the era.

--- a/tests/process/standins/log/LogService.cpp
+++ b/tests/process/standins/log/LogService.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <utility>
 
 namespace carobpath::standins {
 
@@ -60,6 +61,13 @@
         return queryNumber(target, "at", 0);
     }
 
+    /// Names the era in which the answer was made.
+    Response stamped(Response response, std::uint64_t era)
+    {
+        response.set("Store-Era", std::to_string(era));
+        return response;
+    }
+
     Response appendResponse(const AppendReply& reply)
     {
         switch (reply.outcome) {
@@ -115,6 +123,8 @@
     if (m_switches.retention.count() > 0)
         m_store.setRetention(m_switches.retention);
     m_process.events().record(Event(event::switched).with("switches", session->request().body()));
+    if (m_switches.copyAge.count() > 0)
+        comeBackFromCopy();
     if (m_switches.isDown || m_switches.areReadsDown)
         releaseAllWaiters();
     session->respond(jsonResponse(http::status::no_content, ""));
@@ -127,11 +137,11 @@
     const bool isAppend = session->request().method() == http::verb::post;
     ++(isAppend ? m_appends : m_reads);
     if (m_switches.refusesAll) {
-        session->respond(jsonResponse(http::status::too_many_requests, errorBody("too many calls")));
+        respond(session, jsonResponse(http::status::too_many_requests, errorBody("too many calls")));
         return;
     }
     if (isDown(session)) {
-        session->respond(jsonResponse(http::status::service_unavailable, errorBody("down")));
+        respond(session, jsonResponse(http::status::service_unavailable, errorBody("down")));
         return;
     }
     const auto delay = m_switches.latency + (isAppend ? appendDelay() : std::chrono::milliseconds(0));
@@ -195,7 +205,7 @@
     const auto isTooLarge = [](const std::string& it) { return it.size() > LogStore::s_maximumRecordBytes; };
     if (!records || std::any_of(records->begin(), records->end(), isTooLarge)) {
         const auto status = records ? http::status::payload_too_large : http::status::bad_request;
-        session->respond(jsonResponse(status, errorBody("no record")));
+        respond(session, jsonResponse(status, errorBody("no record")));
         return;
     }
     const auto reply = m_store.append(topic, *records, conditionOf(target), producerOf(target), MonotonicClock::now());
@@ -229,8 +239,10 @@
     timer->async_wait([this, it](boost::system::error_code) {
         const Waiter waiter = *it;
         m_waiters.erase(it);
-        if (isDown(waiter.session))
-            waiter.session->respond(jsonResponse(http::status::service_unavailable, errorBody("down")));
+        if (waiter.isCut)
+            waiter.session->abandon();
+        else if (isDown(waiter.session))
+            respond(waiter.session, jsonResponse(http::status::service_unavailable, errorBody("down")));
         else
             answerRead(waiter.session, waiter.topic, waiter.from, waiter.bytes);
     });
@@ -256,6 +268,20 @@
     }
 }
 
+void LogService::respond(const Session& session, Response response) const
+{
+    session->respond(stamped(std::move(response), m_era));
+}
+
+void LogService::comeBackFromCopy()
+{
+    m_store.forgetSince(MonotonicClock::now() - std::exchange(m_switches.copyAge, {}));
+    ++m_era;
+    for (Waiter& waiter : m_waiters)
+        waiter.isCut = true;
+    releaseAllWaiters();
+}
+
 void LogService::releaseAllWaiters()
 {
     for (const Waiter& waiter : m_waiters)
@@ -264,7 +290,7 @@
 
 void LogService::answer(const Session& session, Response response)
 {
-    after(m_switches.slow, [session, response = std::move(response)] { session->respond(response); });
+    after(m_switches.slow, [session, response = stamped(std::move(response), m_era)] { session->respond(response); });
 }
 
 void LogService::after(std::chrono::milliseconds delay, std::function<void()> work)
--- a/tests/process/standins/log/LogService.h
+++ b/tests/process/standins/log/LogService.h
@@ -28,6 +28,8 @@
         std::uint64_t from = 0;
         std::size_t bytes = 0;
         std::shared_ptr<boost::asio::steady_timer> timer;
+        /// The store went away while the read was waiting.
+        bool isCut = false;
     };
 
     void handle(const Session&);
@@ -41,6 +43,8 @@
     void trim(const Session&, const std::string& topic);
     void wake(const std::string& topic);
     void releaseAllWaiters();
+    void comeBackFromCopy();
+    void respond(const Session&, Response) const;
     bool isDown(const Session&) const;
     void answer(const Session&, Response);
     std::chrono::milliseconds appendDelay();
@@ -51,6 +55,7 @@
     LogSwitches m_switches;
     std::list<Waiter> m_waiters;
     MonotonicTime m_nextAppendAt {};
+    std::uint64_t m_era = 1;
     std::uint64_t m_reads = 0;
     std::uint64_t m_appends = 0;
     std::uint64_t m_bytesRead = 0;
--- a/tests/process/standins/log/LogStore.cpp
+++ b/tests/process/standins/log/LogStore.cpp
@@ -71,7 +71,7 @@
 std::variant<LogPage, LogTrimmed> LogStore::read(const std::string& topic, std::uint64_t from, std::size_t bytes, MonotonicTime now)
 {
     const Topic& it = trimmed(topic, now);
-    if (from < it.first)
+    if (from < it.first || from > it.next())
         return LogTrimmed { it.first };
     LogPage page { it.first, it.next(), {} };
     std::size_t sum = 0;
@@ -94,6 +94,25 @@
     }
 }
 
+void LogStore::forgetSince(MonotonicTime time)
+{
+    for (auto& [name, topic] : m_topics) {
+        forgetSince(topic, time);
+        if (!name.starts_with(keyedPrefix))
+            continue;
+        for (const auto& record : topic.records)
+            keepNewest(topic, record);
+    }
+}
+
+void LogStore::forgetSince(Topic& topic, MonotonicTime time)
+{
+    while (!topic.records.empty() && topic.records.back().appendedAt > time)
+        topic.records.pop_back();
+    std::erase_if(topic.newest, [&](const auto& it) { return it.second.offset >= topic.next(); });
+    topic.producers.clear();
+}
+
 LogStore::Topic& LogStore::trimmed(const std::string& topic, MonotonicTime now)
 {
     Topic& it = m_topics[topic];
--- a/tests/process/standins/log/LogStore.h
+++ b/tests/process/standins/log/LogStore.h
@@ -25,7 +25,7 @@
     std::vector<LogRecord> records;
 };
 
-/// The offset asked for is older than the oldest record kept.
+/// The offset asked for is older than the oldest record kept, or lies beyond the end.
 struct LogTrimmed {
     std::uint64_t first = 0;
 };
@@ -86,6 +86,9 @@
     const std::map<std::string, NewestRecord>& newest(const std::string& topic) { return m_topics[topic].newest; }
     std::uint64_t end(const std::string& topic) { return m_topics[topic].next(); }
 
+    /// Loses the records that were appended after a time; their offsets are given out again.
+    void forgetSince(MonotonicTime);
+
     void setRetention(std::chrono::milliseconds retention) { m_retention = retention; }
 
 private:
@@ -105,6 +108,7 @@
 
     static std::optional<AppendReply> checkProducer(Topic&, const Producer&);
     static void keepNewest(Topic&, const LogRecord&);
+    static void forgetSince(Topic&, MonotonicTime);
     Topic& trimmed(const std::string& topic, MonotonicTime now);
 
     std::chrono::milliseconds m_retention;
--- a/tests/process/standins/log/LogSwitches.cpp
+++ b/tests/process/standins/log/LogSwitches.cpp
@@ -26,6 +26,7 @@
             { "slowMs", [](auto& s, const auto& v) { s.slow = millis(v); } },
             { "answerLostAfterWrite", [](auto& s, const auto& v) { s.answersLostAfterWrite = v; } },
             { "appendsPerSecond", [](auto& s, const auto& v) { s.appendsPerSecond = v; } },
+            { "comeBackFromCopyMs", [](auto& s, const auto& v) { s.copyAge = millis(v); } },
             { "retentionMs", [](auto& s, const auto& v) { s.retention = millis(v); } },
         };
         return it;
--- a/tests/process/standins/log/LogSwitches.h
+++ b/tests/process/standins/log/LogSwitches.h
@@ -24,6 +24,8 @@
     std::uint64_t answersLostAfterWrite = 0;
     /// Appends beyond this rate wait; 0 is no limit.
     std::uint64_t appendsPerSecond = 0;
+    /// The store comes back from a copy of this age; 0 leaves it as it is.
+    std::chrono::milliseconds copyAge { 0 };
     /// 0 leaves the retention as it is.
     std::chrono::milliseconds retention { 0 };
 };
