Test the era on the way between nodes and the return of the stand-in of the store

The era of a stream's end survives the schema (Conversions, carobpath-peer-tests); the stand-in gives offsets out again, answers 410 beyond the end, names its era and shows the record before the lost one (Log_standin, process-standins-tests).

--- a/packages/peer/tests/ConversionTests.cpp
+++ b/packages/peer/tests/ConversionTests.cpp
@@ -72,6 +72,7 @@
         message.evidence.entries.push_back(evidenceEntry());
         message.evidence.notices.push_back({ MoveName { "m" }, 12, NodeName { "a" }, { publication::MoveOutcome::TakenBack, publication::MoveReason::ErrorRate, RouteName { "book" }, "9 of 10 failed" } });
         message.delta = delta();
+        message.streamEnds.push_back({ "orders", { { 3 }, 17 } });
         message.hybridMilliseconds = 99;
         message.hybridCounter = 1;
         return message;
@@ -120,6 +121,7 @@
     BOOST_TEST((message.evidence.entries == sent.evidence.entries));
     BOOST_TEST((message.evidence.notices == sent.evidence.notices));
     BOOST_TEST((*message.delta == *sent.delta));
+    BOOST_TEST((message.streamEnds == sent.streamEnds));
     BOOST_TEST(message.hybridMilliseconds == 99U);
 }
 
--- a/tests/process/tests/StandinTests.cpp
+++ b/tests/process/tests/StandinTests.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <future>
+#include <thread>
 
 using namespace carobpath::harness;
 using namespace std::chrono_literals;
@@ -149,6 +150,35 @@
     log.process().waitForEvent("stopped");
 }
 
+BOOST_AUTO_TEST_CASE(The_store_that_comes_back_from_a_copy_gives_offsets_out_again_and_names_its_era)
+{
+    call(log.endpoint(), append("kept"));
+    std::this_thread::sleep_for(1500ms);
+    call(log.endpoint(), append("lost"));
+    call(log.endpoint(), append("lost too"));
+    log.set(R"({"comeBackFromCopyMs": 1000})");
+    const auto beyond = call(log.endpoint(), get(reads + "&from=3"));
+    BOOST_TEST(beyond.status == 410U);
+    BOOST_TEST(beyond.header("store-era") == "2");
+    BOOST_TEST(kept() == 1U);
+    BOOST_TEST(call(log.endpoint(), append("again")).body.find(R"("offset":1)") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(A_keyed_topic_that_comes_back_from_a_copy_shows_the_record_before_the_lost_one)
+{
+    const std::string keyed = "topic=keyed.op&part=0";
+    const auto put = [&](const std::string& value) { call(log.endpoint(), post("/v1/log-append?" + keyed, carobpath::platform::frameOf(carobpath::platform::keyedContent("k", value)))); };
+    put("one");
+    std::this_thread::sleep_for(1500ms);
+    put("two");
+    log.set(R"({"comeBackFromCopyMs": 1000})");
+    const auto listed = call(log.endpoint(), get("/v1/log-newest?" + keyed));
+    BOOST_TEST(listed.body.find("b25l") != std::string::npos, listed.body);
+    BOOST_TEST(listed.body.find(R"("end-offset":1)") != std::string::npos, listed.body);
+    log.set(R"({"comeBackFromCopyMs": 60000})");
+    BOOST_TEST(call(log.endpoint(), get("/v1/log-newest?" + keyed)).body.find(R"("items":[])") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(Backend_standin, BackendFixture)
