--- a/packages/publication/include/carobpath/publication/ReadWatchdog.h
+++ b/packages/publication/include/carobpath/publication/ReadWatchdog.h
@@ -57,15 +57,15 @@
     /// Sets when this node checks the stream; nothing if other nodes check it.
     void setCheckSchedule(const std::optional<CheckSchedule>&, MonotonicTime now);
 
-    void onReadSent(ReadKind, Offset from, MonotonicTime now);
+    void onReadSent(ReadKind, StreamPosition from, MonotonicTime now);
     void onReadAnswered();
     void onReadFailed();
     /// Reports that a read delivered new records.
     void onRecordsRead(MonotonicTime now);
 
-    /// Reports that the stream is known to have reached this end.
-    void onEndKnown(Offset, MonotonicTime now);
-    void onCheckAnswered(Offset end, MonotonicTime now);
+    /// Reports that the stream is known to have reached this end. An end of a later era is further than any before it.
+    void onEndKnown(StreamPosition, MonotonicTime now);
+    void onCheckAnswered(StreamPosition end, MonotonicTime now);
     /// \param answered whether the store refused the check; it is then not unresponsive.
     void onCheckFailed(bool answered, MonotonicTime now);
 
@@ -73,12 +73,12 @@
     ReadStep next(MonotonicTime now);
 
     /// \returns the furthest known end of the stream.
-    Offset knownEnd() const { return m_knownEnd; }
+    StreamPosition knownEnd() const { return m_knownEnd; }
 
 private:
     struct Read {
         ReadKind kind = ReadKind::LongPoll;
-        Offset from = 0;
+        StreamPosition from;
         MonotonicTime sentAt;
         bool hasFailed = false;
     };
@@ -93,11 +93,11 @@
     std::optional<Read> m_read;
     /// The pending read was sent before the store was found unresponsive.
     bool m_isReadSuspect = false;
-    Offset m_knownEnd = 0;
+    StreamPosition m_knownEnd;
     MonotonicTime m_knownEndAt;
     /// The known end for which a read was repeated. It is not repeated for the same end again: the store may have lost
     /// records, and a node that it refuses would call it on each tick.
-    Offset m_repeatedFor = 0;
+    StreamPosition m_repeatedFor;
 
     std::optional<CheckSchedule> m_checkSchedule;
     MonotonicTime m_checkAt;
--- a/packages/publication/src/ReadWatchdog.cpp
+++ b/packages/publication/src/ReadWatchdog.cpp
@@ -14,7 +14,7 @@
         m_checkAt = now + schedule->delay;
 }
 
-void ReadWatchdog::onReadSent(ReadKind kind, Offset from, MonotonicTime now)
+void ReadWatchdog::onReadSent(ReadKind kind, StreamPosition from, MonotonicTime now)
 {
     m_read = Read { kind, from, now, false };
     m_isReadSuspect = false;
@@ -34,7 +34,7 @@
         m_checkAt = now + m_checkSchedule->delay;
 }
 
-void ReadWatchdog::onEndKnown(Offset end, MonotonicTime now)
+void ReadWatchdog::onEndKnown(StreamPosition end, MonotonicTime now)
 {
     if (end <= m_knownEnd)
         return;
@@ -42,7 +42,7 @@
     m_knownEndAt = now;
 }
 
-void ReadWatchdog::onCheckAnswered(Offset end, MonotonicTime now)
+void ReadWatchdog::onCheckAnswered(StreamPosition end, MonotonicTime now)
 {
     m_isChecking = false;
     m_checkBackoff.reset();
