--- a/packages/node/tests/KeyedReaderTests.cpp
+++ b/packages/node/tests/KeyedReaderTests.cpp
@@ -25,7 +25,7 @@
         void listNewest(const std::string&, publication::KeyedHandler handler) { listings.push_back(std::move(handler)); }
         void readKeyed(const std::string&, Offset, std::chrono::milliseconds, publication::KeyedHandler handler) { reads.push_back(std::move(handler)); }
         void checkEnd(const std::string&, Offset, publication::EndHandler handler) { checks.push_back(std::move(handler)); }
-        void put(const std::string&, const KeyedRecord&, std::optional<StreamPosition>, publication::AppendHandler) { }
+        void put(const std::string&, const KeyedRecord&, const std::optional<StreamPosition>&, publication::AppendHandler) { }
 
         publication::StoreEra era;
 
