--- a/packages/distribution/src/ReaderElection.cpp
+++ b/packages/distribution/src/ReaderElection.cpp
@@ -41,6 +41,7 @@
     for (const auto& it : view.nodes)
         domains.insert(it.entry.domain);
     std::vector<std::vector<const membership::KnownNode*>> byDomain;
+    byDomain.reserve(domains.size());
     for (const auto& it : domains)
         byDomain.push_back(rankedNodes(view, it));
     std::vector<const membership::KnownNode*> readers;
