Ask the stand-in for a stream's end without reading beyond it

The harness learned the end of the configuration stream by a read far beyond it. The listing tells the end without that.

process-end-to-end, -faults, -move, -shutdown, -caller-faults and -crash pass.

--- a/tests/process/harness/Publisher.cpp
+++ b/tests/process/harness/Publisher.cpp
@@ -15,7 +15,7 @@
     std::atomic<std::uint64_t> lastSequence { 0 };
 
     constexpr const char* appendTarget = "/v1/log-append?topic=configuration&part=0";
-    constexpr const char* endTarget = "/v1/log-read?topic=configuration&part=0&from=1000000000";
+    constexpr const char* endTarget = "/v1/log-newest?topic=configuration&part=0";
 
 }
 
@@ -58,7 +58,7 @@
 {
     CallerRequest request;
     request.target = endTarget;
-    return platform::readFrames(call(m_logEndpoint, request).body).value().end;
+    return nlohmann::json::parse(call(m_logEndpoint, request).body)["end-offset"];
 }
 
 std::uint64_t Publisher::publish(const std::string& objects)
