Nodes read what a backend server says of itself in its answers, and log it

Change: the dialect names the two fields, the admitting node decodes them into a BackendReport, ReportedState holds the last word of the run, and the event backend-reported and the gauge carobpath_backend_rate_limit tell it. A backend server's run, not its name alone, goes with its address, so that a late answer of an earlier run says nothing of the next. No decision reads the state yet.

--- a/packages/foundation/include/carobpath/foundation/EventNames.h
+++ b/packages/foundation/include/carobpath/foundation/EventNames.h
@@ -42,6 +42,7 @@
     inline constexpr EventName attemptEnded { "attempt-ended" };
     inline constexpr EventName admissionRefused { "admission-refused" };
     inline constexpr EventName backendEnded { "backend-ended" };
+    inline constexpr EventName backendReported { "backend-reported" };
     inline constexpr EventName backendCrashed { "backend-crashed" };
 
     inline constexpr EventName moveOrdered { "move-ordered" };
--- a/packages/gateway/include/carobpath/gateway/Dialect.h
+++ b/packages/gateway/include/carobpath/gateway/Dialect.h
@@ -26,6 +26,11 @@
     std::string callerService;
     /// Field by which a backend server says that it has not run the request; empty where only the outcome field does.
     std::string notExecuted;
+    /// Field of an answer with the calls per second that the backend server takes from all nodes together.
+    std::string backendRateLimit = "Carobpath-Calls-Per-Second";
+    /// Field of an answer by which a backend server says that it is about to stop, with the value 1; empty where it only
+    /// announces so.
+    std::string backendLeaving;
     /// Whether Retry-After may have a fraction.
     bool fractionalRetryAfter = false;
     /// Status of a refusal.
--- a/packages/gateway/include/carobpath/gateway/Gateway.h
+++ b/packages/gateway/include/carobpath/gateway/Gateway.h
@@ -7,6 +7,7 @@
 #include "carobpath/gateway/Dialect.h"
 #include "carobpath/gateway/GatewayHooks.h"
 #include "carobpath/gateway/GatewayLimits.h"
+#include "carobpath/membership/Announcement.h"
 #include "carobpath/routing/Admission.h"
 
 #include <boost/asio/io_context.hpp>
@@ -31,8 +32,8 @@
 struct Backend {
     /// Where it takes the node's requests.
     Endpoint endpoint;
-    /// Its own name for this run of it; empty where it has none.
-    std::string instance;
+    /// The run that takes them.
+    membership::BackendRun run;
 
     friend bool operator==(const Backend&, const Backend&) = default;
 };
--- a/packages/gateway/include/carobpath/gateway/GatewayHooks.h
+++ b/packages/gateway/include/carobpath/gateway/GatewayHooks.h
@@ -3,6 +3,7 @@
 #include "carobpath/foundation/Identifier.h"
 #include "carobpath/foundation/Time.h"
 #include "carobpath/routing/Admission.h"
+#include "carobpath/routing/BackendReport.h"
 #include "carobpath/routing/Call.h"
 #include "carobpath/routing/CallDecision.h"
 
@@ -82,6 +83,17 @@
     routing::UpstreamLoad load;
 };
 
+/// A report of the backend server beside this node about itself.
+struct BackendReportObservation {
+    /// Call whose answer carried the report.
+    RequestId id;
+    /// Instance of the backend server.
+    std::string instance;
+    routing::BackendReport report;
+    /// The limit in force after the report, in calls per second; empty if there is none.
+    std::optional<double> callsPerSecond;
+};
+
 using LedgerHandler = std::function<void(routing::ClaimResult)>;
 
 /// What the gateway asks of the rest of the node. All are called on the thread of the io_context.
@@ -97,6 +109,8 @@
     std::function<void(const CallObservation&)> onCall;
     std::function<void(const AttemptObservation&)> onAttempt;
     std::function<void(const AdmissionRefusal&)> onAdmissionRefused;
+    /// What the backend server reports about itself has changed, or a report cannot be read.
+    std::function<void(const BackendReportObservation&)> onBackendReport;
     /// This many pipelined requests of callers were read and not handled when their connection ended.
     std::function<void(std::size_t)> onRequestsDropped;
     /// Reads the hybrid clock as text, for a message to another node.
--- a/packages/gateway/src/internal/AdmissionHandler.cpp
+++ b/packages/gateway/src/internal/AdmissionHandler.cpp
@@ -97,6 +97,15 @@
     m_hooks.onAdmissionRefused(it);
 }
 
+void AdmissionHandler::onReport(const RequestId& id, const membership::BackendRun& run, const routing::BackendReport& report,
+    routing::ReportSource source, MonotonicTime sentAt)
+{
+    const bool hasChanged = m_controller.onReport(run, report, source, sentAt, MonotonicClock::now());
+    const bool isNews = hasChanged || report.isLimitUnreadable;
+    if (isNews && m_hooks.onBackendReport)
+        m_hooks.onBackendReport({ id, run.instance, report, m_controller.reported().callsPerSecond() });
+}
+
 void AdmissionHandler::finish(const routing::AdmissionResult& result)
 {
     m_calls.erase(result.id);
--- a/packages/gateway/src/internal/AdmissionHandler.h
+++ b/packages/gateway/src/internal/AdmissionHandler.h
@@ -44,6 +44,8 @@
     MonotonicClock::duration waitOnTheWay(const Request&, MonotonicTime now);
     void scheduleTick();
     void finish(const routing::AdmissionResult&);
+    /// Handles what the backend server says about itself in the answer to a call.
+    void onReport(const RequestId&, const membership::BackendRun&, const routing::BackendReport&, routing::ReportSource, MonotonicTime sentAt);
     void observeRefusal(const routing::AdmissionRequest&, const routing::Refusal&) const;
     /// Finds out whether the backend server still takes connections, then calls back.
     void probeBackend(std::function<void()> probed);
--- a/packages/gateway/src/internal/AdmittedCall.cpp
+++ b/packages/gateway/src/internal/AdmittedCall.cpp
@@ -91,13 +91,14 @@
         onFailure(ExchangeFailure::ConnectFailed);
         return;
     }
+    m_run = backend->run;
     m_exchange = std::make_shared<UpstreamExchange>(m_handler.m_pool, m_handler.m_limits);
     ExchangeTarget target;
     target.endpoint = backend->endpoint;
     target.headerDeadline = m_request.deadline;
     target.requestId = m_request.id;
     target.requestIdField = m_handler.m_dialect.backendRequestId;
-    m_exchange->start(std::move(target), backendRequest(m_caller->request(), m_request, m_handler.m_dialect, backend->instance, m_dispatchedAt),
+    m_exchange->start(std::move(target), backendRequest(m_caller->request(), m_request, m_handler.m_dialect, backend->run.instance, m_dispatchedAt),
         [self = shared_from_this()](std::optional<ExchangeFailure> failure) { self->onHeader(failure); });
 }
 
@@ -110,6 +111,8 @@
 void AdmittedCall::onHeader(std::optional<ExchangeFailure> failure)
 {
     m_latency = MonotonicClock::now() - m_dispatchedAt;
+    if (!failure)
+        reportBackend();
     if (failure)
         onFailure(*failure);
     else if (isTypedRefusal(m_exchange->header(), m_handler.m_dialect))
@@ -118,6 +121,16 @@
         relay();
 }
 
+void AdmittedCall::reportBackend()
+{
+    const auto& header = m_exchange->header();
+    // Another server has the address by now.
+    if (isMisdirected(header))
+        return;
+    const auto source = isTypedRefusal(header, m_handler.m_dialect) ? routing::ReportSource::Refusal : routing::ReportSource::Run;
+    m_handler.onReport(m_request.id, m_run, backendReportOf(header, m_handler.m_dialect), source, m_dispatchedAt);
+}
+
 void AdmittedCall::onFailure(ExchangeFailure failure)
 {
     if (failure == ExchangeFailure::Cancelled)
--- a/packages/gateway/src/internal/AdmittedCall.h
+++ b/packages/gateway/src/internal/AdmittedCall.h
@@ -29,6 +29,8 @@
 private:
     void onHeader(std::optional<ExchangeFailure>);
     void onFailure(ExchangeFailure);
+    /// Passes on what the backend server says about itself in its answer.
+    void reportBackend();
     void refuseForBackend();
     void relay();
     void onCallerGone();
@@ -38,6 +40,8 @@
     ServerExchange::Pointer m_caller;
     routing::AdmissionRequest m_request;
     std::shared_ptr<UpstreamExchange> m_exchange;
+    /// The run of the backend server that the call was sent to.
+    membership::BackendRun m_run;
     MonotonicTime m_dispatchedAt;
     std::chrono::nanoseconds m_latency {};
     bool m_dispatched = false;
--- a/packages/gateway/src/internal/ForwardedHeader.cpp
+++ b/packages/gateway/src/internal/ForwardedHeader.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <memory>
 #include <string>
 #include <vector>
@@ -33,6 +34,15 @@
         return value;
     }
 
+    /// \returns the decimal number of calls per second; empty if the text is no number from 0 up.
+    std::optional<double> rate(std::string_view text)
+    {
+        double value = 0;
+        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
+        const bool isNumber = ec == std::errc {} && end == text.data() + text.size() && std::isfinite(value) && value >= 0;
+        return isNumber ? std::optional { value } : std::nullopt;
+    }
+
     std::string_view value(const http::fields& fields, std::string_view name)
     {
         const auto it = fields.find(name);
@@ -217,6 +227,17 @@
     return routing::refusalReasonFromString(value(header, HeaderName::reason));
 }
 
+routing::BackendReport backendReportOf(const ResponseHeader& header, const Dialect& dialect)
+{
+    routing::BackendReport report;
+    report.isLeaving = value(header, dialect.backendLeaving) == "1";
+    if (header.count(dialect.backendRateLimit) == 0)
+        return report;
+    report.callsPerSecond = rate(value(header, dialect.backendRateLimit));
+    report.isLimitUnreadable = !report.callsPerSecond;
+    return report;
+}
+
 std::string loadText(const routing::UpstreamLoad& load)
 {
     return std::to_string(load.calls) + "/" + std::to_string(load.limit) + "/" + std::to_string(load.serviceTime.count());
--- a/packages/gateway/src/internal/ForwardedHeader.h
+++ b/packages/gateway/src/internal/ForwardedHeader.h
@@ -6,6 +6,7 @@
 #include "carobpath/foundation/Time.h"
 #include "carobpath/gateway/Dialect.h"
 #include "carobpath/routing/Admission.h"
+#include "carobpath/routing/BackendReport.h"
 #include "carobpath/routing/Call.h"
 #include "carobpath/routing/TransitDelay.h"
 #include "internal/HttpTypes.h"
@@ -44,6 +45,9 @@
 std::optional<routing::Outcome> outcomeOf(const ResponseHeader&);
 std::optional<routing::RefusalReason> reasonOf(const ResponseHeader&);
 
+/// \returns what the backend server says about itself in the header of its answer.
+routing::BackendReport backendReportOf(const ResponseHeader&, const Dialect&);
+
 /// How busy the upstream is: "CALLS/LIMIT/MICROSECONDS".
 std::string loadText(const routing::UpstreamLoad&);
 std::optional<routing::UpstreamLoad> loadOf(const ResponseHeader&);
--- a/packages/node/src/internal/CallLog.cpp
+++ b/packages/node/src/internal/CallLog.cpp
@@ -69,6 +69,18 @@
     m_events.record(it);
 }
 
+void CallLog::onBackendReport(const gateway::BackendReportObservation& observation)
+{
+    Event it(event::backendReported);
+    it.with("request", observation.id).with("instance", observation.instance);
+    if (observation.callsPerSecond)
+        it.with("callsPerSecond", *observation.callsPerSecond);
+    it.with("leaving", observation.report.isLeaving);
+    if (observation.report.isLimitUnreadable)
+        it.with("unreadable", true);
+    m_events.record(it);
+}
+
 void CallLog::onBackend(const gateway::BackendObservation& observation)
 {
     Event it(event::backendEnded);
--- a/packages/node/src/internal/CallLog.h
+++ b/packages/node/src/internal/CallLog.h
@@ -28,6 +28,7 @@
     void onAttempt(const gateway::AttemptObservation&);
     void onAdmissionRefused(const gateway::AdmissionRefusal&);
     void onBackend(const gateway::BackendObservation&);
+    void onBackendReport(const gateway::BackendReportObservation&);
 
 private:
     EventLog& m_events;
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -257,6 +257,7 @@
         m_metrics.onAdmissionRefused(refusal);
         m_callLog.onAdmissionRefused(refusal);
     };
+    hooks.onBackendReport = [this](const auto& report) { m_callLog.onBackendReport(report); };
     hooks.onRequestsDropped = [this](std::size_t n) { m_metrics.onRequestsDropped(n); };
     return hooks;
 }
@@ -434,6 +435,7 @@
     if (m_fleet)
         m_fleet->onTick(MonotonicClock::now());
     m_metrics.setAdmission(m_controller.inFlight(), m_controller.waiting());
+    m_metrics.setRateLimit(m_controller.reported().callsPerSecond());
     for (const auto& it : m_router.takeObservations())
         m_peers->reportCall(it.node, it.reachability == routing::NodeReachability::Answered);
     m_quarantine.onTick(m_controller);
--- a/packages/node/src/internal/NodeMetrics.cpp
+++ b/packages/node/src/internal/NodeMetrics.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <chrono>
+#include <limits>
 
 namespace carobpath::node::Detail {
 
@@ -52,6 +53,7 @@
     , m_logAvailable(gauge(*m_registry, "carobpath_log_available", "1 where the log answered last; of meaning on readers only."))
     , m_nodes(gauge(*m_registry, "carobpath_nodes_alive", "Nodes held alive, this one included."))
     , m_inFlight(gauge(*m_registry, "carobpath_admission_in_flight", "Calls at the backend server."))
+    , m_rateLimit(gauge(*m_registry, "carobpath_backend_rate_limit", "Calls per second that the backend server beside this node takes from all nodes; +Inf where it names no limit."))
     , m_waiting(gauge(*m_registry, "carobpath_admission_waiting", "Calls that wait for a slot."))
 {
 }
@@ -81,6 +83,11 @@
     m_backendLatency.Observe(seconds(observation.latency));
 }
 
+void NodeMetrics::setRateLimit(const std::optional<double>& callsPerSecond)
+{
+    m_rateLimit.Set(callsPerSecond.value_or(std::numeric_limits<double>::infinity()));
+}
+
 void NodeMetrics::onStoreCall(const platform::StoreCall& call)
 {
     const std::string operation { platform::toString(call.operation) };
--- a/packages/node/src/internal/NodeMetrics.h
+++ b/packages/node/src/internal/NodeMetrics.h
@@ -34,6 +34,8 @@
     void setReader(bool reader) { m_reader.Set(reader ? 1 : 0); }
     void setLogAvailable(bool available) { m_logAvailable.Set(available ? 1 : 0); }
     void setNodes(std::size_t alive) { m_nodes.Set(static_cast<double>(alive)); }
+    /// \param callsPerSecond limit that the backend server names; empty if it names none.
+    void setRateLimit(const std::optional<double>& callsPerSecond);
     void setAdmission(std::uint32_t inFlight, std::uint32_t waiting);
     /// \param upstream the one beside this node; nothing where there is none.
     void setUpstream(const std::optional<membership::Upstream>& upstream);
@@ -61,6 +63,7 @@
     prometheus::Gauge& m_logAvailable;
     prometheus::Gauge& m_nodes;
     prometheus::Gauge& m_inFlight;
+    prometheus::Gauge& m_rateLimit;
     prometheus::Gauge& m_waiting;
 };
 
--- a/packages/node/src/internal/UpstreamDriver.cpp
+++ b/packages/node/src/internal/UpstreamDriver.cpp
@@ -79,13 +79,15 @@
 {
     std::optional<membership::Upstream> upstream;
     std::optional<gateway::Backend> backend;
+    membership::BackendRun run;
     if (const auto& it = m_monitor.announcement()) {
         upstream = it->upstream;
         upstream->connections = connectionsOf(*upstream);
-        backend = gateway::Backend { it->backend, it->run.instance };
+        run = it->run;
+        backend = gateway::Backend { it->backend, run };
     }
     m_gateway.setBackend(std::move(backend));
-    m_gateway.perform(m_controller.setUpstream(std::move(upstream), MonotonicClock::now()));
+    m_gateway.perform(m_controller.setUpstream(std::move(upstream), MonotonicClock::now(), run));
     m_spread(m_controller.upstream());
 }
 
--- a/packages/routing/include/carobpath/routing/AdmissionController.h
+++ b/packages/routing/include/carobpath/routing/AdmissionController.h
@@ -7,6 +7,7 @@
 #include "carobpath/routing/ConcurrencyLimit.h"
 #include "carobpath/routing/CrashDetector.h"
 #include "carobpath/routing/DownloadLimit.h"
+#include "carobpath/routing/ReportedState.h"
 #include "carobpath/routing/RunningCalls.h"
 #include "carobpath/routing/SeenRequests.h"
 #include "carobpath/routing/ServiceTimes.h"
@@ -71,7 +72,12 @@
 
     /// Updates the upstream after an announcement of the backend server; without a value, the announcement has
     /// expired.
-    AdmissionCommands setUpstream(std::optional<membership::Upstream>, MonotonicTime now);
+    /// \param run the run of the backend server that announced itself.
+    AdmissionCommands setUpstream(std::optional<membership::Upstream>, MonotonicTime now, const membership::BackendRun& run = {});
+    /// Handles what the backend server says about itself in an answer. \returns whether that changed.
+    /// \param sentAt when the answered call was sent to it.
+    bool onReport(const membership::BackendRun&, const BackendReport&, ReportSource, MonotonicTime sentAt, MonotonicTime now);
+    const ReportedState& reported() const { return m_reported; }
     void setFingerprintChecks(FingerprintChecks);
     /// Handles a result of the health endpoint. It is only a hint and never changes the state of the upstream by
     /// itself.
@@ -135,6 +141,7 @@
     bool m_draining = false;
     ConcurrencyLimit m_limit;
     BackendHealth m_health;
+    ReportedState m_reported;
     DownloadLimit m_downloads;
     ServiceTimes m_times;
     AdmissionQueue m_queue;
--- a/packages/routing/src/AdmissionController.cpp
+++ b/packages/routing/src/AdmissionController.cpp
@@ -331,7 +331,8 @@
         commands.push_back(Reject { it.id, notRun(reason, spread(retryAfter, it.id)) });
 }
 
-AdmissionCommands AdmissionController::setUpstream(std::optional<membership::Upstream> upstream, MonotonicTime now)
+AdmissionCommands AdmissionController::setUpstream(
+    std::optional<membership::Upstream> upstream, MonotonicTime now, const membership::BackendRun& run)
 {
     using membership::UpstreamState;
     AdmissionCommands commands;
@@ -342,6 +343,7 @@
         m_crashes.onRestarted(now);
     const bool sameVersion = m_upstream && upstream && m_upstream->version == upstream->version;
     m_upstream = std::move(upstream);
+    m_reported.setRun(m_upstream ? std::optional { run } : std::nullopt);
     if (m_upstream && sameServer) {
         m_limit.update(*m_upstream);
     } else if (m_upstream) {
@@ -356,6 +358,12 @@
     return commands;
 }
 
+bool AdmissionController::onReport(
+    const membership::BackendRun& run, const BackendReport& report, ReportSource source, MonotonicTime sentAt, MonotonicTime now)
+{
+    return m_reported.onReport(run, report, source, sentAt, now);
+}
+
 void AdmissionController::onHealthHint(bool healthy, MonotonicTime now) { m_health.onHealthHint(healthy, now); }
 
 void AdmissionController::onProbeRefused(MonotonicTime now) { m_crashes.onProbeRefused(now); }
