--- a/tests/process/standins/backend/BackendModel.h
+++ b/tests/process/standins/backend/BackendModel.h
@@ -58,6 +58,7 @@
 
     const BackendShape& shape() const { return m_shape; }
     BackendSwitches& switches() { return m_switches; }
+    const BackendSwitches& switches() const { return m_switches; }
     BackendState state(MonotonicTime now) const;
     std::uint64_t inFlight() const { return m_inFlight; }
     std::uint64_t waiting() const { return m_waiting; }
--- a/tests/process/standins/backend/BackendService.cpp
+++ b/tests/process/standins/backend/BackendService.cpp
@@ -176,6 +176,8 @@
     response.set("Carobpath-Request-Id", call->requestId);
     response.set("X-Version", m_model.shape().version);
     response.set("X-Instance", m_model.shape().instance);
+    for (const auto& [name, text] : m_model.switches().answerHeaders)
+        response.set(name, text);
     return response;
 }
 
--- a/tests/process/standins/backend/BackendSwitches.cpp
+++ b/tests/process/standins/backend/BackendSwitches.cpp
@@ -36,6 +36,7 @@
             { "claimedHealth", [](auto& s, const auto& v) { s.claimedHealth = optionalOf<bool>(v); } },
             { "claimedInFlight", [](auto& s, const auto& v) { s.claimedInFlight = optionalOf<std::uint64_t>(v); } },
             { "loadLagMs", [](auto& s, const auto& v) { s.loadLag = millis(v); } },
+            { "answerHeaders", [](auto& s, const auto& v) { s.answerHeaders = v.template get<std::map<std::string, std::string>>(); } },
             { "workMs", [](auto& s, const auto& v) { s.work = millis(v); } },
         };
         return it;
--- a/tests/process/standins/backend/BackendSwitches.h
+++ b/tests/process/standins/backend/BackendSwitches.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -32,6 +33,8 @@
     std::optional<std::uint64_t> claimedInFlight;
     /// `/load` tells the state of this long ago.
     std::chrono::milliseconds loadLag { 0 };
+    /// Header fields of every answer, by name.
+    std::map<std::string, std::string> answerHeaders;
     /// Work of each call.
     std::optional<std::chrono::milliseconds> work;
 };
