Backend servers get no more calls than the rate that they name

Callers saw nothing; a backend server that named a limit (Server-Limit) got up to three times the calls that it allows (LIMIT). Cause: calls are admitted by slots and by the time that answers take, and chosen by latency and calls in flight. A server that names a limit shows neither, and no decision read the header. Change: the admitting node, which alone sends calls to a backend server, holds a token bucket (RateLimiter) for the rate that ReportedState keeps; calls wait for it as for a slot, the most urgent first, and the rest is refused at once as rate-limited with the time until the rate allows them. The rate and its wait go with each answer and the rate with membership, so that entry nodes choose upstreams that have room, offer no more calls of a refused rank, and refuse at once where no upstream takes them. A node that has just started goes by the rate that entry nodes know, until the first answer.

--- a/packages/client/src/ReasonGuide.cpp
+++ b/packages/client/src/ReasonGuide.cpp
@@ -17,6 +17,7 @@
         ReasonGuide { "not-ready", "The entry node had no configuration in force, or did not know the running moves.", "See when the node became ready, and whether it reaches the log and other nodes." },
         ReasonGuide { "no-upstream", "The entry node knew no usable upstream of the service.", "See which upstreams were announced, gone or draining at the time." },
         ReasonGuide { "overloaded", "Every upstream that was asked expected its answer too late.", "Compare calls, limit and service time of the upstreams; more backend servers help." },
+        ReasonGuide { "rate-limited", "Every upstream that could take the call names a limit of calls per second that others use up.", "Look for backend-reported with callsPerSecond at the nodes of the service, and why its backend servers name a limit." },
         ReasonGuide { "draining", "The upstreams that were asked are leaving.", "See why the service has no other upstream: a release or a scale-in that goes too fast." },
         ReasonGuide { "deadline-exceeded", "The caller's deadline passed before an answer.", "See where the time went: waiting, the backend server, or attempts before the last." },
         ReasonGuide { "retry-budget-exhausted", "The attempt failed, and the retry budget allowed no other.", "Look for the failure that uses the budget up: failed attempts of other calls at that time." },
--- a/packages/gateway/src/internal/AdmissionHandler.cpp
+++ b/packages/gateway/src/internal/AdmissionHandler.cpp
@@ -91,7 +91,7 @@
     if (!m_hooks.onAdmissionRefused)
         return;
     const auto now = MonotonicClock::now();
-    AdmissionRefusal it { request.id, request.route, refusal, request.deadline - now, std::nullopt, m_controller.load() };
+    AdmissionRefusal it { request.id, request.route, refusal, request.deadline - now, std::nullopt, m_controller.load(now) };
     if (request.objective)
         it.objectiveLeft = *request.objective - now;
     m_hooks.onAdmissionRefused(it);
@@ -100,10 +100,12 @@
 void AdmissionHandler::onReport(const RequestId& id, const membership::BackendRun& run, const routing::BackendReport& report,
     routing::ReportSource source, MonotonicTime sentAt)
 {
-    const bool hasChanged = m_controller.onReport(run, report, source, sentAt, MonotonicClock::now());
-    const bool isNews = hasChanged || report.isLimitUnreadable;
+    const auto commands = m_controller.onReport(run, report, source, sentAt, MonotonicClock::now());
+    const bool isNews = commands || report.isLimitUnreadable;
     if (isNews && m_hooks.onBackendReport)
         m_hooks.onBackendReport({ id, run.instance, report, m_controller.reported().callsPerSecond() });
+    if (commands)
+        perform(*commands);
 }
 
 void AdmissionHandler::finish(const routing::AdmissionResult& result)
--- a/packages/gateway/src/internal/AdmittedCall.cpp
+++ b/packages/gateway/src/internal/AdmittedCall.cpp
@@ -156,7 +156,7 @@
     removeHopByHopFields(header);
     header.set(HeaderName::requestId, m_request.id.value());
     header.set(HeaderName::outcome, routing::toString(routing::Outcome::Ran));
-    header.set(HeaderName::load, loadText(m_handler.m_controller.load()));
+    setLoad(header, m_handler.m_controller.load(MonotonicClock::now()));
     if (m_handler.m_hooks.hybridNow)
         header.set(HeaderName::hybridTime, m_handler.m_hooks.hybridNow());
     const bool serverError = header.result_int() >= firstServerError;
--- a/packages/gateway/src/internal/EntryCall.cpp
+++ b/packages/gateway/src/internal/EntryCall.cpp
@@ -163,6 +163,7 @@
     removeHopByHopFields(header);
     header.erase(HeaderName::hybridTime);
     header.erase(HeaderName::load);
+    header.erase(HeaderName::rate);
     header.set(HeaderName::requestId, m_call.id.value());
     return header;
 }
--- a/packages/gateway/src/internal/ForwardedHeader.cpp
+++ b/packages/gateway/src/internal/ForwardedHeader.cpp
@@ -10,6 +10,7 @@
 #include <charconv>
 #include <cmath>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -34,8 +35,8 @@
         return value;
     }
 
-    /// \returns the decimal number of calls per second; empty if the text is no number from 0 up.
-    std::optional<double> rate(std::string_view text)
+    /// \returns the number in decimal notation; empty if the text is no number from 0 up.
+    std::optional<double> decimal(std::string_view text)
     {
         double value = 0;
         const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
@@ -49,6 +50,27 @@
         return it == fields.end() ? std::string_view {} : std::string_view { it->value() };
     }
 
+    std::string rateText(double callsPerSecond)
+    {
+        std::ostringstream text;
+        text << std::fixed << callsPerSecond;
+        return text.str();
+    }
+
+    /// \returns the rate in "CALLS-PER-SECOND/MILLISECONDS"; empty where there is none.
+    std::optional<routing::NamedRate> namedRateOf(const http::fields& fields)
+    {
+        const auto text = value(fields, HeaderName::rate);
+        const auto slash = text.find('/');
+        if (slash == std::string_view::npos)
+            return std::nullopt;
+        const auto callsPerSecond = decimal(text.substr(0, slash));
+        const auto wait = number<std::int64_t>(text.substr(slash + 1), 10);
+        if (!callsPerSecond || !wait || *wait < 0 || std::chrono::milliseconds { *wait } > longestDeadline)
+            return std::nullopt;
+        return routing::NamedRate { *callsPerSecond, std::chrono::milliseconds { *wait } };
+    }
+
     std::string hex(std::uint64_t number)
     {
         std::string text(fingerprintDigits, '0');
@@ -166,6 +188,8 @@
         copy->set(HeaderName::priority, std::to_string(attempt.priority));
     if (attempt.mayBeLate)
         copy->set(HeaderName::mayBeLate, "1");
+    if (attempt.knownCallsPerSecond)
+        copy->set(HeaderName::knownRate, rateText(*attempt.knownCallsPerSecond));
     copy->set(HeaderName::fingerprint, hex(call.fingerprint));
     copy->set(HeaderName::width, std::to_string(widthOf(request)));
     copy->set(HeaderName::trafficClass, publication::toString(attempt.trafficClass));
@@ -197,6 +221,7 @@
     admission.objective = objectiveOf(request, now);
     admission.priority = number<std::uint32_t>(value(request, HeaderName::priority), 10).value_or(0);
     admission.mayBeLate = request.count(HeaderName::mayBeLate) > 0;
+    admission.knownCallsPerSecond = decimal(value(request, HeaderName::knownRate));
     admission.fingerprint = *fingerprint;
     admission.trafficClass = *trafficClass;
     admission.repeatability = *repeatability;
@@ -230,17 +255,19 @@
 routing::BackendReport backendReportOf(const ResponseHeader& header, const Dialect& dialect)
 {
     routing::BackendReport report;
-    report.isLeaving = value(header, dialect.backendLeaving) == "1";
+    report.isLeaving = !dialect.backendLeaving.empty() && value(header, dialect.backendLeaving) == "1";
     if (header.count(dialect.backendRateLimit) == 0)
         return report;
-    report.callsPerSecond = rate(value(header, dialect.backendRateLimit));
+    report.callsPerSecond = decimal(value(header, dialect.backendRateLimit));
     report.isLimitUnreadable = !report.callsPerSecond;
     return report;
 }
 
-std::string loadText(const routing::UpstreamLoad& load)
+void setLoad(ResponseHeader& header, const routing::UpstreamLoad& load)
 {
-    return std::to_string(load.calls) + "/" + std::to_string(load.limit) + "/" + std::to_string(load.serviceTime.count());
+    header.set(HeaderName::load, std::to_string(load.calls) + "/" + std::to_string(load.limit) + "/" + std::to_string(load.serviceTime.count()));
+    if (load.rate)
+        header.set(HeaderName::rate, rateText(load.rate->callsPerSecond) + "/" + std::to_string(load.rate->wait.count()));
 }
 
 std::optional<routing::UpstreamLoad> loadOf(const ResponseHeader& header)
@@ -253,7 +280,7 @@
     const auto service = number<std::int64_t>(parts->at(2), 10);
     if (!calls || !limit || !service || *service < 0)
         return std::nullopt;
-    return routing::UpstreamLoad { *calls, *limit, std::chrono::microseconds { *service } };
+    return routing::UpstreamLoad { *calls, *limit, std::chrono::microseconds { *service }, namedRateOf(header) };
 }
 
 std::string_view hybridTimeOf(const http::fields& fields) { return value(fields, HeaderName::hybridTime); }
--- a/packages/gateway/src/internal/ForwardedHeader.h
+++ b/packages/gateway/src/internal/ForwardedHeader.h
@@ -48,8 +48,8 @@
 /// \returns what the backend server says about itself in the header of its answer.
 routing::BackendReport backendReportOf(const ResponseHeader&, const Dialect&);
 
-/// How busy the upstream is: "CALLS/LIMIT/MICROSECONDS".
-std::string loadText(const routing::UpstreamLoad&);
+/// Sets the fields of an answer that tell the load.
+void setLoad(ResponseHeader&, const routing::UpstreamLoad&);
 std::optional<routing::UpstreamLoad> loadOf(const ResponseHeader&);
 
 /// \returns the reading of the other node's hybrid clock; empty where there is none.
--- a/packages/gateway/src/internal/HttpTypes.h
+++ b/packages/gateway/src/internal/HttpTypes.h
@@ -30,6 +30,8 @@
     inline constexpr std::string_view priority = "Carobpath-Priority";
     inline constexpr std::string_view mayBeLate = "Carobpath-May-Be-Late";
     inline constexpr std::string_view load = "Carobpath-Load";
+    inline constexpr std::string_view rate = "Carobpath-Rate";
+    inline constexpr std::string_view knownRate = "Carobpath-Known-Rate";
     inline constexpr std::string_view width = "Carobpath-Width";
     inline constexpr std::string_view fingerprint = "Carobpath-Fingerprint";
     inline constexpr std::string_view trafficClass = "Carobpath-Traffic-Class";
--- a/packages/membership/include/carobpath/membership/NodeEntry.h
+++ b/packages/membership/include/carobpath/membership/NodeEntry.h
@@ -31,6 +31,8 @@
     /// Number of connections that the backend server accepts concurrently.
     std::uint32_t connections = 0;
     UpstreamState state = UpstreamState::Cold;
+    /// Calls per second that the backend server takes from all nodes together; empty if it names no limit.
+    std::optional<double> callsPerSecond;
     /// Number of admitted and waiting calls at its node when the entry was created.
     std::uint32_t inFlight = 0;
     std::uint32_t waiting = 0;
@@ -38,7 +40,11 @@
     friend bool operator==(const Upstream&, const Upstream&) = default;
 };
 
-/// \returns whether the change affects routing: an upstream was added, removed, or changed its service, version or state.
+/// \returns whether a limit on the rate was named, lifted, or changed by a part that matters to the choice of an upstream.
+bool rateChanged(const std::optional<double>& before, const std::optional<double>& now);
+
+/// \returns whether the change affects routing: an upstream was added, removed, or changed its service, version, state or
+/// rate.
 bool routingChanged(const std::optional<Upstream>& before, const std::optional<Upstream>& now);
 
 /// The addresses at which a node listens.
--- a/packages/membership/src/MembershipTable.cpp
+++ b/packages/membership/src/MembershipTable.cpp
@@ -25,7 +25,7 @@
         return it.waiting < it.slots ? LoadClass::Waiting : LoadClass::Saturated;
     }
 
-    /// \returns whether two announcements are equal except for the load.
+    /// \returns whether two announcements are equal except for the load and small changes of the rate.
     bool sameAnnouncement(const std::optional<Upstream>& a, const std::optional<Upstream>& b)
     {
         if (!a || !b)
@@ -33,6 +33,8 @@
         Upstream other = *b;
         other.inFlight = a->inFlight;
         other.waiting = a->waiting;
+        if (!rateChanged(a->callsPerSecond, b->callsPerSecond))
+            other.callsPerSecond = a->callsPerSecond;
         return *a == other;
     }
 
--- a/packages/node/src/internal/CallLog.cpp
+++ b/packages/node/src/internal/CallLog.cpp
@@ -13,6 +13,8 @@
     void addLoad(Event& event, const routing::UpstreamLoad& load)
     {
         event.with("calls", load.calls).with("limit", load.limit).with("serviceMs", load.serviceTime);
+        if (load.rate)
+            event.with("callsPerSecond", load.rate->callsPerSecond).with("rateWaitMs", load.rate->wait);
     }
 
     bool hasNoRoute(const gateway::CallObservation& call)
--- a/packages/peer/schema/Peer.capnp
+++ b/packages/peer/schema/Peer.capnp
@@ -28,6 +28,8 @@
   state @4 :UInt8;
   inFlight @5 :UInt32;
   waiting @6 :UInt32;
+  # Negative where the backend server names no limit.
+  callsPerSecond @7 :Float64 = -1;
 }
 
 struct NodeRecord {
--- a/packages/peer/src/internal/MembershipConversions.cpp
+++ b/packages/peer/src/internal/MembershipConversions.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/ip/address.hpp>
 
+#include <cmath>
+
 namespace carobpath::peer {
 
 namespace {
@@ -21,6 +23,8 @@
         to.setState(static_cast<std::uint8_t>(it.state));
         to.setInFlight(it.inFlight);
         to.setWaiting(it.waiting);
+        if (it.callsPerSecond)
+            to.setCallsPerSecond(*it.callsPerSecond);
     }
 
     Result<membership::Upstream> readUpstream(schema::Upstream::Reader from)
@@ -35,6 +39,8 @@
         upstream.state = static_cast<membership::UpstreamState>(from.getState());
         upstream.inFlight = from.getInFlight();
         upstream.waiting = from.getWaiting();
+        if (std::isfinite(from.getCallsPerSecond()) && from.getCallsPerSecond() >= 0)
+            upstream.callsPerSecond = from.getCallsPerSecond();
         return upstream;
     }
 
--- a/packages/routing/include/carobpath/routing/Admission.h
+++ b/packages/routing/include/carobpath/routing/Admission.h
@@ -37,6 +37,9 @@
     /// no other node is expected to serve the call sooner.
     bool mayBeLate = false;
     std::uint64_t fingerprint = 0;
+    /// Calls per second that the backend server takes, as far as the entry node knows; empty if it knows of no limit. A node
+    /// that has just started goes by it until the backend server's first answer.
+    std::optional<double> knownCallsPerSecond;
     /// Number of requests that belong to one operation of the caller, such as the parts of a ranged download; 1 for a
     /// plain call. Each part is a separate request with its own connection; the width only affects the queue order.
     std::uint32_t width = 1;
@@ -53,6 +56,15 @@
     Refusal refusal;
 };
 
+/// The rate of calls that a backend server takes.
+struct NamedRate {
+    double callsPerSecond = 0;
+    /// Time until the rate allows a call that is queued behind all others.
+    std::chrono::milliseconds wait {};
+
+    friend bool operator==(const NamedRate&, const NamedRate&) = default;
+};
+
 /// Load of an upstream, as its node reports it with each answer.
 struct UpstreamLoad {
     /// Calls that are running at the backend server or waiting for it.
@@ -61,6 +73,8 @@
     std::uint32_t limit = 0;
     /// Mean time that the backend server needs for a call; 0 before the first answer.
     std::chrono::microseconds serviceTime {};
+    /// Empty if the backend server names no limit.
+    std::optional<NamedRate> rate;
 
     friend bool operator==(const UpstreamLoad&, const UpstreamLoad&) = default;
 };
--- a/packages/routing/include/carobpath/routing/AdmissionController.h
+++ b/packages/routing/include/carobpath/routing/AdmissionController.h
@@ -7,6 +7,7 @@
 #include "carobpath/routing/ConcurrencyLimit.h"
 #include "carobpath/routing/CrashDetector.h"
 #include "carobpath/routing/DownloadLimit.h"
+#include "carobpath/routing/RateLimiter.h"
 #include "carobpath/routing/ReportedState.h"
 #include "carobpath/routing/RunningCalls.h"
 #include "carobpath/routing/SeenRequests.h"
@@ -74,9 +75,10 @@
     /// expired.
     /// \param run the run of the backend server that announced itself.
     AdmissionCommands setUpstream(std::optional<membership::Upstream>, MonotonicTime now, const membership::BackendRun& run = {});
-    /// Handles what the backend server says about itself in an answer. \returns whether that changed.
+    /// Handles what the backend server says about itself in an answer.
     /// \param sentAt when the answered call was sent to it.
-    bool onReport(const membership::BackendRun&, const BackendReport&, ReportSource, MonotonicTime sentAt, MonotonicTime now);
+    /// \returns the commands that follow; empty if the report changed nothing.
+    std::optional<AdmissionCommands> onReport(const membership::BackendRun&, const BackendReport&, ReportSource, MonotonicTime sentAt, MonotonicTime now);
     const ReportedState& reported() const { return m_reported; }
     void setFingerprintChecks(FingerprintChecks);
     /// Handles a result of the health endpoint. It is only a hint and never changes the state of the upstream by
@@ -88,7 +90,7 @@
     AdmissionCommands drain(MonotonicTime now);
 
     /// \returns the load of the upstream; all zero while there is none.
-    UpstreamLoad load() const;
+    UpstreamLoad load(MonotonicTime now) const;
     /// \returns the upstream with its load at this node and the state observed through calls, for publication in the
     /// membership.
     std::optional<membership::Upstream> upstream() const;
@@ -142,6 +144,7 @@
     ConcurrencyLimit m_limit;
     BackendHealth m_health;
     ReportedState m_reported;
+    RateLimiter m_rate;
     DownloadLimit m_downloads;
     ServiceTimes m_times;
     AdmissionQueue m_queue;
--- a/packages/routing/include/carobpath/routing/CallDecision.h
+++ b/packages/routing/include/carobpath/routing/CallDecision.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "carobpath/moves/TrafficSplit.h"
 #include "carobpath/publication/Objects.h"
 #include "carobpath/routing/Call.h"
 #include "carobpath/routing/ClaimResult.h"
@@ -98,6 +99,10 @@
     std::uint32_t maxAttempts() const;
     std::optional<SendAttempt> nextAttempt(MonotonicTime now);
     std::optional<SendAttempt> pickAttempt(DomainScope, MonotonicTime now);
+    /// \returns the versions that the call may be sent to, in order of preference.
+    std::vector<VersionFilter> versionsFor(const moves::TrafficSplit&) const;
+    /// \returns the time until an upstream may accept the call, if all of them take too few calls per second for it.
+    std::optional<std::chrono::milliseconds> untilAccepted(MonotonicTime now) const;
     /// An attempt at the load-test node, which takes all calls of the next version at this moment, if the call is one
     /// of them.
     std::optional<SendAttempt> loadTestAttempt(MonotonicTime now);
--- a/packages/routing/include/carobpath/routing/Outcome.h
+++ b/packages/routing/include/carobpath/routing/Outcome.h
@@ -30,6 +30,8 @@
     NoUpstream,
     /// The queue is full, or the wait would pass the deadline.
     Overloaded,
+    /// The backend server takes no more calls per second, and the wait for its rate would be too long.
+    RateLimited,
     Draining,
     DeadlineExceeded,
     RetryBudgetExhausted,
--- a/packages/routing/include/carobpath/routing/ReportedState.h
+++ b/packages/routing/include/carobpath/routing/ReportedState.h
@@ -28,6 +28,10 @@
     /// \returns whether the state changed.
     bool onReport(const membership::BackendRun&, const BackendReport&, ReportSource, MonotonicTime sentAt, MonotonicTime now);
 
+    /// Sets the limit that another node knows of, until the first report of the run.
+    /// \returns whether the state changed.
+    bool onHint(double callsPerSecond);
+
     /// \returns the limit in calls per second; empty if there is none.
     const std::optional<double>& callsPerSecond() const { return m_callsPerSecond; }
     bool isLeaving() const { return m_isLeaving; }
@@ -36,6 +40,7 @@
     std::optional<membership::BackendRun> m_run;
     std::optional<double> m_callsPerSecond;
     MonotonicTime m_namedAt {};
+    bool m_hasReported = false;
     bool m_isLeaving = false;
 };
 
--- a/packages/routing/include/carobpath/routing/UpstreamPicker.h
+++ b/packages/routing/include/carobpath/routing/UpstreamPicker.h
@@ -43,6 +43,8 @@
     VersionName version;
     Endpoint calls;
     bool freshConnection = false;
+    /// Calls per second that the backend server takes; empty if no limit is known.
+    std::optional<double> callsPerSecond;
     /// Whether the call probes an upstream after its ejection.
     bool probe = false;
     ChoiceBasis basis;
@@ -68,6 +70,8 @@
     DomainScope domainScope = DomainScope::Any;
     /// If not empty, only this node may be chosen.
     NodeName only {};
+    /// Rank of the call. Upstreams that recently refused calls of this rank for the rate that they take are not chosen.
+    std::uint32_t priority = 0;
 };
 
 /// Chooses among the upstreams of one service and version by the power of two choices: of two upstreams drawn at
@@ -99,7 +103,14 @@
     std::optional<UpstreamChoice> pick(
         const ServiceName&, const VersionFilter&, const PickConstraints&, MonotonicTime now);
 
+    /// \returns the time until an upstream may accept a call of the rank, if all of them refused such calls for the rate that
+    /// they take; empty otherwise.
+    std::optional<std::chrono::nanoseconds> untilAccepted(
+        const ServiceName&, const VersionFilter&, std::uint32_t priority, MonotonicTime now);
+
     void onSent(const NodeName&, bool probe);
+    /// See \c UpstreamStatistics.
+    void onRateLimited(const NodeName&, std::uint32_t priority, std::chrono::milliseconds wait, MonotonicTime now);
     /// \param cooldown time for which the upstream asked not to be sent calls; 0 if it did not.
     void onFinished(const NodeName&, UpstreamSignal, std::chrono::nanoseconds latency, std::chrono::milliseconds cooldown,
         MonotonicTime now);
@@ -137,7 +148,7 @@
     void retainStatistics(const membership::MembershipView&);
     void addCandidate(const membership::KnownNode&);
     /// \returns the upstreams of the service that satisfy the filter and the constraints.
-    Pool eligible(const ServiceName&, const VersionFilter&, const PickConstraints&) const;
+    Pool eligible(const ServiceName&, const VersionFilter&, const PickConstraints&, MonotonicTime now) const;
     static Pools poolsOf(const Pool&, MonotonicTime now);
     const Pool* choosePool(const Pools&, const PickConstraints&);
     static const Candidate* dueProbe(const Pool&, MonotonicTime now);
--- a/packages/routing/include/carobpath/routing/UpstreamStatistics.h
+++ b/packages/routing/include/carobpath/routing/UpstreamStatistics.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 namespace carobpath::routing {
 
@@ -65,7 +66,11 @@
     void onLoad(const UpstreamLoad&, MonotonicTime now);
     /// Handles the revision of the entry that the node publishes about itself. A new revision ends the time for which
     /// the upstream is skipped as not serving; a new incarnation also resets failures, ejection, latency and errors.
-    void onRevision(const Revision&);
+    /// \param callsPerSecond limit of the backend server in the entry; empty if it names none.
+    void onRevision(const Revision&, const std::optional<double>& callsPerSecond);
+    /// Handles a refusal because the backend server takes no more calls per second. Calls of the rank and less urgent ones are
+    /// not accepted until the wait is over.
+    void onRateLimited(std::uint32_t priority, std::chrono::milliseconds wait, MonotonicTime now);
 
     Status status(MonotonicTime now) const;
     /// \returns whether one call may probe the upstream now.
@@ -77,12 +82,24 @@
     /// \returns the expected time until an answer, based on the load reported last, the calls that this node has sent since
     /// and the observed overhead of the node next to the upstream; \p mean is used while nothing is known. The reported load and service time decay with their age.
     double expectedSeconds(double mean, MonotonicTime now) const;
+    /// \returns the time until a call of the rank may be accepted, according to the refusals for its rate; 0 if it may be now.
+    std::chrono::nanoseconds untilAccepted(std::uint32_t priority, MonotonicTime now) const;
+    /// \returns the calls per second that the backend server takes, as far as this node knows.
+    const std::optional<double>& callsPerSecond() const { return m_callsPerSecond; }
     double errorRate() const { return m_errorRate; }
     std::uint32_t inFlight() const { return m_inFlight; }
     /// \returns whether pooled connections to the node may be broken, because one of them became unresponsive.
     bool connectionsSuspect() const { return m_connectionsSuspect; }
 
 private:
+    /// Calls of the rank and less urgent ones are refused until then.
+    struct RateRefusal {
+        std::uint32_t priority = 0;
+        MonotonicTime until;
+    };
+
+    /// \returns the time until the named rate allows one more call. The reported wait decays with its age.
+    double rateWaitSeconds(double sentSince, MonotonicTime now) const;
     /// \returns the part of the observed latency that the backend server does not account for: the node next to it may have
     /// little processor time, or a busy link. The value decays with its age.
     double overheadSeconds(MonotonicTime now) const;
@@ -106,6 +123,8 @@
     UpstreamLoad m_load;
     MonotonicTime m_loadAt {};
     std::uint32_t m_inFlightAtLoad = 0;
+    std::optional<double> m_callsPerSecond;
+    std::optional<RateRefusal> m_rateRefusal;
 };
 
 }
--- a/packages/routing/src/AdmissionController.cpp
+++ b/packages/routing/src/AdmissionController.cpp
@@ -1,7 +1,5 @@
 #include "carobpath/routing/AdmissionController.h"
 
-#include "SlotForecast.h"
-
 #include <algorithm>
 #include <functional>
 #include <utility>
@@ -51,6 +49,8 @@
         commands.push_back(Reject { request.id, *refusal });
         return commands;
     }
+    if (request.knownCallsPerSecond && m_reported.onHint(*request.knownCallsPerSecond))
+        m_rate.setRate(m_reported.callsPerSecond(), now);
     rejectExpired(commands, now);
     // A server that is down receives only single probe calls, which were granted above, until one is answered.
     if (m_health.isDown())
@@ -79,7 +79,7 @@
         return notRun(RefusalReason::Draining, spread(drainingRetryAfter, request.id));
     if (!m_upstream || m_upstream->service != request.service || m_upstream->version != request.version)
         return notRun(RefusalReason::NoUpstream, spread(noUpstreamRetryAfter, request.id));
-    if (m_health.isDown() && !m_health.tryProbe(request.repeatability, now))
+    if (m_health.isDown() && (!m_rate.allows(now) || !m_health.tryProbe(request.repeatability, now)))
         return notRun(RefusalReason::UpstreamUnreachable, spread(BackendHealth::s_probeInterval, request.id));
     return std::nullopt;
 }
@@ -124,35 +124,7 @@
     dispatchWaiting(commands, now);
 }
 
-std::chrono::nanoseconds AdmissionController::expectedTime(const AdmissionRequest& request, MonotonicTime now) const
-{
-    const auto queueClass = queueClassOf(request);
-    const auto service = m_times.expected(queueClass);
-    return queueClass == QueueClass::Download ? service + m_downloads.untilSent(now) : service;
-}
-
-std::chrono::nanoseconds AdmissionController::expectedQueueTime(const AdmissionRequest& request, MonotonicTime now) const
-{
-    const auto callsAhead = m_queue.callsAhead(request, now);
-    SlotForecast forecast(m_running.remainingTimes(m_times, now), m_limit.value());
-    for (const auto* it : callsAhead)
-        forecast.take(m_times.expected(queueClassOf(*it)));
-    if (queueClassOf(request) != QueueClass::Download)
-        return forecast.untilFree();
-    return std::max(forecast.untilFree(), waitForDownloadSlot(callsAhead, now));
-}
-
-std::chrono::nanoseconds AdmissionController::waitForDownloadSlot(const std::vector<const AdmissionRequest*>& callsAhead, MonotonicTime now) const
-{
-    SlotForecast forecast(m_running.remainingTimes(m_times, now, QueueClass::Download), std::max(1U, slotsFor(QueueClass::Download, now)));
-    for (const auto* it : callsAhead) {
-        if (queueClassOf(*it) == QueueClass::Download)
-            forecast.take(m_times.expected(QueueClass::Download));
-    }
-    return std::max(forecast.untilFree(), m_downloads.untilAllowed(now));
-}
-
-UpstreamLoad AdmissionController::load() const
+UpstreamLoad AdmissionController::load(MonotonicTime now) const
 {
     UpstreamLoad it;
     if (!m_upstream || draining())
@@ -160,6 +132,8 @@
     it.calls = inFlight() + waiting();
     it.limit = limit();
     it.serviceTime = std::chrono::duration_cast<std::chrono::microseconds>(m_times.mean());
+    if (m_rate.callsPerSecond())
+        it.rate = NamedRate { *m_rate.callsPerSecond(), std::chrono::ceil<milliseconds>(m_rate.untilAllowed(waiting(), now)) };
     return it;
 }
 
@@ -173,34 +147,13 @@
 {
     const auto wait = std::chrono::ceil<milliseconds>(expectedWait(queueClassOf(request), now));
     const auto bounded = std::clamp(wait, s_minRetryAfter, s_maxRetryAfter);
-    return notRun(RefusalReason::Overloaded, spread(bounded, request.id));
-}
-
-std::chrono::nanoseconds AdmissionController::expectedWait(QueueClass queueClass, MonotonicTime now) const
-{
-    auto work = m_running.remainingWork(m_times, now);
-    for (std::size_t i = 0; i <= static_cast<std::size_t>(queueClass); ++i) {
-        const auto it = static_cast<QueueClass>(i);
-        work += m_times.expected(it) * m_queue.size(it);
-    }
-    return work / std::max(1U, slotsFor(queueClass, now));
-}
-
-std::uint32_t AdmissionController::slotsFor(QueueClass queueClass, MonotonicTime now) const
-{
-    const auto limit = m_limit.value();
-    if (queueClass != QueueClass::Download)
-        return limit;
-    const auto byLink = std::min(limit, m_downloads.value(now));
-    if (m_policy.reservedFraction <= 0 || limit == 1)
-        return byLink;
-    const auto reserved = static_cast<std::uint32_t>(limit * m_policy.reservedFraction);
-    return std::min(byLink, limit - std::clamp(reserved, 1U, limit - 1));
+    const auto reason = m_rate.allows(now) ? RefusalReason::Overloaded : RefusalReason::RateLimited;
+    return notRun(reason, spread(bounded, request.id));
 }
 
 bool AdmissionController::fits(const AdmissionRequest& request, MonotonicTime now) const
 {
-    if (!m_upstream || m_running.size() >= std::min(m_limit.value(), m_upstream->connections))
+    if (!m_upstream || m_running.size() >= std::min(m_limit.value(), m_upstream->connections) || !m_rate.allows(now))
         return false;
     const auto queueClass = queueClassOf(request);
     if (queueClass == QueueClass::Download && m_running.downloads() >= slotsFor(queueClass, now))
@@ -223,6 +176,7 @@
 void AdmissionController::dispatch(const AdmissionRequest& request, AdmissionCommands& commands, MonotonicTime now)
 {
     m_running.add({ request, now });
+    m_rate.onCall(now);
     commands.push_back(Dispatch { request.id });
 }
 
@@ -344,6 +298,7 @@
     const bool sameVersion = m_upstream && upstream && m_upstream->version == upstream->version;
     m_upstream = std::move(upstream);
     m_reported.setRun(m_upstream ? std::optional { run } : std::nullopt);
+    m_rate.setRate(m_reported.callsPerSecond(), now);
     if (m_upstream && sameServer) {
         m_limit.update(*m_upstream);
     } else if (m_upstream) {
@@ -358,10 +313,15 @@
     return commands;
 }
 
-bool AdmissionController::onReport(
+std::optional<AdmissionCommands> AdmissionController::onReport(
     const membership::BackendRun& run, const BackendReport& report, ReportSource source, MonotonicTime sentAt, MonotonicTime now)
 {
-    return m_reported.onReport(run, report, source, sentAt, now);
+    if (!m_reported.onReport(run, report, source, sentAt, now))
+        return std::nullopt;
+    m_rate.setRate(m_reported.callsPerSecond(), now);
+    AdmissionCommands commands;
+    dispatchWaiting(commands, now);
+    return commands;
 }
 
 void AdmissionController::onHealthHint(bool healthy, MonotonicTime now) { m_health.onHealthHint(healthy, now); }
@@ -390,6 +350,7 @@
         it->state = membership::UpstreamState::Draining;
     else if (m_health.isDown())
         it->state = membership::UpstreamState::Down;
+    it->callsPerSecond = m_rate.callsPerSecond();
     it->inFlight = inFlight();
     it->waiting = waiting();
     return it;
--- a/packages/routing/src/AttemptChoice.cpp
+++ b/packages/routing/src/AttemptChoice.cpp
@@ -2,6 +2,7 @@
 #include "carobpath/routing/CallDecision.h"
 
 #include "EntryState.h"
+#include "carobpath/routing/AdmissionController.h"
 
 #include <algorithm>
 #include <utility>
@@ -44,15 +45,11 @@
     if (m_tried.size() >= m_state->policy.maxCandidates)
         return std::nullopt;
     const auto split = m_state->trafficSplitOf(m_service);
-    std::vector<VersionFilter> versions;
-    if (m_wantsNext && split.next)
-        versions.emplace_back(*split.next);
-    // A call that was not drawn for the next version is never sent to it: the version is unproven beyond its share.
-    versions.push_back(split.current.empty() ? VersionFilter::allExcept(split.next.value_or(VersionName {})) : VersionFilter { split.current });
+    const auto versions = versionsFor(split);
     const bool mayProbe = repeatable() && m_request.bodyReplayable && m_tried.empty();
     for (const bool allowEjected : { false, true }) {
         for (const auto& version : versions) {
-            const PickConstraints constraints { m_tried, mayProbe, allowEjected, scope, {} };
+            const PickConstraints constraints { m_tried, mayProbe, allowEjected, scope, {}, m_route->priority };
             const auto choice = m_state->picker.pick(m_service, version, constraints, now);
             if (!choice)
                 continue;
@@ -62,6 +59,29 @@
     return std::nullopt;
 }
 
+std::vector<VersionFilter> CallDecision::versionsFor(const moves::TrafficSplit& split) const
+{
+    std::vector<VersionFilter> versions;
+    if (m_wantsNext && split.next)
+        versions.emplace_back(*split.next);
+    // A call that was not drawn for the next version is never sent to it: the version is unproven beyond its share.
+    versions.push_back(split.current.empty() ? VersionFilter::allExcept(split.next.value_or(VersionName {})) : VersionFilter { split.current });
+    return versions;
+}
+
+std::optional<std::chrono::milliseconds> CallDecision::untilAccepted(MonotonicTime now) const
+{
+    std::optional<std::chrono::milliseconds> shortest;
+    for (const auto& version : versionsFor(m_state->trafficSplitOf(m_service))) {
+        const auto wait = m_state->picker.untilAccepted(m_service, version, m_route->priority, now);
+        if (!wait)
+            continue;
+        const auto bounded = std::max(AdmissionController::s_minRetryAfter, std::chrono::ceil<std::chrono::milliseconds>(*wait));
+        shortest = std::min(shortest.value_or(bounded), bounded);
+    }
+    return shortest;
+}
+
 std::optional<SendAttempt> CallDecision::loadTestAttempt(MonotonicTime now)
 {
     if (!m_wantsNext || !m_tried.empty())
@@ -69,7 +89,7 @@
     const auto split = m_state->trafficSplitOf(m_service);
     if (!split.next || split.loadTestNode.empty())
         return std::nullopt;
-    const PickConstraints constraints { m_tried, false, true, DomainScope::Any, split.loadTestNode };
+    const PickConstraints constraints { m_tried, false, true, DomainScope::Any, split.loadTestNode, m_route->priority };
     const auto choice = m_state->picker.pick(m_service, VersionFilter { *split.next }, constraints, now);
     if (!choice)
         return std::nullopt;
@@ -127,6 +147,7 @@
     it.trafficClass = m_route->trafficClass;
     it.priority = m_route->priority;
     it.freshConnection = choice.freshConnection;
+    it.knownCallsPerSecond = choice.callsPerSecond;
     it.basis = choice.basis;
     return it;
 }
--- a/packages/routing/src/AttemptClassification.cpp
+++ b/packages/routing/src/AttemptClassification.cpp
@@ -21,6 +21,7 @@
         case RefusalReason::UpstreamUnreachable:
             return UpstreamSignal::Unreachable;
         case RefusalReason::Overloaded:
+        case RefusalReason::RateLimited:
         case RefusalReason::UpstreamRefused:
         case RefusalReason::DeadlineExceeded:
             return UpstreamSignal::Overloaded;
@@ -59,6 +60,7 @@
     case RefusalReason::NotReady:
     case RefusalReason::NoUpstream:
     case RefusalReason::Overloaded:
+    case RefusalReason::RateLimited:
     case RefusalReason::Draining:
     case RefusalReason::UpstreamUnreachable:
     case RefusalReason::UpstreamConnectionLost:
@@ -83,7 +85,8 @@
 
 bool wasRefusedForLoad(const AttemptResult& result)
 {
-    return result.outcome == Outcome::NotRun && reasonOf(result) == RefusalReason::Overloaded;
+    const auto reason = reasonOf(result);
+    return result.outcome == Outcome::NotRun && (reason == RefusalReason::Overloaded || reason == RefusalReason::RateLimited);
 }
 
 bool causedNoLoad(const AttemptResult& result)
@@ -110,6 +113,7 @@
     switch (reason) {
     case RefusalReason::Draining:
     case RefusalReason::Overloaded:
+    case RefusalReason::RateLimited:
     case RefusalReason::UpstreamRefused:
         return milliseconds { 200 };
     case RefusalReason::RetryBudgetExhausted:
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -117,7 +117,8 @@
 {
     if (auto attempt = nextAttempt(now))
         return send(std::move(*attempt));
-    return refuse(RefusalReason::NoUpstream);
+    const auto wait = untilAccepted(now);
+    return wait ? refuse(RefusalReason::RateLimited, m_state->spread(*wait)) : refuse(RefusalReason::NoUpstream);
 }
 
 void CallDecision::recordRefusedOffer(const AttemptResult& result)
@@ -133,7 +134,7 @@
     const bool relayed = m_final && std::holds_alternative<RelayAnswer>(*m_final);
     if (!relayed || m_attempt || !repeatable() || !m_request.bodyReplayable || m_backendsReached >= maxAttempts())
         return std::nullopt;
-    const auto choice = m_state->picker.pick(m_service, m_version, PickConstraints { m_tried, false, false, DomainScope::Any, {} }, now);
+    const auto choice = m_state->picker.pick(m_service, m_version, PickConstraints { m_tried, false, false, DomainScope::Any, {}, m_route->priority }, now);
     if (!choice || !m_state->budgetOf(m_service).tryWithdraw(now))
         return std::nullopt;
     m_state->picker.onSent(choice->node, choice->probe);
@@ -179,6 +180,8 @@
 {
     m_outcome = stronger(m_outcome, result.outcome);
     recordRefusedOffer(result);
+    if (reasonOf(result) == RefusalReason::RateLimited && result.retryAfter)
+        m_state->picker.onRateLimited(m_attempt->node, m_route->priority, *result.retryAfter, now);
     if (result.load)
         m_state->picker.onLoad(m_attempt->node, *result.load, now);
     if (reachedBackend(result))
--- a/packages/routing/src/Outcome.cpp
+++ b/packages/routing/src/Outcome.cpp
@@ -30,6 +30,7 @@
         ReasonRow { RefusalReason::NotReady, "not-ready", 503 },
         ReasonRow { RefusalReason::NoUpstream, "no-upstream", 503 },
         ReasonRow { RefusalReason::Overloaded, "overloaded", 503 },
+        ReasonRow { RefusalReason::RateLimited, "rate-limited", 503 },
         ReasonRow { RefusalReason::Draining, "draining", 503 },
         ReasonRow { RefusalReason::DeadlineExceeded, "deadline-exceeded", 504 },
         ReasonRow { RefusalReason::RetryBudgetExhausted, "retry-budget-exhausted", 503 },
--- a/packages/routing/src/ReportedState.cpp
+++ b/packages/routing/src/ReportedState.cpp
@@ -18,6 +18,7 @@
 {
     if (m_run != run)
         return false;
+    m_hasReported = true;
     const auto before = std::tuple { m_callsPerSecond, m_isLeaving };
     m_isLeaving = m_isLeaving || report.isLeaving;
     if (report.callsPerSecond) {
@@ -29,4 +30,12 @@
     return before != std::tuple { m_callsPerSecond, m_isLeaving };
 }
 
+bool ReportedState::onHint(double callsPerSecond)
+{
+    if (!m_run || m_hasReported || m_callsPerSecond)
+        return false;
+    m_callsPerSecond = callsPerSecond;
+    return true;
+}
+
 }
--- a/packages/routing/src/UpstreamPicker.cpp
+++ b/packages/routing/src/UpstreamPicker.cpp
@@ -67,7 +67,7 @@
         auto& statistics = retained[known.entry.name];
         if (old)
             statistics = old.mapped();
-        statistics.onRevision(known.entry.revision);
+        statistics.onRevision(known.entry.revision, known.entry.upstream ? known.entry.upstream->callsPerSecond : std::nullopt);
     }
     m_statistics = std::move(retained);
 }
@@ -94,7 +94,7 @@
     const ServiceName& service, const VersionFilter& versions, const PickConstraints& constraints, MonotonicTime now)
 {
     applyPendingView(now);
-    const auto candidates = eligible(service, versions, constraints);
+    const auto candidates = eligible(service, versions, constraints, now);
     const auto* probe = constraints.mayProbe ? dueProbe(candidates, now) : nullptr;
     const auto* chosen = probe;
     if (!chosen) {
@@ -105,11 +105,31 @@
         chosen = pickFrom(*pool, now);
     }
     const ChoiceBasis basis { static_cast<std::uint32_t>(candidates.size()), now - *m_viewAppliedAt };
-    return UpstreamChoice { chosen->node, chosen->version, chosen->calls, chosen->statistics->connectionsSuspect(), probe != nullptr, basis };
+    const auto& statistics = *chosen->statistics;
+    return UpstreamChoice { chosen->node, chosen->version, chosen->calls, statistics.connectionsSuspect(), statistics.callsPerSecond(), probe != nullptr, basis };
+}
+
+std::optional<std::chrono::nanoseconds> UpstreamPicker::untilAccepted(
+    const ServiceName& service, const VersionFilter& versions, std::uint32_t priority, MonotonicTime now)
+{
+    applyPendingView(now);
+    const auto found = m_candidates.find(service);
+    if (found == m_candidates.end())
+        return std::nullopt;
+    std::optional<std::chrono::nanoseconds> shortest;
+    for (const auto& it : found->second) {
+        if (!versions.matches(it.version) || it.statistics->status(now) == UpstreamStatistics::Status::NotServing)
+            continue;
+        const auto wait = it.statistics->untilAccepted(priority, now);
+        if (wait.count() == 0)
+            return std::nullopt;
+        shortest = std::min(shortest.value_or(wait), wait);
+    }
+    return shortest;
 }
 
 UpstreamPicker::Pool UpstreamPicker::eligible(
-    const ServiceName& service, const VersionFilter& versions, const PickConstraints& constraints) const
+    const ServiceName& service, const VersionFilter& versions, const PickConstraints& constraints, MonotonicTime now) const
 {
     Pool pool;
     const auto found = m_candidates.find(service);
@@ -117,7 +137,8 @@
         return pool;
     for (const auto& it : found->second) {
         const bool isAllowedNode = constraints.only.empty() || constraints.only == it.node;
-        if (isAllowedNode && versions.matches(it.version) && isInScope(it, constraints.domainScope) && !contains(constraints.excluded, it.node))
+        const bool mayAccept = it.statistics->untilAccepted(constraints.priority, now).count() == 0;
+        if (isAllowedNode && mayAccept && versions.matches(it.version) && isInScope(it, constraints.domainScope) && !contains(constraints.excluded, it.node))
             pool.push_back(&it);
     }
     return pool;
@@ -210,6 +231,13 @@
         it->second.onSent(probe);
 }
 
+void UpstreamPicker::onRateLimited(const NodeName& node, std::uint32_t priority, std::chrono::milliseconds wait, MonotonicTime now)
+{
+    const auto it = m_statistics.find(node);
+    if (it != m_statistics.end())
+        it->second.onRateLimited(priority, wait, now);
+}
+
 void UpstreamPicker::onFinished(const NodeName& node, UpstreamSignal signal, std::chrono::nanoseconds latency,
     std::chrono::milliseconds cooldown, MonotonicTime now)
 {
--- a/packages/routing/src/UpstreamStatistics.cpp
+++ b/packages/routing/src/UpstreamStatistics.cpp
@@ -1,6 +1,7 @@
 #include "carobpath/routing/UpstreamStatistics.h"
 
 #include "carobpath/foundation/ExponentialDelay.h"
+#include "carobpath/routing/RateLimiter.h"
 
 #include <algorithm>
 #include <cmath>
@@ -66,6 +67,31 @@
     m_load = load;
     m_loadAt = now;
     m_inFlightAtLoad = m_inFlight;
+    m_callsPerSecond = load.rate ? std::optional { load.rate->callsPerSecond } : std::nullopt;
+    if (!load.rate || load.rate->wait.count() == 0)
+        m_rateRefusal.reset();
+}
+
+void UpstreamStatistics::onRateLimited(std::uint32_t priority, std::chrono::milliseconds wait, MonotonicTime now)
+{
+    const bool isCovered = m_rateRefusal && now < m_rateRefusal->until && m_rateRefusal->priority < priority;
+    if (!isCovered)
+        m_rateRefusal = RateRefusal { priority, now + wait };
+}
+
+std::chrono::nanoseconds UpstreamStatistics::untilAccepted(std::uint32_t priority, MonotonicTime now) const
+{
+    if (!m_rateRefusal || priority < m_rateRefusal->priority)
+        return {};
+    return std::max<std::chrono::nanoseconds>(m_rateRefusal->until - now, {});
+}
+
+double UpstreamStatistics::rateWaitSeconds(double sentSince, MonotonicTime now) const
+{
+    if (!m_load.rate)
+        return 0;
+    const double left = std::max(0.0, toSeconds(m_load.rate->wait) - toSeconds(now - m_loadAt));
+    return left + sentSince / std::max(m_load.rate->callsPerSecond, RateLimiter::s_minCallsPerSecond);
 }
 
 double UpstreamStatistics::expectedSeconds(double mean, MonotonicTime now) const
@@ -77,7 +103,7 @@
     const double calls = std::max<double>(reportedCalls + sentSince, m_inFlight) + 1;
     const double service = m_load.serviceTime.count() > 0 ? reportedServiceSeconds(mean, now) : mean;
     // A few free slots make little difference, but a queue adds one service time for each round of calls in it.
-    return service * std::max(1.0, calls / m_load.limit) + overheadSeconds(now);
+    return service * std::max(1.0, calls / m_load.limit) + rateWaitSeconds(sentSince, now) + overheadSeconds(now);
 }
 
 double UpstreamStatistics::reportedServiceSeconds(double mean, MonotonicTime now) const
@@ -123,8 +149,12 @@
     m_connectionsSuspect = false;
 }
 
-void UpstreamStatistics::onRevision(const Revision& revision)
+void UpstreamStatistics::onRevision(const Revision& revision, const std::optional<double>& callsPerSecond)
 {
+    // A node that has just started does not know yet which limit its backend server named before.
+    const bool mayNotKnow = revision.incarnation != m_revision.incarnation && !callsPerSecond;
+    if (revision != m_revision && !mayNotKnow)
+        m_callsPerSecond = callsPerSecond;
     if (revision.incarnation != m_revision.incarnation) {
         m_failuresInRow = 0;
         m_ejections = 0;
