A backend server that says in its answers that it leaves gets no more calls

A server whose announcement says ready, or reaches nobody, got calls until it ended: 19 in process-backend-reports after the 2 s that it may still get some.

--- a/packages/routing/src/AdmissionController.cpp
+++ b/packages/routing/src/AdmissionController.cpp
@@ -320,6 +320,8 @@
         return std::nullopt;
     m_rate.setRate(m_reported.callsPerSecond(), now);
     AdmissionCommands commands;
+    if (draining())
+        rejectAll(commands, RefusalReason::Draining, drainingRetryAfter);
     dispatchWaiting(commands, now);
     return commands;
 }
@@ -338,7 +340,7 @@
 
 bool AdmissionController::draining() const
 {
-    return m_draining || (m_upstream && m_upstream->state == membership::UpstreamState::Draining);
+    return m_draining || m_reported.isLeaving() || (m_upstream && m_upstream->state == membership::UpstreamState::Draining);
 }
 
 std::optional<membership::Upstream> AdmissionController::upstream() const
--- a/packages/routing/tests/RateLimitedAdmissionTests.cpp
+++ b/packages/routing/tests/RateLimitedAdmissionTests.cpp
@@ -171,6 +171,30 @@
     BOOST_TEST(dispatchedSince(from) >= 5U);
 }
 
+BOOST_AUTO_TEST_CASE(A_server_that_says_that_it_leaves_gets_no_more_calls)
+{
+    report.isLeaving = true;
+    advance(200ms, 20ms);
+    const auto from = now;
+    controller.setUpstream(makeUpstream(), now, run);
+    advance(2s, 20ms);
+    BOOST_TEST(dispatchedSince(from) == 0U);
+    BOOST_TEST((controller.upstream()->state == membership::UpstreamState::Draining));
+    BOOST_TEST((refusals.back().reason == RefusalReason::Draining));
+}
+
+BOOST_AUTO_TEST_CASE(The_next_run_of_a_server_that_left_gets_calls)
+{
+    report.isLeaving = true;
+    advance(200ms, 20ms);
+    report = {};
+    run.startedAt = WallTime { 9000ms };
+    controller.setUpstream(makeUpstream(), now, run);
+    const auto from = now;
+    advance(1s, 20ms);
+    BOOST_TEST(dispatchedSince(from) >= 40U);
+}
+
 BOOST_AUTO_TEST_CASE(A_node_that_has_just_started_goes_by_the_rate_that_entry_nodes_know)
 {
     report.callsPerSecond = 0.25;
