A backend server's Retry-After counts where it refuses a call

Change: retryAfterOf reads both. Ruled out: reading dates, which need a common clock. Result: gateway A_refusal_may_say_when_to_come_back_in_seconds_or_in_the_projects_own_field; whether the users' servers send the field is not known.

--- a/packages/gateway/src/internal/AdmittedCall.cpp
+++ b/packages/gateway/src/internal/AdmittedCall.cpp
@@ -60,7 +60,7 @@
             refusal.reason = routing::RefusalReason::NoUpstream;
         else if (reasonOf(header) == routing::RefusalReason::Draining)
             refusal.reason = routing::RefusalReason::Draining;
-        refusal.retryAfter = milliseconds(header, HeaderName::retryAfterMs);
+        refusal.retryAfter = retryAfterOf(header);
         return refusal;
     }
 
--- a/packages/gateway/src/internal/ForwardedHeader.cpp
+++ b/packages/gateway/src/internal/ForwardedHeader.cpp
@@ -242,6 +242,16 @@
     return copy;
 }
 
+std::optional<std::chrono::milliseconds> retryAfterOf(const ResponseHeader& header)
+{
+    if (const auto own = milliseconds(header, HeaderName::retryAfterMs))
+        return own;
+    const auto seconds = decimal(value(header, "Retry-After"));
+    if (!seconds || std::chrono::duration<double> { *seconds } > longestDeadline)
+        return std::nullopt;
+    return std::chrono::ceil<std::chrono::milliseconds>(std::chrono::duration<double> { *seconds });
+}
+
 std::optional<routing::Outcome> outcomeOf(const ResponseHeader& header)
 {
     return routing::outcomeFromString(value(header, HeaderName::outcome));
--- a/packages/gateway/src/internal/ForwardedHeader.h
+++ b/packages/gateway/src/internal/ForwardedHeader.h
@@ -41,6 +41,10 @@
 /// \returns the milliseconds in a header field; empty where it is absent or no number.
 std::optional<std::chrono::milliseconds> milliseconds(const http::fields&, std::string_view name);
 
+/// \returns the delay after which a backend server wants a refused call again: the project's own field, else Retry-After in
+/// seconds, which may have a fraction; empty where neither is readable.
+std::optional<std::chrono::milliseconds> retryAfterOf(const ResponseHeader&);
+
 /// \returns the outcome that the header of an answer carries.
 std::optional<routing::Outcome> outcomeOf(const ResponseHeader&);
 std::optional<routing::RefusalReason> reasonOf(const ResponseHeader&);
--- a/packages/gateway/tests/BackendReportTests.cpp
+++ b/packages/gateway/tests/BackendReportTests.cpp
@@ -63,6 +63,23 @@
     BOOST_TEST(!backendReportOf(header, dialect).isLeaving);
 }
 
+BOOST_AUTO_TEST_CASE(A_refusal_may_say_when_to_come_back_in_seconds_or_in_the_projects_own_field)
+{
+    BOOST_TEST(!retryAfterOf(header));
+    header.set(http::field::retry_after, "0.25");
+    BOOST_TEST((retryAfterOf(header).value() == std::chrono::milliseconds { 250 }));
+    header.set(HeaderName::retryAfterMs, "40");
+    BOOST_TEST((retryAfterOf(header).value() == std::chrono::milliseconds { 40 }));
+}
+
+BOOST_AUTO_TEST_CASE(A_time_to_come_back_that_is_no_number_of_seconds_is_not_read)
+{
+    for (const auto* text : { "", "Wed, 21 Oct 2026 07:28:00 GMT", "-1", "soon", "1000000000" }) {
+        header.set(http::field::retry_after, text);
+        BOOST_TEST(!retryAfterOf(header), text);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(The_load_that_a_node_sends_is_the_load_that_the_other_node_reads)
 {
     const routing::UpstreamLoad unlimited { 3, 6, std::chrono::microseconds { 2500 }, {} };
