The rate of an upstream stays known through the restart of its node

A node that has restarted publishes two entries before its backend server's first answer; the second, of the same incarnation and without a rate, took the rate from the entry nodes, so that none could tell it to the node. Change: an entry without a rate lifts the one that is known only where an earlier entry of the same incarnation named one. Result: routing The_rate_is_still_known_when_the_node_of_the_upstream_has_restarted failed before and passes.

--- a/packages/routing/include/carobpath/routing/UpstreamStatistics.h
+++ b/packages/routing/include/carobpath/routing/UpstreamStatistics.h
@@ -124,6 +124,8 @@
     MonotonicTime m_loadAt {};
     std::uint32_t m_inFlightAtLoad = 0;
     std::optional<double> m_callsPerSecond;
+    /// The limit in the last revision of this incarnation.
+    std::optional<double> m_publishedRate;
     std::optional<RateRefusal> m_rateRefusal;
 };
 
--- a/packages/routing/src/UpstreamStatistics.cpp
+++ b/packages/routing/src/UpstreamStatistics.cpp
@@ -151,10 +151,12 @@
 
 void UpstreamStatistics::onRevision(const Revision& revision, const std::optional<double>& callsPerSecond)
 {
-    // A node that has just started does not know yet which limit its backend server named before.
-    const bool mayNotKnow = revision.incarnation != m_revision.incarnation && !callsPerSecond;
-    if (revision != m_revision && !mayNotKnow)
+    // A node that has just started does not know which limit its backend server named before; only one that knew it lifts it.
+    if (revision.incarnation != m_revision.incarnation)
+        m_publishedRate.reset();
+    if (revision != m_revision && (callsPerSecond || m_publishedRate))
         m_callsPerSecond = callsPerSecond;
+    m_publishedRate = callsPerSecond;
     if (revision.incarnation != m_revision.incarnation) {
         m_failuresInRow = 0;
         m_ejections = 0;
--- a/packages/routing/tests/RateLimitedChoiceTests.cpp
+++ b/packages/routing/tests/RateLimitedChoiceTests.cpp
@@ -113,15 +113,18 @@
 BOOST_AUTO_TEST_CASE(The_rate_is_still_known_when_the_node_of_the_upstream_has_restarted)
 {
     auto node = makeNode("n1", "v1");
-    node.entry.upstream->callsPerSecond = 2;
-    router.setMembership(makeView({ node }));
-    now += 1s;
-    BOOST_TEST(std::get<SendAttempt>(begin("/x")->start(now)).knownCallsPerSecond.value() == 2);
-    node.entry.revision = { Incarnation { 2 }, 1 };
-    node.entry.upstream->callsPerSecond.reset();
-    router.setMembership(makeView({ node }));
-    now += 1s;
-    BOOST_TEST(std::get<SendAttempt>(begin("/x")->start(now)).knownCallsPerSecond.value() == 2);
+    const auto rateAfter = [&](const Revision& revision, const std::optional<double>& published) {
+        node.entry.revision = revision;
+        node.entry.upstream->callsPerSecond = published;
+        router.setMembership(makeView({ node }));
+        now += 1s;
+        return std::get<SendAttempt>(begin("/x")->start(now)).knownCallsPerSecond;
+    };
+    BOOST_TEST(rateAfter({ Incarnation { 1 }, 2 }, 2).value() == 2);
+    BOOST_TEST(rateAfter({ Incarnation { 2 }, 1 }, std::nullopt).value() == 2);
+    BOOST_TEST(rateAfter({ Incarnation { 2 }, 2 }, std::nullopt).value() == 2);
+    BOOST_TEST(rateAfter({ Incarnation { 2 }, 3 }, 4).value() == 4);
+    BOOST_TEST(!rateAfter({ Incarnation { 2 }, 4 }, std::nullopt));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
