A backend server that fell silent for a while is held to what it reported before

An announcement that lapses, as beside a node that was frozen, dropped the limit and the leaving that the run had reported; announced again, the same run got calls beyond its rate, or after it had said that it leaves. Change: only another run begins without a report. Result: routing A_server_that_was_silent_for_a_while_is_held_to_what_it_reported_before failed before (6 calls at once of 1, and not taken for leaving) and passes.

--- a/packages/routing/include/carobpath/routing/ReportedState.h
+++ b/packages/routing/include/carobpath/routing/ReportedState.h
@@ -18,8 +18,9 @@
 /// What the backend server beside this node last reported about itself in its answers.
 class ReportedState {
 public:
-    /// A new run of the backend server has reported nothing yet.
-    void setRun(std::optional<membership::BackendRun>);
+    /// Sets the run that is announced. One that is new has reported nothing yet; one that fell silent and is announced again
+    /// keeps what it reported.
+    void setRun(const membership::BackendRun&);
 
     /// Handles the report of an answer. A limit holds until an answer to a call that was sent after the limit was last named, and
     /// that ran, names none: answers overtake each other, and an unreadable limit tells nothing. A server that is leaving stays
--- a/packages/routing/src/AdmissionController.cpp
+++ b/packages/routing/src/AdmissionController.cpp
@@ -297,7 +297,8 @@
         m_crashes.onRestarted(now);
     const bool sameVersion = m_upstream && upstream && m_upstream->version == upstream->version;
     m_upstream = std::move(upstream);
-    m_reported.setRun(m_upstream ? std::optional { run } : std::nullopt);
+    if (m_upstream)
+        m_reported.setRun(run);
     m_rate.setRate(m_reported.callsPerSecond(), now);
     if (m_upstream && sameServer) {
         m_limit.update(*m_upstream);
@@ -340,7 +341,8 @@
 
 bool AdmissionController::draining() const
 {
-    return m_draining || m_reported.isLeaving() || (m_upstream && m_upstream->state == membership::UpstreamState::Draining);
+    const bool isServerLeaving = m_upstream && (m_upstream->state == membership::UpstreamState::Draining || m_reported.isLeaving());
+    return m_draining || isServerLeaving;
 }
 
 std::optional<membership::Upstream> AdmissionController::upstream() const
--- a/packages/routing/src/ReportedState.cpp
+++ b/packages/routing/src/ReportedState.cpp
@@ -1,16 +1,15 @@
 #include "carobpath/routing/ReportedState.h"
 
 #include <tuple>
-#include <utility>
 
 namespace carobpath::routing {
 
-void ReportedState::setRun(std::optional<membership::BackendRun> run)
+void ReportedState::setRun(const membership::BackendRun& run)
 {
     if (m_run == run)
         return;
     *this = ReportedState {};
-    m_run = std::move(run);
+    m_run = run;
 }
 
 bool ReportedState::onReport(
--- a/packages/routing/tests/RateLimitedAdmissionTests.cpp
+++ b/packages/routing/tests/RateLimitedAdmissionTests.cpp
@@ -195,6 +195,24 @@
     BOOST_TEST(dispatchedSince(from) >= 40U);
 }
 
+BOOST_AUTO_TEST_CASE(A_server_that_was_silent_for_a_while_is_held_to_what_it_reported_before)
+{
+    report = { 0.25, false, false };
+    advance(5s, 20ms);
+    controller.setUpstream(std::nullopt, now);
+    now += 1s;
+    controller.setUpstream(makeUpstream(), now, run);
+    const auto from = now;
+    for (int i = 0; i < 6; ++i)
+        send(call(0));
+    BOOST_TEST(dispatchedSince(from) <= 1U);
+    report.isLeaving = true;
+    advance(8s, 20ms);
+    controller.setUpstream(std::nullopt, now);
+    controller.setUpstream(makeUpstream(), now, run);
+    BOOST_TEST(controller.draining());
+}
+
 BOOST_AUTO_TEST_CASE(A_node_that_has_just_started_goes_by_the_rate_that_entry_nodes_know)
 {
     report.callsPerSecond = 0.25;
