Process tests give their nodes ports that nobody else is given

Cause: freePort took a port of the range that the system gives to connections and to listeners without a port, and let it go again; until the node listened, a stand-in or a connection of another test could have it. Change: each test process counts through ports of its own below that range.

--- a/tests/process/harness/FleetSite.cpp
+++ b/tests/process/harness/FleetSite.cpp
@@ -10,17 +10,38 @@
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
+#include <unistd.h>
 
 namespace carobpath::harness {
 
 namespace {
 
-    /// \returns a port that was free a moment ago.
-    std::uint16_t freePort()
+    /// Ports below those that the system gives to connections and to listeners without a port of their own.
+    constexpr std::uint16_t firstPort = 10'000;
+    constexpr std::uint16_t lastPort = 32'000;
+
+    bool isFree(std::uint16_t port)
     {
         boost::asio::io_context io;
-        const boost::asio::ip::tcp::acceptor acceptor(io, { boost::asio::ip::make_address("127.0.0.1"), 0 });
-        return acceptor.local_endpoint().port();
+        boost::asio::ip::tcp::socket socket(io, boost::asio::ip::tcp::v4());
+        boost::system::error_code ec;
+        socket.bind({ boost::asio::ip::make_address("127.0.0.1"), port }, ec);
+        return !ec;
+    }
+
+    /// \returns a port that was free a moment ago. Each test process counts through ports of its own, so that neither another
+    /// test nor the system gives it away before it is listened on.
+    std::uint16_t freePort()
+    {
+        constexpr std::uint32_t portsOfProcess = 100;
+        constexpr std::uint32_t ports = lastPort - firstPort;
+        static std::uint32_t next = static_cast<std::uint32_t>(::getpid()) * portsOfProcess % ports;
+        while (true) {
+            const auto port = static_cast<std::uint16_t>(firstPort + next);
+            next = (next + 1) % ports;
+            if (isFree(port))
+                return port;
+        }
     }
 
     std::string freeAddress() { return "127.0.0.1:" + std::to_string(freePort()); }
--- a/tests/process/harness/Process.cpp
+++ b/tests/process/harness/Process.cpp
@@ -7,6 +7,7 @@
 #include <boost/process/io.hpp>
 #include <boost/process/pipe.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
@@ -31,6 +32,16 @@
         return bp::ipstream(std::move(pipe));
     }
 
+    /// \returns the newest events, for the message of a failure.
+    std::string lastLines(const std::vector<EventLine>& events)
+    {
+        constexpr std::size_t shown = 6;
+        std::string text = "; its last events:";
+        for (auto it = events.end() - static_cast<std::ptrdiff_t>(std::min(shown, events.size())); it != events.end(); ++it)
+            text += "\n" + it->dump();
+        return text;
+    }
+
     void dieWithParent()
     {
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -133,9 +144,9 @@
                 return event;
         }
         if (m_isOutputEnded)
-            throw std::runtime_error(m_program + " ended without the event " + name);
+            throw std::runtime_error(m_program + " ended without the event " + name + lastLines(m_events));
         if (m_changed.wait_until(lock, end) == std::cv_status::timeout)
-            throw std::runtime_error(m_program + " does not write the event " + name);
+            throw std::runtime_error(m_program + " does not write the event " + name + lastLines(m_events));
     }
 }
 
