Calls that wait for the named rate go before one that comes as it is free

A slot is given on when a call ends; the rate allows the next call at any time, and the queue was looked at every 20 ms only. A call of another class that came in between took the rate from a more urgent one that waited. Change: under a limit the queue is served before an arriving call is looked at. Result: routing A_download_that_comes_as_the_rate_allows_a_call_does_not_pass_a_more_urgent_call_that_waits failed before and passes.

--- a/packages/routing/src/AdmissionController.cpp
+++ b/packages/routing/src/AdmissionController.cpp
@@ -52,6 +52,9 @@
     if (request.knownCallsPerSecond && m_reported.onHint(*request.knownCallsPerSecond))
         m_rate.setRate(m_reported.callsPerSecond(), now);
     rejectExpired(commands, now);
+    // The rate allows the next call at any time: those that wait are served before this one is looked at.
+    if (m_rate.callsPerSecond())
+        dispatchWaiting(commands, now);
     // A server that is down receives only single probe calls, which were granted above, until one is answered.
     if (m_health.isDown())
         dispatch(request, commands, now);
--- a/packages/routing/tests/RateLimitedAdmissionTests.cpp
+++ b/packages/routing/tests/RateLimitedAdmissionTests.cpp
@@ -90,7 +90,6 @@
             return most;
         }
 
-    private:
         void endCalls()
         {
             while (m_ended < dispatched.size() && dispatched[m_ended].first + serviceTime <= now) {
@@ -102,6 +101,7 @@
             }
         }
 
+    private:
         std::map<RequestId, AdmissionRequest> m_arrived;
         std::size_t m_ended = 0;
     };
@@ -149,6 +149,25 @@
     BOOST_TEST(urgent >= 85U);
 }
 
+BOOST_AUTO_TEST_CASE(A_download_that_comes_as_the_rate_allows_a_call_does_not_pass_a_more_urgent_call_that_waits)
+{
+    report.callsPerSecond = 5;
+    advance(4s, 20ms);
+    now += 10s;
+    carryOut(controller.onTick(now));
+    while (controller.load(now).rate->wait.count() == 0)
+        send(call(0));
+    const auto waiting = call(0);
+    send(waiting);
+    now += serviceTime;
+    endCalls();
+    now += 160ms;
+    auto late = call(2);
+    late.trafficClass = publication::TrafficClass::Download;
+    send(late);
+    BOOST_TEST((dispatched.back().second.id == waiting.id));
+}
+
 BOOST_AUTO_TEST_CASE(A_limit_that_is_lifted_lets_the_queued_calls_go)
 {
     report.callsPerSecond = 2;
