A backend server's answer cannot pass for the rate that its node tells

Found in review: an answer's own Carobpath-Rate field was relayed to the entry node where the node itself had no rate to tell, which then chose by it. Change: the admitting node drops the field before it sets its own. Result: gateway A_rate_in_the_answer_of_a_backend_server_is_not_taken_for_that_of_its_node.

--- a/packages/gateway/src/internal/ForwardedHeader.cpp
+++ b/packages/gateway/src/internal/ForwardedHeader.cpp
@@ -276,6 +276,7 @@
 void setLoad(ResponseHeader& header, const routing::UpstreamLoad& load)
 {
     header.set(HeaderName::load, std::to_string(load.calls) + "/" + std::to_string(load.limit) + "/" + std::to_string(load.serviceTime.count()));
+    header.erase(HeaderName::rate);
     if (load.rate)
         header.set(HeaderName::rate, rateText(load.rate->callsPerSecond) + "/" + std::to_string(load.rate->wait.count()));
 }
--- a/packages/gateway/tests/BackendReportTests.cpp
+++ b/packages/gateway/tests/BackendReportTests.cpp
@@ -91,6 +91,13 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(A_rate_in_the_answer_of_a_backend_server_is_not_taken_for_that_of_its_node)
+{
+    header.set(HeaderName::rate, "0.5/5000");
+    setLoad(header, { 3, 6, std::chrono::microseconds { 2500 }, {} });
+    BOOST_TEST(!loadOf(header).value().rate);
+}
+
 BOOST_AUTO_TEST_CASE(A_rate_that_is_not_readable_leaves_the_rest_of_the_load)
 {
     setLoad(header, { 3, 6, std::chrono::microseconds { 2500 }, {} });
