Nodes tell failed reads, entries that they skip and configurations that they pass over

So a reader that is late could not be told from one whose record was held back. Result: carobpath-node-tests pass; A_failed_read_and_skipped_entries_are_reported is new.

--- a/packages/foundation/include/carobpath/foundation/EventNames.h
+++ b/packages/foundation/include/carobpath/foundation/EventNames.h
@@ -24,6 +24,7 @@
 
     inline constexpr EventName configurationInForce { "configuration-in-force" };
     inline constexpr EventName configurationRefused { "configuration-refused" };
+    inline constexpr EventName configurationPassedOver { "configuration-passed-over" };
     inline constexpr EventName recordRejected { "record-rejected" };
     inline constexpr EventName checkpointWritten { "checkpoint-written" };
 
@@ -31,6 +32,8 @@
     inline constexpr EventName logAvailable { "log-available" };
 
     inline constexpr EventName readAbandoned { "read-abandoned" };
+    inline constexpr EventName readFailed { "read-failed" };
+    inline constexpr EventName entriesSkipped { "entries-skipped" };
     inline constexpr EventName storeReturned { "store-returned" };
     inline constexpr EventName directoryFailed { "directory-failed" };
 
--- a/packages/node/src/internal/FleetDriver.cpp
+++ b/packages/node/src/internal/FleetDriver.cpp
@@ -136,6 +136,17 @@
         if (read.knownEnd > read.from)
             m_hooks.onStreamAhead({ name, read.knownEnd });
     };
+    hooks.onReadFailed = [this, name = std::string { stream }](const FailedRead& read) {
+        m_context.events.record(Event(event::readFailed)
+                                    .with("stream", name)
+                                    .with("kind", publication::toString(read.kind))
+                                    .with("error", publication::toString(read.failure.error))
+                                    .with("status", read.failure.status)
+                                    .with("openMs", read.open));
+    };
+    hooks.onSkipped = [this, name = std::string { stream }](std::size_t count) {
+        m_context.events.record(Event(event::entriesSkipped).with("stream", name).with("count", count));
+    };
     return hooks;
 }
 
--- a/packages/node/src/internal/KeyedReader.h
+++ b/packages/node/src/internal/KeyedReader.h
@@ -29,11 +29,22 @@
     std::chrono::milliseconds open {};
 };
 
-/// What a reader reports of its position in a stream.
+/// A read that the store did not answer, or refused.
+struct FailedRead {
+    publication::ReadKind kind = publication::ReadKind::LongPoll;
+    publication::LogFailure failure;
+    /// Time since the read was sent.
+    std::chrono::milliseconds open {};
+};
+
+/// What a reader reports of its reads of a stream.
 struct StreamHooks {
     /// The stream was read up to this end.
     std::function<void(publication::StreamPosition end)> onPosition;
     std::function<void(const AbandonedRead&)> onReadAbandoned;
+    std::function<void(const FailedRead&)> onReadFailed;
+    /// An answer held entries that could not be read.
+    std::function<void(std::size_t count)> onSkipped;
 };
 
 /// What a reader of a keyed stream reports. All are called on the context's thread.
@@ -129,7 +140,8 @@
         };
         m_sentAt = MonotonicClock::now();
         const bool isImmediate = m_follower.needsListing() || m_follower.isReadingOmitted();
-        m_watchdog.onReadSent(isImmediate ? publication::ReadKind::Immediate : publication::ReadKind::LongPoll, m_follower.position(), m_sentAt);
+        m_sentKind = isImmediate ? publication::ReadKind::Immediate : publication::ReadKind::LongPoll;
+        m_watchdog.onReadSent(m_sentKind, m_follower.position(), m_sentAt);
         if (m_follower.needsListing())
             m_store.listNewest(m_stream, std::move(handler));
         else
@@ -139,12 +151,17 @@
     void readAgain()
     {
         m_retry.cancel();
-        const auto open = std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicClock::now() - m_sentAt);
-        m_hooks.stream.onReadAbandoned({ m_follower.position(), m_watchdog.knownEnd(), open });
+        m_hooks.stream.onReadAbandoned({ m_follower.position(), m_watchdog.knownEnd(), openTime() });
         m_follower.onInterrupted();
         read();
     }
 
+    /// \returns the time since the last read was sent.
+    std::chrono::milliseconds openTime() const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicClock::now() - m_sentAt);
+    }
+
     void checkEnd()
     {
         m_store.checkEnd(m_stream, m_follower.nextRead(), [self = this->shared_from_this()](const publication::EndResult& result) {
@@ -171,8 +188,8 @@
     void onResult(publication::KeyedResult result)
     {
         reportAvailable(result);
-        if (std::holds_alternative<publication::LogFailure>(result)) {
-            onFailure();
+        if (const auto* failure = std::get_if<publication::LogFailure>(&result)) {
+            onFailure(*failure);
             return;
         }
         m_backoff.reset();
@@ -212,6 +229,8 @@
 
     void report(const publication::KeyedBatch& batch)
     {
+        if (batch.skipped > 0)
+            m_hooks.stream.onSkipped(batch.skipped);
         for (const auto& news : m_follower.onBatch(batch)) {
             const bool isUsed = std::any_of(news.begin(), news.end(), [this](const publication::KeyedRecord& it) { return m_hooks.onRecord(it); });
             if (!isUsed)
@@ -221,8 +240,9 @@
         m_hooks.onEnd();
     }
 
-    void onFailure()
+    void onFailure(const publication::LogFailure& failure)
     {
+        m_hooks.stream.onReadFailed({ m_sentKind, failure, openTime() });
         m_watchdog.onReadFailed();
         // A read that timed out where nothing was due may have met a connection that fell silent.
         m_follower.onInterrupted();
@@ -241,6 +261,7 @@
     boost::asio::steady_timer m_retry;
     Backoff m_backoff { s_retryBase, s_retryCap };
     MonotonicTime m_sentAt;
+    publication::ReadKind m_sentKind = publication::ReadKind::Immediate;
     std::optional<MonotonicTime> m_answeredAt;
     bool m_available = true;
     bool m_stopped = false;
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -166,7 +166,7 @@
 FleetHooks NodeAssembly::fleetHooks()
 {
     FleetHooks hooks;
-    hooks.onConfiguration = [this](const publication::ConfigurationPointer& it) { m_peers->publishConfiguration(it); };
+    hooks.onConfiguration = [this](const publication::ConfigurationPointer& it) { onConfigurationRead(it); };
     hooks.onStoreRead = [this] {
         m_peers->reportLogEnd();
         setOrdersKnown();
@@ -347,6 +347,16 @@
                         .with("failureDomain", m_settings.failureDomain));
 }
 
+void NodeAssembly::onConfigurationRead(const publication::ConfigurationPointer& configuration)
+{
+    if (m_configuration && configuration->stamp.offset < m_configuration->stamp.offset) {
+        m_events.record(Event(event::configurationPassedOver)
+                            .with("offset", configuration->stamp.offset)
+                            .with("held", m_configuration->stamp.offset));
+    }
+    m_peers->publishConfiguration(configuration);
+}
+
 void NodeAssembly::onConfiguration(const publication::ConfigurationPointer& configuration)
 {
     m_configuration = configuration;
--- a/packages/node/src/internal/NodeAssembly.h
+++ b/packages/node/src/internal/NodeAssembly.h
@@ -66,6 +66,8 @@
     AdminSources adminSources();
     void recordStarted();
 
+    /// A configuration was read from the store; it comes into force if none as new is held.
+    void onConfigurationRead(const publication::ConfigurationPointer&);
     void onConfiguration(const publication::ConfigurationPointer&);
     void onView(const std::shared_ptr<const membership::MembershipView>&);
     void onReady(bool exchangeReady);
--- a/packages/node/tests/KeyedReaderTests.cpp
+++ b/packages/node/tests/KeyedReaderTests.cpp
@@ -48,6 +48,8 @@
         std::vector<std::string> delivered;
         std::vector<StreamPosition> abandonedFor;
         std::vector<bool> availability;
+        std::vector<LogError> failed;
+        std::size_t skipped = 0;
         std::shared_ptr<KeyedReader<HeldStore>> reader;
 
         WaitingReader()
@@ -69,6 +71,8 @@
             it.onEnd = [] {};
             it.onAvailable = [this](bool available, const LogFailure&) { availability.push_back(available); };
             it.stream.onPosition = [](StreamPosition) {};
+            it.stream.onReadFailed = [this](const FailedRead& read) { failed.push_back(read.failure.error); };
+            it.stream.onSkipped = [this](std::size_t count) { skipped += count; };
             it.stream.onReadAbandoned = [this](const AbandonedRead& read) { abandonedFor.push_back(read.knownEnd); };
             return it;
         }
@@ -129,6 +133,16 @@
     BOOST_TEST(store.listings.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(A_failed_read_and_skipped_entries_are_reported)
+{
+    store.reads.back()(LogFailure { LogError::TimedOut, 0 });
+    BOOST_TEST((failed == std::vector<LogError> { LogError::TimedOut }));
+    io.run_for(1s);
+    BOOST_REQUIRE(store.listings.size() == 2U);
+    store.listings.back()(publication::KeyedBatch { 1, {}, store.era, 3 });
+    BOOST_TEST(skipped == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(A_listing_that_takes_longer_than_a_read_is_not_given_up)
 {
     store.append("second");
--- a/packages/publication/include/carobpath/publication/KeyedStore.h
+++ b/packages/publication/include/carobpath/publication/KeyedStore.h
@@ -6,6 +6,7 @@
 #include "carobpath/publication/LogService.h"
 
 #include <concepts>
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -33,6 +34,8 @@
     std::vector<KeyedRecord> records;
     /// Era of the store when it answered.
     StoreEra era {};
+    /// Entries of the answer that could not be read, and are not among the records.
+    std::size_t skipped = 0;
 
     StreamPosition end() const { return { era, next }; }
 
--- a/packages/publication/include/carobpath/publication/ReadWatchdog.h
+++ b/packages/publication/include/carobpath/publication/ReadWatchdog.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <random>
+#include <string_view>
 
 namespace carobpath::publication {
 
@@ -27,6 +28,9 @@
     Immediate,
 };
 
+/// \returns the stable text for logs, such as "long-poll".
+std::string_view toString(ReadKind);
+
 /// When a node checks a stream. Nodes that share the checks get the same interval and different delays, so that they take
 /// turns: the last record reached all of them at about the same time.
 struct CheckSchedule {
--- a/packages/publication/src/ReadWatchdog.cpp
+++ b/packages/publication/src/ReadWatchdog.cpp
@@ -5,6 +5,11 @@
 
 namespace carobpath::publication {
 
+std::string_view toString(ReadKind kind)
+{
+    return kind == ReadKind::LongPoll ? "long-poll" : "immediate";
+}
+
 void ReadWatchdog::setCheckSchedule(const std::optional<CheckSchedule>& schedule, MonotonicTime now)
 {
     if (schedule == m_checkSchedule)
