A read that brings bytes is not given up and begun again

Cause: the timeout of a call to the store bounded its whole answer, and a long poll was abandoned 200 ms after its records were known to exist, also while they arrived. A configuration of 1,240 routes over a busy link of 10 Mbit/s takes longer; each time the node began again with a listing, which is larger than the read that it gave up. Evidence: the node's log: read-abandoned after 0.5 s, timed-out 2.4 s later, read-abandoned again, in force 2.2 s after that. A read whose answer has begun is not abandoned, since the store did not drop it.

--- a/packages/node/src/internal/KeyedReader.h
+++ b/packages/node/src/internal/KeyedReader.h
@@ -142,10 +142,16 @@
         const bool isImmediate = m_follower.needsListing() || m_follower.isReadingOmitted();
         m_sentKind = isImmediate ? publication::ReadKind::Immediate : publication::ReadKind::LongPoll;
         m_watchdog.onReadSent(m_sentKind, m_follower.position(), m_sentAt);
-        if (m_follower.needsListing())
+        if (m_follower.needsListing()) {
             m_store.listNewest(m_stream, std::move(handler));
-        else
-            m_store.readKeyed(m_stream, m_follower.nextRead(), isImmediate ? std::chrono::milliseconds { 0 } : m_wait, std::move(handler));
+            return;
+        }
+        auto onBegun = [self = this->shared_from_this(), number = m_readNumber] {
+            if (number == self->m_readNumber)
+                self->m_watchdog.onAnswerBegun();
+        };
+        const auto wait = isImmediate ? std::chrono::milliseconds { 0 } : m_wait;
+        m_store.readKeyed(m_stream, m_follower.nextRead(), wait, std::move(handler), std::move(onBegun));
     }
 
     void readAgain()
--- a/packages/publication/include/carobpath/publication/HttpExchange.h
+++ b/packages/publication/include/carobpath/publication/HttpExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carobpath/foundation/Endpoint.h"
+#include "carobpath/foundation/Time.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -24,10 +25,17 @@
     std::string target;
     std::string body;
     std::chrono::milliseconds connectTimeout {};
+    /// Time from the request to the end of the answer's header.
     std::chrono::milliseconds answerTimeout {};
+    /// Longest pause between two pieces of the answer's body.
+    std::chrono::milliseconds silenceTimeout {};
+    /// Time for the whole body, so that one that never ends is given up.
+    std::chrono::milliseconds bodyTimeout {};
     std::size_t answerBytes = 0;
     /// Header field of the answer that is returned in \c HttpAnswer::field; may be empty.
     std::string answerField;
+    /// Called when the header of the answer has arrived; may be empty.
+    std::function<void()> onAnswerBegun;
 };
 
 struct HttpAnswer {
@@ -65,7 +73,9 @@
 
 private:
     void send();
-    void receive();
+    void receiveHeader();
+    void receiveBody();
+    void onReceiveFailed(boost::beast::error_code);
     void onAnswer();
     void finish(HttpResult);
 
@@ -76,6 +86,7 @@
     boost::beast::http::request<boost::beast::http::string_body> m_request;
     boost::beast::flat_buffer m_buffer;
     boost::beast::http::response_parser<boost::beast::http::string_body> m_parser;
+    MonotonicTime m_bodyDeadline;
 };
 
 }
--- a/packages/publication/include/carobpath/publication/KeyedStore.h
+++ b/packages/publication/include/carobpath/publication/KeyedStore.h
@@ -44,6 +44,8 @@
 
 using KeyedResult = std::variant<KeyedBatch, Trimmed, LogFailure>;
 using KeyedHandler = std::function<void(KeyedResult)>;
+/// Called when the answer to a read begins to arrive; may be empty.
+using AnswerBegunHandler = std::function<void()>;
 
 /// The end of a stream: the position that its next record will have.
 using EndResult = std::variant<StreamPosition, LogFailure>;
@@ -57,7 +59,7 @@
         store.listNewest(stream, KeyedHandler {})
         } -> std::same_as<void>;
     {
-        store.readKeyed(stream, from, wait, KeyedHandler {})
+        store.readKeyed(stream, from, wait, KeyedHandler {}, AnswerBegunHandler {})
         } -> std::same_as<void>;
     {
         store.checkEnd(stream, from, EndHandler {})
--- a/packages/publication/include/carobpath/publication/ReadWatchdog.h
+++ b/packages/publication/include/carobpath/publication/ReadWatchdog.h
@@ -62,6 +62,8 @@
     void setCheckSchedule(const std::optional<CheckSchedule>&, MonotonicTime now);
 
     void onReadSent(ReadKind, StreamPosition from, MonotonicTime now);
+    /// Reports that the answer to the pending read begins to arrive: however long it takes, the read was not dropped.
+    void onAnswerBegun();
     void onReadAnswered();
     void onReadFailed();
     /// Reports that a read delivered new records.
--- a/packages/publication/src/HttpExchange.cpp
+++ b/packages/publication/src/HttpExchange.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace carobpath::publication::Detail {
@@ -66,24 +67,44 @@
     m_stream->expires_after(m_parameters.answerTimeout);
     http::async_write(*m_stream, m_request, [self = shared_from_this()](beast::error_code error, std::size_t sent) {
         if (!error)
-            return self->receive();
+            return self->receiveHeader();
         if (sent == 0)
             return self->finish(HttpFailure::NotSent);
         self->finish(error == beast::error::timeout ? HttpFailure::TimedOut : HttpFailure::NoAnswer);
     });
 }
 
-void HttpExchange::receive()
+void HttpExchange::receiveHeader()
 {
-    http::async_read(*m_stream, m_buffer, m_parser, [self = shared_from_this()](beast::error_code error, std::size_t) {
-        if (!error)
-            return self->onAnswer();
-        if (error == http::error::body_limit)
-            return self->finish(HttpFailure::AnswerTooLarge);
-        self->finish(error == beast::error::timeout ? HttpFailure::TimedOut : HttpFailure::NoAnswer);
+    http::async_read_header(*m_stream, m_buffer, m_parser, [self = shared_from_this()](beast::error_code error, std::size_t) {
+        if (error)
+            return self->onReceiveFailed(error);
+        self->m_bodyDeadline = MonotonicClock::now() + self->m_parameters.bodyTimeout;
+        if (self->m_parameters.onAnswerBegun)
+            self->m_parameters.onAnswerBegun();
+        self->receiveBody();
     });
 }
 
+void HttpExchange::receiveBody()
+{
+    if (m_parser.is_done())
+        return onAnswer();
+    m_stream->expires_at(std::min(MonotonicClock::now() + m_parameters.silenceTimeout, m_bodyDeadline));
+    http::async_read_some(*m_stream, m_buffer, m_parser, [self = shared_from_this()](beast::error_code error, std::size_t) {
+        if (error)
+            return self->onReceiveFailed(error);
+        self->receiveBody();
+    });
+}
+
+void HttpExchange::onReceiveFailed(beast::error_code error)
+{
+    if (error == http::error::body_limit)
+        return finish(HttpFailure::AnswerTooLarge);
+    finish(error == beast::error::timeout ? HttpFailure::TimedOut : HttpFailure::NoAnswer);
+}
+
 void HttpExchange::onAnswer()
 {
     HttpAnswer answer;
--- a/packages/publication/src/ReadWatchdog.cpp
+++ b/packages/publication/src/ReadWatchdog.cpp
@@ -25,6 +25,12 @@
     m_isReadSuspect = false;
 }
 
+void ReadWatchdog::onAnswerBegun()
+{
+    if (m_read)
+        m_read->kind = ReadKind::Immediate;
+}
+
 void ReadWatchdog::onReadAnswered() { m_read.reset(); }
 
 void ReadWatchdog::onReadFailed()
