--- a/packages/node/src/internal/DirectoryDriver.cpp
+++ b/packages/node/src/internal/DirectoryDriver.cpp
@@ -113,7 +113,7 @@
         // Another address under this node's name is that of a later run, unless it comes from a copy.
         const bool isCurrent = isSelf || !m_isEntrySuspect;
         isSelfListed = isSelfListed || (isCurrent && record.key == m_context.settings.name.value());
-        if (endpoint && !isSelf)
+        if (endpoint && endpoint->port != 0 && !isSelf)
             peers.push_back(*endpoint);
     }
     m_isEntrySuspect = m_isEntrySuspect && !isSelfListed;
