A retry does not take a second copy of its own earlier refusal for its answer

What callers would see: a backend server that writes an earlier refusal once more on a kept connection. A retry of the same request on that connection bears the same id, so the copy passed for its answer: the caller was told that the request had not run, while the server ran it, or it was run again elsewhere. Cause: an answer is matched by its request id, and a node offers a refused request to the same backend server again under the same id. Change: a connection remembers the requests that were answered with an error on it and is not taken for them again; one that has carried 32 of them is closed. Why this works: no connection carries an id on which an earlier answer to it could still be written. Result: An_earlier_refusal_written_once_more_is_not_taken_for_the_answer_to_a_retry failed before (503 in place of 200, one connection).

--- a/packages/gateway/src/internal/ConnectionPool.cpp
+++ b/packages/gateway/src/internal/ConnectionPool.cpp
@@ -6,6 +6,15 @@
 
 namespace carobpath::gateway::Detail {
 
+namespace {
+
+    bool hasRefused(const Connection& connection, const RequestId& request)
+    {
+        return std::find(connection.refused.begin(), connection.refused.end(), request) != connection.refused.end();
+    }
+
+}
+
 ConnectionPool::ConnectionPool(boost::asio::io_context& context, const GatewayLimits& limits)
     : m_context(context)
     , m_limits(limits)
@@ -22,15 +31,17 @@
     return std::min(m_limits.pooledIdle, connection.idleLimit.value_or(m_limits.pooledIdle));
 }
 
-ConnectionPointer ConnectionPool::take(const Endpoint& endpoint, MonotonicTime now)
+ConnectionPointer ConnectionPool::take(const Endpoint& endpoint, const RequestId& request, MonotonicTime now)
 {
     const auto it = m_idle.find(endpoint);
     if (it == m_idle.end())
         return nullptr;
     auto& connections = it->second.connections;
-    while (!connections.empty()) {
-        auto connection = std::move(connections.back());
-        connections.pop_back();
+    for (std::size_t i = connections.size(); i-- > 0;) {
+        if (hasRefused(*connections[i], request))
+            continue;
+        auto connection = std::move(connections[i]);
+        connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(i));
         const bool expired = now - connection->usedAt > idleLimit(*connection);
         if (!expired && isOpenAndQuiet(connection->stream.socket()))
             return connection;
@@ -43,7 +54,8 @@
 {
     auto& idle = m_idle[endpoint];
     const bool suspect = connection->madeAt <= idle.suspectUpTo;
-    if (suspect || idle.connections.size() >= m_limits.pooledConnections || connection->buffer.size() != 0) {
+    const bool isForgetful = connection->refused.size() >= Connection::s_mostRefused;
+    if (suspect || isForgetful || idle.connections.size() >= m_limits.pooledConnections || connection->buffer.size() != 0) {
         connection->stream.close();
         return;
     }
--- a/packages/gateway/src/internal/ConnectionPool.h
+++ b/packages/gateway/src/internal/ConnectionPool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carobpath/foundation/Endpoint.h"
+#include "carobpath/foundation/Identifier.h"
 #include "carobpath/foundation/Time.h"
 #include "carobpath/gateway/GatewayLimits.h"
 
@@ -23,6 +24,9 @@
     {
     }
 
+    /// Refusals that are remembered; a connection that has carried more is closed.
+    static constexpr std::size_t s_mostRefused = 32;
+
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     MonotonicTime madeAt;
@@ -31,6 +35,8 @@
     std::optional<std::chrono::milliseconds> idleLimit;
     /// True once an exchange was completed on it.
     bool reused = false;
+    /// Requests that were answered with an error on it. A second copy of that answer could pass for the answer to a retry.
+    std::vector<RequestId> refused;
 };
 
 using ConnectionPointer = std::shared_ptr<Connection>;
@@ -40,8 +46,9 @@
 public:
     ConnectionPool(boost::asio::io_context&, const GatewayLimits&);
 
-    /// \returns an open connection whose other end has not closed it; null if there is none.
-    ConnectionPointer take(const Endpoint&, MonotonicTime now);
+    /// \returns an open connection whose other end has not closed it and which has not carried a refusal of the request; null
+    /// if there is none.
+    ConnectionPointer take(const Endpoint&, const RequestId&, MonotonicTime now);
 
     /// Keeps a connection after a complete, matched exchange.
     void give(const Endpoint&, ConnectionPointer, MonotonicTime now);
--- a/packages/gateway/src/internal/UpstreamExchange.cpp
+++ b/packages/gateway/src/internal/UpstreamExchange.cpp
@@ -21,6 +21,8 @@
         return header.result_int() >= 100 && header.result_int() < 200;
     }
 
+    constexpr unsigned firstErrorStatus = 400;
+
     /// Part of the other end's idle time after which a connection is not used again, so that it is not closed meanwhile.
     constexpr double usableIdlePart = 0.8;
 
@@ -56,7 +58,7 @@
     m_request = std::move(request);
     m_onHeader = std::move(onHeader);
     if (!m_target.fresh)
-        m_connection = m_pool.take(m_target.endpoint, MonotonicClock::now());
+        m_connection = m_pool.take(m_target.endpoint, m_target.requestId, MonotonicClock::now());
     if (m_connection)
         write();
     else
@@ -281,6 +283,8 @@
     if (m_parser->keep_alive() && !m_cancelled && !m_skippedStale) {
         m_connection->stream.expires_never();
         m_connection->idleLimit = idleLimitOf(header());
+        if (header().result_int() >= firstErrorStatus)
+            m_connection->refused.push_back(m_target.requestId);
         m_pool.give(m_target.endpoint, m_connection, MonotonicClock::now());
     } else {
         m_connection->stream.close();
--- a/packages/gateway/tests/ScriptedServer.h
+++ b/packages/gateway/tests/ScriptedServer.h
@@ -41,6 +41,9 @@
         m_delay = delay;
     }
 
+    /// Connections that are accepted from now on get this answer.
+    void answerNewConnectionsWith(std::string answer) { m_answer = std::move(answer); }
+
     const Endpoint& endpoint() const { return m_endpoint; }
     int accepted() const { return static_cast<int>(m_sockets.size()); }
     int requests() const { return m_requests; }
@@ -48,11 +51,13 @@
 
 private:
     struct Peer {
-        explicit Peer(boost::asio::ip::tcp::socket&& accepted)
+        Peer(boost::asio::ip::tcp::socket&& accepted, std::string scripted)
             : socket(std::move(accepted))
+            , answer(std::move(scripted))
         {
         }
         boost::asio::ip::tcp::socket socket;
+        std::string answer;
         std::array<char, 4096> piece {};
         std::string read;
     };
@@ -62,7 +67,7 @@
         m_acceptor.async_accept([this](boost::system::error_code ec, boost::asio::ip::tcp::socket socket) {
             if (ec)
                 return;
-            m_sockets.push_back(std::make_shared<Peer>(std::move(socket)));
+            m_sockets.push_back(std::make_shared<Peer>(std::move(socket), m_answer));
             read(m_sockets.back());
             accept();
         });
@@ -87,7 +92,7 @@
     void answer(const std::shared_ptr<Peer>& peer)
     {
         boost::system::error_code ec;
-        boost::asio::write(peer->socket, boost::asio::buffer(m_answer), ec);
+        boost::asio::write(peer->socket, boost::asio::buffer(peer->answer), ec);
         if (!m_rest.empty())
             writeRest(peer);
         if (m_end == ScriptEnd::Close)
--- a/packages/gateway/tests/UpstreamExchangeTests.cpp
+++ b/packages/gateway/tests/UpstreamExchangeTests.cpp
@@ -98,6 +98,8 @@
         ScriptedServer m_server;
     };
 
+    const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nCarobpath-Request-Id: r-1\r\nContent-Length: 4\r\n\r\nfull";
+    const std::string refusalOfAny = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull";
     const std::string wholeAnswer = "HTTP/1.1 200 OK\r\nCarobpath-Request-Id: r-1\r\nContent-Length: 5\r\n\r\nwhole";
 
     struct FaultRow {
@@ -205,6 +207,33 @@
     BOOST_TEST(bench.pool().idleConnections() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(An_earlier_refusal_written_once_more_is_not_taken_for_the_answer_to_a_retry)
+{
+    Bench bench { refusal, ScriptEnd::StaySilent };
+    BOOST_TEST(bench.exchange().status == 503U);
+    bench.server().answerNewConnectionsWith(wholeAnswer);
+    const auto retry = bench.exchange();
+    BOOST_TEST(retry.status == 200U);
+    BOOST_TEST(retry.body == "whole");
+    BOOST_TEST(bench.server().accepted() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(A_connection_that_carried_a_refusal_is_used_again_for_other_requests)
+{
+    Bench bench { refusalOfAny, ScriptEnd::StaySilent };
+    for (const auto* id : { "r-1", "r-2", "r-3" })
+        BOOST_TEST(bench.exchange(5s, 5s, RequestId { id }).status == 503U);
+    BOOST_TEST(bench.server().accepted() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(A_connection_with_more_refusals_than_are_remembered_is_closed)
+{
+    Bench bench { refusalOfAny, ScriptEnd::StaySilent };
+    for (std::size_t i = 0; i <= Connection::s_mostRefused; ++i)
+        bench.exchange(5s, 5s, RequestId { "r-" + std::to_string(i) });
+    BOOST_TEST(bench.server().accepted() == 2);
+}
+
 BOOST_AUTO_TEST_CASE(Silence_ends_an_exchange_before_its_deadline_but_not_at_a_node_that_is_stopping)
 {
     Bench running { "", ScriptEnd::StaySilent };
@@ -265,7 +294,7 @@
     pool.give(server.endpoint(), inUse, now);
 
     BOOST_TEST(pool.idleConnections() == 1U);
-    BOOST_TEST((pool.take(server.endpoint(), now)->madeAt == now));
+    BOOST_TEST((pool.take(server.endpoint(), RequestId { "r-1" }, now)->madeAt == now));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
