Test: an answer whose head is cut off anywhere is a failure, never a whole answer

It does not happen here: the head is read to its end before anything is relayed. Result: every prefix of a head, on a new and on a kept connection and behind an interim answer, ends as a lost connection.

--- a/packages/gateway/tests/ScriptedServer.h
+++ b/packages/gateway/tests/ScriptedServer.h
@@ -44,6 +44,14 @@
     /// Connections that are accepted from now on get this answer.
     void answerNewConnectionsWith(std::string answer) { m_answer = std::move(answer); }
 
+    /// Every connection closes after these bytes of its next answer.
+    void cutNextAnswer(const std::string& bytes)
+    {
+        m_end = ScriptEnd::Close;
+        for (const auto& it : m_sockets)
+            it->answer = bytes;
+    }
+
     const Endpoint& endpoint() const { return m_endpoint; }
     int accepted() const { return static_cast<int>(m_sockets.size()); }
     int requests() const { return m_requests; }
--- a/packages/gateway/tests/UpstreamExchangeTests.cpp
+++ b/packages/gateway/tests/UpstreamExchangeTests.cpp
@@ -234,6 +234,30 @@
     BOOST_TEST(bench.server().accepted() == 2);
 }
 
+BOOST_AUTO_TEST_CASE(An_answer_whose_head_is_cut_off_anywhere_is_a_failure)
+{
+    const auto head = wholeAnswer.substr(0, wholeAnswer.find("\r\n\r\n") + 3);
+    for (const std::string& before : { std::string {}, std::string { "HTTP/1.1 102 Processing\r\n\r\n" } }) {
+        for (std::size_t n = 0; n <= head.size(); ++n) {
+            Bench bench { before + head.substr(0, n), ScriptEnd::Close };
+            const auto seen = bench.exchange();
+            BOOST_TEST((seen.headerFailure == ExchangeFailure::ConnectionLost), before << n << " bytes");
+            BOOST_TEST(bench.pool().idleConnections() == 0U);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(An_answer_on_a_kept_connection_whose_head_is_cut_off_anywhere_is_a_failure)
+{
+    const auto head = wholeAnswer.substr(0, wholeAnswer.find("\r\n\r\n") + 3);
+    for (std::size_t n = 1; n <= head.size(); ++n) {
+        Bench bench { wholeAnswer, ScriptEnd::StaySilent };
+        BOOST_TEST(bench.exchange().body == "whole");
+        bench.server().cutNextAnswer(head.substr(0, n));
+        BOOST_TEST((bench.exchange().headerFailure == ExchangeFailure::ConnectionLost), n << " bytes");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(Silence_ends_an_exchange_before_its_deadline_but_not_at_a_node_that_is_stopping)
 {
     Bench running { "", ScriptEnd::StaySilent };
