A listing that timed out is repeated at once while records are due

What callers would see: a change in force up to 1.5 s later than need be, where the listing that was to bring it met a store that had just fallen silent: 2 s of the timeout and the pause after it pass the 2 s in which a change must be in force. Cause: a read was repeated once for each known end; after it, only the pause between retries, of up to 1.5 s, led to the next one. Change: a repeated read that timed out does not count for its end. One that the store refused does, as before. Why this works: a timeout has lasted 2 s already, so that repeating it at once does not flood the store. Result: A_listing_that_timed_out_is_repeated_at_once_while_records_are_due failed before. Its neighbour holds the refused case.

--- a/packages/node/src/internal/KeyedReader.h
+++ b/packages/node/src/internal/KeyedReader.h
@@ -249,7 +249,7 @@
     void onFailure(const publication::LogFailure& failure)
     {
         m_hooks.stream.onReadFailed({ m_sentKind, failure, openTime() });
-        m_watchdog.onReadFailed();
+        m_watchdog.onReadFailed(failure.error == publication::LogError::TimedOut);
         // A read that timed out where nothing was due may have met a connection that fell silent.
         m_follower.onInterrupted();
         readAfter(m_backoff.next(m_random));
--- a/packages/node/tests/KeyedReaderTests.cpp
+++ b/packages/node/tests/KeyedReaderTests.cpp
@@ -122,6 +122,31 @@
     BOOST_TEST(store.listings.size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(A_listing_that_timed_out_is_repeated_at_once_while_records_are_due)
+{
+    store.append("second");
+    reader->onEndKnown(store.end());
+    tickAfter(publication::ReadWatchdog::s_deliveryTimeout);
+    BOOST_REQUIRE(store.listings.size() == 2U);
+    store.listings.back()(LogFailure { LogError::TimedOut, 0 });
+    tickAfter(2 * publication::ReadWatchdog::s_deliveryTimeout);
+    BOOST_REQUIRE(store.listings.size() == 3U);
+    store.answerListing();
+    BOOST_TEST((delivered == std::vector<std::string> { "first", "second" }));
+}
+
+BOOST_AUTO_TEST_CASE(A_listing_that_the_store_refused_is_not_repeated_on_each_tick)
+{
+    store.append("second");
+    reader->onEndKnown(store.end());
+    tickAfter(publication::ReadWatchdog::s_deliveryTimeout);
+    BOOST_REQUIRE(store.listings.size() == 2U);
+    store.listings.back()(LogFailure { LogError::Unavailable, 503 });
+    for (int i = 2; i < 10; ++i)
+        tickAfter(i * publication::ReadWatchdog::s_deliveryTimeout);
+    BOOST_TEST(store.listings.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(A_late_answer_to_an_abandoned_read_is_ignored)
 {
     store.append("second");
--- a/packages/publication/include/carobpath/publication/ReadWatchdog.h
+++ b/packages/publication/include/carobpath/publication/ReadWatchdog.h
@@ -65,7 +65,9 @@
     /// Reports that the answer to the pending read begins to arrive: however long it takes, the read was not dropped.
     void onAnswerBegun();
     void onReadAnswered();
-    void onReadFailed();
+    /// \param timedOut whether the store did not answer in time; the read is then repeated without a further pause while
+    /// records are due.
+    void onReadFailed(bool timedOut);
     /// Reports that a read delivered new records.
     void onRecordsRead(MonotonicTime now);
 
@@ -101,8 +103,8 @@
     bool m_isReadSuspect = false;
     StreamPosition m_knownEnd;
     MonotonicTime m_knownEndAt;
-    /// The known end for which a read was repeated. It is not repeated for the same end again: the store may have lost
-    /// records, and a node that it refuses would call it on each tick.
+    /// The known end for which a read was repeated. It is not repeated for the same end again, but where the repeated read
+    /// timed out: the store may have lost records, and a node that it refuses would call it on each tick.
     StreamPosition m_repeatedFor;
 
     std::optional<CheckSchedule> m_checkSchedule;
--- a/packages/publication/src/ReadWatchdog.cpp
+++ b/packages/publication/src/ReadWatchdog.cpp
@@ -33,10 +33,12 @@
 
 void ReadWatchdog::onReadAnswered() { m_read.reset(); }
 
-void ReadWatchdog::onReadFailed()
+void ReadWatchdog::onReadFailed(bool timedOut)
 {
     if (m_read)
         m_read->hasFailed = true;
+    if (timedOut)
+        m_repeatedFor = {};
 }
 
 void ReadWatchdog::onRecordsRead(MonotonicTime now)
--- a/packages/publication/tests/ReadWatchdogTests.cpp
+++ b/packages/publication/tests/ReadWatchdogTests.cpp
@@ -158,7 +158,7 @@
 {
     WatchedRead it;
     it.send({ {}, 7 });
-    it.watchdog.onReadFailed();
+    it.watchdog.onReadFailed(false);
     it.run(1s);
     BOOST_TEST(it.repeats == 0U);
     it.watchdog.onEndKnown({ {}, 8 }, it.now);
