--- a/packages/publication/tests/KeyedFollowerTests.cpp
+++ b/packages/publication/tests/KeyedFollowerTests.cpp
@@ -198,6 +198,31 @@
     BOOST_TEST(follower.nextRead() == 7);
 }
 
+BOOST_AUTO_TEST_CASE(Two_keys_whose_newest_records_are_refused_keep_the_records_before_them)
+{
+    auto follower = caughtUp();
+    follower.onBatch({ 2, { record(0, "a", "1"), record(1, "a", "2") } });
+    for (const auto& it : follower.onBatch({ 8, { record(5, "a", "wrong"), record(7, "b", "wrong") } }))
+        follower.onRefused(it);
+    BOOST_TEST(!follower.needsListing());
+    BOOST_TEST(follower.nextRead() == 2);
+    const auto updates = follower.onBatch({ 8, { record(3, "a", "3"), record(4, "b", "1"), record(5, "a", "wrong"), record(6, "a", "wrong"), record(7, "b", "wrong") } });
+    BOOST_REQUIRE_EQUAL(updates.size(), 2);
+    for (const auto& it : updates)
+        BOOST_TEST(it.back().value.value() != "wrong");
+}
+
+BOOST_AUTO_TEST_CASE(A_refused_record_between_two_good_ones_hides_neither)
+{
+    auto follower = caughtUp();
+    const auto updates = follower.onBatch({ 3, { record(0, "a", "1"), record(1, "a", "wrong"), record(2, "a", "3") } });
+    BOOST_REQUIRE_EQUAL(updates.size(), 1);
+    BOOST_TEST((offsetsOf(updates.front()) == std::vector<Offset> { 2, 1, 0 }));
+    const auto next = follower.onBatch({ 5, { record(3, "a", "wrong"), record(4, "a", "5") } });
+    BOOST_REQUIRE_EQUAL(next.size(), 1);
+    BOOST_TEST(next.front().front().offset == 4);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
