The pause after news counts from the moment at which their answer was made

What callers see: in a series of large configurations a node with a busy link is late by the time of two answers and the pause between them: in entry up to 2.4 s after the first node, where 2.5 s after the acknowledgement are allowed. Cause: the pause of a second began when an answer had arrived, though its content was as old as its begin by then. Change: the second counts from the begin of a long poll's answer, or from the sending of a read that is answered at once; 300 ms of it are kept in any case, so that calls get the link between two answers. Why this works: the time between two answers no longer grows with the time that each takes, up to 0.7 s.

--- a/packages/node/src/internal/KeyedReader.h
+++ b/packages/node/src/internal/KeyedReader.h
@@ -127,8 +127,11 @@
 private:
     static constexpr std::chrono::milliseconds s_retryBase { 200 };
     static constexpr std::chrono::milliseconds s_retryCap { 1'500 };
-    /// Pause after news, so that changes in quick succession are read together.
-    static constexpr std::chrono::milliseconds s_newsPause { 1'000 };
+    /// Time between two answers with news, so that changes in quick succession are read together. It counts from the moment
+    /// an answer was made: one that took long on its way is that old already.
+    static constexpr std::chrono::milliseconds s_newsInterval { 1'000 };
+    /// Leaves an instance with a busy link some time for calls between two large answers.
+    static constexpr std::chrono::milliseconds s_shortestNewsPause { 300 };
     /// Listings of the nodes that notice a new era together are spread over this time.
     static constexpr std::chrono::milliseconds s_eraSpread { 500 };
 
@@ -141,6 +144,7 @@
         m_sentAt = MonotonicClock::now();
         const bool isImmediate = m_follower.needsListing() || m_follower.isReadingOmitted();
         m_sentKind = isImmediate ? publication::ReadKind::Immediate : publication::ReadKind::LongPoll;
+        m_answerMadeAt = m_sentAt;
         m_watchdog.onReadSent(m_sentKind, m_follower.position(), m_sentAt);
         if (m_follower.needsListing()) {
             m_store.listNewest(m_stream, std::move(handler));
@@ -148,12 +152,19 @@
         }
         auto onBegun = [self = this->shared_from_this(), number = m_readNumber] {
             if (number == self->m_readNumber)
-                self->m_watchdog.onAnswerBegun();
+                self->onAnswerBegun();
         };
         const auto wait = isImmediate ? std::chrono::milliseconds { 0 } : m_wait;
         m_store.readKeyed(m_stream, m_follower.nextRead(), wait, std::move(handler), std::move(onBegun));
     }
 
+    void onAnswerBegun()
+    {
+        m_watchdog.onAnswerBegun();
+        if (m_sentKind == publication::ReadKind::LongPoll)
+            m_answerMadeAt = MonotonicClock::now();
+    }
+
     void readAgain()
     {
         m_retry.cancel();
@@ -221,7 +232,13 @@
             return;
         }
         m_watchdog.onRecordsRead(MonotonicClock::now());
-        readAfter(s_newsPause);
+        readAfter(newsPause());
+    }
+
+    std::chrono::milliseconds newsPause() const
+    {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicClock::now() - m_answerMadeAt);
+        return std::max(s_shortestNewsPause, s_newsInterval - age);
     }
 
     void readAfter(std::chrono::milliseconds pause)
@@ -268,6 +285,8 @@
     Backoff m_backoff { s_retryBase, s_retryCap };
     MonotonicTime m_sentAt;
     publication::ReadKind m_sentKind = publication::ReadKind::Immediate;
+    /// When the store made the last answer, as far as it is known: an immediate read is answered as it is sent.
+    MonotonicTime m_answerMadeAt;
     std::optional<MonotonicTime> m_answeredAt;
     bool m_available = true;
     bool m_stopped = false;
--- a/packages/node/tests/KeyedReaderTests.cpp
+++ b/packages/node/tests/KeyedReaderTests.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <thread>
+
 namespace carobpath::node::Detail {
 
 namespace {
@@ -112,6 +114,17 @@
     BOOST_TEST((delivered == std::vector<std::string> { "first", "second" }));
 }
 
+BOOST_AUTO_TEST_CASE(The_pause_after_news_counts_from_the_moment_their_answer_was_made)
+{
+    store.append("second");
+    store.begun();
+    std::this_thread::sleep_for(700ms);
+    store.reads.front()(publication::KeyedBatch { 2, { store.records.back() } });
+    BOOST_TEST(store.reads.size() == 1U);
+    io.run_for(700ms);
+    BOOST_TEST(store.reads.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(A_read_whose_answer_breaks_off_is_begun_again)
 {
     store.append("second");
