Name the requests that a connection has answered with an error as such

Cause: read as a newcomer: the field held more than refusals, and isForgetful was no term of the field.

--- a/packages/gateway/src/internal/ConnectionPool.cpp
+++ b/packages/gateway/src/internal/ConnectionPool.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-    bool hasRefused(const Connection& connection, const RequestId& request)
+    bool hasAnsweredWithError(const Connection& connection, const RequestId& request)
     {
-        return std::find(connection.refused.begin(), connection.refused.end(), request) != connection.refused.end();
+        return std::find(connection.answeredWithError.begin(), connection.answeredWithError.end(), request) != connection.answeredWithError.end();
     }
 
 }
@@ -38,7 +38,7 @@
         return nullptr;
     auto& connections = it->second.connections;
     for (std::size_t i = connections.size(); i-- > 0;) {
-        if (hasRefused(*connections[i], request))
+        if (hasAnsweredWithError(*connections[i], request))
             continue;
         auto connection = std::move(connections[i]);
         connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(i));
@@ -54,8 +54,8 @@
 {
     auto& idle = m_idle[endpoint];
     const bool suspect = connection->madeAt <= idle.suspectUpTo;
-    const bool isForgetful = connection->refused.size() >= Connection::s_mostRefused;
-    if (suspect || isForgetful || idle.connections.size() >= m_limits.pooledConnections || connection->buffer.size() != 0) {
+    const bool hasManyErrors = connection->answeredWithError.size() >= Connection::s_mostErrors;
+    if (suspect || hasManyErrors || idle.connections.size() >= m_limits.pooledConnections || connection->buffer.size() != 0) {
         connection->stream.close();
         return;
     }
--- a/packages/gateway/src/internal/ConnectionPool.h
+++ b/packages/gateway/src/internal/ConnectionPool.h
@@ -24,8 +24,8 @@
     {
     }
 
-    /// Refusals that are remembered; a connection that has carried more is closed.
-    static constexpr std::size_t s_mostRefused = 32;
+    /// Answers with an error after which a connection is closed, since no more of them are remembered.
+    static constexpr std::size_t s_mostErrors = 32;
 
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
@@ -36,7 +36,7 @@
     /// True once an exchange was completed on it.
     bool reused = false;
     /// Requests that were answered with an error on it. A second copy of that answer could pass for the answer to a retry.
-    std::vector<RequestId> refused;
+    std::vector<RequestId> answeredWithError;
 };
 
 using ConnectionPointer = std::shared_ptr<Connection>;
@@ -46,8 +46,8 @@
 public:
     ConnectionPool(boost::asio::io_context&, const GatewayLimits&);
 
-    /// \returns an open connection whose other end has not closed it and which has not carried a refusal of the request; null
-    /// if there is none.
+    /// \returns an open connection whose other end has not closed it and which has not answered the request with an
+    /// error; null if there is none.
     ConnectionPointer take(const Endpoint&, const RequestId&, MonotonicTime now);
 
     /// Keeps a connection after a complete, matched exchange.
--- a/packages/gateway/src/internal/UpstreamExchange.cpp
+++ b/packages/gateway/src/internal/UpstreamExchange.cpp
@@ -284,7 +284,7 @@
         m_connection->stream.expires_never();
         m_connection->idleLimit = idleLimitOf(header());
         if (header().result_int() >= firstErrorStatus)
-            m_connection->refused.push_back(m_target.requestId);
+            m_connection->answeredWithError.push_back(m_target.requestId);
         m_pool.give(m_target.endpoint, m_connection, MonotonicClock::now());
     } else {
         m_connection->stream.close();
--- a/packages/gateway/tests/UpstreamExchangeTests.cpp
+++ b/packages/gateway/tests/UpstreamExchangeTests.cpp
@@ -226,10 +226,10 @@
     BOOST_TEST(bench.server().accepted() == 1);
 }
 
-BOOST_AUTO_TEST_CASE(A_connection_with_more_refusals_than_are_remembered_is_closed)
+BOOST_AUTO_TEST_CASE(A_connection_with_as_many_refusals_as_are_remembered_is_closed)
 {
     Bench bench { refusalOfAny, ScriptEnd::StaySilent };
-    for (std::size_t i = 0; i <= Connection::s_mostRefused; ++i)
+    for (std::size_t i = 0; i <= Connection::s_mostErrors; ++i)
         bench.exchange(5s, 5s, RequestId { "r-" + std::to_string(i) });
     BOOST_TEST(bench.server().accepted() == 2);
 }
