--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -7,7 +7,7 @@
 duration_ms=12000
 rollback_ms=5000
 exposure_slack=50
-drain_after_s=4
+drain_after_s=8
 
 start_store
 zones=(a b c)
