--- a/review/common.sh
+++ b/review/common.sh
@@ -1,11 +1,10 @@
 # Functions that the review's scripts share: a small deployment of real processes on loopback addresses.
-# A script sets CASE to its own folder and sources this file; its working folder is then $work, removed at the end.
+# A script sets CASE to its own folder and RECORD to its record, and sources this file; its working folder is then $work, removed at the end.
 
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 TOOLS=$ROOT/target/review
 NODE=$ROOT/target/packages/node/carobpathd
 TROUBLE=${TROUBLE:-1}
-RECORD=$CASE/record.txt
 work=$(mktemp -d)
 declare -A pid
 
