--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # EXPOSURE: a version that was rolled back serves again as soon as the next version is ordered. See claim.txt.
 CASE=$(cd "$(dirname "$0")" && pwd)
+RECORD=$CASE/record.txt
 . "$CASE/../common.sh"
 begin_record "case 3, EXPOSURE"
 
