A version that was rejected gets no calls when the next one is ordered

Cause: the split of a service named one version to leave out, that of the newest order; all others were taken to be in service. Whatever a move had shown of its version was dropped with the move. The bad version got none between its end and the next order, then half of the first attempts of every entry node; so neither news that had not arrived nor retries. Change: ServiceVersions holds the versions in service and the rejected ones of a service. Each move derives them from the move before, the recorded state carries them to nodes that start or read later, the router leaves out rejected versions, and their calls are no evidence. An order for the only version in service sends it all calls at once, since no other may take them. Why this works: what was shown of a version now lasts until it is ordered again, on every node, and not as long as its move.

--- a/packages/moves/include/carobpath/moves/OrderedMoves.h
+++ b/packages/moves/include/carobpath/moves/OrderedMoves.h
@@ -4,6 +4,7 @@
 #include "carobpath/moves/EvidenceTable.h"
 #include "carobpath/moves/MoveCommand.h"
 #include "carobpath/moves/OrderedMovePlan.h"
+#include "carobpath/moves/ServiceVersions.h"
 #include "carobpath/moves/TrafficSplit.h"
 #include "carobpath/moves/VersionComparison.h"
 #include "carobpath/publication/StoreEra.h"
@@ -25,13 +26,6 @@
     publication::Offset offset = 0;
 };
 
-/// State of a move in the store.
-enum class OrderedMoveState : std::uint8_t {
-    Running,
-    Done,
-    TakenBack,
-};
-
 /// The store's newest record on the move of a service.
 struct MoveStatus {
     ServiceName service;
@@ -39,6 +33,8 @@
     /// \c MoveOrder::offset of the order that this status belongs to.
     publication::Offset order = 0;
     OrderedMoveState state = OrderedMoveState::Running;
+    /// Versions of the service when the move was ordered.
+    ServiceVersions versions {};
 };
 
 /// \returns whether both are the same order to the operator: one may be read again from a store that came back from a copy.
@@ -96,6 +92,9 @@
     EvidenceUpdate changedSince(EvidenceCursor&) const;
     std::vector<OrderedMoveCommand> tick(MonotonicTime now);
     TrafficSplit trafficSplit(const ServiceName&, MonotonicTime now) const;
+    /// \returns the versions as they are known now to the move that the status belongs to; those of the status if its order was
+    /// replaced.
+    ServiceVersions versionsOf(const MoveStatus&) const;
     /// \returns whether the store has no final state yet for some move.
     bool hasUnfinishedMove() const;
 
@@ -124,6 +123,10 @@
         bool isRecordSuspect = false;
         /// Orders of the service that this one replaced, in the order in which they were given.
         std::vector<MoveOrder> replaced;
+        /// Versions of the service when this move was ordered.
+        ServiceVersions versions {};
+        /// \c MoveStatus::order of the state from which \c versions is known; 0 if no move preceded this one.
+        publication::Offset versionsAsOf = 0;
     };
 
     /// Orders of a service that are remembered after they were replaced; the oldest are forgotten first.
@@ -132,6 +135,15 @@
     static MoveId idOf(const MoveOrder&);
     /// \returns whether the order was given before the known one, and comes from a store that lost the known one.
     static bool isReplaced(const Move& known, const MoveOrder&);
+    /// Derives the versions of a new move from what preceded it: \p known, and the newest status that was read.
+    void setVersions(Move&, const Move* known, MonotonicTime now) const;
+    void addServingUpstreams(Move&) const;
+    /// Derives the versions from a status of the move itself, or of one that preceded it, unless a later one was read before.
+    static void updateVersions(Move&, const MoveStatus&);
+    /// \returns the state that the move had reached, whether or not it is recorded.
+    OrderedMoveState reachedState(const Move&, MonotonicTime now) const;
+    /// \returns whether the order names the version that is in service anyway.
+    static bool isReturn(const Move&);
     /// Continues a move whose order was read again in a later era.
     void rebind(Move&, const MoveOrder&, MonotonicTime now);
     std::chrono::milliseconds elapsed(const Move&, MonotonicTime now) const;
--- a/packages/moves/src/OrderedMoves.cpp
+++ b/packages/moves/src/OrderedMoves.cpp
@@ -84,7 +84,8 @@
         if (isSameOrder(known->second.order, order))
             return rebind(known->second, order, now);
     }
-    Move move { order, OrderedMovePlan { order.duration, m_bound }, now - age, {}, {}, {}, std::nullopt, 0, std::nullopt, now, false, {} };
+    Move move { order, OrderedMovePlan { order.duration, m_bound }, now - age, {}, {}, {}, std::nullopt, 0, std::nullopt, now, false, {}, {}, 0 };
+    setVersions(move, known == m_moves.end() ? nullptr : &known->second, now);
     if (known != m_moves.end()) {
         move.replaced = std::move(known->second.replaced);
         move.replaced.push_back(known->second.order);
@@ -143,9 +144,12 @@
 {
     m_statuses.insert_or_assign(status.service, status);
     const auto it = m_moves.find(status.service);
-    if (it == m_moves.end() || !isStatusOf(status, it->second.order))
+    if (it == m_moves.end())
         return;
     auto& move = it->second;
+    updateVersions(move, status);
+    if (!isStatusOf(status, move.order))
+        return;
     // The first recorded final state wins.
     if (!move.recorded || *move.recorded == OrderedMoveState::Running)
         move.recorded = status.state;
@@ -169,6 +173,8 @@
         if (found == m_moves.end() || idOf(found->second.order) != it.move)
             continue;
         auto& move = found->second;
+        if (move.versions.isRejected(it.version))
+            continue;
         if (it.version != move.order.to) {
             move.canary.addOld(it);
             move.full.addOld(it);
@@ -204,6 +210,8 @@
 
 bool OrderedMoves::takesAllCalls(const Move& move, MonotonicTime now) const
 {
+    if (isReturn(move))
+        return true;
     return elapsed(move, now) >= move.plan.fullAt() && hasEnoughEvidence(move, now) && !isTakenBack(move);
 }
 
@@ -269,7 +277,8 @@
     if (found == m_moves.end())
         return it;
     const auto& move = found->second;
-    if (move.recorded == OrderedMoveState::Done) {
+    it.rejected = move.versions.rejected;
+    if (move.recorded == OrderedMoveState::Done || isReturn(move)) {
         it.current = move.order.to;
         return it;
     }
@@ -306,7 +315,7 @@
 void OrderedMoves::findRegression(Move& move, std::vector<OrderedMoveCommand>& commands)
 {
     const auto id = idOf(move.order);
-    if (hasEnded(move) || m_evidence.notice(id))
+    if (hasEnded(move) || isReturn(move) || m_evidence.notice(id))
         return;
     auto finding = move.canary.finding();
     if (!finding)
@@ -346,7 +355,7 @@
     if (now < move.writeAt)
         return;
     move.writeAt = now + s_writeRetryInterval * (1 + rank);
-    commands.emplace_back(WriteStatus { { move.order.service, move.order.to, move.order.offset, state } });
+    commands.emplace_back(WriteStatus { { move.order.service, move.order.to, move.order.offset, state, move.versions } });
 }
 
 }
--- a/packages/node/src/internal/OrderedMoveDriver.cpp
+++ b/packages/node/src/internal/OrderedMoveDriver.cpp
@@ -226,7 +226,7 @@
     });
 }
 
-void OrderedMoveDriver::writeAfter(const publication::KeyedBatch& listing, const moves::MoveStatus& status)
+void OrderedMoveDriver::writeAfter(const publication::KeyedBatch& listing, moves::MoveStatus status)
 {
     const auto key = platform::moveKey(status.service);
     const auto held = std::find_if(listing.records.begin(), listing.records.end(), [&](const auto& it) { return it.key == key; });
@@ -236,6 +236,8 @@
         const bool sameOrder = stored.status.order == status.order;
         if (sameOrder && (stored.status.state != moves::OrderedMoveState::Running || stored.status.state == status.state))
             return;
+        // The listing may tell the end of the move before this one, which was not read here yet.
+        status.versions = m_engine.versionsOf(status);
     }
     // The order's age is known also where the store lost the state that told it.
     auto orderedAt = wallNow();
--- a/packages/node/src/internal/OrderedMoveDriver.h
+++ b/packages/node/src/internal/OrderedMoveDriver.h
@@ -52,7 +52,7 @@
     void perform(const moves::BroadcastNotice&);
     void perform(const moves::TrafficSplitChanged&);
     /// Writes the status unless the listing holds an end of the same order.
-    void writeAfter(const publication::KeyedBatch& listing, const moves::MoveStatus&);
+    void writeAfter(const publication::KeyedBatch& listing, moves::MoveStatus);
     void reportFailure(const moves::MoveStatus&, const publication::LogFailure&);
 
     NodeContext& m_context;
--- a/packages/routing/include/carobpath/routing/UpstreamPicker.h
+++ b/packages/routing/include/carobpath/routing/UpstreamPicker.h
@@ -4,6 +4,7 @@
 #include "carobpath/routing/ChoiceBasis.h"
 #include "carobpath/routing/UpstreamStatistics.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <random>
@@ -19,21 +20,26 @@
 public:
     /// Matches only this version.
     VersionFilter(VersionName only)
-        : m_name(std::move(only))
+        : m_names { std::move(only) }
     {
     }
-    /// Matches every version except this one; with an empty name, matches all versions.
-    static VersionFilter allExcept(VersionName name)
+    /// Matches every version except these.
+    static VersionFilter allExcept(std::vector<VersionName> names)
     {
-        VersionFilter it { std::move(name) };
+        VersionFilter it { VersionName {} };
+        it.m_names = std::move(names);
         it.m_excludes = true;
         return it;
     }
 
-    bool matches(const VersionName& version) const { return (version == m_name) != m_excludes; }
+    bool matches(const VersionName& version) const
+    {
+        const bool isNamed = std::find(m_names.begin(), m_names.end(), version) != m_names.end();
+        return isNamed != m_excludes;
+    }
 
 private:
-    VersionName m_name;
+    std::vector<VersionName> m_names;
     bool m_excludes = false;
 };
 
--- a/packages/routing/src/AttemptChoice.cpp
+++ b/packages/routing/src/AttemptChoice.cpp
@@ -17,6 +17,15 @@
     /// A repeatable attempt gets at least this multiple of the mean latency, so that a slow call is not cut short.
     constexpr int latencyFactor = 10;
 
+    /// \returns the versions in service where their names are not known: a version that is not proven is not among them.
+    VersionFilter allInService(const moves::TrafficSplit& split)
+    {
+        auto unproven = split.rejected;
+        if (split.next)
+            unproven.push_back(*split.next);
+        return VersionFilter::allExcept(std::move(unproven));
+    }
+
 }
 
 std::optional<SendAttempt> CallDecision::nextAttempt(MonotonicTime now)
@@ -65,7 +74,7 @@
     if (m_wantsNext && split.next)
         versions.emplace_back(*split.next);
     // A call that was not drawn for the next version is never sent to it: the version is unproven beyond its share.
-    versions.push_back(split.current.empty() ? VersionFilter::allExcept(split.next.value_or(VersionName {})) : VersionFilter { split.current });
+    versions.push_back(split.current.empty() ? allInService(split) : VersionFilter { split.current });
     return versions;
 }
 
--- a/packages/routing/tests/CallDecisionTests.cpp
+++ b/packages/routing/tests/CallDecisionTests.cpp
@@ -360,6 +360,18 @@
     BOOST_TEST(std::get<SendAttempt>(alone).version.value() == "v1");
 }
 
+// Guards against calls to a version that was taken back, where the versions in service are known only from the upstreams.
+BOOST_AUTO_TEST_CASE(A_rejected_version_gets_no_calls_while_another_one_is_moved)
+{
+    EntryFixture fixture { { makeNode("old", "v1"), makeNode("rejected", "v2"), makeNode("new", "v3") } };
+    fixture.router.setTrafficSplitSource([](const ServiceName&) {
+        return moves::TrafficSplit { {}, {}, 0, {}, { VersionName { "v2" }, VersionName { "v3" } } };
+    });
+    std::shared_ptr<CallDecision> call;
+    for (int i = 0; i < 50; ++i)
+        BOOST_TEST(std::get<SendAttempt>(startOf(fixture, call, makeCall("GET", "/x"))).version.value() == "v1");
+}
+
 BOOST_AUTO_TEST_CASE(A_version_that_the_configuration_lacks_gets_no_calls)
 {
     EntryFixture fixture { { makeNode("old", "v1"), makeNode("other", "v9") } };
