The bytes of an answer that cannot be parsed yet are bounded

Cause: what Beast's parser cannot finish stays in the buffer of the connection, and that buffer had no maximum size. Header and body limits do not count the line of a chunk's size, its extension, or the trailer. Change: the buffer of a connection holds the largest header and one read; the same bound for answers of the store and in the operators' client. Why this works: Beast ends a read that finds the buffer full, and the exchange fails as one whose answer was lost.

--- a/packages/client/src/AdminClient.cpp
+++ b/packages/client/src/AdminClient.cpp
@@ -18,6 +18,8 @@
     namespace http = boost::beast::http;
 
     constexpr std::uint64_t maximumBodyBytes = 16UL * 1024 * 1024;
+    /// Bytes of the answer that may stand unparsed.
+    constexpr std::size_t maximumBufferBytes = 128UL * 1024;
     constexpr unsigned statusOk = 200;
     constexpr unsigned statusNotFound = 404;
 
@@ -73,7 +75,7 @@
         asio::io_context m_io { 1 };
         beast::tcp_stream m_stream { m_io };
         http::request<http::empty_body> m_request;
-        beast::flat_buffer m_buffer;
+        beast::flat_buffer m_buffer { maximumBufferBytes };
         http::response_parser<http::string_body> m_parser;
         beast::error_code m_error;
     };
--- a/packages/gateway/src/internal/ConnectionPool.cpp
+++ b/packages/gateway/src/internal/ConnectionPool.cpp
@@ -23,7 +23,7 @@
 
 ConnectionPointer ConnectionPool::make() const
 {
-    return std::make_shared<Connection>(m_context);
+    return std::make_shared<Connection>(m_context, m_limits);
 }
 
 std::chrono::milliseconds ConnectionPool::idleLimit(const Connection& connection) const
--- a/packages/gateway/src/internal/ConnectionPool.h
+++ b/packages/gateway/src/internal/ConnectionPool.h
@@ -19,15 +19,19 @@
 
 /// A connection to another node or to the backend server, with the bytes read ahead on it.
 struct Connection {
-    explicit Connection(boost::asio::io_context& context)
+    Connection(boost::asio::io_context& context, const GatewayLimits& limits)
         : stream(context)
+        , buffer(limits.headerBytes + s_readBytes)
     {
     }
 
+    /// Bytes of one read from the connection.
+    static constexpr std::size_t s_readBytes = 64ULL * 1024;
     /// Answers with an error after which a connection is closed, since no more of them are remembered.
     static constexpr std::size_t s_mostErrors = 32;
 
     boost::beast::tcp_stream stream;
+    /// Bounded, since the parser leaves in it whatever it cannot finish: a header, a trailer, or the frame of a chunk.
     boost::beast::flat_buffer buffer;
     MonotonicTime madeAt;
     MonotonicTime usedAt;
--- a/packages/gateway/tests/EndlessAnswerTests.cpp
+++ b/packages/gateway/tests/EndlessAnswerTests.cpp
@@ -31,6 +31,7 @@
 
         Endpoint endpoint() const { return { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
         bool isClosed() const { return m_closed; }
+        std::uint64_t sentBytes() const { return m_sent; }
 
     private:
         using Socket = std::shared_ptr<tcp::socket>;
@@ -48,7 +49,8 @@
 
         void write(const Socket& socket, const std::string& bytes)
         {
-            boost::asio::async_write(*socket, boost::asio::buffer(bytes), [this, socket](boost::system::error_code ec, std::size_t) {
+            boost::asio::async_write(*socket, boost::asio::buffer(bytes), [this, socket](boost::system::error_code ec, std::size_t n) {
+                m_sent += n;
                 if (ec)
                     m_closed = true;
                 else
@@ -61,6 +63,7 @@
         std::string m_piece;
         std::array<char, 4096> m_request {};
         bool m_closed = false;
+        std::uint64_t m_sent = 0;
     };
 
     /// One exchange with a server whose answer has no end.
@@ -115,6 +118,27 @@
 
     const std::string line = "X: " + std::string(100, 'x') + "\r\n";
 
+    /// An answer whose framing has no end: what a parser cannot finish stays in the buffer of the connection.
+    struct EndlessFraming {
+        const char* part;
+        std::string start;
+        std::string piece;
+    };
+
+    const std::string chunkedHeader = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    const std::array<EndlessFraming, 6> endlessFramings { {
+        { "extension of the first chunk", chunkedHeader + "5;x=", std::string(1000, 'x') },
+        { "extension of a later chunk", chunkedHeader + "5\r\nbytes\r\n5;x=", std::string(1000, 'x') },
+        { "extension of the last chunk", chunkedHeader + "0;x=", std::string(1000, 'x') },
+        { "digits of a chunk size", chunkedHeader, std::string(1000, '0') },
+        { "trailer fields", chunkedHeader + "0\r\n", line },
+        { "one trailer field", chunkedHeader + "5\r\nbytes\r\n0\r\nX: ", std::string(1000, 'x') },
+    } };
+
+    /// More than the buffers of the sockets at both ends and of the connection hold together.
+    constexpr std::uint64_t mostSentBytes = 24ULL * 1024 * 1024;
+
 }
 
 // A server in trouble sends bytes without end, until the connection is closed.
@@ -161,6 +185,22 @@
     BOOST_TEST(answer.server.isClosed());
 }
 
+// Guards against a faulty server whose bytes are all kept until the process is out of memory.
+BOOST_AUTO_TEST_CASE(Framing_of_a_chunked_body_without_end_fails_once_it_is_too_large)
+{
+    for (const auto& it : endlessFramings) {
+        BOOST_TEST_CONTEXT(it.part)
+        {
+            EndlessAnswer answer { it.start, it.piece };
+            answer.run(4s);
+            BOOST_TEST(!answer.headerFailure.has_value());
+            BOOST_TEST((answer.bodyFailure == ExchangeFailure::ConnectionLost));
+            BOOST_TEST(answer.server.isClosed());
+            BOOST_TEST(answer.server.sentBytes() < mostSentBytes);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(A_body_that_ends_with_its_connection_and_has_no_end_is_cut_some_time_past_the_deadline)
 {
     EndlessAnswer answer { "HTTP/1.1 200 OK\r\n\r\n", std::string(1000, 'x') };
--- a/packages/publication/include/carobpath/publication/HttpExchange.h
+++ b/packages/publication/include/carobpath/publication/HttpExchange.h
@@ -72,6 +72,9 @@
     void cancel();
 
 private:
+    /// Bytes of the answer that may stand unparsed: one read, or a header, a trailer or the frame of a chunk that has not ended.
+    static constexpr std::size_t s_bufferBytes = 128ULL * 1024;
+
     void send();
     void receiveHeader();
     void receiveBody();
@@ -84,7 +87,7 @@
     HttpRequest m_parameters;
     HttpHandler m_handler;
     boost::beast::http::request<boost::beast::http::string_body> m_request;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer { s_bufferBytes };
     boost::beast::http::response_parser<boost::beast::http::string_body> m_parser;
     MonotonicTime m_bodyDeadline;
 };
--- a/packages/publication/src/HttpExchange.cpp
+++ b/packages/publication/src/HttpExchange.cpp
@@ -100,7 +100,8 @@
 
 void HttpExchange::onReceiveFailed(beast::error_code error)
 {
-    if (error == http::error::body_limit)
+    const bool isTooLarge = error == http::error::body_limit || error == http::error::buffer_overflow;
+    if (isTooLarge)
         return finish(HttpFailure::AnswerTooLarge);
     finish(error == beast::error::timeout ? HttpFailure::TimedOut : HttpFailure::NoAnswer);
 }
