A node that is stopping passes on no call that may outlast it

Cause: the entry decision knew nothing of the stop, so that a call was sent at any moment of the grace. Evidence: 8 of 30 bookings ended with a closed connection; they came later than the end of the grace less their work. Change: the router knows the period of the stop. A call is sent only if its deadline falls within it, or ten times the mean latency and no less than half of the period; else it is refused at once as not run. Why this works: what is passed on ends before the node does, unless it takes longer than that; what is not has not run, and its caller is told.

--- a/packages/node/src/internal/DrainDriver.h
+++ b/packages/node/src/internal/DrainDriver.h
@@ -20,6 +20,9 @@
     /// \param ended called once, when nothing is in flight or the grace is over.
     void start(const NodeSettings::Drain&, std::function<void()> ended);
 
+    /// \returns when the time of grace is over; valid once started.
+    MonotonicTime endsAt() const { return m_giveUpAt; }
+
 private:
     void check();
     void scheduleCheck();
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -347,7 +347,9 @@
         m_fleet->leave();
     m_gateway->perform(m_controller.drain(MonotonicClock::now()));
     m_drain.emplace(m_context.io, *m_gateway);
+    const auto startedAt = MonotonicClock::now();
     m_drain->start(m_settings.drain, [this] { finishStop(); });
+    m_router.setDrainPeriod({ startedAt, m_drain->endsAt() });
 }
 
 void NodeAssembly::finishStop()
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -11,6 +11,8 @@
 namespace {
 
     constexpr std::chrono::milliseconds duplicateRetryAfter { 500 };
+    /// At a node that is stopping, a call is given this multiple of the mean latency, so that a slow one is not cut.
+    constexpr int drainLatencyFactor = 10;
 
     RefusalReason reasonOf(RouteLookupError miss)
     {
@@ -113,8 +115,23 @@
     return m_route->maxAttempts > 0 ? m_route->maxAttempts : s_maxAttempts;
 }
 
+bool CallDecision::endsBeforeNode(MonotonicTime now) const
+{
+    const auto& period = m_state->drainPeriod;
+    if (!period)
+        return true;
+    MonotonicClock::duration needed = m_deadline - now;
+    if (const auto mean = m_state->picker.meanLatency()) {
+        const MonotonicClock::duration usual = std::max<MonotonicClock::duration>(*mean * drainLatencyFactor, (period->end - period->start) / 2);
+        needed = std::min(needed, usual);
+    }
+    return now + needed <= period->end;
+}
+
 CallCommand CallDecision::sendFirst(MonotonicTime now)
 {
+    if (!endsBeforeNode(now))
+        return refuse(RefusalReason::Draining);
     if (auto attempt = nextAttempt(now))
         return send(std::move(*attempt));
     const auto wait = untilAccepted(now);
@@ -208,7 +225,7 @@
         return false;
     if (m_backendLosses >= s_maxBackendLosses || m_backendsReached >= maxAttempts())
         return false;
-    return otherUpstreamMayHelp(result) && m_request.bodyReplayable && now < m_deadline;
+    return otherUpstreamMayHelp(result) && m_request.bodyReplayable && now < m_deadline && endsBeforeNode(now);
 }
 
 std::optional<CallCommand> CallDecision::retry(const AttemptResult& result, MonotonicTime now)
--- a/packages/routing/src/EntryState.h
+++ b/packages/routing/src/EntryState.h
@@ -44,6 +44,8 @@
     TrafficSplitSource trafficSplitSource;
     QuarantineSource quarantineSource;
     bool ready = false;
+    /// Empty unless the node is stopping.
+    std::optional<DrainPeriod> drainPeriod;
     std::deque<NodeObservation> observations;
 };
 
--- a/tests/process/tests/ShutdownTests.cpp
+++ b/tests/process/tests/ShutdownTests.cpp
@@ -5,6 +5,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <future>
+#include <thread>
+#include <vector>
 
 using namespace carobpath::harness;
 using namespace std::chrono_literals;
@@ -86,3 +88,59 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/// Two instances whose calls take a good part of the time that a node has to stop.
+struct SlowInstances {
+    static constexpr auto work = 1'500ms;
+
+    Fleet fleet;
+
+    SlowInstances()
+    {
+        BackendOptions options;
+        options.work = work;
+        options.slots = 20;
+        const std::string settings = "drain: {accept: 10s, grace: 4s}";
+        fleet.add("amman-a", options, settings);
+        fleet.add("amman-b", options, settings);
+        fleet.publishBooking();
+    }
+
+    /// Books on a connection of its own.
+    std::future<CallerAnswer> startBooking(int number)
+    {
+        auto request = get("/booking/" + std::to_string(number) + "/");
+        request.method = "POST";
+        return std::async(std::launch::async, [this, request] { return call(fleet.node(0).callers(), request); });
+    }
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(Shutdown_under_slow_calls, SlowInstances)
+
+// Guards against bookings that come late in the time of grace, are passed on, and are cut at its end without an answer.
+BOOST_AUTO_TEST_CASE(A_call_that_comes_late_is_answered_or_refused_as_not_run)
+{
+    constexpr int bookings = 30;
+    constexpr auto interval = 100ms;
+    fleet.node(0).process().terminate();
+    std::vector<std::future<CallerAnswer>> answers;
+    for (int i = 0; i < bookings; ++i) {
+        answers.push_back(startBooking(i));
+        std::this_thread::sleep_for(interval);
+    }
+    for (int i = 0; i < bookings; ++i) {
+        const auto answer = answers[static_cast<std::size_t>(i)].get();
+        const bool isRefused = answer.status == 503U && answer.outcome() == "not-run";
+        BOOST_TEST_CONTEXT("booking " << i)
+        {
+            BOOST_TEST((answer.status == 200U || isRefused), "status " << answer.status << ", " << answer.error);
+            BOOST_TEST((!isRefused || fleet.runsOf("/booking/" + std::to_string(i) + "/") == 0U));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
