A start that finds an address taken is tried again for some seconds

Cause: any failure to listen was final. Evidence: with a socket that listens for 2 s at the callers', peers' or admin address, the node ended at once. Change: while the address is in use, the start is repeated every 250 ms for 5 s, with a line in the log; then the process ends as before. Why this works: each attempt builds the daemon anew, so that nothing of the failed one remains.

--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -1,6 +1,7 @@
 #include "carobpath/foundation/Log.h"
 #include "carobpath/foundation/NodeSettings.h"
 #include "carobpath/foundation/NonBlockingOutput.h"
+#include "carobpath/foundation/Time.h"
 #include "carobpath/gateway/Gateway.h"
 #include "carobpath/node/Daemon.h"
 
@@ -9,12 +10,15 @@
 #include <cxxopts.hpp>
 #include <unistd.h>
 
+#include <cerrno>
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <cstring>
 #include <iostream>
 #include <memory>
 #include <string>
+#include <thread>
 
 namespace {
 
@@ -25,6 +29,11 @@
 constexpr int exitUsage = 2;
 constexpr int exitCannotStart = 4;
 
+/// Time for which a start is repeated while one of its addresses is taken: by the process before it, or by a connection that
+/// was given the port for a moment.
+constexpr std::chrono::seconds listenPatience { 5 };
+constexpr std::chrono::milliseconds listenRetryInterval { 250 };
+
 /// Reads the settings anew at each SIGHUP, until its context stops.
 class Reloader {
 public:
@@ -76,6 +85,38 @@
     context.run();
 }
 
+std::string toString(const gateway::ListenFailure& failure)
+{
+    return "cannot listen on " + carobpath::toString(failure.endpoint) + ": " + std::strerror(failure.systemError);
+}
+
+/// \returns the daemon; null if one of its addresses is taken and it is not \p giveUpAt yet.
+Result<std::unique_ptr<node::Daemon>> tryStart(boost::asio::io_context& context, const NodeSettings& settings, std::ostream& timeLine, MonotonicTime giveUpAt)
+{
+    return boost::leaf::try_handle_some(
+        [&] { return node::Daemon::start(context, settings, timeLine); },
+        [&](const gateway::ListenFailure& failure) -> Result<std::unique_ptr<node::Daemon>> {
+            if (failure.systemError != EADDRINUSE || MonotonicClock::now() >= giveUpAt)
+                return boost::leaf::new_error(failure);
+            Logger("node").warn(toString(failure) + "; trying again");
+            return nullptr;
+        });
+}
+
+Result<void> startAndRun(const NodeSettings& settings, const std::string& settingsFile, std::ostream& timeLine)
+{
+    const auto giveUpAt = MonotonicClock::now() + listenPatience;
+    while (true) {
+        boost::asio::io_context context { 1 };
+        BOOST_LEAF_AUTO(daemon, tryStart(context, settings, timeLine, giveUpAt));
+        if (daemon) {
+            run(context, *daemon, settingsFile);
+            return {};
+        }
+        std::this_thread::sleep_for(listenRetryInterval);
+    }
+}
+
 int serve(const std::string& settingsFile)
 {
     return boost::leaf::try_handle_all(
@@ -83,9 +124,7 @@
             BOOST_LEAF_AUTO(settings, loadNodeSettings(settingsFile));
             startLogging(LogSettings { settings.logLevel, settings.name.value() });
             NonBlockingOutput timeLine(STDOUT_FILENO);
-            boost::asio::io_context context { 1 };
-            BOOST_LEAF_AUTO(daemon, node::Daemon::start(context, settings, timeLine));
-            run(context, *daemon, settingsFile);
+            BOOST_LEAF_CHECK(startAndRun(settings, settingsFile, timeLine));
             return exitOk;
         },
         [](const SettingsFaults& faults) {
@@ -98,7 +137,7 @@
             return exitBadSettings;
         },
         [](const gateway::ListenFailure& failure) {
-            std::cerr << "cannot listen on " << toString(failure.endpoint) << ": " << std::strerror(failure.systemError) << '\n';
+            std::cerr << toString(failure) << '\n';
             return exitCannotStart;
         },
         [] {
