A TRACE request with a body is refused

Cause: Beast's prepare_payload() throws for it when the request is written for the next node, and nothing catches. Change: the reader of requests refuses it as malformed; RFC 9110, section 9.3.8, forbids it. Why this works: what the next step cannot express is not accepted, from callers and from nodes alike.

--- a/packages/gateway/src/internal/RequestReader.cpp
+++ b/packages/gateway/src/internal/RequestReader.cpp
@@ -32,6 +32,9 @@
         return !isChunkedOnly || request.count(http::field::transfer_encoding) > 1 || request.version() < 11;
     }
 
+    /// \returns whether the request has content that its method forbids (RFC 9110, section 9.3.8), and that cannot be passed on.
+    bool hasForbiddenBody(const Request& request) { return request.method() == http::verb::trace && !request.body().empty(); }
+
 }
 
 RequestReader::RequestReader(const GatewayLimits& limits)
@@ -73,6 +76,8 @@
         return std::nullopt;
     if (hasUnknownLength(m_parser->get()))
         return fail(http::error::bad_transfer_encoding);
+    if (hasForbiddenBody(m_parser->get()))
+        return fail(http::error::bad_method);
     ReadRequest request { m_parser->release(), arrivedAt };
     m_parser.reset();
     forgetArrivals();
--- a/packages/gateway/tests/RequestReaderTests.cpp
+++ b/packages/gateway/tests/RequestReaderTests.cpp
@@ -67,6 +67,16 @@
 
 BOOST_AUTO_TEST_SUITE(Request_reader)
 
+// Guards against a request with which any caller ends the process: it cannot be written for the next node.
+BOOST_AUTO_TEST_CASE(A_trace_request_with_a_body_is_refused)
+{
+    const std::string start = "TRACE /x HTTP/1.1\r\nHost: a\r\n";
+    const Results refused { "unreadable: malformed-request" };
+    BOOST_TEST((readAll(start + "Content-Length: 1\r\n\r\nx") == refused));
+    BOOST_TEST((readAll(start + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n") == refused));
+    BOOST_TEST((readAll(start + "\r\n") == Results { "TRACE /x " }));
+}
+
 BOOST_AUTO_TEST_CASE(Requests_that_come_together_are_read_one_by_one)
 {
     const Results expected { "GET /good ", "POST /length GET /", "POST /chunks abc", "GET /last " };
