--- a/tests/process/tests/ShutdownTests.cpp
+++ b/tests/process/tests/ShutdownTests.cpp
@@ -93,14 +93,14 @@
 
 /// Two instances whose calls take a good part of the time that a node has to stop.
 struct SlowInstances {
-    static constexpr auto work = 1'500ms;
+    static constexpr auto s_work = 1'500ms;
 
     Fleet fleet;
 
     SlowInstances()
     {
         BackendOptions options;
-        options.work = work;
+        options.work = s_work;
         options.slots = 20;
         const std::string settings = "drain: {accept: 10s, grace: 4s}";
         fleet.add("amman-a", options, settings);
