Names and comments of the rejected versions, the drain and the bounded buffers, read as a newcomer

Cause: isReturn could be taken for a return of the store; the half of the drain period had no name; comments on the buffers needed a second reading; the state of a move stood in the header of the versions. Change: isAlreadyServing, drainPeriodDivisor, OrderedMoveState.h, comments in the field's terms. No change of behaviour. Result: carobpath-moves-, routing-, gateway- and publication-tests pass.

--- a/packages/client/src/AdminClient.cpp
+++ b/packages/client/src/AdminClient.cpp
@@ -18,7 +18,7 @@
     namespace http = boost::beast::http;
 
     constexpr std::uint64_t maximumBodyBytes = 16UL * 1024 * 1024;
-    /// Bytes of the answer that may stand unparsed.
+    /// Maximum number of unparsed bytes of the answer.
     constexpr std::size_t maximumBufferBytes = 128UL * 1024;
     constexpr unsigned statusOk = 200;
     constexpr unsigned statusNotFound = 404;
--- a/packages/gateway/src/internal/ConnectionPool.h
+++ b/packages/gateway/src/internal/ConnectionPool.h
@@ -31,7 +31,7 @@
     static constexpr std::size_t s_mostErrors = 32;
 
     boost::beast::tcp_stream stream;
-    /// Bounded, since the parser leaves in it whatever it cannot finish: a header, a trailer, or the frame of a chunk.
+    /// Bounded, since a header, a trailer or the header of a chunk stays in it until it is complete.
     boost::beast::flat_buffer buffer;
     MonotonicTime madeAt;
     MonotonicTime usedAt;
--- a/packages/gateway/src/internal/RequestReader.cpp
+++ b/packages/gateway/src/internal/RequestReader.cpp
@@ -32,7 +32,7 @@
         return !isChunkedOnly || request.count(http::field::transfer_encoding) > 1 || request.version() < 11;
     }
 
-    /// \returns whether the request has content that its method forbids (RFC 9110, section 9.3.8), and that cannot be passed on.
+    /// \returns whether the request has a body that its method forbids (RFC 9110, section 9.3.8). Such a request cannot be forwarded.
     bool hasForbiddenBody(const Request& request) { return request.method() == http::verb::trace && !request.body().empty(); }
 
 }
--- a/packages/moves/include/carobpath/moves/OrderedMoves.h
+++ b/packages/moves/include/carobpath/moves/OrderedMoves.h
@@ -92,8 +92,8 @@
     EvidenceUpdate changedSince(EvidenceCursor&) const;
     std::vector<OrderedMoveCommand> tick(MonotonicTime now);
     TrafficSplit trafficSplit(const ServiceName&, MonotonicTime now) const;
-    /// \returns the versions as they are known now to the move that the status belongs to; those of the status if its order was
-    /// replaced.
+    /// \returns the versions of the move that the status belongs to, as far as they are known now; if the order of the status was
+    /// replaced, the versions of the status.
     ServiceVersions versionsOf(const MoveStatus&) const;
     /// \returns whether the store has no final state yet for some move.
     bool hasUnfinishedMove() const;
@@ -137,13 +137,14 @@
     static bool isReplaced(const Move& known, const MoveOrder&);
     /// Derives the versions of a new move from what preceded it: \p known, and the newest status that was read.
     void setVersions(Move&, const Move* known, MonotonicTime now) const;
+    /// Takes the versions of the known upstreams, except the ordered one, for those in service.
     void addServingUpstreams(Move&) const;
     /// Derives the versions from a status of the move itself, or of one that preceded it, unless a later one was read before.
     static void updateVersions(Move&, const MoveStatus&);
     /// \returns the state that the move had reached, whether or not it is recorded.
     OrderedMoveState reachedState(const Move&, MonotonicTime now) const;
-    /// \returns whether the order names the version that is in service anyway.
-    static bool isReturn(const Move&);
+    /// \returns whether the order names the only version in service, so that the move changes nothing.
+    static bool isAlreadyServing(const Move&);
     /// Continues a move whose order was read again in a later era.
     void rebind(Move&, const MoveOrder&, MonotonicTime now);
     std::chrono::milliseconds elapsed(const Move&, MonotonicTime now) const;
--- a/packages/moves/include/carobpath/moves/ServiceVersions.h
+++ b/packages/moves/include/carobpath/moves/ServiceVersions.h
@@ -1,20 +1,13 @@
 #pragma once
 
 #include "carobpath/foundation/Identifier.h"
+#include "carobpath/moves/OrderedMoveState.h"
 
 #include <cstddef>
-#include <cstdint>
 #include <vector>
 
 namespace carobpath::moves {
 
-/// State of a move in the store.
-enum class OrderedMoveState : std::uint8_t {
-    Running,
-    Done,
-    TakenBack,
-};
-
 /// What the moves of a service have shown of its versions when the next move is ordered. It outlasts the moves, since
 /// instances of a version may live on after the version was rejected.
 struct ServiceVersions {
--- a/packages/moves/src/OrderedMoveVersions.cpp
+++ b/packages/moves/src/OrderedMoveVersions.cpp
@@ -48,7 +48,7 @@
     return takesAllCalls(move, now) ? OrderedMoveState::Done : OrderedMoveState::Running;
 }
 
-bool OrderedMoves::isReturn(const Move& move) { return move.versions.isOnlyServing(move.order.to); }
+bool OrderedMoves::isAlreadyServing(const Move& move) { return move.versions.isOnlyServing(move.order.to); }
 
 ServiceVersions OrderedMoves::versionsOf(const MoveStatus& status) const
 {
--- a/packages/moves/src/OrderedMoves.cpp
+++ b/packages/moves/src/OrderedMoves.cpp
@@ -210,7 +210,7 @@
 
 bool OrderedMoves::takesAllCalls(const Move& move, MonotonicTime now) const
 {
-    if (isReturn(move))
+    if (isAlreadyServing(move))
         return true;
     return elapsed(move, now) >= move.plan.fullAt() && hasEnoughEvidence(move, now) && !isTakenBack(move);
 }
@@ -278,7 +278,7 @@
         return it;
     const auto& move = found->second;
     it.rejected = move.versions.rejected;
-    if (move.recorded == OrderedMoveState::Done || isReturn(move)) {
+    if (move.recorded == OrderedMoveState::Done || isAlreadyServing(move)) {
         it.current = move.order.to;
         return it;
     }
@@ -315,7 +315,7 @@
 void OrderedMoves::findRegression(Move& move, std::vector<OrderedMoveCommand>& commands)
 {
     const auto id = idOf(move.order);
-    if (hasEnded(move) || isReturn(move) || m_evidence.notice(id))
+    if (hasEnded(move) || isAlreadyServing(move) || m_evidence.notice(id))
         return;
     auto finding = move.canary.finding();
     if (!finding)
--- a/packages/publication/include/carobpath/publication/HttpExchange.h
+++ b/packages/publication/include/carobpath/publication/HttpExchange.h
@@ -72,7 +72,7 @@
     void cancel();
 
 private:
-    /// Bytes of the answer that may stand unparsed: one read, or a header, a trailer or the frame of a chunk that has not ended.
+    /// Maximum number of unparsed bytes. A header, a trailer or the header of a chunk stays unparsed until it is complete.
     static constexpr std::size_t s_bufferBytes = 128ULL * 1024;
 
     void send();
--- a/packages/routing/include/carobpath/routing/CallDecision.h
+++ b/packages/routing/include/carobpath/routing/CallDecision.h
@@ -97,7 +97,7 @@
     /// Draws the service from the route's destinations, and whether the call goes to its next version.
     void drawDestination();
     std::uint32_t maxAttempts() const;
-    /// \returns whether a call that is sent now ends before this node does, if the node is stopping.
+    /// \returns whether a call that is sent now is expected to end before this node does; true unless the node is stopping.
     bool endsBeforeNode(MonotonicTime now) const;
     std::optional<SendAttempt> nextAttempt(MonotonicTime now);
     std::optional<SendAttempt> pickAttempt(DomainScope, MonotonicTime now);
--- a/packages/routing/include/carobpath/routing/EntryRouter.h
+++ b/packages/routing/include/carobpath/routing/EntryRouter.h
@@ -48,7 +48,7 @@
 /// Time in which a node that is stopping ends its calls.
 struct DrainPeriod {
     MonotonicTime start;
-    /// Calls that have not ended by now are cut.
+    /// Calls that have not ended by then are cut.
     MonotonicTime end;
 };
 
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -11,8 +11,10 @@
 namespace {
 
     constexpr std::chrono::milliseconds duplicateRetryAfter { 500 };
-    /// At a node that is stopping, a call is given this multiple of the mean latency, so that a slow one is not cut.
+    /// A node that is stopping expects a call to take at most this multiple of the mean latency.
     constexpr int drainLatencyFactor = 10;
+    /// It expects a call to take at least the drain period divided by this, since a mean says little of one call.
+    constexpr int drainPeriodDivisor = 2;
 
     RefusalReason reasonOf(RouteLookupError miss)
     {
@@ -122,8 +124,9 @@
         return true;
     MonotonicClock::duration needed = m_deadline - now;
     if (const auto mean = m_state->picker.meanLatency()) {
-        const MonotonicClock::duration usual = std::max<MonotonicClock::duration>(*mean * drainLatencyFactor, (period->end - period->start) / 2);
-        needed = std::min(needed, usual);
+        const auto minimum = (period->end - period->start) / drainPeriodDivisor;
+        const auto expected = std::max<MonotonicClock::duration>(*mean * drainLatencyFactor, minimum);
+        needed = std::min(needed, expected);
     }
     return now + needed <= period->end;
 }
