Logs tell how a configuration came, and when a peer knew more of the stream

configuration-read tells the kind of the read, its bytes, the time since it was sent and since its answer began, and the time to decode and apply it; configuration-in-force tells the source; stream-ahead tells an end that a peer knew first.

No change of logic.

--- a/packages/foundation/include/carobpath/foundation/EventNames.h
+++ b/packages/foundation/include/carobpath/foundation/EventNames.h
@@ -22,6 +22,7 @@
     inline constexpr EventName settingsReloaded { "settings-reloaded" };
     inline constexpr EventName settingsRefused { "settings-refused" };
 
+    inline constexpr EventName configurationRead { "configuration-read" };
     inline constexpr EventName configurationInForce { "configuration-in-force" };
     inline constexpr EventName configurationRefused { "configuration-refused" };
     inline constexpr EventName configurationPassedOver { "configuration-passed-over" };
@@ -31,6 +32,7 @@
     inline constexpr EventName logUnavailable { "log-unavailable" };
     inline constexpr EventName logAvailable { "log-available" };
 
+    inline constexpr EventName streamAhead { "stream-ahead" };
     inline constexpr EventName readAbandoned { "read-abandoned" };
     inline constexpr EventName readFailed { "read-failed" };
     inline constexpr EventName entriesSkipped { "entries-skipped" };
--- a/packages/node/src/internal/FleetDriver.cpp
+++ b/packages/node/src/internal/FleetDriver.cpp
@@ -106,12 +106,24 @@
 
 void FleetDriver::onStreamAdvanced(const distribution::StreamEnd& reached)
 {
-    if (reached.stream == platform::operatorStream && m_reader)
+    if (reached.stream == platform::operatorStream && m_reader) {
+        recordAhead(reached);
         m_reader->onEndKnown(reached.end);
+    }
     if (reached.stream == platform::statusStream)
         m_moves->onStatusEndKnown(reached.end);
 }
 
+void FleetDriver::recordAhead(const distribution::StreamEnd& reached)
+{
+    if (reached.end <= m_reader->position())
+        return;
+    m_context.events.record(Event(event::streamAhead)
+                                .with("stream", reached.stream)
+                                .with("end", reached.end.offset)
+                                .with("offset", m_reader->position().offset));
+}
+
 void FleetDriver::onStoreReturned(const platform::StoreEraChange& change)
 {
     m_context.events.record(Event(event::storeReturned).with("from", change.before.number).with("to", change.now.number));
@@ -179,8 +191,12 @@
 {
     return boost::leaf::try_handle_all(
         [&]() -> Result<bool> {
+            const auto read = m_reader->answeredRead();
+            const auto begunAt = MonotonicClock::now();
             BOOST_LEAF_AUTO(configuration, platform::readConfiguration(*record.value));
             m_hooks.onConfiguration(configuration);
+            const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicClock::now() - begunAt);
+            recordRead(read, *configuration, record.value->size(), took);
             return true;
         },
         [&](const platform::DocumentFault& fault) {
@@ -196,6 +212,19 @@
         });
 }
 
+void FleetDriver::recordRead(const AnsweredRead& read, const publication::ConfigurationVersion& configuration, std::size_t bytes, std::chrono::milliseconds applying)
+{
+    Event it(event::configurationRead);
+    it.with("offset", configuration.stamp.offset)
+        .with("kind", publication::toString(read.kind))
+        .with("bytes", bytes)
+        .with("openMs", read.open)
+        .with("applyingMs", applying);
+    if (read.arriving)
+        it.with("arrivingMs", *read.arriving);
+    m_context.events.record(it);
+}
+
 gateway::AdminResponse FleetDriver::answerReadiness(const gateway::AdminRequest& request) const
 {
     if (request.target != platform::readinessTarget)
--- a/packages/node/src/internal/FleetDriver.h
+++ b/packages/node/src/internal/FleetDriver.h
@@ -63,6 +63,10 @@
 
     KeyedReaderHooks readerHooks();
     StreamHooks streamHooks(std::string_view stream);
+    /// Records that a peer knows more of the operator's stream than this node has read.
+    void recordAhead(const distribution::StreamEnd&);
+    /// \param applying time that it took to decode the configuration and to put it into force.
+    void recordRead(const AnsweredRead&, const publication::ConfigurationVersion&, std::size_t bytes, std::chrono::milliseconds applying);
     /// Both return whether the record can be used.
     bool onOrder(const publication::KeyedRecord&);
     bool onConfigurationRecord(const publication::KeyedRecord&);
--- a/packages/node/src/internal/KeyedReader.h
+++ b/packages/node/src/internal/KeyedReader.h
@@ -37,6 +37,15 @@
     std::chrono::milliseconds open {};
 };
 
+/// The read that delivered the records that are being reported.
+struct AnsweredRead {
+    publication::ReadKind kind = publication::ReadKind::Immediate;
+    /// Time since the read was sent.
+    std::chrono::milliseconds open {};
+    /// Time since its answer began to arrive; nothing for a listing.
+    std::optional<std::chrono::milliseconds> arriving;
+};
+
 /// What a reader reports of its reads of a stream.
 struct StreamHooks {
     /// The stream was read up to this end.
@@ -117,6 +126,18 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_answeredAt);
     }
 
+    /// \returns the read that was answered last, as of now.
+    AnsweredRead answeredRead() const
+    {
+        AnsweredRead it { m_sentKind, openTime(), std::nullopt };
+        if (m_begunAt)
+            it.arriving = std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicClock::now() - *m_begunAt);
+        return it;
+    }
+
+    /// \returns the position from which the stream is read on.
+    publication::StreamPosition position() const { return m_follower.position(); }
+
     /// Reads no more and reports nothing any more.
     void stop()
     {
@@ -145,6 +166,7 @@
         const bool isImmediate = m_follower.needsListing() || m_follower.isReadingOmitted();
         m_sentKind = isImmediate ? publication::ReadKind::Immediate : publication::ReadKind::LongPoll;
         m_answerMadeAt = m_sentAt;
+        m_begunAt.reset();
         m_watchdog.onReadSent(m_sentKind, m_follower.position(), m_sentAt);
         if (m_follower.needsListing()) {
             m_store.listNewest(m_stream, std::move(handler));
@@ -161,8 +183,9 @@
     void onAnswerBegun()
     {
         m_watchdog.onAnswerBegun();
+        m_begunAt = MonotonicClock::now();
         if (m_sentKind == publication::ReadKind::LongPoll)
-            m_answerMadeAt = MonotonicClock::now();
+            m_answerMadeAt = *m_begunAt;
     }
 
     void readAgain()
@@ -284,6 +307,8 @@
     boost::asio::steady_timer m_retry;
     Backoff m_backoff { s_retryBase, s_retryCap };
     MonotonicTime m_sentAt;
+    /// When the answer to the last read began to arrive.
+    std::optional<MonotonicTime> m_begunAt;
     publication::ReadKind m_sentKind = publication::ReadKind::Immediate;
     /// When the store made the last answer, as far as it is known: an immediate read is answered as it is sent.
     MonotonicTime m_answerMadeAt;
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -207,6 +207,7 @@
                             .with("offset", configuration->stamp.offset)
                             .with("held", m_configuration->stamp.offset));
     }
+    m_readStamp = configuration->stamp;
     m_peers->publishConfiguration(configuration);
 }
 
@@ -219,7 +220,8 @@
     m_metrics.setConfigurationOffset(configuration->stamp.offset);
     m_events.record(Event(event::configurationInForce)
                         .with("offset", configuration->stamp.offset)
-                        .with("digest", toHex(configuration->stamp.digest)));
+                        .with("digest", toHex(configuration->stamp.digest))
+                        .with("source", m_readStamp == configuration->stamp ? "store" : "peer"));
 }
 
 void NodeAssembly::onView(const std::shared_ptr<const membership::MembershipView>& view)
--- a/packages/node/src/internal/NodeAssembly.h
+++ b/packages/node/src/internal/NodeAssembly.h
@@ -108,6 +108,8 @@
     std::shared_ptr<peer::ExchangeRunner> m_peers;
 
     publication::ConfigurationPointer m_configuration;
+    /// The configuration that was last read from the store.
+    std::optional<publication::ConfigurationStamp> m_readStamp;
     std::shared_ptr<const membership::MembershipView> m_view;
     boost::asio::steady_timer m_tick;
     std::optional<DrainDriver> m_drain;
--- a/packages/node/src/internal/NodeAssemblyHooks.cpp
+++ b/packages/node/src/internal/NodeAssemblyHooks.cpp
@@ -93,7 +93,7 @@
     hooks.onStart = [this](const publication::CheckpointMatched& start) { m_checkpoints->onRecovered(start); };
     hooks.onEnd = [this](const publication::ConfigurationPointer& configuration) {
         if (configuration)
-            m_peers->publishConfiguration(configuration);
+            onConfigurationRead(configuration);
         m_peers->reportLogEnd();
     };
     hooks.onAvailable = [this](bool available) {
