--- a/packages/distribution/tests/Fleet.cpp
+++ b/packages/distribution/tests/Fleet.cpp
@@ -11,7 +11,9 @@
 
     constexpr std::uint16_t firstPort = 1000;
     constexpr std::chrono::milliseconds gossipTimeout { 1500 };
+    constexpr std::chrono::milliseconds pushTimeout { 3000 };
     constexpr std::chrono::milliseconds fetchTimeout { 10000 };
+    constexpr std::chrono::milliseconds idleTimeout { 30000 };
     constexpr std::chrono::milliseconds refusedDelay { 1 };
     constexpr std::chrono::milliseconds logDelay { 5 };
     constexpr std::chrono::milliseconds longPoll { 2000 };
@@ -306,8 +308,9 @@
     const bool refused = reachable(node, asked) && !running(asked);
     at(node, incarnation, refused ? refusedDelay : gossipTimeout, [this, id = it.id](GossipEngine& engine) { return engine.onFailed(id, m_now); });
     const int copies = chance(m_options.duplicates) ? 2 : 1;
+    const bool isHeard = passes(node, asked, gossipTimeout);
     for (int i = 0; i < copies; ++i) {
-        if (reachable(node, asked) && !chance(m_options.loss))
+        if (isHeard && !chance(m_options.loss))
             answer(asked, node, incarnation, it);
     }
 }
@@ -329,8 +332,9 @@
     count(node, m_options.sizeOf ? m_options.sizeOf(it.message) : 0);
     const std::size_t to = indexOf(it.to);
     const int copies = chance(m_options.duplicates) ? 2 : 1;
+    const bool isHeard = passes(node, to, pushTimeout);
     for (int i = 0; i < copies; ++i) {
-        if (reachable(node, to) && !chance(m_options.loss))
+        if (isHeard && !chance(m_options.loss))
             at(to, m_nodes[to].incarnation, delay(), [this, message = asReceived(it.message)](GossipEngine& engine) { return engine.onPush(message, m_now); });
     }
 }
@@ -341,7 +345,7 @@
     const std::uint64_t incarnation = m_nodes[node].incarnation;
     const bool refused = reachable(node, asked) && !running(asked);
     at(node, incarnation, refused ? refusedDelay : fetchTimeout, [this, id = it.id](GossipEngine& engine) { return engine.onFailed(id, m_now); });
-    if (!reachable(node, asked) || chance(m_options.loss))
+    if (!passes(node, asked, fetchTimeout) || chance(m_options.loss))
         return;
     at(asked, m_nodes[asked].incarnation, delay(), [this, asked, node, incarnation, id = it.id, scope = it.scope](GossipEngine& engine) {
         auto state = engine.onFetch(scope, m_now);
@@ -408,6 +412,28 @@
     return domainOf(a) == domainOf(b) || !(m_cut.contains(domainOf(a)) || m_cut.contains(domainOf(b)));
 }
 
+bool Fleet::passes(std::size_t from, std::size_t to, std::chrono::milliseconds timeout)
+{
+    if (!reachable(from, to))
+        return false;
+    auto& it = m_connections[{ from, to }];
+    if (it.closesAt && m_now >= *it.closesAt)
+        it = Connection {};
+    it.usedAt = m_now;
+    if (!it.isSilent)
+        return true;
+    it.closesAt = std::min(it.closesAt.value_or(MonotonicTime::max()), m_now + timeout);
+    return false;
+}
+
+void Fleet::silenceConnections(double share)
+{
+    for (auto& [nodes, it] : m_connections)
+        it.isSilent = it.isSilent || (m_now - it.usedAt < idleTimeout && chance(share));
+}
+
+void Fleet::reachEnd(std::size_t node, const StreamEnd& reached) { engine(node).onStreamRead(reached); }
+
 bool Fleet::logReachable(std::size_t node) const
 {
     return m_logUp && !m_logCut.contains(domainOf(node));
--- a/packages/distribution/tests/Fleet.h
+++ b/packages/distribution/tests/Fleet.h
@@ -4,10 +4,13 @@
 #include "carobpath/distribution/GossipEngine.h"
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace carobpath::distribution {
@@ -70,6 +73,11 @@
     void heal() { m_cut.clear(); }
     void healLog() { m_logCut.clear(); }
     void cutLog(std::size_t domain) { m_logCut.insert(domain); }
+    /// Lets a random share of the connections that were used lately fall silent: their messages are lost until the timeout of
+    /// the first of them closes the connection.
+    void silenceConnections(double share);
+    /// Reports that the node's own read of a stream reached this end.
+    void reachEnd(std::size_t node, const StreamEnd&);
 
     std::size_t size() const { return m_nodes.size(); }
     std::size_t domainOf(std::size_t node) const { return node % m_options.domains; }
@@ -120,6 +128,12 @@
         std::function<void()> action;
         friend bool operator>(const Event& a, const Event& b) { return std::tie(a.at, a.number) > std::tie(b.at, b.number); }
     };
+    /// The connection over which one node sends requests to another.
+    struct Connection {
+        MonotonicTime usedAt;
+        bool isSilent = false;
+        std::optional<MonotonicTime> closesAt;
+    };
     using Step = std::function<Commands(GossipEngine&)>;
 
     void schedule(std::chrono::microseconds delay, std::function<void()>);
@@ -138,6 +152,8 @@
     std::chrono::microseconds delay();
     bool chance(double);
     bool reachable(std::size_t a, std::size_t b) const;
+    /// \returns whether a request passes, which the sender waits for no longer than the timeout.
+    bool passes(std::size_t from, std::size_t to, std::chrono::milliseconds timeout);
     bool logReachable(std::size_t node) const;
     std::size_t indexOf(const Endpoint&) const;
     PeerMessage asReceived(const PeerMessage&);
@@ -154,6 +170,7 @@
     bool m_logUp = true;
     std::set<std::size_t> m_cut;
     std::set<std::size_t> m_logCut;
+    std::map<std::pair<std::size_t, std::size_t>, Connection> m_connections;
     std::uint64_t m_logReads = 0;
     std::vector<std::string> m_violations;
     std::chrono::nanoseconds m_cpu {};
--- a/packages/distribution/tests/StreamEndTests.cpp
+++ b/packages/distribution/tests/StreamEndTests.cpp
@@ -4,6 +4,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <map>
+#include <set>
 
 namespace carobpath::distribution {
 
@@ -12,6 +14,11 @@
     using std::chrono::milliseconds;
     using std::chrono::seconds;
 
+    /// Half of the time within which a change is to be in force on the fleet with the shortest one.
+    constexpr milliseconds hearingBound { 1000 };
+    /// Time after which a node announces an end that its own read does not deliver.
+    constexpr milliseconds announcementDelay { 300 };
+
     FleetOptions optionsOf(std::size_t nodes)
     {
         FleetOptions options;
@@ -20,6 +27,13 @@
         return options;
     }
 
+    FleetOptions seededOptionsOf(std::size_t nodes, std::uint64_t seed)
+    {
+        auto options = optionsOf(nodes);
+        options.seed = seed;
+        return options;
+    }
+
     NodeName nameOf(std::size_t node) { return NodeName { "booking-" + std::to_string(node) }; }
 
     bool isChecking(const membership::MembershipView& view, std::size_t node)
@@ -32,8 +46,8 @@
     struct JoinedFleet {
         Fleet fleet;
 
-        explicit JoinedFleet(std::size_t nodes)
-            : fleet(optionsOf(nodes))
+        explicit JoinedFleet(std::size_t nodes, std::uint64_t seed = 1)
+            : fleet(seededOptionsOf(nodes, seed))
         {
             fleet.publish();
             fleet.startAll();
@@ -41,6 +55,27 @@
             fleet.run(seconds { 5 });
         }
 
+        /// \returns the number of those nodes that no peer told of the end within the time. The ones that were told announce
+        /// it themselves, since their reads do not deliver it.
+        std::size_t nodesNotToldWithin(milliseconds bound, const StreamEnd& reached, const std::vector<std::size_t>& others)
+        {
+            constexpr milliseconds step { 20 };
+            std::map<std::size_t, milliseconds> toldAt;
+            std::set<std::size_t> announced;
+            for (milliseconds passed { 0 }; passed < bound; passed += step) {
+                fleet.run(step);
+                for (const auto i : others) {
+                    if (fleet.streamEnd(i) >= reached.end)
+                        toldAt.try_emplace(i, passed);
+                }
+                for (const auto& [node, at] : toldAt) {
+                    if (passed - at >= announcementDelay && announced.insert(node).second)
+                        fleet.execute(node, fleet.engine(node).announceStreamEnd(reached));
+                }
+            }
+            return others.size() - toldAt.size();
+        }
+
         /// \returns whether all nodes but the first heard of the end.
         bool allHeardOf(publication::StreamPosition end) const
         {
@@ -190,6 +225,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(An_end_that_a_part_of_the_fleet_has_read_reaches_the_rest_over_silent_connections)
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        JoinedFleet it { 294, seed };
+        it.fleet.run(seconds { 15 });
+        it.fleet.silenceConnections(0.5);
+        const StreamEnd reached { "orders", { {}, 5 } };
+        std::vector<std::size_t> others;
+        for (std::size_t i = 0; i < it.fleet.size(); ++i) {
+            if (i % 3 == 0)
+                it.fleet.reachEnd(i, reached);
+            else
+                others.push_back(i);
+        }
+        const auto late = it.nodesNotToldWithin(hearingBound, reached, others);
+        BOOST_TEST(late == 0U, "seed " << seed << ": " << late << " nodes");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
