A read is not given up while the store answers the rest of the fleet

Cause: a long poll was given up 200 ms after its records were known to exist, and replaced by a listing, which is a third larger. The store sends 80 MB a second to all nodes together: it takes 0.4 s to answer 294 nodes with 111 KB, 1.4 s with 394 KB. Ruled out: the link (166 to 242 ms of it), the processor (0.2 to 0.5 s to decode and apply on a tenth of a core, for both kinds).

Change: the time in which a pending read must deliver grows by the time that the store needs to answer all nodes (nodes, size of the last configuration, log.read-megabytes from the platform's settings), up to a second.

--- a/packages/foundation/include/carobpath/foundation/NodeSettings.h
+++ b/packages/foundation/include/carobpath/foundation/NodeSettings.h
@@ -52,6 +52,8 @@
         std::vector<Endpoint> endpoints;
         std::string stream;
         std::chrono::microseconds retention {};
+        /// 0 where the rate is not known.
+        double readMegabytes = 0;
     } log;
 
     /// Peer addresses of nodes to join by.
--- a/packages/foundation/src/NodeSettings.cpp
+++ b/packages/foundation/src/NodeSettings.cpp
@@ -98,6 +98,9 @@
         it.withDefault(
             "log.retention", durationSetting(10s, 8760h), "24h", [](auto& s) -> auto& { return s.log.retention; },
             "How long the log keeps a record; checkpoints are written well inside it.");
+        it.withDefault(
+            "log.read-megabytes", decimalSetting(0, 1'000'000), "0", [](auto& s) -> auto& { return s.log.readMegabytes; },
+            "What the log sends to readers on all nodes together, in megabytes a second. 0 where it is not known.");
     }
 
     void declareTrust(Reader& it)
--- a/packages/node/src/internal/FleetDriver.cpp
+++ b/packages/node/src/internal/FleetDriver.cpp
@@ -16,6 +16,7 @@
     /// Time between two checks of a stream by the whole fleet: a small part of the time within which a change is to be in
     /// force.
     constexpr std::chrono::milliseconds fleetCheckInterval { 500 };
+    constexpr double bytesPerMegabyte = 1e6;
     constexpr unsigned statusOk = 200;
     constexpr unsigned statusBadRequest = 400;
     constexpr unsigned statusNotFound = 404;
@@ -102,6 +103,8 @@
         return;
     m_directory->onView(view);
     m_reader->setCheckSchedule(m_checkSchedule);
+    m_readers = static_cast<std::size_t>(std::count_if(view.nodes.begin(), view.nodes.end(), [](const auto& it) { return it.liveness == membership::Liveness::Alive; }));
+    updateDeliveryTimeout();
 }
 
 void FleetDriver::onStreamAdvanced(const distribution::StreamEnd& reached)
@@ -114,6 +117,12 @@
         m_moves->onStatusEndKnown(reached.end);
 }
 
+void FleetDriver::updateDeliveryTimeout()
+{
+    const auto rate = m_context.settings.log.readMegabytes * bytesPerMegabyte;
+    m_reader->setDeliveryTimeout(publication::ReadWatchdog::deliveryTimeoutFor(m_readers, m_configurationBytes, rate));
+}
+
 void FleetDriver::recordAhead(const distribution::StreamEnd& reached)
 {
     if (reached.end <= m_reader->position())
@@ -197,6 +206,8 @@
             m_hooks.onConfiguration(configuration);
             const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicClock::now() - begunAt);
             recordRead(read, *configuration, record.value->size(), took);
+            m_configurationBytes = record.value->size();
+            updateDeliveryTimeout();
             return true;
         },
         [&](const platform::DocumentFault& fault) {
--- a/packages/node/src/internal/KeyedReader.h
+++ b/packages/node/src/internal/KeyedReader.h
@@ -87,6 +87,9 @@
     /// Sets when this node asks for the end of the stream; nothing if it leaves that to others.
     void setCheckSchedule(const std::optional<publication::CheckSchedule>& schedule) { m_watchdog.setCheckSchedule(schedule, MonotonicClock::now()); }
 
+    /// See \c ReadWatchdog.
+    void setDeliveryTimeout(std::chrono::milliseconds timeout) { m_watchdog.setDeliveryTimeout(timeout); }
+
     /// Another node knows that the stream reaches this end.
     void onEndKnown(publication::StreamPosition end) { m_watchdog.onEndKnown(end, MonotonicClock::now()); }
 
--- a/packages/publication/include/carobpath/publication/ReadWatchdog.h
+++ b/packages/publication/include/carobpath/publication/ReadWatchdog.h
@@ -5,6 +5,7 @@
 #include "carobpath/publication/LogService.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <random>
@@ -48,8 +49,10 @@
 /// The class does no I/O: the caller reports events and performs what \c next returns.
 class ReadWatchdog {
 public:
-    /// Time in which a pending read must deliver a record that exists.
+    /// Time in which a pending read must deliver a record that exists, where the store is not busy with other nodes' reads.
     static constexpr std::chrono::milliseconds s_deliveryTimeout { 200 };
+    /// Upper bound of this time: a node whose read is lost needs the rest of the time within which a record must take effect.
+    static constexpr std::chrono::milliseconds s_maxDeliveryTimeout { 1'000 };
     static constexpr std::chrono::milliseconds s_checkRetryBase { 200 };
     static constexpr std::chrono::milliseconds s_checkRetryCap { 1'000 };
 
@@ -58,6 +61,14 @@
     {
     }
 
+    /// \returns the time in which a read must deliver while the store answers the same read of each node.
+    /// \param bytes size of such an answer.
+    /// \param bytesPerSecond what the store sends to all nodes together; 0 if that is not known.
+    static std::chrono::milliseconds deliveryTimeoutFor(std::size_t nodes, std::size_t bytes, double bytesPerSecond);
+
+    /// Sets the time in which a pending read must deliver a record that exists.
+    void setDeliveryTimeout(std::chrono::milliseconds timeout) { m_deliveryTimeout = timeout; }
+
     /// Sets when this node checks the stream; nothing if other nodes check it.
     void setCheckSchedule(const std::optional<CheckSchedule>&, MonotonicTime now);
 
@@ -97,6 +108,7 @@
     bool isCheckDue(MonotonicTime now) const;
 
     std::mt19937_64 m_random;
+    std::chrono::milliseconds m_deliveryTimeout = s_deliveryTimeout;
     /// Empty while the last read is answered and the next one is not sent.
     std::optional<Read> m_read;
     /// The pending read was sent before the store was found unresponsive.
--- a/packages/publication/src/ReadWatchdog.cpp
+++ b/packages/publication/src/ReadWatchdog.cpp
@@ -10,6 +10,16 @@
     return kind == ReadKind::LongPoll ? "long-poll" : "immediate";
 }
 
+std::chrono::milliseconds ReadWatchdog::deliveryTimeoutFor(std::size_t nodes, std::size_t bytes, double bytesPerSecond)
+{
+    if (bytesPerSecond <= 0)
+        return s_deliveryTimeout;
+    const std::chrono::duration<double> toAnswerAll { static_cast<double>(nodes) * static_cast<double>(bytes) / bytesPerSecond };
+    if (toAnswerAll >= s_maxDeliveryTimeout)
+        return s_maxDeliveryTimeout;
+    return std::min(s_maxDeliveryTimeout, s_deliveryTimeout + std::chrono::ceil<std::chrono::milliseconds>(toAnswerAll));
+}
+
 void ReadWatchdog::setCheckSchedule(const std::optional<CheckSchedule>& schedule, MonotonicTime now)
 {
     if (schedule == m_checkSchedule)
@@ -96,7 +106,7 @@
     if (m_isReadSuspect && !m_read->hasFailed)
         return true;
     const bool isBehind = m_knownEnd > m_read->from && m_knownEnd > m_repeatedFor;
-    return isBehind && now - std::max(m_knownEndAt, m_read->sentAt) >= s_deliveryTimeout;
+    return isBehind && now - std::max(m_knownEndAt, m_read->sentAt) >= m_deliveryTimeout;
 }
 
 bool ReadWatchdog::isCheckDue(MonotonicTime now) const
--- a/tests/process/harness/FleetSite.cpp
+++ b/tests/process/harness/FleetSite.cpp
@@ -70,7 +70,7 @@
             { "listen-addresses", { { "inbound", freeAddress() }, { "outbound", freeAddress() }, { "ready", freeAddress() }, { "control", freeAddress() } } },
             { "limits", { { "cpu-share", 0.2 }, { "memory-mb", 260 }, { "link-mbps", 1000.0 } } },
             { "bounds", { { "grace-period-s", 2.5 }, { "retry-budget-ratio", 0.2 }, { "budget-slack", 64 }, { "budget-window-s", 10 }, { "exposure-share", 0.1 }, { "exposure-slack", 50 } } },
-            { "platform", { { "address", store } } },
+            { "platform", { { "address", store }, { "read-mb-per-s", 80.0 } } },
         };
     }
 
