Each node pushes on at once how far a stream reaches

A node whose long poll is lost can only be told by its peers that a new configuration exists.

Cause: who had read the records said so only in its comparisons, one a second with a random peer; the push along the relay tree began once a node had given up a read, and reached no further than the first connection that had fallen silent. Other pushes carried the version of the sender but not the end of the stream. Of 14 nodes 9 ask the store themselves, of 294 only 15.

Change: whoever learns of a further end, by its own read, a check or a peer, pushes it at once to its neighbours in the tree and to four random peers, once; every message between nodes carries the ends. So each node is told on some six ways, most of them not along the tree.

--- a/packages/distribution/include/carobpath/distribution/GossipEngine.h
+++ b/packages/distribution/include/carobpath/distribution/GossipEngine.h
@@ -112,6 +112,9 @@
     static constexpr std::chrono::milliseconds s_evidenceInterval { 400 };
     /// Number of random peers that a notice is pushed to in addition to the neighbours.
     static constexpr std::size_t s_noticeFanOut = 2;
+    /// Number of random peers that the end of a stream is pushed to in addition to the neighbours. The neighbours alone do not
+    /// suffice: a connection to one of them that fell silent would cut off a part of the relay tree.
+    static constexpr std::size_t s_streamEndFanOut = 4;
     static constexpr std::size_t s_membershipBudget = 4096;
     static constexpr std::size_t s_evidenceBudget = 2048;
     static constexpr std::size_t s_compareBudget = 32768;
@@ -155,10 +158,9 @@
     /// Reports that this node has read the log to its end.
     Commands onLogEnd(MonotonicTime now);
 
-    /// Reports how far this node has read a stream. Gossip rounds pass it on.
-    void onStreamRead(const StreamEnd& reached) { m_streamEnds.advance(reached); }
-    /// Tells all nodes at once how far a stream reaches, since their reads may not deliver it.
-    Commands announceStreamEnd(const StreamEnd&);
+    /// Reports how far this node knows a stream to reach. What is new is pushed on at once, since the reads of other nodes may
+    /// not deliver it, and they may have no other way to notice.
+    Commands onStreamEnd(const StreamEnd&);
 
     /// Adds seeds found after the start; only the latest are kept. Immediately contacts each seed that is not known to be
     /// alive: if all nodes start at the same time, none has joined yet and none can serve a snapshot.
@@ -230,8 +232,8 @@
     std::chrono::milliseconds fetchGrace(bool deltaExpected) const;
     bool isLocal(const NodeName&) const;
     void processStreamEnds(const PeerMessage&, Commands&);
-    /// Sends to all neighbours in the relay tree except one what has not been sent before.
-    void forwardStreamEnds(const std::vector<StreamEnd>&, const Endpoint& except, Commands&);
+    /// Sends the known ends of streams to the neighbours in the relay tree except one, and to some random peers.
+    void pushStreamEnds(const Endpoint& except, Commands&);
     void answerComparison(const PeerMessage&, Commands&);
     void onAdoption(Adoption, const publication::ConfigurationPointer& before, const Endpoint& source, MonotonicTime now, Commands&);
     bool comparisonDue(const PeerMessage& request, MonotonicTime now);
@@ -250,7 +252,6 @@
     SnapshotFetch m_fetch;
     EvidenceGossip m_evidence;
     StreamEnds m_streamEnds;
-    StreamEnds m_forwardedStreamEnds;
     GossipCounters m_counters;
 
     MonotonicTime m_startedAt;
--- a/packages/distribution/include/carobpath/distribution/PeerMessage.h
+++ b/packages/distribution/include/carobpath/distribution/PeerMessage.h
@@ -31,7 +31,7 @@
     membership::MembershipUpdate membership;
     moves::EvidenceUpdate evidence;
     std::shared_ptr<const Delta> delta;
-    /// How far the sender knows streams of the log to reach. In a push, the receiver forwards what is new to it.
+    /// How far the sender knows streams of the log to reach. The receiver pushes on what is new to it.
     std::vector<StreamEnd> streamEnds;
     /// Hybrid logical clock of the sender, written and read by the transport.
     std::uint64_t hybridMilliseconds = 0;
--- a/packages/distribution/src/GossipEngine.cpp
+++ b/packages/distribution/src/GossipEngine.cpp
@@ -231,11 +231,11 @@
     return commands;
 }
 
-Commands GossipEngine::announceStreamEnd(const StreamEnd& reached)
+Commands GossipEngine::onStreamEnd(const StreamEnd& reached)
 {
     Commands commands;
-    m_streamEnds.advance(reached);
-    forwardStreamEnds({ reached }, Endpoint {}, commands);
+    if (m_streamEnds.advance(reached))
+        pushStreamEnds(Endpoint {}, commands);
     return commands;
 }
 
--- a/packages/distribution/src/GossipMessages.cpp
+++ b/packages/distribution/src/GossipMessages.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <set>
 
 namespace carobpath::distribution {
 
@@ -52,7 +53,6 @@
 {
     Commands commands;
     processMessage(message, now, commands);
-    forwardStreamEnds(message.streamEnds, message.sender, commands);
     answerComparison(message, commands);
     publishState(now, commands);
     return commands;
@@ -141,25 +141,29 @@
 
 void GossipEngine::processStreamEnds(const PeerMessage& message, Commands& commands)
 {
+    bool hasNews = false;
     for (const auto& it : message.streamEnds) {
-        if (m_streamEnds.advance(it))
-            commands.emplace_back(AdvanceStream { it });
+        if (!m_streamEnds.advance(it))
+            continue;
+        hasNews = true;
+        commands.emplace_back(AdvanceStream { it });
     }
+    if (hasNews)
+        pushStreamEnds(message.sender, commands);
 }
 
-void GossipEngine::forwardStreamEnds(const std::vector<StreamEnd>& ends, const Endpoint& except, Commands& commands)
+void GossipEngine::pushStreamEnds(const Endpoint& except, Commands& commands)
 {
-    PeerMessage message = header();
-    for (const auto& it : ends) {
-        if (m_forwardedStreamEnds.advance(it))
-            message.streamEnds.push_back(it);
-    }
-    if (message.streamEnds.empty())
-        return;
-    for (const auto* it : m_tree.neighbours()) {
-        if (it->addresses.peer != except)
-            commands.emplace_back(SendPush { it->addresses.peer, message });
+    std::set<Endpoint> receivers;
+    for (const auto* it : m_tree.neighbours())
+        receivers.insert(it->addresses.peer);
+    for (std::size_t i = 0; i < s_streamEndFanOut; ++i) {
+        if (const auto* peer = m_tree.randomPeer(m_random))
+            receivers.insert(peer->addresses.peer);
     }
+    receivers.erase(except);
+    for (const auto& it : receivers)
+        commands.emplace_back(SendPush { it, header() });
 }
 
 void GossipEngine::recordFloor(const PeerMessage& message)
@@ -325,6 +329,7 @@
     message.stamp = m_replica.stamp();
     message.joining = m_joining;
     message.membershipDigest = m_members.digest().combined();
+    message.streamEnds = m_streamEnds.all();
     return message;
 }
 
@@ -346,7 +351,6 @@
     if (includeSelf)
         message.membership.records.push_back(*m_members.find(m_members.self().name));
     message.evidence = m_evidence.take(s_evidenceBudget, transmissions());
-    message.streamEnds = m_streamEnds.all();
     return message;
 }
 
--- a/packages/distribution/tests/Fleet.h
+++ b/packages/distribution/tests/Fleet.h
@@ -76,7 +76,7 @@
     /// Lets a random share of the connections that were used lately fall silent: their messages are lost until the timeout of
     /// the first of them closes the connection.
     void silenceConnections(double share);
-    /// Reports that the node's own read of a stream reached this end.
+    /// Reports to the node that a stream has reached this end.
     void reachEnd(std::size_t node, const StreamEnd&);
 
     std::size_t size() const { return m_nodes.size(); }
--- a/packages/node/src/internal/FleetDriver.cpp
+++ b/packages/node/src/internal/FleetDriver.cpp
@@ -146,7 +146,7 @@
 StreamHooks FleetDriver::streamHooks(std::string_view stream)
 {
     StreamHooks hooks;
-    hooks.onPosition = [this, name = std::string { stream }](publication::StreamPosition end) { m_hooks.onStreamRead({ name, end }); };
+    hooks.onPosition = [this, name = std::string { stream }](publication::StreamPosition end) { m_hooks.onStreamEnd({ name, end }); };
     hooks.onReadAbandoned = [this, name = std::string { stream }](const AbandonedRead& read) {
         m_context.events.record(Event(event::readAbandoned)
                                     .with("stream", name)
@@ -155,7 +155,7 @@
                                     .with("era", read.knownEnd.era.number)
                                     .with("openMs", read.open));
         if (read.knownEnd > read.from)
-            m_hooks.onStreamAhead({ name, read.knownEnd });
+            m_hooks.onStreamEnd({ name, read.knownEnd });
     };
     hooks.onReadFailed = [this, name = std::string { stream }](const FailedRead& read) {
         m_context.events.record(Event(event::readFailed)
--- a/packages/node/src/internal/FleetDriver.h
+++ b/packages/node/src/internal/FleetDriver.h
@@ -27,10 +27,8 @@
     /// A finding about a move must be spread at once.
     std::function<void()> onNotice;
     std::function<void(bool)> onStoreAvailable;
-    /// A stream of the store was read up to this end.
-    std::function<void(const distribution::StreamEnd&)> onStreamRead;
-    /// A stream of the store reaches further than a pending read has delivered, here and maybe elsewhere.
-    std::function<void(const distribution::StreamEnd&)> onStreamAhead;
+    /// A stream of the store was read up to this end, or is known to reach it while a pending read has not delivered it.
+    std::function<void(const distribution::StreamEnd&)> onStreamEnd;
 };
 
 /// The node's ends towards the shared fleet: its store, its readiness questions and its backend servers' announcements.
--- a/packages/node/src/internal/NodeAssemblyHooks.cpp
+++ b/packages/node/src/internal/NodeAssemblyHooks.cpp
@@ -52,8 +52,7 @@
     hooks.ready = [this] { return serving(); };
     hooks.onNotice = [this] { m_peers->notifyEvidence(); };
     hooks.onStoreAvailable = [this](bool available) { m_metrics.setLogAvailable(available); };
-    hooks.onStreamRead = [this](const distribution::StreamEnd& reached) { m_peers->reportStreamEnd(reached); };
-    hooks.onStreamAhead = [this](const distribution::StreamEnd& reached) { m_peers->announceStreamEnd(reached); };
+    hooks.onStreamEnd = [this](const distribution::StreamEnd& reached) { m_peers->reportStreamEnd(reached); };
     return hooks;
 }
 
--- a/packages/peer/include/carobpath/peer/ExchangeRunner.h
+++ b/packages/peer/include/carobpath/peer/ExchangeRunner.h
@@ -70,10 +70,8 @@
     void publishConfiguration(publication::ConfigurationPointer);
     /// This node has read the log to its end.
     void reportLogEnd();
-    /// This node has read a stream up to this end.
+    /// A stream reaches this end, as far as this node knows from the log.
     void reportStreamEnd(const distribution::StreamEnd&);
-    /// Tells all nodes at once how far a stream reaches.
-    void announceStreamEnd(const distribution::StreamEnd&);
     /// Nodes to join by that were found after the start.
     void introduce(const std::vector<Endpoint>& found);
     void setUpstream(std::optional<membership::Upstream>);
--- a/packages/peer/src/ExchangeRunner.cpp
+++ b/packages/peer/src/ExchangeRunner.cpp
@@ -255,12 +255,7 @@
 
 void ExchangeRunner::reportStreamEnd(const distribution::StreamEnd& reached)
 {
-    m_impl->exchange->onStreamRead(reached);
-}
-
-void ExchangeRunner::announceStreamEnd(const distribution::StreamEnd& reached)
-{
-    m_impl->run(m_impl->exchange->announceStreamEnd(reached));
+    m_impl->run(m_impl->exchange->onStreamEnd(reached));
 }
 
 void ExchangeRunner::introduce(const std::vector<Endpoint>& found)
