A read that is repeated goes over a new connection to the store

Cause: the repeat took an idle connection, which had fallen silent with the first; only its timeout closed the others. Change: a reader that gives up a read closes the idle connections first, so that the repeat opens a new one.

--- a/packages/node/src/internal/KeyedReader.h
+++ b/packages/node/src/internal/KeyedReader.h
@@ -196,6 +196,8 @@
         m_retry.cancel();
         m_hooks.stream.onReadAbandoned({ m_follower.position(), m_watchdog.knownEnd(), openTime() });
         m_follower.onInterrupted();
+        // The connection may have fallen silent, and the idle ones with it.
+        m_store.closeIdleConnections();
         read();
     }
 
--- a/packages/node/tests/KeyedReaderTests.cpp
+++ b/packages/node/tests/KeyedReaderTests.cpp
@@ -35,6 +35,8 @@
         void checkEnd(const std::string&, Offset, publication::EndHandler handler) { checks.push_back(std::move(handler)); }
         void put(const std::string&, const KeyedRecord&, const std::optional<StreamPosition>&, const publication::AppendHandler&) { }
 
+        void closeIdleConnections() { }
+
         publication::StoreEra era;
 
         StreamPosition end() const { return { era, records.size() }; }
--- a/packages/publication/include/carobpath/publication/EndpointPool.h
+++ b/packages/publication/include/carobpath/publication/EndpointPool.h
@@ -27,6 +27,9 @@
     /// Sends a request to an endpoint. The handler is called with the answer.
     void send(std::size_t endpoint, HttpRequest, HttpHandler);
 
+    /// Closes the idle connections, so that the next requests go over new ones.
+    void closeIdle() { m_idle.clear(); }
+
     /// Cancels all exchanges without calling their handlers.
     void close();
 
--- a/packages/publication/include/carobpath/publication/KeyedStore.h
+++ b/packages/publication/include/carobpath/publication/KeyedStore.h
@@ -67,6 +67,9 @@
     {
         store.put(stream, record, at, AppendHandler {})
         } -> std::same_as<void>;
+    {
+        store.closeIdleConnections()
+        } -> std::same_as<void>;
 };
 
 }
