The wait for a read allows for a configuration that has grown

All nodes were told at once, and 145 gave up reads that were due: the time that the store needs was reckoned from the version before, of 111 KB, and this one has 394 KB.

Change: the time is reckoned from a size to allow for, 256 KB, not from the last one; the bound of a second stays.

--- a/packages/node/src/internal/FleetDriver.cpp
+++ b/packages/node/src/internal/FleetDriver.cpp
@@ -34,6 +34,11 @@
         return publication::CheckSchedule { fleetCheckInterval * readers.size(), fleetCheckInterval * turn };
     }
 
+    std::size_t aliveIn(const membership::MembershipView& view)
+    {
+        return static_cast<std::size_t>(std::count_if(view.nodes.begin(), view.nodes.end(), [](const auto& it) { return it.liveness == membership::Liveness::Alive; }));
+    }
+
     gateway::AdminResponse answer(unsigned status)
     {
         return gateway::AdminResponse { status, "application/json", "{}" };
@@ -103,8 +108,8 @@
         return;
     m_directory->onView(view);
     m_reader->setCheckSchedule(m_checkSchedule);
-    m_readers = static_cast<std::size_t>(std::count_if(view.nodes.begin(), view.nodes.end(), [](const auto& it) { return it.liveness == membership::Liveness::Alive; }));
-    updateDeliveryTimeout();
+    const auto rate = m_context.settings.log.readMegabytes * bytesPerMegabyte;
+    m_reader->setDeliveryTimeout(publication::ReadWatchdog::deliveryTimeoutFor(aliveIn(view), rate));
 }
 
 void FleetDriver::onStreamAdvanced(const distribution::StreamEnd& reached)
@@ -117,12 +122,6 @@
         m_moves->onStatusEndKnown(reached.end);
 }
 
-void FleetDriver::updateDeliveryTimeout()
-{
-    const auto rate = m_context.settings.log.readMegabytes * bytesPerMegabyte;
-    m_reader->setDeliveryTimeout(publication::ReadWatchdog::deliveryTimeoutFor(m_readers, m_configurationBytes, rate));
-}
-
 void FleetDriver::recordAhead(const distribution::StreamEnd& reached)
 {
     if (reached.end <= m_reader->position())
@@ -206,8 +205,6 @@
             m_hooks.onConfiguration(configuration);
             const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicClock::now() - begunAt);
             recordRead(read, *configuration, record.value->size(), took);
-            m_configurationBytes = record.value->size();
-            updateDeliveryTimeout();
             return true;
         },
         [&](const platform::DocumentFault& fault) {
--- a/packages/node/src/internal/FleetDriver.h
+++ b/packages/node/src/internal/FleetDriver.h
@@ -61,8 +61,6 @@
 
     KeyedReaderHooks readerHooks();
     StreamHooks streamHooks(std::string_view stream);
-    /// Adapts the reader to the size of the fleet and of the configuration, which every node reads.
-    void updateDeliveryTimeout();
     /// Records that a peer knows more of the operator's stream than this node has read.
     void recordAhead(const distribution::StreamEnd&);
     /// \param applying time that it took to decode the configuration and to put it into force.
@@ -83,9 +81,6 @@
     std::shared_ptr<Reader> m_reader;
     /// When this node checks the streams; nothing if other nodes check them.
     std::optional<publication::CheckSchedule> m_checkSchedule;
-    /// Nodes that read the streams, and the size of the last configuration that was read.
-    std::size_t m_readers = 1;
-    std::size_t m_configurationBytes = 0;
     std::shared_ptr<DirectoryDriver> m_directory;
     std::shared_ptr<OrderedMoveDriver> m_moves;
     std::optional<gateway::AdminServer> m_readiness;
--- a/packages/publication/include/carobpath/publication/ReadWatchdog.h
+++ b/packages/publication/include/carobpath/publication/ReadWatchdog.h
@@ -53,6 +53,8 @@
     static constexpr std::chrono::milliseconds s_deliveryTimeout { 200 };
     /// Upper bound of this time: a node whose read is lost needs the rest of the time within which a record must take effect.
     static constexpr std::chrono::milliseconds s_maxDeliveryTimeout { 1'000 };
+    /// Size of an answer to allow for. The last one does not tell it: a record may be several times as large as the one before.
+    static constexpr std::size_t s_largeAnswerBytes = 256UL * 1024;
     static constexpr std::chrono::milliseconds s_checkRetryBase { 200 };
     static constexpr std::chrono::milliseconds s_checkRetryCap { 1'000 };
 
@@ -62,9 +64,8 @@
     }
 
     /// \returns the time in which a read must deliver while the store answers the same read of each node.
-    /// \param bytes size of such an answer.
     /// \param bytesPerSecond what the store sends to all nodes together; 0 if that is not known.
-    static std::chrono::milliseconds deliveryTimeoutFor(std::size_t nodes, std::size_t bytes, double bytesPerSecond);
+    static std::chrono::milliseconds deliveryTimeoutFor(std::size_t nodes, double bytesPerSecond);
 
     /// Sets the time in which a pending read must deliver a record that exists.
     void setDeliveryTimeout(std::chrono::milliseconds timeout) { m_deliveryTimeout = timeout; }
--- a/packages/publication/src/ReadWatchdog.cpp
+++ b/packages/publication/src/ReadWatchdog.cpp
@@ -10,11 +10,11 @@
     return kind == ReadKind::LongPoll ? "long-poll" : "immediate";
 }
 
-std::chrono::milliseconds ReadWatchdog::deliveryTimeoutFor(std::size_t nodes, std::size_t bytes, double bytesPerSecond)
+std::chrono::milliseconds ReadWatchdog::deliveryTimeoutFor(std::size_t nodes, double bytesPerSecond)
 {
     if (bytesPerSecond <= 0)
         return s_deliveryTimeout;
-    const std::chrono::duration<double> toAnswerAll { static_cast<double>(nodes) * static_cast<double>(bytes) / bytesPerSecond };
+    const std::chrono::duration<double> toAnswerAll { static_cast<double>(nodes) * static_cast<double>(s_largeAnswerBytes) / bytesPerSecond };
     if (toAnswerAll >= s_maxDeliveryTimeout)
         return s_maxDeliveryTimeout;
     return std::min(s_maxDeliveryTimeout, s_deliveryTimeout + std::chrono::ceil<std::chrono::milliseconds>(toAnswerAll));
