An end that a check finds is told at once

A checking node told its peers of an end only when it gave up its own read: up to a second later in a large fleet, since that wait grows with the fleet. Now it tells them when the check is answered. Test: An_end_that_a_check_finds_is_reported_before_the_pending_read_is_given_up (new hook; without it nothing was reported).

--- a/packages/node/src/internal/FleetDriver.cpp
+++ b/packages/node/src/internal/FleetDriver.cpp
@@ -146,6 +146,7 @@
 {
     StreamHooks hooks;
     hooks.onPosition = [this, name = std::string { stream }](publication::StreamPosition end) { m_hooks.onStreamEnd({ name, end }); };
+    hooks.onEndChecked = hooks.onPosition;
     hooks.onReadAbandoned = [this, name = std::string { stream }](const AbandonedRead& read) {
         m_context.events.record(Event(event::readAbandoned)
                                     .with("stream", name)
@@ -153,8 +154,6 @@
                                     .with("end", read.knownEnd.offset)
                                     .with("era", read.knownEnd.era.number)
                                     .with("openMs", read.open));
-        if (read.knownEnd > read.from)
-            m_hooks.onStreamEnd({ name, read.knownEnd });
     };
     hooks.onReadFailed = [this, name = std::string { stream }](const FailedRead& read) {
         m_context.events.record(Event(event::readFailed)
--- a/packages/node/src/internal/FleetDriver.h
+++ b/packages/node/src/internal/FleetDriver.h
@@ -27,7 +27,7 @@
     /// A finding about a move must be spread at once.
     std::function<void()> onNotice;
     std::function<void(bool)> onStoreAvailable;
-    /// A stream of the store was read up to this end, or is known to reach it while a pending read has not delivered it.
+    /// A stream of the store was read up to this end, or a check told that it reaches it.
     std::function<void(const distribution::StreamEnd&)> onStreamEnd;
 };
 
--- a/packages/node/src/internal/KeyedReader.h
+++ b/packages/node/src/internal/KeyedReader.h
@@ -50,6 +50,8 @@
 struct StreamHooks {
     /// The stream was read up to this end.
     std::function<void(publication::StreamPosition end)> onPosition;
+    /// A check told that the stream reaches this end.
+    std::function<void(publication::StreamPosition end)> onEndChecked;
     std::function<void(const AbandonedRead&)> onReadAbandoned;
     std::function<void(const FailedRead&)> onReadFailed;
     /// An answer held entries that could not be read.
@@ -214,10 +216,13 @@
                 return;
             const auto now = MonotonicClock::now();
             self->reportAvailable(result);
-            if (const auto* failure = std::get_if<publication::LogFailure>(&result))
+            if (const auto* failure = std::get_if<publication::LogFailure>(&result)) {
                 self->m_watchdog.onCheckFailed(failure->status != 0, now);
-            else
-                self->m_watchdog.onCheckAnswered(std::get<publication::StreamPosition>(result), now);
+                return;
+            }
+            const auto end = std::get<publication::StreamPosition>(result);
+            self->m_watchdog.onCheckAnswered(end, now);
+            self->m_hooks.stream.onEndChecked(end);
         });
     }
 
--- a/packages/node/tests/KeyedReaderTests.cpp
+++ b/packages/node/tests/KeyedReaderTests.cpp
@@ -57,6 +57,7 @@
         HeldStore store;
         std::vector<std::string> delivered;
         std::vector<StreamPosition> abandonedFor;
+        std::vector<StreamPosition> checkedEnds;
         std::vector<bool> availability;
         std::vector<LogError> failed;
         std::size_t skipped = 0;
@@ -81,6 +82,7 @@
             it.onEnd = [] {};
             it.onAvailable = [this](bool available, const LogFailure&) { availability.push_back(available); };
             it.stream.onPosition = [](StreamPosition) {};
+            it.stream.onEndChecked = [this](StreamPosition end) { checkedEnds.push_back(end); };
             it.stream.onReadFailed = [this](const FailedRead& read) { failed.push_back(read.failure.error); };
             it.stream.onSkipped = [this](std::size_t count) { skipped += count; };
             it.stream.onReadAbandoned = [this](const AbandonedRead& read) { abandonedFor.push_back(read.knownEnd); };
@@ -187,6 +189,17 @@
     BOOST_TEST(store.listings.size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(An_end_that_a_check_finds_is_reported_before_the_pending_read_is_given_up)
+{
+    reader->setCheckSchedule(publication::CheckSchedule { 100ms, 100ms });
+    tickAfter(1s);
+    BOOST_REQUIRE(store.checks.size() == 1U);
+    store.append("second");
+    store.checks.back()(store.end());
+    BOOST_TEST((checkedEnds == std::vector<StreamPosition> { store.end() }));
+    BOOST_TEST(abandonedFor.empty());
+}
+
 BOOST_AUTO_TEST_CASE(A_check_that_the_store_refuses_does_not_make_a_pending_read_suspect)
 {
     reader->setCheckSchedule(publication::CheckSchedule { 100ms, 100ms });
--- a/packages/node/tests/SilentStoreTests.cpp
+++ b/packages/node/tests/SilentStoreTests.cpp
@@ -71,6 +71,7 @@
             it.onEnd = [] {};
             it.onAvailable = [](bool, const publication::LogFailure&) {};
             it.stream.onPosition = [](publication::StreamPosition) {};
+            it.stream.onEndChecked = [](publication::StreamPosition) {};
             it.stream.onReadAbandoned = [](const AbandonedRead&) {};
             it.stream.onReadFailed = [](const FailedRead&) {};
             it.stream.onSkipped = [](std::size_t) {};
