--- a/packages/distribution/tests/StreamEndTests.cpp
+++ b/packages/distribution/tests/StreamEndTests.cpp
@@ -12,7 +12,7 @@
     using std::chrono::milliseconds;
     using std::chrono::seconds;
 
-    /// Half of the time within which a change is to be in force on the fleet with the shortest one.
+    /// Half of the 2 s within which a change must be in force.
     constexpr milliseconds hearingBound { 1000 };
 
     FleetOptions optionsOf(std::size_t nodes)
