The wait for a read is set also if the first view comes before the reader starts

Cause: FleetDriver handed the check schedule over at the start of the reader, but not the delivery timeout, so that a view that came before was lost for it. Change: the driver keeps the timeout beside the schedule and hands over both.

--- a/packages/node/src/internal/FleetDriver.cpp
+++ b/packages/node/src/internal/FleetDriver.cpp
@@ -34,7 +34,7 @@
         return publication::CheckSchedule { fleetCheckInterval * readers.size(), fleetCheckInterval * turn };
     }
 
-    std::size_t aliveIn(const membership::MembershipView& view)
+    std::size_t aliveNodes(const membership::MembershipView& view)
     {
         return static_cast<std::size_t>(std::count_if(view.nodes.begin(), view.nodes.end(), [](const auto& it) { return it.liveness == membership::Liveness::Alive; }));
     }
@@ -74,6 +74,7 @@
     m_reader = std::make_shared<Reader>(m_context.io, m_store, std::string { platform::operatorStream }, longPoll, readerHooks(), m_context.random());
     m_directory = std::make_shared<DirectoryDriver>(m_context, m_store, peer, m_hooks.onPeersFound);
     m_reader->setCheckSchedule(m_checkSchedule);
+    m_reader->setDeliveryTimeout(m_deliveryTimeout);
     m_reader->start();
     m_directory->start();
     m_moves->start();
@@ -104,25 +105,26 @@
 {
     m_checkSchedule = checkScheduleIn(view, m_context.settings.name);
     m_moves->setCheckSchedule(m_checkSchedule);
+    const auto readRate = m_context.settings.log.readMegabytes * bytesPerMegabyte;
+    m_deliveryTimeout = publication::ReadWatchdog::deliveryTimeoutFor(aliveNodes(view), readRate);
     if (!m_reader)
         return;
     m_directory->onView(view);
     m_reader->setCheckSchedule(m_checkSchedule);
-    const auto rate = m_context.settings.log.readMegabytes * bytesPerMegabyte;
-    m_reader->setDeliveryTimeout(publication::ReadWatchdog::deliveryTimeoutFor(aliveIn(view), rate));
+    m_reader->setDeliveryTimeout(m_deliveryTimeout);
 }
 
 void FleetDriver::onStreamAdvanced(const distribution::StreamEnd& reached)
 {
     if (reached.stream == platform::operatorStream && m_reader) {
-        recordAhead(reached);
+        recordStreamAhead(reached);
         m_reader->onEndKnown(reached.end);
     }
     if (reached.stream == platform::statusStream)
         m_moves->onStatusEndKnown(reached.end);
 }
 
-void FleetDriver::recordAhead(const distribution::StreamEnd& reached)
+void FleetDriver::recordStreamAhead(const distribution::StreamEnd& reached)
 {
     if (reached.end <= m_reader->position())
         return;
@@ -203,7 +205,7 @@
             BOOST_LEAF_AUTO(configuration, platform::readConfiguration(*record.value));
             m_hooks.onConfiguration(configuration);
             const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicClock::now() - begunAt);
-            recordRead(read, *configuration, record.value->size(), took);
+            recordConfigurationRead(read, *configuration, record.value->size(), took);
             return true;
         },
         [&](const platform::DocumentFault& fault) {
@@ -219,7 +221,7 @@
         });
 }
 
-void FleetDriver::recordRead(const AnsweredRead& read, const publication::ConfigurationVersion& configuration, std::size_t bytes, std::chrono::milliseconds applying)
+void FleetDriver::recordConfigurationRead(const AnsweredRead& read, const publication::ConfigurationVersion& configuration, std::size_t bytes, std::chrono::milliseconds applying)
 {
     Event it(event::configurationRead);
     it.with("offset", configuration.stamp.offset)
--- a/packages/node/src/internal/FleetDriver.h
+++ b/packages/node/src/internal/FleetDriver.h
@@ -61,10 +61,11 @@
 
     KeyedReaderHooks readerHooks();
     StreamHooks streamHooks(std::string_view stream);
-    /// Records that a peer knows more of the operator's stream than this node has read.
-    void recordAhead(const distribution::StreamEnd&);
+    /// Logs that a peer knows more of the operator's stream than this node has read.
+    void recordStreamAhead(const distribution::StreamEnd&);
+    /// Logs that a configuration was read.
     /// \param applying time that it took to decode the configuration and to put it into force.
-    void recordRead(const AnsweredRead&, const publication::ConfigurationVersion&, std::size_t bytes, std::chrono::milliseconds applying);
+    void recordConfigurationRead(const AnsweredRead&, const publication::ConfigurationVersion&, std::size_t bytes, std::chrono::milliseconds applying);
     /// Both return whether the record can be used.
     bool onOrder(const publication::KeyedRecord&);
     bool onConfigurationRecord(const publication::KeyedRecord&);
@@ -81,6 +82,8 @@
     std::shared_ptr<Reader> m_reader;
     /// When this node checks the streams; nothing if other nodes check them.
     std::optional<publication::CheckSchedule> m_checkSchedule;
+    /// For the operator's stream, whose records are large; those of the stream of states are not.
+    std::chrono::milliseconds m_deliveryTimeout = publication::ReadWatchdog::s_deliveryTimeout;
     std::shared_ptr<DirectoryDriver> m_directory;
     std::shared_ptr<OrderedMoveDriver> m_moves;
     std::optional<gateway::AdminServer> m_readiness;
--- a/packages/node/src/internal/KeyedReader.h
+++ b/packages/node/src/internal/KeyedReader.h
@@ -37,7 +37,7 @@
     std::chrono::milliseconds open {};
 };
 
-/// The read that delivered the records that are being reported.
+/// A read whose answer is complete.
 struct AnsweredRead {
     publication::ReadKind kind = publication::ReadKind::Immediate;
     /// Time since the read was sent.
@@ -89,7 +89,7 @@
     /// Sets when this node asks for the end of the stream; nothing if it leaves that to others.
     void setCheckSchedule(const std::optional<publication::CheckSchedule>& schedule) { m_watchdog.setCheckSchedule(schedule, MonotonicClock::now()); }
 
-    /// See \c ReadWatchdog.
+    /// Sets the time in which a pending read must deliver a record that exists, see \c ReadWatchdog::deliveryTimeoutFor.
     void setDeliveryTimeout(std::chrono::milliseconds timeout) { m_watchdog.setDeliveryTimeout(timeout); }
 
     /// Another node knows that the stream reaches this end.
@@ -131,7 +131,7 @@
         return std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_answeredAt);
     }
 
-    /// \returns the read that was answered last, as of now.
+    /// \returns the read whose records are being reported; to be called from \c KeyedReaderHooks::onRecord.
     AnsweredRead answeredRead() const
     {
         AnsweredRead it { m_sentKind, openTime(), std::nullopt };
@@ -198,7 +198,7 @@
         m_retry.cancel();
         m_hooks.stream.onReadAbandoned({ m_follower.position(), m_watchdog.knownEnd(), openTime() });
         m_follower.onInterrupted();
-        // The connection may have fallen silent, and the idle ones with it.
+        // The read's connection may have fallen silent, and the idle ones with it.
         m_store.closeIdleConnections();
         read();
     }
--- a/packages/publication/include/carobpath/publication/EndpointPool.h
+++ b/packages/publication/include/carobpath/publication/EndpointPool.h
@@ -28,7 +28,7 @@
     void send(std::size_t endpoint, HttpRequest, HttpHandler);
 
     /// Closes the idle connections, so that the next requests go over new ones.
-    void closeIdle() { m_idle.clear(); }
+    void closeIdleConnections() { m_idle.clear(); }
 
     /// Cancels all exchanges without calling their handlers.
     void close();
--- a/packages/publication/include/carobpath/publication/ReadWatchdog.h
+++ b/packages/publication/include/carobpath/publication/ReadWatchdog.h
@@ -51,9 +51,9 @@
 public:
     /// Time in which a pending read must deliver a record that exists, where the store is not busy with other nodes' reads.
     static constexpr std::chrono::milliseconds s_deliveryTimeout { 200 };
-    /// Upper bound of this time: a node whose read is lost needs the rest of the time within which a record must take effect.
+    /// Upper bound of this time. A node whose read was lost must still repeat it in time for the record to take effect.
     static constexpr std::chrono::milliseconds s_maxDeliveryTimeout { 1'000 };
-    /// Size of an answer to allow for. The last one does not tell it: a record may be several times as large as the one before.
+    /// Size of an answer to allow for. It is not taken from the last answer, since the next record may be several times as large.
     static constexpr std::size_t s_largeAnswerBytes = 256UL * 1024;
     static constexpr std::chrono::milliseconds s_checkRetryBase { 200 };
     static constexpr std::chrono::milliseconds s_checkRetryCap { 1'000 };
--- a/packages/publication/src/ReadWatchdog.cpp
+++ b/packages/publication/src/ReadWatchdog.cpp
@@ -12,12 +12,12 @@
 
 std::chrono::milliseconds ReadWatchdog::deliveryTimeoutFor(std::size_t nodes, double bytesPerSecond)
 {
+    using Seconds = std::chrono::duration<double>;
     if (bytesPerSecond <= 0)
         return s_deliveryTimeout;
-    const std::chrono::duration<double> toAnswerAll { static_cast<double>(nodes) * static_cast<double>(s_largeAnswerBytes) / bytesPerSecond };
-    if (toAnswerAll >= s_maxDeliveryTimeout)
-        return s_maxDeliveryTimeout;
-    return std::min(s_maxDeliveryTimeout, s_deliveryTimeout + std::chrono::ceil<std::chrono::milliseconds>(toAnswerAll));
+    const Seconds toAnswerAll { static_cast<double>(nodes) * static_cast<double>(s_largeAnswerBytes) / bytesPerSecond };
+    const auto timeout = std::min<Seconds>(s_maxDeliveryTimeout, s_deliveryTimeout + toAnswerAll);
+    return std::chrono::ceil<std::chrono::milliseconds>(timeout);
 }
 
 void ReadWatchdog::setCheckSchedule(const std::optional<CheckSchedule>& schedule, MonotonicTime now)
