Logs tell which calls a node cut at the end of its stop, and how far each was

A call that had no whole answer when its node ended left no line: `stopped` only counted such calls.

Each caller's call that is cut now has its `call-ended` with `answer` cut-by-stop; `headerMs` says when the header of the relayed answer came and is missing where the answer had not begun. `stopped` tells `cut` (callers' calls), `cutForwarded` (calls of other nodes) and `drainMs`. The connection of an answer that is cut in its body is reset, so that one without a stated length cannot look whole.

--- a/packages/gateway/include/carobpath/gateway/Gateway.h
+++ b/packages/gateway/include/carobpath/gateway/Gateway.h
@@ -38,6 +38,14 @@
     friend bool operator==(const Backend&, const Backend&) = default;
 };
 
+/// Calls that had no whole answer when the node ended.
+struct CutCalls {
+    /// Of callers.
+    std::size_t entered = 0;
+    /// Of other nodes, at the backend server beside this one.
+    std::size_t forwarded = 0;
+};
+
 /// The HTTP sessions of a node: callers' calls in, calls to other nodes out, forwarded calls in, calls to the backend
 /// server out. Makes no decision: it asks the router and the admission controller. Runs on one thread.
 class Gateway {
@@ -72,6 +80,9 @@
     /// Ends the timers, so that the context can run out of work.
     void stop();
 
+    /// Closes every connection, and reports each caller's call that has no whole answer yet as cut.
+    CutCalls cutCalls();
+
 private:
     class Implementation;
     explicit Gateway(std::unique_ptr<Implementation>);
--- a/packages/gateway/include/carobpath/gateway/GatewayHooks.h
+++ b/packages/gateway/include/carobpath/gateway/GatewayHooks.h
@@ -33,9 +33,11 @@
     CutByUpstream,
     /// The other end of the connection took no more of it.
     CutByReceiver,
+    /// This node ended before.
+    CutByStop,
 };
 
-/// \returns the text that stands in logs: "whole", "cut-by-upstream", "cut-by-receiver".
+/// \returns the text that stands in logs: "whole", "cut-by-upstream", "cut-by-receiver", "cut-by-stop".
 std::string_view toString(AnswerEnd);
 
 /// The end of a caller's call at the node that it entered.
@@ -48,6 +50,8 @@
     std::optional<routing::RefusalReason> reason;
     std::uint32_t attempts = 0;
     std::chrono::nanoseconds latency {};
+    /// Time from the first byte of the request to the header of the answer that was relayed; empty where none was.
+    std::optional<std::chrono::nanoseconds> headerLatency;
     /// Offset of the configuration that decided; empty where there was none.
     std::optional<std::uint64_t> configuration;
     /// The route's objective for the latency; 0 where it has none.
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -129,6 +129,14 @@
     m_implementation->sweep.cancel();
 }
 
+CutCalls Gateway::cutCalls()
+{
+    CutCalls cut;
+    cut.entered = m_implementation->callers->cut();
+    cut.forwarded = m_implementation->calls->cut();
+    return cut;
+}
+
 Gateway::Builder::Builder(boost::asio::io_context& context, routing::EntryRouter& router, routing::AdmissionController& controller)
     : m_context(context)
     , m_router(router)
--- a/packages/gateway/src/internal/AdmittedCall.cpp
+++ b/packages/gateway/src/internal/AdmittedCall.cpp
@@ -75,7 +75,7 @@
 
 void AdmittedCall::wait()
 {
-    m_caller->onGone([self = shared_from_this()] { self->onCallerGone(); });
+    m_caller->onGone([self = shared_from_this()](AnswerEnd) { self->onCallerGone(); });
     m_caller->sendInterimAnswers();
 }
 
--- a/packages/gateway/src/internal/EntryCall.cpp
+++ b/packages/gateway/src/internal/EntryCall.cpp
@@ -62,7 +62,7 @@
 {
     const auto now = MonotonicClock::now();
     m_decision = m_handler.m_router.begin(m_call, m_caller->arrivedAt());
-    m_caller->onGone([self = shared_from_this()] { self->onCallerGone(); });
+    m_caller->onGone([self = shared_from_this()](AnswerEnd end) { self->onGone(end); });
     perform(m_decision->start(now));
 }
 
@@ -173,6 +173,7 @@
     if (std::exchange(m_answered, true))
         return;
     reportKeyOutcome();
+    m_headerAt = MonotonicClock::now();
     const unsigned status = m_exchange->header().result_int();
     const auto outcome = outcomeOf(m_exchange->header()).value_or(routing::Outcome::Unknown);
     const auto reason = reasonOf(m_exchange->header());
@@ -216,7 +217,7 @@
         });
 }
 
-void EntryCall::onCallerGone()
+void EntryCall::onGone(AnswerEnd end)
 {
     if (std::exchange(m_answered, true))
         return;
@@ -224,7 +225,7 @@
     if (m_exchange)
         m_exchange->cancel();
     reportKeyOutcome();
-    observe(0, routing::Outcome::Unknown, routing::RefusalReason::Cancelled, AnswerEnd::CutByReceiver);
+    observe(0, routing::Outcome::Unknown, routing::RefusalReason::Cancelled, end);
     m_caller->abandon();
 }
 
@@ -258,6 +259,8 @@
     observation.reason = reason;
     observation.attempts = m_attempt ? m_attempt->number : 0;
     observation.latency = MonotonicClock::now() - m_caller->arrivedAt();
+    if (m_headerAt)
+        observation.headerLatency = *m_headerAt - m_caller->arrivedAt();
     observation.configuration = m_decision->configurationOffset();
     if (const auto* route = m_decision->route()) {
         observation.route = route->name;
--- a/packages/gateway/src/internal/EntryCall.h
+++ b/packages/gateway/src/internal/EntryCall.h
@@ -29,7 +29,8 @@
     void askRest(const ResumableBody&, std::uint64_t from, std::function<void(ResumingBody::ExchangePointer)>);
     ExchangeTarget targetOf(const routing::SendAttempt&) const;
     void onHeader(std::optional<ExchangeFailure>);
-    void onCallerGone();
+    /// The caller's connection ended before the answer began.
+    void onGone(AnswerEnd);
     ResponseHeader headerForCaller() const;
     void observeAttempt(const routing::AttemptResult&);
     void observe(unsigned status, routing::Outcome, std::optional<routing::RefusalReason>, AnswerEnd);
@@ -41,6 +42,8 @@
     std::shared_ptr<UpstreamExchange> m_exchange;
     std::optional<routing::SendAttempt> m_attempt;
     MonotonicTime m_attemptStartedAt;
+    /// When the header of the answer that is relayed came; empty before.
+    std::optional<MonotonicTime> m_headerAt;
     boost::asio::steady_timer m_ledgerTimer;
     bool m_ledgerAnswered = false;
     bool m_answered = false;
--- a/packages/gateway/src/internal/Listener.cpp
+++ b/packages/gateway/src/internal/Listener.cpp
@@ -118,6 +118,13 @@
     forEachSession([](ServerSession& it) { it.closeWhenIdle(); });
 }
 
+std::size_t Listener::cut()
+{
+    std::size_t n = 0;
+    forEachSession([&n](ServerSession& it) { n += it.cut(); });
+    return n;
+}
+
 std::size_t Listener::busyConnections() const
 {
     std::size_t n = 0;
--- a/packages/gateway/src/internal/Listener.h
+++ b/packages/gateway/src/internal/Listener.h
@@ -33,6 +33,10 @@
     /// Closes each connection as soon as it is idle.
     void closeIdle();
 
+    /// Closes every connection.
+    /// \returns the requests that are left without a whole answer.
+    std::size_t cut();
+
     /// \returns the connections on which a request has no whole answer yet.
     std::size_t busyConnections() const;
 
--- a/packages/gateway/src/internal/ServerExchange.cpp
+++ b/packages/gateway/src/internal/ServerExchange.cpp
@@ -44,7 +44,7 @@
 {
 }
 
-void ServerExchange::onGone(std::function<void()> gone)
+void ServerExchange::onGone(std::function<void(AnswerEnd)> gone)
 {
     m_onGone = std::move(gone);
 }
@@ -153,7 +153,15 @@
     m_session->onAnswerEnded(keepAlive, end);
 }
 
-void ServerExchange::drop()
+void ServerExchange::cut()
+{
+    if (m_state != State::Writing)
+        drop(AnswerEnd::CutByStop);
+    else if (auto done = std::exchange(m_answerDone, nullptr))
+        done(AnswerEnd::CutByStop);
+}
+
+void ServerExchange::drop(AnswerEnd end)
 {
     if (m_state == State::Writing)
         return;
@@ -163,9 +171,9 @@
     if (state == State::Answered && m_answer.body)
         m_answer.body->cancel();
     if (auto done = std::exchange(m_answerDone, nullptr))
-        done(AnswerEnd::CutByReceiver);
+        done(end);
     if (auto gone = std::exchange(m_onGone, nullptr))
-        gone();
+        gone(end);
 }
 
 void ServerExchange::sendInterimAnswers()
--- a/packages/gateway/src/internal/ServerExchange.h
+++ b/packages/gateway/src/internal/ServerExchange.h
@@ -46,8 +46,8 @@
     /// the first request on a connection does so.
     void sendInterimAnswers();
 
-    /// Called once if the other end goes away before the answer begins.
-    void onGone(std::function<void()>);
+    /// Called once if the connection ends before the answer begins: the other end went away, or this node ends.
+    void onGone(std::function<void(AnswerEnd)>);
 
     /// Checks the connection itself, whose end may stand behind events that this process has yet to deal with. To be
     /// called right before the request is passed on, so that no work is begun for a caller that has left.
@@ -86,7 +86,11 @@
     void writeInterim();
     void end(bool keepAlive, AnswerEnd);
     /// The connection ended before the answer was written.
-    void drop();
+    void drop(AnswerEnd);
+    /// This node ends; nothing more of the answer is written.
+    void cut();
+    /// \returns whether the answer is being written from a source that may break off.
+    bool isRelaying() const { return m_state == State::Writing && !m_answer.whole; }
 
     std::shared_ptr<ServerSession> m_session;
     Request m_request;
@@ -96,7 +100,7 @@
     std::optional<bool> m_isSafe;
     Answer m_answer;
     AnswerDone m_answerDone;
-    std::function<void()> m_onGone;
+    std::function<void(AnswerEnd)> m_onGone;
     std::optional<boost::asio::steady_timer> m_interimTimer;
     bool m_writingInterim = false;
 };
--- a/packages/gateway/src/internal/ServerSession.cpp
+++ b/packages/gateway/src/internal/ServerSession.cpp
@@ -223,6 +223,20 @@
     });
 }
 
+std::size_t ServerSession::cut()
+{
+    if (m_state != State::Open)
+        return 0;
+    const auto exchanges = m_exchanges;
+    // A cut answer without a stated length must not look whole.
+    if (!exchanges.empty() && exchanges.front()->isRelaying())
+        resetOnClose();
+    for (const auto& it : exchanges)
+        it->cut();
+    close();
+    return exchanges.size();
+}
+
 void ServerSession::dropExchanges(std::size_t from)
 {
     std::deque<ServerExchange::Pointer> dropped;
@@ -233,7 +247,7 @@
     std::size_t unhandled = 0;
     for (const auto& it : dropped) {
         unhandled += it->m_state == ServerExchange::State::Queued ? 1 : 0;
-        it->drop();
+        it->drop(AnswerEnd::CutByReceiver);
     }
     if (unhandled > 0 && m_handlers.onDropped)
         m_handlers.onDropped(unhandled);
--- a/packages/gateway/src/internal/ServerSession.h
+++ b/packages/gateway/src/internal/ServerSession.h
@@ -47,6 +47,10 @@
     /// No further request is taken; the connection closes once it is idle.
     void closeWhenIdle();
 
+    /// Closes the connection, whatever is on it.
+    /// \returns the requests that are left without a whole answer.
+    std::size_t cut();
+
     /// True while a request is being read or handled, or its answer is on its way to the other end.
     bool isBusy() const;
 
--- a/packages/gateway/tests/PipeliningFixture.h
+++ b/packages/gateway/tests/PipeliningFixture.h
@@ -64,7 +64,7 @@
     void handle(const ServerExchange::Pointer& it)
     {
         Handled request { it, std::string { it->request().target() } };
-        it->onGone([gone = request.gone, it] {
+        it->onGone([gone = request.gone, it](AnswerEnd) {
             *gone = true;
             it->abandon();
         });
--- a/packages/node/src/internal/CallLog.cpp
+++ b/packages/node/src/internal/CallLog.cpp
@@ -31,6 +31,8 @@
     it.with("outcome", routing::toString(call.outcome));
     addReason(it, call.reason);
     it.with("attempts", call.attempts).with("tookMs", call.latency);
+    if (call.headerLatency)
+        it.with("headerMs", *call.headerLatency);
     if (call.objective.count() > 0)
         it.with("objectiveMs", call.objective);
     if (call.configuration)
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -343,20 +343,24 @@
         return;
     m_draining = true;
     m_stopped = std::move(stopped);
+    m_stoppingAt = MonotonicClock::now();
     m_events.record(Event(event::draining).with("inFlight", m_gateway->inFlight()));
     m_peers->leave();
     if (m_fleet)
         m_fleet->leave();
     m_gateway->perform(m_controller.drain(MonotonicClock::now()));
     m_drain.emplace(m_context.io, *m_gateway);
-    const auto startedAt = MonotonicClock::now();
     m_drain->start(m_settings.drain, [this] { finishStop(); });
-    m_router.setDrainPeriod({ startedAt, m_drain->endsAt() });
+    m_router.setDrainPeriod({ m_stoppingAt, m_drain->endsAt() });
 }
 
 void NodeAssembly::finishStop()
 {
-    m_events.record(Event(event::stopped).with("cut", m_gateway->inFlight()));
+    const auto cut = m_gateway->cutCalls();
+    m_events.record(Event(event::stopped)
+                        .with("cut", cut.entered)
+                        .with("cutForwarded", cut.forwarded)
+                        .with("drainMs", MonotonicClock::now() - m_stoppingAt));
     m_tick.cancel();
     if (m_reader)
         m_reader->stop();
--- a/packages/node/src/internal/NodeAssembly.h
+++ b/packages/node/src/internal/NodeAssembly.h
@@ -113,6 +113,8 @@
     std::shared_ptr<const membership::MembershipView> m_view;
     boost::asio::steady_timer m_tick;
     std::optional<DrainDriver> m_drain;
+    /// Valid once the node is stopping.
+    MonotonicTime m_stoppingAt;
     std::function<void()> m_stopped;
     MonotonicTime m_slowTickAt;
     MonotonicTime m_startedAt;
