A node that is stopping grants a call no more time than it has left itself

Cause: the time that is left was compared once, before an attempt, with ten times the mean latency of all routes, which ends with the header of an answer; until half of the grace every call passed. The attempt then carried the caller's deadline, so that another node kept it in its queue past the sender's end, and a body had no bound at all. At the end the connections were closed without a word.

Now a call is passed on by the times of its own route, header and body, mean and four mean deviations; an attempt is granted the time until the node's end at most, so that the admitting node refuses as not run what it cannot begin in time; and 100 ms before the end each call without a header is answered: as not run where it was not sent, as unknown where it was. That moment lies in the last sixth of a grace of 3 s or more.

--- a/packages/gateway/include/carobpath/gateway/Gateway.h
+++ b/packages/gateway/include/carobpath/gateway/Gateway.h
@@ -74,6 +74,9 @@
     /// Closes connections as soon as they are idle.
     void closeIdle();
 
+    /// Answers the callers' calls that have no header of an answer yet: this node is about to end.
+    void endUnanswered();
+
     /// Calls of callers and forwarded calls that have no whole answer yet.
     std::size_t inFlight() const;
 
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -118,6 +118,8 @@
     m_implementation->calls->closeIdle();
 }
 
+void Gateway::endUnanswered() { m_implementation->callers->announceEnd(); }
+
 std::size_t Gateway::inFlight() const
 {
     return m_implementation->callers->busyConnections() + m_implementation->calls->busyConnections();
--- a/packages/gateway/src/internal/EntryCall.cpp
+++ b/packages/gateway/src/internal/EntryCall.cpp
@@ -63,6 +63,7 @@
     const auto now = MonotonicClock::now();
     m_decision = m_handler.m_router.begin(m_call, m_caller->arrivedAt());
     m_caller->onGone([self = shared_from_this()](AnswerEnd end) { self->onGone(end); });
+    m_caller->onEnding([self = shared_from_this()] { self->onNodeEnding(); });
     perform(m_decision->start(now));
 }
 
@@ -178,6 +179,8 @@
     const auto outcome = outcomeOf(m_exchange->header()).value_or(routing::Outcome::Unknown);
     const auto reason = reasonOf(m_exchange->header());
     m_caller->relay(answerBody(), headerForCaller(), [self = shared_from_this(), status, outcome, reason](AnswerEnd end) {
+        if (end == AnswerEnd::Whole)
+            self->m_decision->onAnswerWritten(MonotonicClock::now());
         self->observe(status, outcome, reason, end);
     });
 }
@@ -217,6 +220,16 @@
         });
 }
 
+void EntryCall::onNodeEnding()
+{
+    const auto command = m_decision->onNodeEnding(MonotonicClock::now());
+    if (!command)
+        return;
+    if (m_exchange)
+        m_exchange->cancel();
+    perform(*command);
+}
+
 void EntryCall::onGone(AnswerEnd end)
 {
     if (std::exchange(m_answered, true))
--- a/packages/gateway/src/internal/EntryCall.h
+++ b/packages/gateway/src/internal/EntryCall.h
@@ -29,6 +29,7 @@
     void askRest(const ResumableBody&, std::uint64_t from, std::function<void(ResumingBody::ExchangePointer)>);
     ExchangeTarget targetOf(const routing::SendAttempt&) const;
     void onHeader(std::optional<ExchangeFailure>);
+    void onNodeEnding();
     /// The caller's connection ended before the answer began.
     void onGone(AnswerEnd);
     ResponseHeader headerForCaller() const;
--- a/packages/gateway/src/internal/Listener.cpp
+++ b/packages/gateway/src/internal/Listener.cpp
@@ -118,6 +118,11 @@
     forEachSession([](ServerSession& it) { it.closeWhenIdle(); });
 }
 
+void Listener::announceEnd()
+{
+    forEachSession([](ServerSession& it) { it.announceEnd(); });
+}
+
 std::size_t Listener::cut()
 {
     std::size_t n = 0;
--- a/packages/gateway/src/internal/Listener.h
+++ b/packages/gateway/src/internal/Listener.h
@@ -33,6 +33,9 @@
     /// Closes each connection as soon as it is idle.
     void closeIdle();
 
+    /// This node is about to end: requests that are being handled are to be answered now.
+    void announceEnd();
+
     /// Closes every connection.
     /// \returns the requests that are left without a whole answer.
     std::size_t cut();
--- a/packages/gateway/src/internal/ServerExchange.cpp
+++ b/packages/gateway/src/internal/ServerExchange.cpp
@@ -49,6 +49,11 @@
     m_onGone = std::move(gone);
 }
 
+void ServerExchange::onEnding(std::function<void()> ending)
+{
+    m_onEnding = std::move(ending);
+}
+
 bool ServerExchange::endIfGone()
 {
     return m_state == State::Ended || m_session->endIfPeerClosed();
@@ -103,6 +108,7 @@
     }
     m_state = State::Answered;
     m_onGone = nullptr;
+    m_onEnding = nullptr;
     m_answer = std::move(answer);
     m_answerDone = std::move(done);
     m_session->writeNext();
@@ -153,6 +159,12 @@
     m_session->onAnswerEnded(keepAlive, end);
 }
 
+void ServerExchange::announceEnd()
+{
+    if (auto ending = std::exchange(m_onEnding, nullptr))
+        ending();
+}
+
 void ServerExchange::cut()
 {
     if (m_state != State::Writing)
@@ -166,6 +178,7 @@
     if (m_state == State::Writing)
         return;
     const auto state = std::exchange(m_state, State::Ended);
+    m_onEnding = nullptr;
     if (m_interimTimer)
         m_interimTimer->cancel();
     if (state == State::Answered && m_answer.body)
--- a/packages/gateway/src/internal/ServerExchange.h
+++ b/packages/gateway/src/internal/ServerExchange.h
@@ -49,6 +49,9 @@
     /// Called once if the connection ends before the answer begins: the other end went away, or this node ends.
     void onGone(std::function<void(AnswerEnd)>);
 
+    /// Called once if this node is about to end and the answer has not begun.
+    void onEnding(std::function<void()>);
+
     /// Checks the connection itself, whose end may stand behind events that this process has yet to deal with. To be
     /// called right before the request is passed on, so that no work is begun for a caller that has left.
     /// \returns whether the other end has gone away; \c onGone has been called then.
@@ -87,6 +90,8 @@
     void end(bool keepAlive, AnswerEnd);
     /// The connection ended before the answer was written.
     void drop(AnswerEnd);
+    /// This node is about to end: the handler is to answer now.
+    void announceEnd();
     /// This node ends; nothing more of the answer is written.
     void cut();
     /// \returns whether the answer is being written from a source that may break off.
@@ -101,6 +106,7 @@
     Answer m_answer;
     AnswerDone m_answerDone;
     std::function<void(AnswerEnd)> m_onGone;
+    std::function<void()> m_onEnding;
     std::optional<boost::asio::steady_timer> m_interimTimer;
     bool m_writingInterim = false;
 };
--- a/packages/gateway/src/internal/ServerSession.cpp
+++ b/packages/gateway/src/internal/ServerSession.cpp
@@ -223,6 +223,13 @@
     });
 }
 
+void ServerSession::announceEnd()
+{
+    const auto exchanges = m_exchanges;
+    for (const auto& it : exchanges)
+        it->announceEnd();
+}
+
 std::size_t ServerSession::cut()
 {
     if (m_state != State::Open)
--- a/packages/gateway/src/internal/ServerSession.h
+++ b/packages/gateway/src/internal/ServerSession.h
@@ -47,6 +47,9 @@
     /// No further request is taken; the connection closes once it is idle.
     void closeWhenIdle();
 
+    /// This node is about to end: requests that are being handled are to be answered now.
+    void announceEnd();
+
     /// Closes the connection, whatever is on it.
     /// \returns the requests that are left without a whole answer.
     std::size_t cut();
--- a/packages/node/src/internal/DrainDriver.cpp
+++ b/packages/node/src/internal/DrainDriver.cpp
@@ -12,6 +12,8 @@
     constexpr std::chrono::milliseconds leaveNotice { 1'000 };
     /// Time that a slow machine takes to end the process; whoever asked it to stop kills it when the grace is over.
     constexpr std::chrono::milliseconds endTime { 400 };
+    /// Time for the answers to calls that are ended to go out.
+    constexpr std::chrono::milliseconds answerTime { 100 };
 
 }
 
@@ -28,6 +30,7 @@
     m_stopAcceptingAt = now + settings.accept;
     m_closeIdleAt = std::max(now + leaveNotice, m_stopAcceptingAt);
     m_giveUpAt = now + std::max<std::chrono::microseconds>(settings.grace - endTime, leaveNotice);
+    m_answerAt = m_giveUpAt - answerTime;
     m_gateway.announceClose();
     check();
 }
@@ -43,6 +46,8 @@
         m_gateway.closeIdle();
         m_idleClosed = true;
     }
+    if (now >= m_answerAt)
+        m_gateway.endUnanswered();
     if (isIdle || now >= m_giveUpAt)
         m_ended();
     else
--- a/packages/node/src/internal/DrainDriver.h
+++ b/packages/node/src/internal/DrainDriver.h
@@ -12,7 +12,8 @@
 namespace carobpath::node::Detail {
 
 /// Brings the gateway to its end step by step: connections are announced to close, then no new ones are accepted, then
-/// idle ones are closed, until no call is in flight or the time of grace is over.
+/// idle ones are closed, until no call is in flight or the time of grace is over. Calls that have no answer shortly before it
+/// is over are answered.
 class DrainDriver {
 public:
     DrainDriver(boost::asio::io_context&, gateway::Gateway&);
@@ -20,8 +21,8 @@
     /// \param ended called once, when nothing is in flight or the grace is over.
     void start(const NodeSettings::Drain&, std::function<void()> ended);
 
-    /// \returns when the time of grace is over; valid once started.
-    MonotonicTime endsAt() const { return m_giveUpAt; }
+    /// \returns when calls without an answer are answered; valid once started.
+    MonotonicTime answersAt() const { return m_answerAt; }
 
 private:
     void check();
@@ -32,6 +33,7 @@
     std::function<void()> m_ended;
     MonotonicTime m_stopAcceptingAt;
     MonotonicTime m_closeIdleAt;
+    MonotonicTime m_answerAt;
     MonotonicTime m_giveUpAt;
     bool m_idleClosed = false;
 };
--- a/packages/routing/include/carobpath/routing/CallDecision.h
+++ b/packages/routing/include/carobpath/routing/CallDecision.h
@@ -54,6 +54,11 @@
     CallCommand onClaimResult(const ClaimResult&, MonotonicTime now);
     /// \returns the final answer if the call's deadline has passed; the session cancels the running attempt.
     std::optional<CallCommand> onDeadline(MonotonicTime now);
+    /// The node ends before the call has the header of an answer.
+    /// \returns the final answer unless the call has ended; the session cancels the running attempt.
+    std::optional<CallCommand> onNodeEnding(MonotonicTime now);
+    /// The relayed answer was passed on whole.
+    void onAnswerWritten(MonotonicTime now);
     /// The caller disconnected: no answer is sent, and the session cancels the running attempt.
     void onCallerGone(MonotonicTime now);
 
@@ -99,6 +104,8 @@
     std::uint32_t maxAttempts() const;
     /// \returns whether a call that is sent now is expected to end before this node does; true unless the node is stopping.
     bool endsBeforeNode(MonotonicTime now) const;
+    /// Bounds the time granted to an attempt by the time that this node has left.
+    SendAttempt boundedByStop(SendAttempt) const;
     std::optional<SendAttempt> nextAttempt(MonotonicTime now);
     std::optional<SendAttempt> pickAttempt(DomainScope, MonotonicTime now);
     /// \returns the versions that the call may be sent to, in order of preference.
@@ -154,6 +161,8 @@
     std::optional<CallCommand> m_final;
     /// Version of the last attempt; a truncated body is resumed only from the same version.
     VersionName m_version;
+    /// When the header of the relayed answer came.
+    MonotonicTime m_headerAt;
 };
 
 }
--- a/packages/routing/include/carobpath/routing/EntryRouter.h
+++ b/packages/routing/include/carobpath/routing/EntryRouter.h
@@ -45,13 +45,6 @@
     std::uint32_t maxLocalCandidatesWhenBusy = 1;
 };
 
-/// Time in which a node that is stopping ends its calls.
-struct DrainPeriod {
-    MonotonicTime start;
-    /// Calls that have not ended by then are cut.
-    MonotonicTime end;
-};
-
 /// Makes the routing decisions of an entry node. It creates a \c CallDecision for each call and holds the state that
 /// calls share: the route table, the upstreams with their statistics, and the retry budget.
 class EntryRouter {
@@ -70,8 +63,9 @@
     void setPolicy(const EntryPolicy&);
     /// A node that is not ready refuses every call as \c NotReady.
     void setReady(bool);
-    /// From now on, calls that may not end within the period are refused as \c Draining before they are sent to a node.
-    void setDrainPeriod(const DrainPeriod&);
+    /// The node is stopping: answers must have ended by then. Calls that are expected to take longer are refused as
+    /// \c Draining before they are sent to a node, and no attempt is granted more time.
+    void setStopsAt(MonotonicTime);
 
     std::shared_ptr<CallDecision> begin(const CallRequest&, MonotonicTime arrivedAt);
 
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -11,10 +11,6 @@
 namespace {
 
     constexpr std::chrono::milliseconds duplicateRetryAfter { 500 };
-    /// A node that is stopping expects a call to take at most this multiple of the mean latency.
-    constexpr int drainLatencyFactor = 10;
-    /// It expects a call to take at least the drain period divided by this, since a mean says little of one call.
-    constexpr int drainPeriodDivisor = 2;
 
     RefusalReason reasonOf(RouteLookupError miss)
     {
@@ -119,16 +115,20 @@
 
 bool CallDecision::endsBeforeNode(MonotonicTime now) const
 {
-    const auto& period = m_state->drainPeriod;
-    if (!period)
+    if (!m_state->stopsAt)
         return true;
-    MonotonicClock::duration needed = m_deadline - now;
-    if (const auto mean = m_state->picker.meanLatency()) {
-        const auto minimum = (period->end - period->start) / drainPeriodDivisor;
-        const auto expected = std::max<MonotonicClock::duration>(*mean * drainLatencyFactor, minimum);
-        needed = std::min(needed, expected);
-    }
-    return now + needed <= period->end;
+    const auto found = m_state->answerTimes.find(m_route->name);
+    const auto times = found == m_state->answerTimes.end() ? AnswerTimes {} : found->second;
+    const auto expected = times.header.value();
+    const auto headerAt = expected ? std::min(m_deadline, now + *expected) : m_deadline;
+    return headerAt + times.body.value().value_or(std::chrono::nanoseconds {}) <= *m_state->stopsAt;
+}
+
+SendAttempt CallDecision::boundedByStop(SendAttempt attempt) const
+{
+    if (m_state->stopsAt)
+        attempt.deadline = std::min(attempt.deadline, *m_state->stopsAt);
+    return attempt;
 }
 
 CallCommand CallDecision::sendFirst(MonotonicTime now)
@@ -162,7 +162,7 @@
     auto attempt = attemptAt(*choice, m_version, now + m_route->timeout);
     attempt.inactivityTimeout = inactivityTimeout(now);
     m_tried.push_back(choice->node);
-    return attempt;
+    return boundedByStop(std::move(attempt));
 }
 
 void CallDecision::onResumed(const AttemptResult& result, MonotonicTime now)
@@ -180,8 +180,8 @@
     m_phase = Phase::Attempting;
     if (std::find(m_tried.begin(), m_tried.end(), attempt.node) == m_tried.end())
         m_tried.push_back(attempt.node);
-    m_sent = attempt;
-    return attempt;
+    m_sent = boundedByStop(std::move(attempt));
+    return m_sent;
 }
 
 CallCommand CallDecision::onAttemptFinished(const AttemptResult& result, MonotonicTime now)
@@ -191,8 +191,10 @@
     recordAttempt(result, now);
     if (auto again = retry(result, now))
         return *again;
-    if (result.outcome == Outcome::Ran)
+    if (result.outcome == Outcome::Ran) {
+        m_headerAt = now;
         return relay();
+    }
     return refuse(routing::reasonOf(result), result.retryAfter);
 }
 
@@ -208,6 +210,8 @@
         ++m_backendsReached;
     if (isBackendLoss(result))
         ++m_backendLosses;
+    if (result.outcome == Outcome::Ran)
+        m_state->answerTimes[m_route->name].header.add(result.latency);
     if (signalOf(result) != UpstreamSignal::Abandoned)
         m_state->observe({ m_attempt->node, reachabilityOf(result), now });
     // After a failure on the next version, the call is not retried on that version.
@@ -286,6 +290,22 @@
     return refuse(RefusalReason::DeadlineExceeded);
 }
 
+std::optional<CallCommand> CallDecision::onNodeEnding(MonotonicTime now)
+{
+    if (m_phase == Phase::Ended)
+        return std::nullopt;
+    if (!m_attempt)
+        return refuse(RefusalReason::Draining);
+    m_outcome = stronger(m_outcome, Outcome::Unknown);
+    closeAttempt(UpstreamSignal::Abandoned, {}, {}, now);
+    return refuse(RefusalReason::UpstreamTimeout);
+}
+
+void CallDecision::onAnswerWritten(MonotonicTime now)
+{
+    m_state->answerTimes[m_route->name].body.add(now - m_headerAt);
+}
+
 void CallDecision::onCallerGone(MonotonicTime now)
 {
     if (m_phase == Phase::Ended)
--- a/packages/routing/src/EntryRouter.cpp
+++ b/packages/routing/src/EntryRouter.cpp
@@ -18,6 +18,8 @@
 
 void EntryRouter::setConfiguration(publication::ConfigurationPointer configuration)
 {
+    if (configuration)
+        std::erase_if(m_state->answerTimes, [&](const auto& it) { return !configuration->set.routes.contains(it.first); });
     m_state->table = std::make_shared<RouteTable>(std::move(configuration));
 }
 
@@ -30,7 +32,7 @@
 void EntryRouter::setQuarantineSource(QuarantineSource source) { m_state->quarantineSource = std::move(source); }
 void EntryRouter::setPolicy(const EntryPolicy& policy) { m_state->setPolicy(policy); }
 void EntryRouter::setReady(bool ready) { m_state->ready = ready; }
-void EntryRouter::setDrainPeriod(const DrainPeriod& period) { m_state->drainPeriod = period; }
+void EntryRouter::setStopsAt(MonotonicTime time) { m_state->stopsAt = time; }
 
 std::shared_ptr<CallDecision> EntryRouter::begin(const CallRequest& request, MonotonicTime arrivedAt)
 {
--- a/packages/routing/src/EntryState.h
+++ b/packages/routing/src/EntryState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "carobpath/routing/AnswerTimes.h"
 #include "carobpath/routing/EntryRouter.h"
 #include "carobpath/routing/RetryBudget.h"
 #include "carobpath/routing/RouteTable.h"
@@ -44,8 +45,10 @@
     TrafficSplitSource trafficSplitSource;
     QuarantineSource quarantineSource;
     bool ready = false;
-    /// Empty unless the node is stopping.
-    std::optional<DrainPeriod> drainPeriod;
+    /// Times of the routes that have been used.
+    std::unordered_map<RouteName, AnswerTimes> answerTimes;
+    /// When answers must have ended; empty unless the node is stopping.
+    std::optional<MonotonicTime> stopsAt;
     std::deque<NodeObservation> observations;
 };
 
