A connection is busy until the caller has its answer

Callers could see the end of a large answer lost when their node stopped. Cause: an answer counted as out once it stood in the kernel's send buffer.

A session now counts as busy while the system holds bytes that the other end has not acknowledged (SIOCOUTQ); it is neither closed as idle, nor does its second of lingering begin before. Where the system does not tell, nothing changes. The time of grace and the TCP user timeout bound it.

--- a/packages/gateway/src/internal/Listener.cpp
+++ b/packages/gateway/src/internal/Listener.cpp
@@ -133,7 +133,7 @@
 std::size_t Listener::busyConnections() const
 {
     std::size_t n = 0;
-    forEachSession([&n](const ServerSession& it) { n += it.isBusy() ? 1 : 0; });
+    forEachSession([&n](ServerSession& it) { n += it.isBusy() ? 1 : 0; });
     return n;
 }
 
--- a/packages/gateway/src/internal/ServerSession.cpp
+++ b/packages/gateway/src/internal/ServerSession.cpp
@@ -28,11 +28,11 @@
     readMore();
 }
 
-bool ServerSession::isBusy() const
+bool ServerSession::isBusy()
 {
-    if (m_state == State::Lingering)
-        return true;
-    return m_state == State::Open && (!m_exchanges.empty() || m_reader.hasPartialRequest());
+    if (m_state != State::Open)
+        return m_state == State::Lingering;
+    return !m_exchanges.empty() || m_reader.hasPartialRequest() || unsentBytes(m_stream.socket()) > 0;
 }
 
 // Reading
@@ -307,6 +307,8 @@
 void ServerSession::scheduleTimeout()
 {
     const auto now = MonotonicClock::now();
+    if (m_state == State::Lingering && unsentBytes(m_stream.socket()) > 0)
+        m_idleSince = now;
     const auto at = timeoutAt();
     if (at && now >= *at) {
         if (m_exchanges.empty())
--- a/packages/gateway/src/internal/ServerSession.h
+++ b/packages/gateway/src/internal/ServerSession.h
@@ -55,12 +55,12 @@
     std::size_t cut();
 
     /// True while a request is being read or handled, or its answer is on its way to the other end.
-    bool isBusy() const;
+    bool isBusy();
 
 private:
     friend class ServerExchange;
 
-    /// Time for the other end to read the last answer and close, before the connection is closed from here. Closing it
+    /// Time for the other end to close once the last answer has reached it, before the connection is closed from here. Closing it
     /// with unread bytes would reset it and could destroy the answer (RFC 9112, section 9.6).
     static constexpr std::chrono::seconds s_lingerTime { 1 };
     /// Interval of checks for the other end's closing while no bytes are read.
--- a/packages/gateway/src/internal/SocketOptions.cpp
+++ b/packages/gateway/src/internal/SocketOptions.cpp
@@ -3,9 +3,11 @@
 #include <boost/asio/ip/address.hpp>
 
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace carobpath::gateway::Detail {
@@ -54,6 +56,14 @@
     return ::poll(&polled, 1, 0) > 0;
 }
 
+std::size_t unsentBytes(boost::asio::ip::tcp::socket& socket)
+{
+    int n = 0;
+    if (::ioctl(socket.native_handle(), SIOCOUTQ, &n) != 0 || n < 0)
+        return 0;
+    return static_cast<std::size_t>(n);
+}
+
 bool isOpenAndQuiet(boost::asio::ip::tcp::socket& socket)
 {
     return peek(socket) == PeekResult::Nothing;
--- a/packages/gateway/src/internal/SocketOptions.h
+++ b/packages/gateway/src/internal/SocketOptions.h
@@ -5,6 +5,7 @@
 
 #include "carobpath/foundation/Endpoint.h"
 
+#include <cstddef>
 #include <optional>
 
 namespace carobpath::gateway::Detail {
@@ -17,6 +18,9 @@
 /// Reads nothing.
 bool hasPeerShutDown(boost::asio::ip::tcp::socket&);
 
+/// \returns the bytes that were written and not yet acknowledged by the other end; 0 where the system does not tell.
+std::size_t unsentBytes(boost::asio::ip::tcp::socket&);
+
 /// \returns true where the connection is open and no bytes wait on it. Reads nothing.
 bool isOpenAndQuiet(boost::asio::ip::tcp::socket&);
 
--- a/packages/gateway/tests/ServerSessionTests.cpp
+++ b/packages/gateway/tests/ServerSessionTests.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
@@ -21,16 +22,25 @@
 
     /// One session that answers each request with 200, and the caller at the other end of its connection.
     struct Connection {
+        /// A body that fits into the first and not into the second is left with the system when it was written.
+        static constexpr int s_sendBuffer = 200'000;
+        static constexpr int s_receiveBuffer = 4'000;
+        static constexpr std::size_t s_largeBody = 150'000;
+
         boost::asio::io_context io;
         GatewayLimits limits;
         Dialect dialect;
         int requests = 0;
+        std::string body;
         tcp::socket caller { io };
         ServerSession::Pointer session;
 
         Connection()
         {
             tcp::acceptor acceptor { io, { boost::asio::ip::make_address("127.0.0.1"), 0 } };
+            acceptor.set_option(boost::asio::socket_base::send_buffer_size { s_sendBuffer });
+            caller.open(tcp::v4());
+            caller.set_option(boost::asio::socket_base::receive_buffer_size { s_receiveBuffer });
             caller.connect(acceptor.local_endpoint());
             const ServerSession::Handlers handlers { [this](const ServerExchange::Pointer& it) { answer(it); }, nullptr, nullptr, nullptr };
             session = std::make_shared<ServerSession>(acceptor.accept(), limits, dialect, handlers);
@@ -41,7 +51,9 @@
         void answer(const ServerExchange::Pointer& it)
         {
             ++requests;
-            it->respond(Response { http::status::ok, 11 });
+            Response response { http::status::ok, 11 };
+            response.body() = body;
+            it->respond(std::move(response));
         }
 
         void send() { boost::asio::write(caller, boost::asio::buffer(std::string { "GET / HTTP/1.1\r\nHost: a\r\n\r\n" })); }
@@ -57,6 +69,18 @@
         }
     };
 
+    /// Runs the context until the condition holds, for some seconds at most.
+    template <typename Condition>
+    void eventually(boost::asio::io_context& io, Condition condition)
+    {
+        const auto end = MonotonicClock::now() + 5s;
+        while (!condition() && MonotonicClock::now() < end) {
+            io.restart();
+            io.run_for(10ms);
+        }
+        BOOST_TEST(condition());
+    }
+
 }
 
 BOOST_AUTO_TEST_SUITE(Server_sessions)
@@ -81,6 +105,40 @@
     BOOST_TEST(connection.requests == 0);
 }
 
+// Guards against a node that ends, or closes a connection as idle, while the system still holds a part of an answer.
+BOOST_AUTO_TEST_CASE(A_connection_is_busy_until_the_caller_has_the_answer)
+{
+    Connection connection;
+    connection.body.resize(Connection::s_largeBody);
+    connection.send();
+    connection.io.run_for(50ms);
+    BOOST_TEST(connection.requests == 1);
+    BOOST_TEST(connection.session->isBusy());
+    connection.session->closeWhenIdle();
+    connection.io.run_for(50ms);
+    BOOST_TEST(connection.session->isBusy());
+    std::string text;
+    boost::asio::read(connection.caller, boost::asio::dynamic_buffer(text), boost::asio::transfer_at_least(Connection::s_largeBody));
+    eventually(connection.io, [&] { return !connection.session->isBusy(); });
+}
+
+// Guards against a connection that is closed a second after its last answer was written, though the caller still reads it.
+BOOST_AUTO_TEST_CASE(A_connection_whose_last_answer_is_on_its_way_is_not_closed)
+{
+    Connection connection;
+    connection.body.resize(Connection::s_largeBody);
+    connection.session->announceClose();
+    connection.send();
+    connection.io.run_for(1500ms);
+    BOOST_TEST(connection.session->isBusy());
+    std::string text;
+    boost::system::error_code ec;
+    boost::asio::read(connection.caller, boost::asio::dynamic_buffer(text), ec);
+    BOOST_TEST((ec == boost::asio::error::eof));
+    BOOST_TEST(text.size() > Connection::s_largeBody);
+    eventually(connection.io, [&] { return !connection.session->isBusy(); });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
