A stopping node leaves a connection open for a moment after it was made or used

Cause: at the end of `drain.accept` each connection without a request was closed, however lately it was made or used, and the process ended as soon as no request was there.

A connection is now closed as idle only if it was made, or its last answer reached the caller, 0.3 s ago or more; its next answer says that it closes. The process ends when no connection is open, or when the grace is over.

With an allowance of 0 s both new tests fail (3 checks). The test that an idle connection is closed now asks for as long as a caller is given, and also that it is closed then.

--- a/packages/gateway/include/carobpath/gateway/Gateway.h
+++ b/packages/gateway/include/carobpath/gateway/Gateway.h
@@ -71,9 +71,12 @@
     /// Accepts no new connections. Open ones go on, so that a request which is on its way is answered.
     void stopAccepting();
 
-    /// Closes connections as soon as they are idle.
+    /// Closes the connections that are idle and were not used a moment ago. To be repeated.
     void closeIdle();
 
+    /// Connections of callers and of other nodes that are not closed.
+    std::size_t openConnections() const;
+
     /// Answers the callers' calls that have no header of an answer yet: this node is about to end.
     void endUnanswered();
 
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -118,6 +118,11 @@
     m_implementation->calls->closeIdle();
 }
 
+std::size_t Gateway::openConnections() const
+{
+    return m_implementation->callers->openConnections() + m_implementation->calls->openConnections();
+}
+
 void Gateway::endUnanswered() { m_implementation->callers->announceEnd(); }
 
 std::size_t Gateway::inFlight() const
--- a/packages/gateway/src/internal/Listener.cpp
+++ b/packages/gateway/src/internal/Listener.cpp
@@ -115,7 +115,14 @@
 
 void Listener::closeIdle()
 {
-    forEachSession([](ServerSession& it) { it.closeWhenIdle(); });
+    forEachSession([](ServerSession& it) { it.closeIfIdle(); });
+}
+
+std::size_t Listener::openConnections() const
+{
+    std::size_t n = 0;
+    forEachSession([&n](const ServerSession& it) { n += it.isClosed() ? 0 : 1; });
+    return n;
 }
 
 void Listener::announceEnd()
--- a/packages/gateway/src/internal/Listener.h
+++ b/packages/gateway/src/internal/Listener.h
@@ -30,9 +30,12 @@
     /// Accepts no more connections. Those that are open go on; their next answers say that they close.
     void stopAccepting();
 
-    /// Closes each connection as soon as it is idle.
+    /// Closes the connections that are idle and were not used a moment ago. To be repeated.
     void closeIdle();
 
+    /// \returns the connections that are not closed.
+    std::size_t openConnections() const;
+
     /// This node is about to end: requests that are being handled are to be answered now.
     void announceEnd();
 
--- a/packages/gateway/src/internal/ServerSession.cpp
+++ b/packages/gateway/src/internal/ServerSession.cpp
@@ -205,16 +205,18 @@
     takeRequests();
     writeNext();
     readMore();
-    if (m_closeWhenIdle && m_exchanges.empty())
-        closeWhenIdle();
 }
 
 // Closing
 
-void ServerSession::closeWhenIdle()
+void ServerSession::closeIfIdle()
 {
     m_closeAnnounced = true;
-    m_closeWhenIdle = true;
+    const auto now = MonotonicClock::now();
+    if (isBusy())
+        m_idleSince = now;
+    if (now - m_idleSince < s_requestAllowance)
+        return;
     // A request may be here whose bytes were not dealt with yet, after this process was held up.
     boost::asio::post(m_stream.get_executor(), [self = shared_from_this()] {
         boost::system::error_code ec;
--- a/packages/gateway/src/internal/ServerSession.h
+++ b/packages/gateway/src/internal/ServerSession.h
@@ -44,8 +44,12 @@
     /// The connection closes after the answers to the requests that are being handled; no request behind them is taken.
     void announceClose() { m_closeAnnounced = true; }
 
-    /// No further request is taken; the connection closes once it is idle.
-    void closeWhenIdle();
+    /// Closes the connection if it is idle and was not used a moment ago; its next answer says that it closes. To be repeated
+    /// until the connection is closed.
+    void closeIfIdle();
+
+    /// \returns whether the connection is closed.
+    bool isClosed() const { return m_state == State::Closed; }
 
     /// This node is about to end: requests that are being handled are to be answered now.
     void announceEnd();
@@ -63,6 +67,8 @@
     /// Time for the other end to close once the last answer has reached it, before the connection is closed from here. Closing it
     /// with unread bytes would reset it and could destroy the answer (RFC 9112, section 9.6).
     static constexpr std::chrono::seconds s_lingerTime { 1 };
+    /// Time for a caller to send a request on a connection that it has just made, or on which it has just read an answer.
+    static constexpr std::chrono::milliseconds s_requestAllowance { 300 };
     /// Interval of checks for the other end's closing while no bytes are read.
     static constexpr std::chrono::milliseconds s_closeCheckInterval { 200 };
 
@@ -123,7 +129,6 @@
     /// False once no request can follow: the last one said so, could not be read, or the other end has closed.
     bool m_takesRequests = true;
     bool m_closeAnnounced = false;
-    bool m_closeWhenIdle = false;
     bool m_peerClosed = false;
     bool m_resetsOnClose = false;
 };
--- a/packages/gateway/tests/PipeliningTests.cpp
+++ b/packages/gateway/tests/PipeliningTests.cpp
@@ -111,7 +111,7 @@
     Caller caller;
     caller.send(get("/1") + get("/2"));
     caller.session->announceClose();
-    caller.session->closeWhenIdle();
+    caller.session->closeIfIdle();
     caller.send(get("/3"));
     checkEqual(caller.paths(), { "/1", "/2" });
     caller.handled[0].answer();
--- a/packages/gateway/tests/ServerSessionTests.cpp
+++ b/packages/gateway/tests/ServerSessionTests.cpp
@@ -58,9 +58,21 @@
 
         void send() { boost::asio::write(caller, boost::asio::buffer(std::string { "GET / HTTP/1.1\r\nHost: a\r\n\r\n" })); }
 
+        /// Asks the session to close for longer than a caller is given to use its connection.
+        void closeRepeatedly()
+        {
+            constexpr int times = 25;
+            for (int i = 0; i < times; ++i) {
+                session->closeIfIdle();
+                io.restart();
+                io.run_for(20ms);
+            }
+        }
+
         /// \returns what the caller reads up to the end of a header; empty where the connection ends before.
         std::string read()
         {
+            io.restart();
             io.run_for(50ms);
             std::string text;
             boost::system::error_code ec;
@@ -90,7 +102,7 @@
     Connection connection;
     connection.send();
     std::this_thread::sleep_for(5ms);
-    connection.session->closeWhenIdle();
+    connection.session->closeIfIdle();
     const auto answer = connection.read();
     BOOST_TEST(answer.find("200") != std::string::npos);
     BOOST_TEST(answer.find("Connection: close") != std::string::npos);
@@ -100,9 +112,40 @@
 BOOST_AUTO_TEST_CASE(A_connection_on_which_nothing_came_is_closed)
 {
     Connection connection;
-    connection.session->closeWhenIdle();
+    connection.closeRepeatedly();
     BOOST_TEST(connection.read().empty());
     BOOST_TEST(connection.requests == 0);
+    BOOST_TEST(connection.session->isClosed());
+}
+
+// Guards against a stopping node that resets the first request of a connection that was just made.
+BOOST_AUTO_TEST_CASE(A_connection_that_was_just_made_is_not_closed)
+{
+    Connection connection;
+    connection.session->closeIfIdle();
+    connection.io.run_for(50ms);
+    connection.send();
+    const auto answer = connection.read();
+    BOOST_TEST(answer.find("200") != std::string::npos);
+    BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+}
+
+// Guards against a reset of the request that follows an answer whose header had not said that the connection closes.
+BOOST_AUTO_TEST_CASE(A_connection_whose_answer_the_caller_has_just_read_is_not_closed)
+{
+    Connection connection;
+    connection.body.resize(Connection::s_largeBody);
+    connection.send();
+    connection.io.run_for(50ms);
+    connection.closeRepeatedly();
+    std::string text;
+    boost::asio::read(connection.caller, boost::asio::dynamic_buffer(text), boost::asio::transfer_at_least(Connection::s_largeBody));
+    connection.body.clear();
+    eventually(connection.io, [&] { return !connection.session->isBusy(); });
+    connection.session->closeIfIdle();
+    connection.io.run_for(20ms);
+    connection.send();
+    BOOST_TEST(connection.read().find("Connection: close") != std::string::npos);
 }
 
 // Guards against a node that ends, or closes a connection as idle, while the system still holds a part of an answer.
@@ -114,7 +157,7 @@
     connection.io.run_for(50ms);
     BOOST_TEST(connection.requests == 1);
     BOOST_TEST(connection.session->isBusy());
-    connection.session->closeWhenIdle();
+    connection.session->closeIfIdle();
     connection.io.run_for(50ms);
     BOOST_TEST(connection.session->isBusy());
     std::string text;
--- a/packages/node/src/internal/DrainDriver.cpp
+++ b/packages/node/src/internal/DrainDriver.cpp
@@ -40,12 +40,9 @@
     const auto now = MonotonicClock::now();
     if (now >= m_stopAcceptingAt)
         m_gateway.stopAccepting();
-    // Requests that had come when the idle connections were closed show at the next check.
-    const bool isIdle = m_idleClosed && m_gateway.inFlight() == 0;
-    if (now >= m_closeIdleAt) {
+    const bool isIdle = now >= m_closeIdleAt && m_gateway.openConnections() == 0;
+    if (now >= m_closeIdleAt)
         m_gateway.closeIdle();
-        m_idleClosed = true;
-    }
     if (now >= m_answerAt)
         m_gateway.endUnanswered();
     if (isIdle || now >= m_giveUpAt)
--- a/packages/node/src/internal/DrainDriver.h
+++ b/packages/node/src/internal/DrainDriver.h
@@ -12,7 +12,7 @@
 namespace carobpath::node::Detail {
 
 /// Brings the gateway to its end step by step: connections are announced to close, then no new ones are accepted, then
-/// idle ones are closed, until no call is in flight or the time of grace is over. Calls that have no answer shortly before it
+/// idle ones are closed, until no connection is open or the time of grace is over. Calls that have no answer shortly before it
 /// is over are answered.
 class DrainDriver {
 public:
@@ -35,7 +35,6 @@
     MonotonicTime m_closeIdleAt;
     MonotonicTime m_answerAt;
     MonotonicTime m_giveUpAt;
-    bool m_idleClosed = false;
 };
 
 }
