A node that gets a signal while it starts is not ended by it

Cause: the handlers of SIGTERM, SIGINT and SIGHUP were set after the addresses were listened on, which may take 5 s where one is taken; until then each signal had its default action.

The three signals are held back from the first step of the start until the handlers stand. A node that waits for an address ends with 0 when it is told to stop.

Both new tests fail before (ended by SIGHUP; 143 instead of 0) and hold now.

--- a/packages/node/src/internal/DrainDriver.h
+++ b/packages/node/src/internal/DrainDriver.h
@@ -18,7 +18,7 @@
 public:
     DrainDriver(boost::asio::io_context&, gateway::Gateway&);
 
-    /// \param ended called once, when nothing is in flight or the grace is over.
+    /// \param ended called once, when no connection is open or the grace is over.
     void start(const NodeSettings::Drain&, std::function<void()> ended);
 
     /// \returns when calls without an answer are answered; valid once started.
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -34,6 +34,32 @@
 constexpr std::chrono::seconds listenPatience { 5 };
 constexpr std::chrono::milliseconds listenRetryInterval { 250 };
 
+/// Holds back the signals that the daemon handles. Before its handlers stand, each of them would end the process.
+class HeldSignals {
+public:
+    HeldSignals()
+    {
+        ::sigemptyset(&m_signals);
+        for (const int it : { SIGTERM, SIGINT, SIGHUP })
+            ::sigaddset(&m_signals, it);
+        ::pthread_sigmask(SIG_BLOCK, &m_signals, nullptr);
+    }
+
+    /// Those that came meanwhile are delivered now.
+    void release() const { ::pthread_sigmask(SIG_UNBLOCK, &m_signals, nullptr); }
+
+    /// \returns whether the process was asked to stop.
+    static bool isStopPending()
+    {
+        sigset_t pending {};
+        ::sigpending(&pending);
+        return ::sigismember(&pending, SIGTERM) == 1 || ::sigismember(&pending, SIGINT) == 1;
+    }
+
+private:
+    sigset_t m_signals {};
+};
+
 /// Reads the settings anew at each SIGHUP, until its context stops.
 class Reloader {
 public:
@@ -74,7 +100,7 @@
     std::string m_settingsFile;
 };
 
-void run(boost::asio::io_context& context, node::Daemon& daemon, const std::string& settingsFile)
+void run(boost::asio::io_context& context, node::Daemon& daemon, const std::string& settingsFile, const HeldSignals& signalsOfStart)
 {
     const Reloader reloader(context, daemon, settingsFile);
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
@@ -82,6 +108,7 @@
         if (!ec)
             daemon.stop([&context] { context.stop(); });
     });
+    signalsOfStart.release();
     context.run();
 }
 
@@ -103,28 +130,32 @@
         });
 }
 
-Result<void> startAndRun(const NodeSettings& settings, const std::string& settingsFile, std::ostream& timeLine)
+/// Returns once the daemon has stopped, or was asked to before it could start.
+Result<void> startAndRun(const NodeSettings& settings, const std::string& settingsFile, std::ostream& timeLine, const HeldSignals& signalsOfStart)
 {
     const auto giveUpAt = MonotonicClock::now() + listenPatience;
     while (true) {
         boost::asio::io_context context { 1 };
         BOOST_LEAF_AUTO(daemon, tryStart(context, settings, timeLine, giveUpAt));
         if (daemon) {
-            run(context, *daemon, settingsFile);
+            run(context, *daemon, settingsFile, signalsOfStart);
             return {};
         }
+        if (HeldSignals::isStopPending())
+            return {};
         std::this_thread::sleep_for(listenRetryInterval);
     }
 }
 
 int serve(const std::string& settingsFile)
 {
+    const HeldSignals signalsOfStart;
     return boost::leaf::try_handle_all(
         [&]() -> Result<int> {
             BOOST_LEAF_AUTO(settings, loadNodeSettings(settingsFile));
             startLogging(LogSettings { settings.logLevel, settings.name.value() });
             NonBlockingOutput timeLine(STDOUT_FILENO);
-            BOOST_LEAF_CHECK(startAndRun(settings, settingsFile, timeLine));
+            BOOST_LEAF_CHECK(startAndRun(settings, settingsFile, timeLine, signalsOfStart));
             return exitOk;
         },
         [](const SettingsFaults& faults) {
--- a/tests/process/tests/StartTests.cpp
+++ b/tests/process/tests/StartTests.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 #include <fcntl.h>
 
+#include <csignal>
 #include <fstream>
 #include <future>
 #include <sstream>
@@ -79,15 +80,44 @@
         {
             node->process().kill();
             TakenAddress taken { address };
-            auto started = std::async(std::launch::async, [this] { node->start(); });
-            std::this_thread::sleep_for(2s);
-            taken.release();
-            BOOST_CHECK_NO_THROW(started.get());
+            // The node ends with the thread that starts it.
+            auto released = std::async(std::launch::async, [&taken] {
+                std::this_thread::sleep_for(2s);
+                taken.release();
+            });
+            BOOST_CHECK_NO_THROW(node->start());
+            released.get();
             BOOST_TEST(node->process().isRunning());
         }
     }
 }
 
+// Guards against a node that SIGHUP ends while it starts.
+BOOST_AUTO_TEST_CASE(A_node_that_is_told_to_read_its_settings_while_it_starts_goes_on)
+{
+    TakenAddress taken { node->callers() };
+    auto disturbed = std::async(std::launch::async, [&] {
+        std::this_thread::sleep_for(1s);
+        ::kill(node->process().id(), SIGHUP);
+        taken.release();
+    });
+    BOOST_CHECK_NO_THROW(node->start());
+    disturbed.get();
+    node->process().waitForEvent("settings-reloaded");
+    BOOST_TEST(node->process().isRunning());
+}
+
+BOOST_AUTO_TEST_CASE(A_node_that_is_told_to_stop_while_it_waits_for_an_address_ends_with_status_0)
+{
+    const TakenAddress taken { node->callers() };
+    auto disturbed = std::async(std::launch::async, [this] {
+        std::this_thread::sleep_for(1s);
+        node->process().terminate();
+    });
+    BOOST_CHECK_THROW(node->start(), std::exception);
+    BOOST_TEST(node->process().waitForExit() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(A_node_whose_address_stays_taken_ends_and_names_the_address)
 {
     const TakenAddress taken { node->callers() };
