--- a/review/common.sh
+++ b/review/common.sh
@@ -64,7 +64,7 @@
         -e "s/{{listen-addresses.inbound}}/127.0.0.1:${ports[4]}/; s/{{ip-address}}/127.0.0.1/" \
         -e "s/{{internal-port-range.0}}/${ports[5]}/; s/{{internal-port-range.1}}/${ports[6]}/; s/{{platform.address}}/$store/" \
         -e 's/{{bounds.retry-budget-ratio}}/0.2/; s/{{bounds.budget-slack}}/64/; s/{{bounds.budget-window-s}}/10/' \
-        -e 's/{{bounds.grace-period-s}}/6/; s/{{bounds.exposure-share}}/0.1/; s/{{bounds.exposure-slack}}/50/; s/{{limits.link-mbps}}/1000.0/' \
+        -e 's/{{bounds.grace-period-s}}/6/; s/{{bounds.exposure-share}}/0.1/; s/{{bounds.exposure-slack}}/50/; s/{{limits.link-mbps}}/1000.0/; s/{{platform.read-mb-per-s}}/80.0/' \
         "$ROOT/deploy/node.yaml" >"$work/$name.yaml"
 }
 
