--- a/tests/process/tests/StopDownloadTests.cpp
+++ b/tests/process/tests/StopDownloadTests.cpp
@@ -53,12 +53,14 @@
     constexpr int after = 30;
     constexpr auto interval = 100ms;
     std::vector<std::future<CallerAnswer>> known;
+    known.reserve(before);
     for (int i = 0; i < before; ++i)
         known.push_back(startDownload(after + i));
     for (auto& it : known)
         BOOST_TEST(it.get().body.size() == s_bytes);
     fleet.node(0).process().terminate();
     std::vector<std::future<CallerAnswer>> answers;
+    answers.reserve(after);
     for (int i = 0; i < after; ++i) {
         answers.push_back(startDownload(i));
         std::this_thread::sleep_for(interval);
--- a/tests/process/tests/StopSoakTests.cpp
+++ b/tests/process/tests/StopSoakTests.cpp
@@ -38,6 +38,7 @@
 
     void run()
     {
+        m_loads.reserve(m_isStopping.size());
         for (std::size_t i = 0; i < m_isStopping.size(); ++i)
             m_loads.push_back(std::make_unique<LoadRun>(m_fleet.directory(), loadOptions(i)));
         const auto end = std::chrono::steady_clock::now() + s_loadTime - s_quietEnd;
