--- a/review/standins-2/upstream-server.cc
+++ b/review/standins-2/upstream-server.cc
@@ -4,11 +4,13 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <cxxopts.hpp>
 #include <nlohmann/json.hpp>
 
+#include <csignal>
 #include <iostream>
 
 namespace {
@@ -85,6 +87,15 @@
         }
     }
 
+    /// From SIGUSR1 on, the upstream says in all its answers that it leaves.
+    asio::awaitable<void> awaitLeaving()
+    {
+        asio::signal_set signals { co_await asio::this_coro::executor, SIGUSR1 };
+        co_await signals.async_wait(asio::use_awaitable);
+        m_isLeaving = true;
+        m_record.write("leaving " + m_options.instance);
+    }
+
 private:
     asio::awaitable<void> serve(boost::beast::tcp_stream stream)
     {
@@ -118,6 +129,8 @@
         Response response { fails ? http::status::internal_server_error : http::status::ok, 11 };
         response.set("Carobpath-Attempt-Id", id);
         response.set("Carobpath-Response-Signature", "signature-of-" + id);
+        if (m_isLeaving)
+            response.set("Server-Leaving", "1");
         response.body() = "answer to " + id + "\n";
         response.prepare_payload();
         return response;
@@ -152,6 +165,7 @@
     Record& m_record;
     std::int64_t m_born = std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
     int m_answers = 0;
+    bool m_isLeaving = false;
 };
 
 }
@@ -176,6 +190,7 @@
         asio::io_context context { 1 };
         Upstream upstream { optionsOf(parsed), record };
         asio::co_spawn(context, upstream.accept(), [](const std::exception_ptr& failure) { std::rethrow_exception(failure); });
+        asio::co_spawn(context, upstream.awaitLeaving(), asio::detached);
         if (!parsed["control"].as<std::string>().empty())
             asio::co_spawn(context, upstream.ping(), asio::detached);
         context.run();
