Review case 6: the freeze lasts 4.2 s, inside what the site files have

What breaks and how it is shown is unchanged (RECOVER, review/6/run.sh): a node that stood still during the end of a roll-out writes the old order's status over the next one's. The three scripts name their record.txt themselves.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,6 +4,7 @@
 # TROUBLE=0 leaves out both disturbances, TROUBLE=fault only the first one: node-4 does not stand still, all processes are killed.
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
+record=$here/record.txt
 . "$here/../common-2.sh"
 
 config() { # VERSION
@@ -57,7 +58,7 @@
 roll_out v2
 ordered=$(now_ms)
 start_node "$V3"
-sleep_until $((ordered + 12500))
+sleep_until $((ordered + 12900))
 if [ "$trouble" = 1 ]; then
     kill -STOP "${pid_of[$FROZEN]}"
     note "$FROZEN stands still"
@@ -71,7 +72,7 @@
 roll_out v3
 await_state v3 running 2 || cannot_run "the second roll-out did not begin"
 if [ "$trouble" = 1 ]; then
-    sleep_until $((ordered + 17500))
+    sleep_until $((ordered + 17100))
     kill -CONT "${pid_of[$FROZEN]}"
     note "$FROZEN wakes"
 fi
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -2,6 +2,7 @@
 # After the restart of a node, a ping that was on its way when its upstream left puts the upstream into use again.
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
+record=$here/record.txt
 . "$here/../common-2.sh"
 
 config='{"version":"r1","services":[{"name":"catalog","connection-limit":130,"health-check-path":"/health"},{"name":"booking","connection-limit":130,"health-check-path":"/health"}],
--- a/review/common-2.sh
+++ b/review/common-2.sh
@@ -1,11 +1,10 @@
-# What the scripts of the second review share; sourced by review/N/run.sh. A script sets `here` before.
+# What the scripts of the second review share; sourced by review/N/run.sh. A script sets `here`, its folder, and `record`, its record.txt, before.
 # It starts the store's stand-in, nodes of a small deployment with deploy/node.yaml, upstreams and callers, all on loopback
 # addresses, and ends them when it ends.
 
 root=$(cd "$here/../.." && pwd)
 tools=$root/target/review-2
 daemon=$root/target/packages/node/carobpathd
-record=$here/record.txt
 trouble=${TROUBLE:-1}
 work=$(mktemp -d)
 pids=()
