--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -94,6 +94,9 @@
 
 read -r sent_before served_before < <(count_between "$first_request" "$before")
 read -r sent_after served_after < <(count_between $((back + 15000)) $((back + 24000)))
+note "status in the store: $("$tools/http-call" --to "$store" --target '/v1/log-newest?topic=keyed.status&part=0' --key rollout/catalog)"
+note "answers from 15 s after the fault: $(awk -v from=$((back + 15000)) '$2 == "sent" && $1 >= from { sent[$3] = 1 }
+    $2 == "answered" && sent[$3] { n[$4]++ } END { for (status in n) printf "%s: %d; ", status, n[status] }' "$record")"
 note "result: before the final fault $served_before of $sent_before served, from 15 s after it $served_after of $sent_after"
 grep " result: " "$record"
 [ $((served_before * 4)) -ge "$sent_before" ] && [ "$sent_after" -gt 0 ] || cannot_run "too little was served before the fault"
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -35,7 +35,7 @@
 
 # Ping 3 leaves the upstream here and is delayed on its way; then the upstream says that it leaves, from now on in its answers too.
 kill -USR1 "${pid_of[i-1]}"
-answer=$("$tools/http-call" --to "${control_of[node-1]}" --method DELETE --target /v1/instances/i-1 --body '{"born":'"$born"'}')
+answer=$("$tools/http-call" --to "${control_of[node-1]}" --method DELETE --target /v1/instances/i-1)
 left=$(now_ms)
 note "leaving answered $answer"
 [[ $answer == 200* ]] || cannot_run "the leaving was not acknowledged"
