--- a/review/common-2.sh
+++ b/review/common-2.sh
@@ -85,10 +85,8 @@
     outbound_of[$name]=$outbound
     ready_of[$name]=$ready
     control_of[$name]=$control
-    # Deployments without usage caps have no quota-window-s, and the template's sections for them are left out.
-    local section='/{{#bounds.quota-window-s}}/,/{{\/bounds.quota-window-s}}/d'
-    [ -z "${usage_caps:-}" ] || section='/{{[#\/]bounds.quota-window-s}}/d'
-    sed -e "$section" -e 's|{{bounds.quota-window-s}}|5|; s|{{bounds.quota-overage}}|0.1|; s|{{bounds.quota-slack}}|20|' \
+    # The deployments of the cases have no quota-window-s, and the template's sections for it are left out.
+    sed -e '/{{#bounds.quota-window-s}}/,/{{\/bounds.quota-window-s}}/d' \
         -e "s|{{node-name}}|$name|; s|{{region}}|amman|; s|{{zone}}|amman-a|; s|{{service}}|$service|" \
         -e "s|{{listen-addresses.outbound}}|$outbound|; s|{{listen-addresses.inbound}}|$inbound|" \
         -e "s|{{listen-addresses.ready}}|$ready|; s|{{listen-addresses.control}}|$control|" \
--- a/review/standins-2/request-sender.cc
+++ b/review/standins-2/request-sender.cc
@@ -20,8 +20,6 @@
     std::string host;
     std::string method;
     std::string path;
-    /// The tenant's key; empty for none.
-    std::string apiKey;
     std::chrono::milliseconds interval {};
     std::chrono::milliseconds deadline {};
     int count = 0;
@@ -35,7 +33,6 @@
     it.host = parsed["host"].as<std::string>();
     it.method = parsed["method"].as<std::string>();
     it.path = parsed["path"].as<std::string>();
-    it.apiKey = parsed["api-key"].as<std::string>();
     it.interval = std::chrono::milliseconds { parsed["interval-ms"].as<int>() };
     it.deadline = std::chrono::milliseconds { parsed["deadline-ms"].as<int>() };
     it.count = parsed["count"].as<int>();
@@ -48,8 +45,6 @@
     request.set(http::field::host, options.host);
     request.set("Carobpath-Attempt-Id", id);
     request.set("Carobpath-Deadline-Remaining-Ms", std::to_string(options.deadline.count()));
-    if (!options.apiKey.empty())
-        request.set("Api-Key", options.apiKey);
     request.keep_alive(true);
     request.prepare_payload();
     return request;
@@ -105,7 +100,6 @@
         add("host", "Host field", cxxopts::value<std::string>()->default_value("shop.example"));
         add("method", "method", cxxopts::value<std::string>()->default_value("GET"));
         add("path", "target", cxxopts::value<std::string>()->default_value("/read/1"));
-        add("api-key", "key of the tenant", cxxopts::value<std::string>()->default_value(""));
         add("interval-ms", "time between two requests", cxxopts::value<int>()->default_value("40"));
         add("deadline-ms", "time that the caller waits", cxxopts::value<int>()->default_value("1200"));
         add("count", "requests", cxxopts::value<int>()->default_value("1"));
--- a/review/standins-2/upstream-server.cc
+++ b/review/standins-2/upstream-server.cc
@@ -6,7 +6,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
 #include <cxxopts.hpp>
 #include <nlohmann/json.hpp>
 
@@ -29,8 +28,6 @@
     milliseconds pingInterval {};
     /// Every answer with this number ends with 500; 0 for none.
     int failEvery = 0;
-    /// Time after the answer to a request under /faulty/ at which additional bytes follow; 0 for none.
-    milliseconds extraAfter {};
 };
 
 Options optionsOf(const cxxopts::ParseResult& parsed)
@@ -44,7 +41,6 @@
     it.work = milliseconds { parsed["work-ms"].as<int>() };
     it.pingInterval = milliseconds { parsed["ping-interval-ms"].as<int>() };
     it.failEvery = parsed["fail-every"].as<int>();
-    it.extraAfter = milliseconds { parsed["extra-after-ms"].as<int>() };
     return it;
 }
 
@@ -118,8 +114,6 @@
         co_await sleepFor(m_options.work);
         const auto response = responseTo(id);
         co_await http::async_write(stream, response, asio::use_awaitable);
-        if (m_options.extraAfter.count() > 0 && request.target().starts_with("/faulty/"))
-            co_await writeExtra(stream, id);
     }
 
     Response responseTo(const std::string& id)
@@ -136,15 +130,6 @@
         return response;
     }
 
-    /// Bytes behind a complete answer, which belong to no request.
-    asio::awaitable<void> writeExtra(boost::beast::tcp_stream& stream, const std::string& id)
-    {
-        co_await sleepFor(m_options.extraAfter);
-        m_record.write("extra bytes behind the answer to " + id);
-        const std::string bytes = "HTTP/1.1 200 OK\r\nContent-Length: 19\r\n\r\nbytes of no request";
-        co_await asio::async_write(stream, asio::buffer(bytes), asio::use_awaitable);
-    }
-
     Request pingOf(std::uint64_t sequence) const
     {
         const nlohmann::json body {
@@ -184,7 +169,6 @@
         add("work-ms", "time of one request", cxxopts::value<int>()->default_value("20"));
         add("ping-interval-ms", "time between two pings", cxxopts::value<int>()->default_value("1500"));
         add("fail-every", "each answer with this number is a 500", cxxopts::value<int>()->default_value("0"));
-        add("extra-after-ms", "additional bytes this long after an answer under /faulty/", cxxopts::value<int>()->default_value("0"));
         const auto parsed = options.parse(argc, argv);
         Record record { parsed["record"].as<std::string>() };
         asio::io_context context { 1 };
