--- a/packages/foundation/include/carobpath/foundation/EventNames.h
+++ b/packages/foundation/include/carobpath/foundation/EventNames.h
@@ -53,6 +53,9 @@
     inline constexpr EventName moveOrdered { "move-ordered" };
     inline constexpr EventName orderRefused { "order-refused" };
     inline constexpr EventName moveRecorded { "move-recorded" };
+    inline constexpr EventName moveStateRequested { "move-state-requested" };
+    inline constexpr EventName moveStateWritten { "move-state-written" };
+    inline constexpr EventName moveStateStoodBack { "move-state-stood-back" };
     inline constexpr EventName moveRecordFailed { "move-record-failed" };
     inline constexpr EventName moveShareChanged { "move-share-changed" };
     inline constexpr EventName moveTakenBack { "move-taken-back" };
--- a/packages/moves/include/carobpath/moves/OrderedMoves.h
+++ b/packages/moves/include/carobpath/moves/OrderedMoves.h
@@ -44,10 +44,26 @@
 /// an order that is repeated only in the later era gets a status of that era from the nodes that knew the first one.
 bool isStatusOf(const MoveStatus&, const MoveOrder&);
 
+/// What a node knew when it requested that a state is written, for the log.
+struct StatusBasis {
+    /// Time since the order.
+    std::chrono::milliseconds elapsed {};
+    /// Time between the last two ticks: a long one tells that the node was paused.
+    std::chrono::milliseconds tickGap {};
+    /// Calls to the new version while it got a part of the calls.
+    std::uint64_t canaryCalls = 0;
+    /// Calls to the new version during the load test, and how many of them are needed.
+    std::uint64_t loadTestCalls = 0;
+    std::uint64_t loadTestCallsNeeded = 0;
+    /// The new version's backend servers refused so many calls that they count as untested.
+    bool isMasked = false;
+};
+
 /// Write a move's state to the store, unless the store already has a final state for the same order. The command is
 /// repeated until \c OrderedMoves::onStatus reports the state.
 struct WriteStatus {
     MoveStatus status;
+    StatusBasis basis {};
 };
 
 using OrderedMoveCommand = std::variant<WriteStatus, BroadcastNotice, TrafficSplitChanged>;
@@ -154,6 +170,7 @@
     bool takesAllCalls(const Move&, MonotonicTime now) const;
     /// \returns whether the canary and the load test gave this node enough evidence to send all calls to the new version.
     bool hasEnoughEvidence(const Move&, MonotonicTime now) const;
+    StatusBasis basisOf(const Move&, MonotonicTime now) const;
     bool isInLoadTest(const Move&, MonotonicTime now) const;
     std::uint32_t windowOf(const Move&, MonotonicTime now) const;
     NodeName loadTestNodeOf(const Move&) const;
@@ -176,6 +193,8 @@
     /// The newest status read for each service, which may precede its order.
     std::map<ServiceName, MoveStatus> m_statuses;
     MonotonicTime m_tickedAt = MonotonicTime::min();
+    /// Time between the last two ticks.
+    std::chrono::milliseconds m_tickGap {};
 };
 
 }
--- a/packages/moves/src/OrderedMoves.cpp
+++ b/packages/moves/src/OrderedMoves.cpp
@@ -4,6 +4,7 @@
 #include "carobpath/foundation/RendezvousHash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace carobpath::moves {
@@ -217,10 +218,20 @@
 
 bool OrderedMoves::hasEnoughEvidence(const Move& move, MonotonicTime now) const
 {
-    const bool isMasked = move.canary.isMasked() || move.loadTest.isMasked() || move.full.isMasked();
-    const auto callsUnderLoad = static_cast<double>(move.loadTest.newCalls());
-    const bool isLoadTested = callsUnderLoad >= minLoadTestFraction * move.plan.loadTestCalls(rateOf(move, now));
-    return move.canary.newCalls() >= minCalls && isLoadTested && !isMasked;
+    const auto basis = basisOf(move, now);
+    return basis.canaryCalls >= minCalls && basis.loadTestCalls >= basis.loadTestCallsNeeded && !basis.isMasked;
+}
+
+StatusBasis OrderedMoves::basisOf(const Move& move, MonotonicTime now) const
+{
+    StatusBasis it;
+    it.elapsed = elapsed(move, now);
+    it.tickGap = m_tickGap;
+    it.canaryCalls = move.canary.newCalls();
+    it.loadTestCalls = move.loadTest.newCalls();
+    it.loadTestCallsNeeded = static_cast<std::uint64_t>(std::ceil(minLoadTestFraction * move.plan.loadTestCalls(rateOf(move, now))));
+    it.isMasked = move.canary.isMasked() || move.loadTest.isMasked() || move.full.isMasked();
+    return it;
 }
 
 bool OrderedMoves::isInLoadTest(const Move& move, MonotonicTime now) const
@@ -298,6 +309,8 @@
 std::vector<OrderedMoveCommand> OrderedMoves::tick(MonotonicTime now)
 {
     std::vector<OrderedMoveCommand> commands;
+    if (m_tickedAt != MonotonicTime::min())
+        m_tickGap = std::chrono::duration_cast<milliseconds>(now - m_tickedAt);
     m_tickedAt = now;
     add(m_evidence.publishLocal(now));
     for (auto& [service, move] : m_moves) {
@@ -355,7 +368,7 @@
     if (now < move.writeAt)
         return;
     move.writeAt = now + s_writeRetryInterval * (1 + rank);
-    commands.emplace_back(WriteStatus { { move.order.service, move.order.to, move.order.offset, state, move.versions } });
+    commands.emplace_back(WriteStatus { { move.order.service, move.order.to, move.order.offset, state, move.versions }, basisOf(move, now) });
 }
 
 }
--- a/packages/node/src/internal/MoveLog.cpp
+++ b/packages/node/src/internal/MoveLog.cpp
@@ -22,4 +22,42 @@
                       .with("share", change.split.nextShare));
 }
 
+std::string_view toString(moves::OrderedMoveState state)
+{
+    switch (state) {
+    case moves::OrderedMoveState::Done:
+        return "done";
+    case moves::OrderedMoveState::TakenBack:
+        return "taken-back";
+    case moves::OrderedMoveState::Running:
+        break;
+    }
+    return "running";
+}
+
+void recordStateRequested(EventLog& events, const moves::WriteStatus& command)
+{
+    const auto& basis = command.basis;
+    events.record(Event(event::moveStateRequested)
+                      .with("service", command.status.service)
+                      .with("to", command.status.to)
+                      .with("order", command.status.order)
+                      .with("state", toString(command.status.state))
+                      .with("elapsedMs", basis.elapsed)
+                      .with("tickGapMs", basis.tickGap)
+                      .with("canaryCalls", basis.canaryCalls)
+                      .with("loadTestCalls", basis.loadTestCalls)
+                      .with("loadTestCallsNeeded", basis.loadTestCallsNeeded)
+                      .with("masked", basis.isMasked));
+}
+
+void recordState(EventLog& events, EventName name, const moves::MoveStatus& status, const std::optional<moves::MoveStatus>& held)
+{
+    Event it(name);
+    it.with("service", status.service).with("to", status.to).with("order", status.order).with("state", toString(status.state));
+    if (held)
+        it.with("heldOrder", held->order).with("heldState", toString(held->state));
+    events.record(it);
+}
+
 }
--- a/packages/node/src/internal/OrderedMoveDriver.cpp
+++ b/packages/node/src/internal/OrderedMoveDriver.cpp
@@ -34,19 +34,6 @@
         return std::nullopt;
     }
 
-    std::string_view toString(moves::OrderedMoveState state)
-    {
-        switch (state) {
-        case moves::OrderedMoveState::Done:
-            return "done";
-        case moves::OrderedMoveState::TakenBack:
-            return "taken-back";
-        case moves::OrderedMoveState::Running:
-            break;
-        }
-        return "running";
-    }
-
 }
 
 OrderedMoveDriver::OrderedMoveDriver(NodeContext& context, platform::StoreClient& store, std::function<void()> onNotice, StreamHooks statusHooks)
@@ -218,6 +205,7 @@
 
 void OrderedMoveDriver::perform(const moves::WriteStatus& command)
 {
+    recordStateRequested(m_context.events, command);
     m_store.listNewest(statusStream, [self = shared_from_this(), status = command.status](const publication::KeyedResult& result) {
         if (const auto* listing = std::get_if<publication::KeyedBatch>(&result))
             self->writeAfter(*listing, status);
@@ -229,13 +217,16 @@
 void OrderedMoveDriver::writeAfter(const publication::KeyedBatch& listing, moves::MoveStatus status)
 {
     const auto key = platform::moveKey(status.service);
-    const auto held = std::find_if(listing.records.begin(), listing.records.end(), [&](const auto& it) { return it.key == key; });
-    if (held != listing.records.end()) {
-        onStatusRecord(*held);
-        const auto& stored = m_stored[status.service];
-        const bool sameOrder = stored.status.order == status.order;
-        if (sameOrder && (stored.status.state != moves::OrderedMoveState::Running || stored.status.state == status.state))
+    const auto record = std::find_if(listing.records.begin(), listing.records.end(), [&](const auto& it) { return it.key == key; });
+    std::optional<moves::MoveStatus> held;
+    if (record != listing.records.end()) {
+        onStatusRecord(*record);
+        held = m_stored[status.service].status;
+        const bool sameOrder = held->order == status.order;
+        if (sameOrder && (held->state != moves::OrderedMoveState::Running || held->state == status.state)) {
+            recordState(m_context.events, event::moveStateStoodBack, status, held);
             return;
+        }
         // The listing may tell the end of the move before this one, which was not read here yet.
         status.versions = m_engine.versionsOf(status);
     }
@@ -244,11 +235,14 @@
     const moves::MoveOrder order { status.service, status.to, {}, status.order };
     if (const auto stored = m_stored.find(status.service); stored != m_stored.end() && moves::isStatusOf(stored->second.status, order))
         orderedAt = stored->second.orderedAt;
-    const publication::KeyedRecord record { 0, key, platform::writeMoveStatus({ status, orderedAt }) };
-    m_store.put(statusStream, record, listing.end(), [self = shared_from_this(), status, era = listing.era](const publication::AppendResult& result) {
-        if (const auto* failure = std::get_if<publication::LogFailure>(&result))
+    const publication::KeyedRecord written { 0, key, platform::writeMoveStatus({ status, orderedAt }) };
+    m_store.put(statusStream, written, listing.end(), [self = shared_from_this(), status, held, era = listing.era](const publication::AppendResult& result) {
+        if (const auto* failure = std::get_if<publication::LogFailure>(&result)) {
             self->reportFailure(status, *failure);
-        else if (std::get<publication::Appended>(result).era == era)
+            return;
+        }
+        recordState(self->m_context.events, event::moveStateWritten, status, held);
+        if (std::get<publication::Appended>(result).era == era)
             self->m_engine.onStatus(status);
     });
 }
