A node that was paused or started draws no conclusion from what it has not heard

Cause, by move-state-requested of the woken node: 0 ms after its wake, tickGapMs 4202, canaryCalls 22, loadTestCalls 0 of 6, state taken-back, before it read that the move was done. OrderedMoves::stateOf took the lack of calls for the version's, though it was the node's own; the hypotheses of a late read, a peer's notice and a delayed write are ruled out, since the request precedes them and no notice was there.

Change: after its start, or a gap between ticks beyond s_maxTickGap, a node neither gives up a version nor sends it all calls until s_evidenceLag has passed. A finding of failures acts at once, as before.

--- a/packages/moves/include/carobpath/moves/OrderedMoves.h
+++ b/packages/moves/include/carobpath/moves/OrderedMoves.h
@@ -88,8 +88,11 @@
     /// Delay between two ranks of writers, so that usually only one of them writes.
     static constexpr std::chrono::milliseconds s_rankStep { 150 };
     static constexpr std::chrono::milliseconds s_writeRetryInterval { 300 };
-    /// A split older than this is not used, since the version may have been taken back while this node was paused.
+    /// A node whose last tick is longer ago was paused. Its split is not used, since the version may have been taken back meanwhile.
     static constexpr std::chrono::milliseconds s_maxTickGap { 1'500 };
+    /// Approximate delay of evidence from other nodes. A node that was started or paused lacks some of it for this time, and
+    /// concludes nothing from what it has not heard.
+    static constexpr std::chrono::milliseconds s_evidenceLag { 1'500 };
 
     OrderedMoves(NodeName self, Incarnation, const ExposureBound&);
 
@@ -167,6 +170,8 @@
     /// \returns whether the store has a final state of the move.
     static bool hasEnded(const Move&);
     bool isTakenBack(const Move&) const;
+    /// \returns whether this node has run long enough to have heard what the others saw and decided.
+    bool isEvidenceCurrent(MonotonicTime now) const;
     bool takesAllCalls(const Move&, MonotonicTime now) const;
     /// \returns whether the canary and the load test gave this node enough evidence to send all calls to the new version.
     bool hasEnoughEvidence(const Move&, MonotonicTime now) const;
@@ -195,6 +200,8 @@
     MonotonicTime m_tickedAt = MonotonicTime::min();
     /// Time between the last two ticks.
     std::chrono::milliseconds m_tickGap {};
+    /// The first tick, or the first one after a pause of this node.
+    std::optional<MonotonicTime> m_resumedAt;
 };
 
 }
--- a/packages/moves/src/OrderedMoves.cpp
+++ b/packages/moves/src/OrderedMoves.cpp
@@ -18,8 +18,6 @@
     /// Minimum fraction of the planned load-test calls that must have been answered for the version to count as tested
     /// under load.
     constexpr double minLoadTestFraction = 1.0 / 3;
-    /// Approximate delay of evidence from other nodes.
-    constexpr milliseconds evidenceLag { 1'500 };
 
     enum class Stage {
         None,
@@ -213,7 +211,13 @@
 {
     if (isAlreadyServing(move))
         return true;
-    return elapsed(move, now) >= move.plan.fullAt() && hasEnoughEvidence(move, now) && !isTakenBack(move);
+    const bool isDue = elapsed(move, now) >= move.plan.fullAt() && isEvidenceCurrent(now);
+    return isDue && hasEnoughEvidence(move, now) && !isTakenBack(move);
+}
+
+bool OrderedMoves::isEvidenceCurrent(MonotonicTime now) const
+{
+    return m_resumedAt && now - *m_resumedAt >= s_evidenceLag;
 }
 
 bool OrderedMoves::hasEnoughEvidence(const Move& move, MonotonicTime now) const
@@ -262,9 +266,9 @@
 
 double OrderedMoves::rateOf(const Move& move, MonotonicTime now) const
 {
-    const auto observed = std::max(elapsed(move, now) - evidenceLag, milliseconds { 0 });
+    const auto observed = std::max(elapsed(move, now) - s_evidenceLag, milliseconds { 0 });
     const auto calls = static_cast<double>(move.canary.oldCalls() + move.canary.newCalls());
-    return observed > evidenceLag ? calls / std::chrono::duration<double>(observed).count() : 0;
+    return observed > s_evidenceLag ? calls / std::chrono::duration<double>(observed).count() : 0;
 }
 
 double OrderedMoves::shareOf(const Move& move, MonotonicTime now) const
@@ -309,8 +313,10 @@
 std::vector<OrderedMoveCommand> OrderedMoves::tick(MonotonicTime now)
 {
     std::vector<OrderedMoveCommand> commands;
-    if (m_tickedAt != MonotonicTime::min())
+    if (m_resumedAt)
         m_tickGap = std::chrono::duration_cast<milliseconds>(now - m_tickedAt);
+    if (!m_resumedAt || m_tickGap > s_maxTickGap)
+        m_resumedAt = now;
     m_tickedAt = now;
     add(m_evidence.publishLocal(now));
     for (auto& [service, move] : m_moves) {
@@ -351,8 +357,9 @@
         return OrderedMoveState::Running;
     if (takesAllCalls(move, now))
         return OrderedMoveState::Done;
-    // There is insufficient evidence on the new version.
-    return elapsed(move, now) >= move.plan.giveUpAt() ? OrderedMoveState::TakenBack : OrderedMoveState::Running;
+    // There is insufficient evidence on the new version, unless it is this node that lacks it.
+    const bool givesUp = elapsed(move, now) >= move.plan.giveUpAt() && isEvidenceCurrent(now);
+    return givesUp ? OrderedMoveState::TakenBack : OrderedMoveState::Running;
 }
 
 void OrderedMoves::requestWrite(Move& move, MonotonicTime now, std::vector<OrderedMoveCommand>& commands)
--- a/packages/moves/tests/OrderedMoveFleet.h
+++ b/packages/moves/tests/OrderedMoveFleet.h
@@ -116,6 +116,18 @@
     }
 };
 
+/// \returns the final states among those that the commands write.
+inline std::vector<OrderedMoveState> finalStatesOf(const std::vector<OrderedMoveCommand>& commands)
+{
+    std::vector<OrderedMoveState> states;
+    for (const auto& command : commands) {
+        const auto* it = std::get_if<WriteStatus>(&command);
+        if (it && it->status.state != OrderedMoveState::Running)
+            states.push_back(it->status.state);
+    }
+    return states;
+}
+
 inline bool never(double) { return false; }
 inline bool always(double) { return true; }
 
