The state of a move is not written over that of a later order

Cause, by move-state-written of the woken node: order ...777 taken-back over heldOrder ...778 running. OrderedMoveDriver::writeAfter stopped only for an end of the same order; the condition on the end of the stream holds off two writers at a time, not one that listed just now and decided before.

Change: mayReplace keeps the state of a later order and the first end of the same one; a request whose order was replaced meanwhile is dropped, and none is made once the state of a later order was read. The node says move-state-stood-back.

Two tests of OrderedMoveVersionsTests fail with the old rule (62 checks); a third covers isCurrent.

--- a/packages/moves/include/carobpath/moves/OrderedMoves.h
+++ b/packages/moves/include/carobpath/moves/OrderedMoves.h
@@ -44,6 +44,10 @@
 /// an order that is repeated only in the later era gets a status of that era from the nodes that knew the first one.
 bool isStatusOf(const MoveStatus&, const MoveOrder&);
 
+/// \returns whether the status may be written where the store holds the other one. The state of a later order is kept, and so is
+/// the first end of the same one: the writer may have been paused since it decided.
+bool mayReplace(const MoveStatus& held, const MoveStatus&);
+
 /// What a node knew when it requested that a state is written, for the log.
 struct StatusBasis {
     /// Time since the order.
@@ -111,6 +115,8 @@
     EvidenceUpdate changedSince(EvidenceCursor&) const;
     std::vector<OrderedMoveCommand> tick(MonotonicTime now);
     TrafficSplit trafficSplit(const ServiceName&, MonotonicTime now) const;
+    /// \returns whether the status belongs to the newest order of its service.
+    bool isCurrent(const MoveStatus&) const;
     /// \returns the versions of the move that the status belongs to, as far as they are known now; if the order of the status was
     /// replaced, the versions of the status.
     ServiceVersions versionsOf(const MoveStatus&) const;
--- a/packages/moves/src/OrderedMoveVersions.cpp
+++ b/packages/moves/src/OrderedMoveVersions.cpp
@@ -50,11 +50,15 @@
 
 bool OrderedMoves::isAlreadyServing(const Move& move) { return move.versions.isOnlyServing(move.order.to); }
 
-ServiceVersions OrderedMoves::versionsOf(const MoveStatus& status) const
+bool OrderedMoves::isCurrent(const MoveStatus& status) const
 {
     const auto it = m_moves.find(status.service);
-    const bool isKnown = it != m_moves.end() && it->second.order.offset == status.order;
-    return isKnown ? it->second.versions : status.versions;
+    return it != m_moves.end() && it->second.order.offset == status.order;
+}
+
+ServiceVersions OrderedMoves::versionsOf(const MoveStatus& status) const
+{
+    return isCurrent(status) ? m_moves.at(status.service).versions : status.versions;
 }
 
 }
--- a/packages/moves/src/OrderedMoves.cpp
+++ b/packages/moves/src/OrderedMoves.cpp
@@ -48,6 +48,13 @@
     return publication::eraOfPacked(status.order) < publication::eraOfPacked(order.offset) && status.to == order.to;
 }
 
+bool mayReplace(const MoveStatus& held, const MoveStatus& status)
+{
+    if (held.order != status.order)
+        return held.order < status.order;
+    return held.state == OrderedMoveState::Running && status.state != held.state;
+}
+
 OrderedMoves::OrderedMoves(NodeName self, Incarnation incarnation, const ExposureBound& bound)
     : m_self(std::move(self))
     , m_bound(bound)
@@ -364,8 +371,11 @@
 
 void OrderedMoves::requestWrite(Move& move, MonotonicTime now, std::vector<OrderedMoveCommand>& commands)
 {
+    const auto newest = m_statuses.find(move.order.service);
+    const bool isReplaced = newest != m_statuses.end() && newest->second.order > move.order.offset;
     const auto state = hasEnded(move) ? *move.recorded : stateOf(move, now);
-    if (move.recorded == state && !move.isRecordSuspect)
+    const bool isRecorded = move.recorded == state && !move.isRecordSuspect;
+    if (isReplaced || isRecorded)
         return;
     const auto rank = static_cast<int>(writerRank(idOf(move.order), m_self, m_nodes));
     if (move.wantedState != state) {
--- a/packages/moves/tests/OrderedMoveVersionsTests.cpp
+++ b/packages/moves/tests/OrderedMoveVersionsTests.cpp
@@ -157,6 +157,40 @@
     }
 }
 
+// Guards against a state of an earlier order that a stale writer puts in place of the next order's.
+BOOST_AUTO_TEST_CASE(A_state_is_not_written_over_one_of_a_later_order_nor_over_another_end_of_its_own)
+{
+    const auto statusOf = [](publication::Offset offset, OrderedMoveState state) { return MoveStatus { service, newVersion, offset, state }; };
+    BOOST_TEST(!mayReplace(statusOf(9, OrderedMoveState::Running), statusOf(5, OrderedMoveState::TakenBack)));
+    BOOST_TEST(!mayReplace(statusOf(orderOfEra(1, 2).offset, OrderedMoveState::Running), statusOf(5, OrderedMoveState::Done)));
+    BOOST_TEST(!mayReplace(statusOf(5, OrderedMoveState::Done), statusOf(5, OrderedMoveState::TakenBack)));
+    BOOST_TEST(!mayReplace(statusOf(5, OrderedMoveState::Running), statusOf(5, OrderedMoveState::Running)));
+    BOOST_TEST(mayReplace(statusOf(5, OrderedMoveState::Running), statusOf(5, OrderedMoveState::Done)));
+    BOOST_TEST(mayReplace(statusOf(5, OrderedMoveState::Done), statusOf(9, OrderedMoveState::Running)));
+    BOOST_TEST(mayReplace(statusOf(5, OrderedMoveState::Done), statusOf(orderOfEra(1, 2).offset, OrderedMoveState::Done)));
+}
+
+BOOST_AUTO_TEST_CASE(A_node_writes_no_state_of_an_order_once_it_has_read_that_of_a_later_one)
+{
+    OrderedMoves node { NodeName { "n0" }, Incarnation { 1 }, ExposureBound {} };
+    node.onOrder(order(5), 0ms, start);
+    node.onStatus({ service, thirdVersion, 9, OrderedMoveState::Running });
+    for (auto at = 0ms; at < 18s; at += 100ms) {
+        for (const auto& command : node.tick(start + at))
+            BOOST_TEST(!std::holds_alternative<WriteStatus>(command));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(A_status_is_that_of_a_replaced_order_once_the_next_one_was_read)
+{
+    OrderedMoves node { NodeName { "n0" }, Incarnation { 1 }, ExposureBound {} };
+    node.onOrder(order(5), 0ms, start);
+    const MoveStatus status { service, newVersion, 5, OrderedMoveState::TakenBack };
+    BOOST_TEST(node.isCurrent(status));
+    node.onOrder(orderOf(thirdVersion, 9), 0ms, start + 1s);
+    BOOST_TEST(!node.isCurrent(status));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/packages/node/src/internal/OrderedMoveDriver.cpp
+++ b/packages/node/src/internal/OrderedMoveDriver.cpp
@@ -143,35 +143,58 @@
     return hooks;
 }
 
-bool OrderedMoveDriver::onStatusRecord(const publication::KeyedRecord& record)
+std::optional<platform::StoredMoveStatus> OrderedMoveDriver::readStatus(const publication::KeyedRecord& record)
 {
-    if (!platform::isMoveKey(record.key) || !record.value)
-        return true;
     return boost::leaf::try_handle_all(
-        [&]() -> Result<bool> {
+        [&]() -> Result<std::optional<platform::StoredMoveStatus>> {
             BOOST_LEAF_AUTO(stored, platform::readMoveStatus(record));
-            m_stored.insert_or_assign(stored.status.service, stored);
-            m_engine.onStatus(stored.status);
-            m_context.events.record(Event(event::moveRecorded)
-                                        .with("service", stored.status.service)
-                                        .with("to", stored.status.to)
-                                        .with("order", stored.status.order)
-                                        .with("state", toString(stored.status.state)));
-            return true;
+            return std::optional { std::move(stored) };
         },
-        [&](const platform::DocumentFault& fault) {
+        [&](const platform::DocumentFault& fault) -> std::optional<platform::StoredMoveStatus> {
             m_context.events.record(Event(event::recordRejected)
                                         .with("key", record.key)
                                         .with("offset", record.offset)
                                         .with("outcome", platform::toString(fault.kind)));
-            return false;
+            return std::nullopt;
         },
-        [&] {
+        [&]() -> std::optional<platform::StoredMoveStatus> {
             m_context.events.record(Event(event::recordRejected).with("key", record.key));
-            return false;
+            return std::nullopt;
         });
 }
 
+void OrderedMoveDriver::onStatus(const platform::StoredMoveStatus& stored)
+{
+    m_stored.insert_or_assign(stored.status.service, stored);
+    m_engine.onStatus(stored.status);
+    m_context.events.record(Event(event::moveRecorded)
+                                .with("service", stored.status.service)
+                                .with("to", stored.status.to)
+                                .with("order", stored.status.order)
+                                .with("state", toString(stored.status.state)));
+}
+
+bool OrderedMoveDriver::onStatusRecord(const publication::KeyedRecord& record)
+{
+    if (!platform::isMoveKey(record.key) || !record.value)
+        return true;
+    const auto stored = readStatus(record);
+    if (stored)
+        onStatus(*stored);
+    return stored.has_value();
+}
+
+std::optional<moves::MoveStatus> OrderedMoveDriver::heldStatus(const publication::KeyedBatch& listing, const ServiceName& service)
+{
+    const auto key = platform::moveKey(service);
+    const auto record = std::find_if(listing.records.begin(), listing.records.end(), [&](const auto& it) { return it.key == key; });
+    const auto stored = record != listing.records.end() ? readStatus(*record) : std::nullopt;
+    if (!stored)
+        return std::nullopt;
+    onStatus(*stored);
+    return stored->status;
+}
+
 void OrderedMoveDriver::onBackend(const ServiceName& service, const gateway::BackendObservation& observation, bool isCold)
 {
     const auto result = callResultOf(observation.result);
@@ -216,26 +239,19 @@
 
 void OrderedMoveDriver::writeAfter(const publication::KeyedBatch& listing, moves::MoveStatus status)
 {
-    const auto key = platform::moveKey(status.service);
-    const auto record = std::find_if(listing.records.begin(), listing.records.end(), [&](const auto& it) { return it.key == key; });
-    std::optional<moves::MoveStatus> held;
-    if (record != listing.records.end()) {
-        onStatusRecord(*record);
-        held = m_stored[status.service].status;
-        const bool sameOrder = held->order == status.order;
-        if (sameOrder && (held->state != moves::OrderedMoveState::Running || held->state == status.state)) {
-            recordState(m_context.events, event::moveStateStoodBack, status, held);
-            return;
-        }
-        // The listing may tell the end of the move before this one, which was not read here yet.
-        status.versions = m_engine.versionsOf(status);
+    const auto held = heldStatus(listing, status.service);
+    if (!m_engine.isCurrent(status) || (held && !moves::mayReplace(*held, status))) {
+        recordState(m_context.events, event::moveStateStoodBack, status, held);
+        return;
     }
+    // The listing may tell the end of the move before this one, which was not read here yet.
+    status.versions = m_engine.versionsOf(status);
     // The order's age is known also where the store lost the state that told it.
     auto orderedAt = wallNow();
     const moves::MoveOrder order { status.service, status.to, {}, status.order };
     if (const auto stored = m_stored.find(status.service); stored != m_stored.end() && moves::isStatusOf(stored->second.status, order))
         orderedAt = stored->second.orderedAt;
-    const publication::KeyedRecord written { 0, key, platform::writeMoveStatus({ status, orderedAt }) };
+    const publication::KeyedRecord written { 0, platform::moveKey(status.service), platform::writeMoveStatus({ status, orderedAt }) };
     m_store.put(statusStream, written, listing.end(), [self = shared_from_this(), status, held, era = listing.era](const publication::AppendResult& result) {
         if (const auto* failure = std::get_if<publication::LogFailure>(&result)) {
             self->reportFailure(status, *failure);
--- a/packages/node/src/internal/OrderedMoveDriver.h
+++ b/packages/node/src/internal/OrderedMoveDriver.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace carobpath::node::Detail {
 
@@ -47,11 +48,17 @@
     void followStatus();
     KeyedReaderHooks readerHooks();
     bool onStatusRecord(const publication::KeyedRecord&);
+    /// \returns nothing if the record cannot be read, which is logged.
+    std::optional<platform::StoredMoveStatus> readStatus(const publication::KeyedRecord&);
+    void onStatus(const platform::StoredMoveStatus&);
+    /// Takes the state of the service's move from a listing.
+    /// \returns nothing if the listing has none that can be read.
+    std::optional<moves::MoveStatus> heldStatus(const publication::KeyedBatch& listing, const ServiceName&);
     void takeOrder(const moves::MoveOrder&);
     void perform(const moves::WriteStatus&);
     void perform(const moves::BroadcastNotice&);
     void perform(const moves::TrafficSplitChanged&);
-    /// Writes the status unless the listing holds an end of the same order.
+    /// Writes the status unless its order was replaced, or the listing holds an end of it or the state of a later order.
     void writeAfter(const publication::KeyedBatch& listing, moves::MoveStatus);
     void reportFailure(const moves::MoveStatus&, const publication::LogFailure&);
 
