A state of an earlier order that is read last changes nothing, and is written over

Cause of the second half: OrderedMoves believed the status that was read last, of whatever order, so that a node that was up, too, rejected the version in service until it had read the next order's state; nodes that knew better left the stale state in the store, where every node that starts finds it.

Change: the status of the newest order is kept, and the first end of an order that was read; a node that knows the state of a later order than the one in the store asks for it to be written again, by rank. The time of an order is kept likewise.

Three tests of OrderedMoveVersionsTests, each fails without the change. All tests of packages/moves pass. Left: where all processes are killed before the state is written again, a stale state that a node of an earlier release wrote is all that is read.

--- a/packages/moves/include/carobpath/moves/OrderedMoves.h
+++ b/packages/moves/include/carobpath/moves/OrderedMoves.h
@@ -144,7 +144,7 @@
         double reportedShare = 0;
         std::optional<OrderedMoveState> wantedState;
         MonotonicTime writeAt;
-        /// The state was recorded in an earlier era of the store, which may have lost it.
+        /// The store may hold the recorded state no more: it came back from a copy, or a stale writer replaced the state.
         bool isRecordSuspect = false;
         /// Orders of the service that this one replaced, in the order in which they were given.
         std::vector<MoveOrder> replaced;
@@ -170,6 +170,9 @@
     OrderedMoveState reachedState(const Move&, MonotonicTime now) const;
     /// \returns whether the order names the only version in service, so that the move changes nothing.
     static bool isAlreadyServing(const Move&);
+    /// \returns whether the status is of an earlier order than the newest one that was read, or denies the end that was read of the
+    /// same order. A stale writer may have put it into the store.
+    bool isOutdated(const MoveStatus&) const;
     /// Continues a move whose order was read again in a later era.
     void rebind(Move&, const MoveOrder&, MonotonicTime now);
     std::chrono::milliseconds elapsed(const Move&, MonotonicTime now) const;
@@ -201,7 +204,7 @@
     std::map<ServiceName, Move> m_moves;
     /// Orders whose state in the store is not known yet.
     std::map<ServiceName, MoveOrder> m_pendingOrders;
-    /// The newest status read for each service, which may precede its order.
+    /// The status of the newest order read for each service, which may precede its order.
     std::map<ServiceName, MoveStatus> m_statuses;
     MonotonicTime m_tickedAt = MonotonicTime::min();
     /// Time between the last two ticks.
--- a/packages/moves/src/OrderedMoves.cpp
+++ b/packages/moves/src/OrderedMoves.cpp
@@ -148,14 +148,21 @@
 
 void OrderedMoves::onStatus(const MoveStatus& status)
 {
-    m_statuses.insert_or_assign(status.service, status);
+    const bool isNews = !isOutdated(status);
+    if (isNews)
+        m_statuses.insert_or_assign(status.service, status);
     const auto it = m_moves.find(status.service);
     if (it == m_moves.end())
         return;
     auto& move = it->second;
-    updateVersions(move, status);
-    if (!isStatusOf(status, move.order))
+    if (isNews)
+        updateVersions(move, status);
+    if (!isStatusOf(status, move.order)) {
+        // The store holds it in place of this move's state.
+        const bool isReplacement = status.order < move.order.offset && move.recorded.has_value();
+        move.isRecordSuspect = move.isRecordSuspect || isReplacement;
         return;
+    }
     // The first recorded final state wins.
     if (!move.recorded || *move.recorded == OrderedMoveState::Running)
         move.recorded = status.state;
@@ -163,6 +170,16 @@
     move.isRecordSuspect = status.order != move.order.offset || isForgotten;
 }
 
+bool OrderedMoves::isOutdated(const MoveStatus& status) const
+{
+    const auto known = m_statuses.find(status.service);
+    if (known == m_statuses.end())
+        return false;
+    if (known->second.order != status.order)
+        return status.order < known->second.order;
+    return known->second.state != OrderedMoveState::Running && known->second.state != status.state;
+}
+
 void OrderedMoves::observe(const ServiceName& service, const RouteName& route, const VersionName& version, CallResult result, std::optional<std::chrono::nanoseconds> latency, MonotonicTime now)
 {
     const auto it = m_moves.find(service);
--- a/packages/moves/tests/OrderedMoveFleet.h
+++ b/packages/moves/tests/OrderedMoveFleet.h
@@ -116,14 +116,24 @@
     }
 };
 
+/// \returns the statuses that the commands write.
+inline std::vector<MoveStatus> writtenBy(const std::vector<OrderedMoveCommand>& commands)
+{
+    std::vector<MoveStatus> written;
+    for (const auto& command : commands) {
+        if (const auto* it = std::get_if<WriteStatus>(&command))
+            written.push_back(it->status);
+    }
+    return written;
+}
+
 /// \returns the final states among those that the commands write.
 inline std::vector<OrderedMoveState> finalStatesOf(const std::vector<OrderedMoveCommand>& commands)
 {
     std::vector<OrderedMoveState> states;
-    for (const auto& command : commands) {
-        const auto* it = std::get_if<WriteStatus>(&command);
-        if (it && it->status.state != OrderedMoveState::Running)
-            states.push_back(it->status.state);
+    for (const auto& it : writtenBy(commands)) {
+        if (it.state != OrderedMoveState::Running)
+            states.push_back(it.state);
     }
     return states;
 }
--- a/packages/moves/tests/OrderedMoveVersionsTests.cpp
+++ b/packages/moves/tests/OrderedMoveVersionsTests.cpp
@@ -191,6 +191,52 @@
     BOOST_TEST(!node.isCurrent(status));
 }
 
+// Guards against a version in service that is rejected since the store tells the state of an earlier order last.
+BOOST_AUTO_TEST_CASE(A_state_of_an_earlier_order_that_is_read_last_changes_nothing)
+{
+    const MoveStatus stale { service, newVersion, 5, OrderedMoveState::TakenBack, { { oldVersion }, {} } };
+    const MoveStatus running { service, thirdVersion, 9, OrderedMoveState::Running, { { newVersion }, {} } };
+    OrderedMoves follower { NodeName { "n0" }, Incarnation { 1 }, ExposureBound {} };
+    follower.onOrder(orderOf(thirdVersion, 9), 0ms, start);
+    follower.onStatus(running);
+    follower.onStatus(stale);
+    OrderedMoves starter { NodeName { "n1" }, Incarnation { 1 }, ExposureBound {} };
+    starter.onStatus(running);
+    starter.onStatus(stale);
+    starter.onOrder(orderOf(thirdVersion, 9), 0ms, start);
+    for (auto* node : { &follower, &starter }) {
+        node->tick(start);
+        BOOST_TEST(isServing(*node, newVersion, start));
+    }
+}
+
+// Guards against a version whose move was done and that a stale writer records as rejected once the next one is ordered.
+BOOST_AUTO_TEST_CASE(The_first_end_of_a_move_that_was_read_holds_for_the_next_one)
+{
+    OrderedMoves node { NodeName { "n0" }, Incarnation { 1 }, ExposureBound {} };
+    node.onOrder(order(5), 0ms, start);
+    node.onStatus({ service, newVersion, 5, OrderedMoveState::Done });
+    node.onOrder(orderOf(thirdVersion, 9), 0ms, start + 17s);
+    node.onStatus({ service, newVersion, 5, OrderedMoveState::TakenBack });
+    BOOST_TEST(isServing(node, newVersion, start + 17s));
+}
+
+BOOST_AUTO_TEST_CASE(A_state_that_a_stale_writer_replaced_is_written_again)
+{
+    OrderedMoves node { NodeName { "n0" }, Incarnation { 1 }, ExposureBound {} };
+    node.onOrder(orderOf(thirdVersion, 9), 0ms, start);
+    node.onStatus({ service, thirdVersion, 9, OrderedMoveState::Running, { { newVersion }, {} } });
+    BOOST_TEST(writtenBy(node.tick(start)).empty());
+    node.onStatus({ service, newVersion, 5, OrderedMoveState::TakenBack });
+    const auto written = writtenBy(node.tick(start + 100ms));
+    BOOST_REQUIRE(written.size() == 1U);
+    BOOST_TEST(written.front().order == 9U);
+    BOOST_CHECK(written.front().state == OrderedMoveState::Running);
+    BOOST_CHECK((written.front().versions == ServiceVersions { { newVersion }, {} }));
+    node.onStatus(written.front());
+    BOOST_TEST(writtenBy(node.tick(start + 10s)).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/packages/node/src/internal/OrderedMoveDriver.cpp
+++ b/packages/node/src/internal/OrderedMoveDriver.cpp
@@ -165,7 +165,9 @@
 
 void OrderedMoveDriver::onStatus(const platform::StoredMoveStatus& stored)
 {
-    m_stored.insert_or_assign(stored.status.service, stored);
+    auto& known = m_stored.try_emplace(stored.status.service, stored).first->second;
+    if (stored.status.order >= known.status.order)
+        known = stored;
     m_engine.onStatus(stored.status);
     m_context.events.record(Event(event::moveRecorded)
                                 .with("service", stored.status.service)
--- a/packages/node/src/internal/OrderedMoveDriver.h
+++ b/packages/node/src/internal/OrderedMoveDriver.h
@@ -72,7 +72,7 @@
     std::shared_ptr<Reader> m_reader;
     /// Orders that wait for the first look at the states in the store.
     std::map<ServiceName, moves::MoveOrder> m_orders;
-    /// When each service's newest order was given, as far as a state in the store tells.
+    /// The state of each service's newest order, which tells when it was given, as far as the store told.
     std::map<ServiceName, platform::StoredMoveStatus> m_stored;
     bool m_statusKnown = false;
     bool m_stopped = false;
