An acknowledged leaving binds a node after its restart

Cause: UpstreamMonitor kept departed runs in memory only; the restarted node answered 200 to a late announcement and calls came after it, none before (so not from peers), and without the restart the same announcement gets 409.

A node that starts lists all departures once and holds announcements of earlier runs until then, for 2 s at most; later runs serve at once. The announcement server can answer later for that.

Ruled out: asking the server for its health (one more call at each start, waits for a slot, may mislead) and peers' memory alone (killed together).

--- a/packages/foundation/include/carobpath/foundation/EventNames.h
+++ b/packages/foundation/include/carobpath/foundation/EventNames.h
@@ -41,6 +41,8 @@
 
     inline constexpr EventName upstreamAnnounced { "upstream-announced" };
     inline constexpr EventName announcementRefused { "announcement-refused" };
+    inline constexpr EventName departureRecorded { "departure-recorded" };
+    inline constexpr EventName departureFailed { "departure-failed" };
     inline constexpr EventName upstreamGone { "upstream-gone" };
 
     inline constexpr EventName callEnded { "call-ended" };
--- a/packages/gateway/include/carobpath/gateway/AdminServer.h
+++ b/packages/gateway/include/carobpath/gateway/AdminServer.h
@@ -30,9 +30,14 @@
 class AdminServer {
 public:
     using Handler = std::function<AdminResponse(const AdminRequest&)>;
+    /// To be called once.
+    using Reply = std::function<void(AdminResponse)>;
+    using DeferredHandler = std::function<void(const AdminRequest&, Reply)>;
 
     /// Listens at once. Fails with \c ListenFailure.
     static Result<AdminServer> listen(boost::asio::io_context&, const Endpoint&, Handler);
+    /// The same, with a handler that may answer later.
+    static Result<AdminServer> listenDeferred(boost::asio::io_context&, const Endpoint&, DeferredHandler);
 
     ~AdminServer();
     AdminServer(AdminServer&&) noexcept;
--- a/packages/gateway/src/AdminServer.cpp
+++ b/packages/gateway/src/AdminServer.cpp
@@ -9,28 +9,29 @@
 
 class AdminServer::Implementation {
 public:
-    Implementation(boost::asio::io_context& context, Handler chosenHandler)
+    Implementation(boost::asio::io_context& context, DeferredHandler chosenHandler)
         : handler(std::move(chosenHandler))
-        , listener(std::make_shared<Detail::Listener>(context, limits, dialect, Detail::ServerSession::Handlers { [this](const auto& exchange) { handle(*exchange); }, nullptr, nullptr, nullptr },
+        , listener(std::make_shared<Detail::Listener>(context, limits, dialect, Detail::ServerSession::Handlers { [this](const auto& exchange) { handle(exchange); }, nullptr, nullptr, nullptr },
               std::make_shared<Detail::RequestMemory>(limits.heldBytes)))
     {
     }
 
-    void handle(Detail::ServerExchange& exchange)
+    void handle(const Detail::ServerExchange::Pointer& exchange)
     {
-        const auto& request = exchange.request();
+        const auto& request = exchange->request();
         const std::string_view target = request.target();
         const AdminRequest asked { std::string { request.method_string() }, std::string { target.substr(0, target.find('?')) }, request.body().text() };
-        AdminResponse answer = handler(asked);
-        Detail::Response response { static_cast<Detail::http::status>(answer.status), 11 };
-        response.set(Detail::http::field::content_type, answer.contentType);
-        response.body() = std::move(answer.body);
-        exchange.respond(std::move(response));
+        handler(asked, [exchange](AdminResponse answer) {
+            Detail::Response response { static_cast<Detail::http::status>(answer.status), 11 };
+            response.set(Detail::http::field::content_type, answer.contentType);
+            response.body() = std::move(answer.body);
+            exchange->respond(std::move(response));
+        });
     }
 
     GatewayLimits limits;
     Dialect dialect;
-    Handler handler;
+    DeferredHandler handler;
     std::shared_ptr<Detail::Listener> listener;
 };
 
@@ -43,6 +44,11 @@
 AdminServer::AdminServer(AdminServer&&) noexcept = default;
 
 Result<AdminServer> AdminServer::listen(boost::asio::io_context& context, const Endpoint& endpoint, Handler handler)
+{
+    return listenDeferred(context, endpoint, [handler = std::move(handler)](const AdminRequest& request, const Reply& reply) { reply(handler(request)); });
+}
+
+Result<AdminServer> AdminServer::listenDeferred(boost::asio::io_context& context, const Endpoint& endpoint, DeferredHandler handler)
 {
     auto implementation = std::make_unique<Implementation>(context, std::move(handler));
     if (const auto ec = implementation->listener->listen(endpoint))
--- a/packages/node/src/UpstreamMonitor.cpp
+++ b/packages/node/src/UpstreamMonitor.cpp
@@ -1,5 +1,8 @@
 #include "carobpath/node/UpstreamMonitor.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace carobpath::node {
 
 namespace {
@@ -10,6 +13,14 @@
         return run.startedAt && other.startedAt && *run.startedAt < *other.startedAt;
     }
 
+    /// \returns whether a later announcement came before it, of that run and with that sequence.
+    bool isOvertaken(const Announcement& it, const membership::BackendRun& run, const std::optional<std::uint64_t>& sequence)
+    {
+        if (isBefore(it.run, run))
+            return true;
+        return it.run == run && it.sequence && sequence && *it.sequence <= *sequence;
+    }
+
     /// Equal but for the sequence.
     bool saysTheSame(const Announcement& a, const Announcement& b)
     {
@@ -20,12 +31,53 @@
 
 }
 
+void UpstreamMonitor::awaitDepartures(MonotonicTime now, WallTime wallNow)
+{
+    m_departuresDueAt = now + s_departuresTimeout;
+    m_startedAt = wallNow;
+}
+
+bool UpstreamMonitor::onDepartures(const std::vector<membership::BackendRun>& runs, MonotonicTime now)
+{
+    for (const auto& it : runs) {
+        if (!it.startedAt)
+            continue;
+        auto& latest = m_departedBefore.try_emplace(it.instance, *it.startedAt).first->second;
+        latest = std::max(latest, *it.startedAt);
+    }
+    m_departuresDueAt.reset();
+    if (m_announcement && hasDepartedBefore(*m_announcement)) {
+        m_announcement.reset();
+        return true;
+    }
+    return releaseHeld(now);
+}
+
+bool UpstreamMonitor::takeHeld(MonotonicTime now)
+{
+    if (!m_departuresDueAt || now < *m_departuresDueAt)
+        return false;
+    m_departuresDueAt.reset();
+    return releaseHeld(now);
+}
+
+bool UpstreamMonitor::releaseHeld(MonotonicTime now)
+{
+    const auto held = std::exchange(m_held, std::nullopt);
+    return held && onAnnouncement(*held, now) == AnnouncementVerdict::Changed;
+}
+
 AnnouncementVerdict UpstreamMonitor::onAnnouncement(const Announcement& announcement, MonotonicTime now)
 {
     if (isForeign(announcement))
         return AnnouncementVerdict::Foreign;
     if (isLate(announcement))
         return AnnouncementVerdict::Late;
+    if (mayHaveDepartedBefore(announcement, now)) {
+        m_held = announcement;
+        return AnnouncementVerdict::Held;
+    }
+    m_held.reset();
     const bool changed = !m_announcement || !saysTheSame(*m_announcement, announcement);
     m_announcement = announcement;
     m_announcedAt = now;
@@ -48,18 +100,36 @@
     const bool mayBeUnseen = m_departedUnseen && it.run.instance == m_departedUnseen->instance;
     if (mayBeUnseen && !(it.run.startedAt && *it.run.startedAt > *m_departedUnseen->startedAt))
         return true;
-    if (!m_newestRun)
-        return false;
-    if (isBefore(it.run, *m_newestRun))
+    if (hasDepartedBefore(it))
         return true;
-    const bool isSameRun = it.run == *m_newestRun;
-    return isSameRun && it.sequence && m_newestSequence && *it.sequence <= *m_newestSequence;
+    if (m_held && isOvertaken(it, m_held->run, m_held->sequence))
+        return true;
+    return m_newestRun && isOvertaken(it, *m_newestRun, m_newestSequence);
+}
+
+bool UpstreamMonitor::hasDepartedBefore(const Announcement& it) const
+{
+    const auto departed = m_departedBefore.find(it.run.instance);
+    if (departed == m_departedBefore.end() || it.upstream.state == membership::UpstreamState::Draining)
+        return false;
+    return !(it.run.startedAt && *it.run.startedAt > departed->second);
+}
+
+bool UpstreamMonitor::mayHaveDepartedBefore(const Announcement& it, MonotonicTime now) const
+{
+    const bool areDeparturesKnown = !m_departuresDueAt || now >= *m_departuresDueAt;
+    const bool isKnownRun = m_newestRun && *m_newestRun == it.run;
+    if (areDeparturesKnown || isKnownRun || it.upstream.state == membership::UpstreamState::Draining)
+        return false;
+    return !(it.run.startedAt && *it.run.startedAt > m_startedAt);
 }
 
 bool UpstreamMonitor::onDeparture(const membership::BackendRun& run, WallTime wallNow)
 {
-    const bool isHeld = m_announcement && m_announcement->run.instance == run.instance;
-    if (!isHeld) {
+    if (m_held && m_held->run.instance == run.instance)
+        m_held.reset();
+    const bool isTaken = m_announcement && m_announcement->run.instance == run.instance;
+    if (!isTaken) {
         m_departedUnseen = membership::BackendRun { run.instance, run.startedAt.value_or(wallNow) };
         return false;
     }
--- a/packages/node/src/internal/FleetDriver.cpp
+++ b/packages/node/src/internal/FleetDriver.cpp
@@ -51,6 +51,7 @@
     , m_store(store)
     , m_upstream(upstream)
     , m_hooks(std::move(hooks))
+    , m_departures(std::make_shared<DepartureDriver>(context, m_store, [this](const auto& departed) { m_upstream.onDepartures(departed); }))
     , m_moves(std::make_shared<OrderedMoveDriver>(context, m_store, m_hooks.onNotice, streamHooks(platform::statusStream)))
 {
 }
@@ -63,7 +64,7 @@
         m_readiness.emplace(std::move(server));
     }
     if (addresses.announcements) {
-        BOOST_LEAF_AUTO(server, gateway::AdminServer::listen(m_context.io, *addresses.announcements, [this](const auto& request) { return answerAnnouncement(request); }));
+        BOOST_LEAF_AUTO(server, gateway::AdminServer::listenDeferred(m_context.io, *addresses.announcements, [this](const auto& request, const auto& reply) { answerAnnouncement(request, reply); }));
         m_announcements.emplace(std::move(server));
     }
     return {};
@@ -75,6 +76,8 @@
     m_directory = std::make_shared<DirectoryDriver>(m_context, m_store, peer, m_hooks.onPeersFound);
     m_reader->setCheckSchedule(m_checkSchedule);
     m_reader->setDeliveryTimeout(m_deliveryTimeout);
+    m_upstream.awaitDepartures();
+    m_departures->start();
     m_reader->start();
     m_directory->start();
     m_moves->start();
@@ -89,6 +92,7 @@
 {
     m_reader->stop();
     m_directory->stop();
+    m_departures->stop();
     m_moves->stop();
     if (m_readiness)
         m_readiness->stop();
@@ -141,6 +145,7 @@
         m_reader->onEra(change.now);
     if (m_directory)
         m_directory->onStoreReturned();
+    m_departures->onStoreReturned();
     m_moves->onEra(change.now);
 }
 
@@ -241,44 +246,49 @@
     return answer(m_hooks.ready() ? statusOk : statusUnavailable);
 }
 
-gateway::AdminResponse FleetDriver::answerAnnouncement(const gateway::AdminRequest& request)
+void FleetDriver::answerAnnouncement(const gateway::AdminRequest& request, const gateway::AdminServer::Reply& reply)
 {
     const auto instance = platform::instanceOfTarget(request.target);
-    if (!instance)
-        return answer(statusNotFound);
     const bool departs = request.method == "DELETE";
-    if (!departs && request.method != "PUT")
-        return answer(statusNotFound);
-    return boost::leaf::try_handle_all(
-        [&]() -> Result<gateway::AdminResponse> {
-            if (departs)
-                return depart(*instance, request.body);
-            return announce(*instance, request.body);
-        },
+    if (!instance || (!departs && request.method != "PUT")) {
+        reply(answer(statusNotFound));
+        return;
+    }
+    boost::leaf::try_handle_all(
+        [&]() -> Result<void> { return departs ? depart(*instance, request.body, reply) : announce(*instance, request.body, reply); },
         [&](const platform::DocumentFault& fault) {
             m_context.events.record(Event(event::announcementRefused)
                                         .with("instance", *instance)
                                         .with("fault", platform::toString(fault.kind))
                                         .with("field", fault.field));
-            return answer(statusBadRequest);
+            reply(answer(statusBadRequest));
         },
-        [] { return answer(statusBadRequest); });
+        [&] { reply(answer(statusBadRequest)); });
 }
 
-Result<gateway::AdminResponse> FleetDriver::announce(const std::string& instance, const std::string& body)
+Result<void> FleetDriver::announce(const std::string& instance, const std::string& body, const gateway::AdminServer::Reply& reply)
 {
     BOOST_LEAF_AUTO(announcement, platform::readAnnouncement(instance, body));
     const auto verdict = m_upstream.onAnnouncement(announcement);
-    const bool taken = verdict == AnnouncementVerdict::Changed || verdict == AnnouncementVerdict::Unchanged;
-    return answer(taken ? statusOk : statusConflict);
+    const bool isRefused = verdict == AnnouncementVerdict::Late || verdict == AnnouncementVerdict::Foreign;
+    if (!isRefused && announcement.upstream.state == membership::UpstreamState::Draining)
+        acknowledgeLeaving({ instance, announcement.run.startedAt.value_or(wallNow()) }, reply);
+    else
+        reply(answer(isRefused ? statusConflict : statusOk));
+    return {};
 }
 
-Result<gateway::AdminResponse> FleetDriver::depart(const std::string& instance, const std::string& body)
+Result<void> FleetDriver::depart(const std::string& instance, const std::string& body, const gateway::AdminServer::Reply& reply)
 {
     BOOST_LEAF_AUTO(run, platform::readDeparture(instance, body));
     // A run that is not held is gone already, which is what the caller wants.
-    m_upstream.onDeparture(run);
-    return answer(statusOk);
+    acknowledgeLeaving(m_upstream.onDeparture(run), reply);
+    return {};
+}
+
+void FleetDriver::acknowledgeLeaving(const membership::BackendRun& run, const gateway::AdminServer::Reply& reply)
+{
+    m_departures->record(run, [reply] { reply(answer(statusOk)); });
 }
 
 }
--- a/packages/node/src/internal/FleetDriver.h
+++ b/packages/node/src/internal/FleetDriver.h
@@ -4,6 +4,7 @@
 #include "carobpath/gateway/AdminServer.h"
 #include "carobpath/platform/StoreClient.h"
 #include "carobpath/publication/ConfigurationSet.h"
+#include "internal/DepartureDriver.h"
 #include "internal/DirectoryDriver.h"
 #include "internal/KeyedReader.h"
 #include "internal/NodeContext.h"
@@ -70,10 +71,12 @@
     bool onOrder(const publication::KeyedRecord&);
     bool onConfigurationRecord(const publication::KeyedRecord&);
     gateway::AdminResponse answerReadiness(const gateway::AdminRequest&) const;
-    gateway::AdminResponse answerAnnouncement(const gateway::AdminRequest&);
+    void answerAnnouncement(const gateway::AdminRequest&, const gateway::AdminServer::Reply&);
     /// Both fail with \c platform::DocumentFault.
-    Result<gateway::AdminResponse> announce(const std::string& instance, const std::string& body);
-    Result<gateway::AdminResponse> depart(const std::string& instance, const std::string& body);
+    Result<void> announce(const std::string& instance, const std::string& body, const gateway::AdminServer::Reply&);
+    Result<void> depart(const std::string& instance, const std::string& body, const gateway::AdminServer::Reply&);
+    /// Acknowledges that the run leaves once that outlasts this process.
+    void acknowledgeLeaving(const membership::BackendRun&, const gateway::AdminServer::Reply&);
 
     NodeContext& m_context;
     platform::StoreClient& m_store;
@@ -85,6 +88,7 @@
     /// For the operator's stream, whose records are large; those of the stream of states are not.
     std::chrono::milliseconds m_deliveryTimeout = publication::ReadWatchdog::s_deliveryTimeout;
     std::shared_ptr<DirectoryDriver> m_directory;
+    std::shared_ptr<DepartureDriver> m_departures;
     std::shared_ptr<OrderedMoveDriver> m_moves;
     std::optional<gateway::AdminServer> m_readiness;
     std::optional<gateway::AdminServer> m_announcements;
--- a/packages/node/src/internal/UpstreamDriver.cpp
+++ b/packages/node/src/internal/UpstreamDriver.cpp
@@ -16,31 +16,58 @@
 {
 }
 
+void UpstreamDriver::awaitDepartures() { m_monitor.awaitDepartures(MonotonicClock::now(), wallNow()); }
+
+void UpstreamDriver::onDepartures(const std::vector<membership::BackendRun>& runs)
+{
+    if (!m_monitor.onDepartures(runs, MonotonicClock::now()))
+        return;
+    if (m_monitor.announcement())
+        onChanged();
+    else
+        forget("departed");
+}
+
 AnnouncementVerdict UpstreamDriver::onAnnouncement(const Announcement& announcement)
 {
     const auto verdict = m_monitor.onAnnouncement(announcement, MonotonicClock::now());
-    if (verdict == AnnouncementVerdict::Unchanged)
-        return verdict;
-    const bool taken = verdict == AnnouncementVerdict::Changed;
-    m_context.events.record(Event(taken ? event::upstreamAnnounced : event::announcementRefused)
+    if (verdict == AnnouncementVerdict::Changed)
+        onChanged();
+    else if (verdict == AnnouncementVerdict::Late || verdict == AnnouncementVerdict::Foreign)
+        recordAnnouncement(event::announcementRefused, announcement);
+    return verdict;
+}
+
+void UpstreamDriver::onChanged()
+{
+    const auto& announcement = *m_monitor.announcement();
+    recordAnnouncement(event::upstreamAnnounced, announcement);
+    m_instance = announcement.run.instance;
+    apply();
+}
+
+void UpstreamDriver::recordAnnouncement(EventName name, const Announcement& announcement)
+{
+    m_context.events.record(Event(name)
                                 .with("service", announcement.upstream.service)
                                 .with("version", announcement.upstream.version)
                                 .with("state", membership::toString(announcement.upstream.state))
                                 .with("instance", announcement.run.instance)
                                 .with("backend", announcement.backend));
-    if (!taken)
-        return verdict;
-    m_instance = announcement.run.instance;
-    apply();
-    return verdict;
 }
 
-bool UpstreamDriver::onDeparture(const membership::BackendRun& run)
+membership::BackendRun UpstreamDriver::onDeparture(const membership::BackendRun& run)
 {
-    if (!m_monitor.onDeparture(run, wallNow()))
-        return false;
-    forget("departed");
-    return true;
+    membership::BackendRun departed { run.instance, run.startedAt };
+    const auto& known = m_monitor.announcement();
+    if (!departed.startedAt && known && known->run.instance == run.instance)
+        departed.startedAt = known->run.startedAt;
+    const auto now = wallNow();
+    if (!departed.startedAt)
+        departed.startedAt = now;
+    if (m_monitor.onDeparture(run, now))
+        forget("departed");
+    return departed;
 }
 
 void UpstreamDriver::onConfiguration(const publication::ConfigurationPointer& configuration)
@@ -53,6 +80,8 @@
 
 void UpstreamDriver::onTick()
 {
+    if (m_monitor.takeHeld(MonotonicClock::now()))
+        onChanged();
     if (m_monitor.onTick(MonotonicClock::now()))
         forget("silent");
     m_spread(m_controller.upstream());
--- a/packages/node/src/internal/UpstreamDriver.h
+++ b/packages/node/src/internal/UpstreamDriver.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace carobpath::node::Detail {
 
@@ -18,9 +19,13 @@
     /// \param spread tells the other nodes of the upstream.
     UpstreamDriver(NodeContext&, ExpectedBackend, routing::AdmissionController&, gateway::Gateway&, std::function<void(std::optional<membership::Upstream>)> spread);
 
+    /// Holds announcements until the departures before this node's start are known, see \c UpstreamMonitor.
+    void awaitDepartures();
+    void onDepartures(const std::vector<membership::BackendRun>&);
+
     AnnouncementVerdict onAnnouncement(const Announcement&);
-    /// \returns whether it was the backend server that is held.
-    bool onDeparture(const membership::BackendRun&);
+    /// \returns the run that leaves, with the latest start that it may have had.
+    membership::BackendRun onDeparture(const membership::BackendRun&);
     void onConfiguration(const publication::ConfigurationPointer&);
 
     /// Forgets a lapsed announcement and spreads the state and the load that calls showed.
@@ -31,6 +36,9 @@
 
 private:
     void apply();
+    void recordAnnouncement(EventName, const Announcement&);
+    /// The backend server is held from now on, or says something else.
+    void onChanged();
     /// \param reason for the log: why the backend server is held no more.
     void forget(std::string_view reason);
     /// \returns the connections that the backend server accepts: what it said, else what its service allows.
--- a/packages/node/tests/UpstreamMonitorTests.cpp
+++ b/packages/node/tests/UpstreamMonitorTests.cpp
@@ -146,6 +146,70 @@
     BOOST_CHECK(monitor.onAnnouncement(announcement(membership::UpstreamState::Ready), start) == Verdict::Changed);
 }
 
+BOOST_AUTO_TEST_CASE(A_run_that_may_have_left_before_the_node_started_is_held_until_the_departures_are_known)
+{
+    UpstreamMonitor monitor;
+    monitor.awaitDepartures(start, wallNow);
+    BOOST_CHECK(monitor.onAnnouncement(ofRun(1000ms, 2, membership::UpstreamState::Ready), start) == Verdict::Held);
+    BOOST_TEST(!monitor.announcement().has_value());
+    BOOST_TEST(monitor.onDepartures({ { "i-0", WallTime { 1000ms } } }, start + 10ms));
+    BOOST_TEST(monitor.announcement()->run.instance == "i-1");
+    BOOST_CHECK(monitor.onAnnouncement(ofRun(1000ms, 3, membership::UpstreamState::Ready), start) == Verdict::Unchanged);
+}
+
+// Guards against a late announcement that revives a run whose leaving was acknowledged before the node's restart.
+BOOST_AUTO_TEST_CASE(A_run_that_left_before_the_node_started_may_only_say_that_it_drains)
+{
+    UpstreamMonitor monitor;
+    monitor.awaitDepartures(start, wallNow);
+    BOOST_CHECK(monitor.onAnnouncement(ofRun(1000ms, 2, membership::UpstreamState::Ready), start) == Verdict::Held);
+    BOOST_TEST(!monitor.onDepartures({ { "i-1", WallTime { 1000ms } } }, start + 10ms));
+    BOOST_CHECK(monitor.onAnnouncement(ofRun(1000ms, 3, membership::UpstreamState::Ready), start) == Verdict::Late);
+    BOOST_CHECK(monitor.onAnnouncement(ofRun(900ms, 3, membership::UpstreamState::Ready), start) == Verdict::Late);
+    BOOST_CHECK(monitor.onAnnouncement(ofRun(1000ms, 4, membership::UpstreamState::Draining), start) == Verdict::Changed);
+    BOOST_CHECK(monitor.onAnnouncement(ofRun(1000ms, 5, membership::UpstreamState::Ready), start) == Verdict::Late);
+    BOOST_CHECK(monitor.onAnnouncement(ofRun(1100ms, 1, membership::UpstreamState::Ready), start) == Verdict::Changed);
+}
+
+BOOST_AUTO_TEST_CASE(A_run_that_started_after_the_node_is_taken_while_the_departures_are_unknown)
+{
+    UpstreamMonitor monitor;
+    monitor.awaitDepartures(start, wallNow);
+    BOOST_CHECK(monitor.onAnnouncement(ofRun(2000ms, 1, membership::UpstreamState::Ready), start) == Verdict::Changed);
+}
+
+BOOST_AUTO_TEST_CASE(A_held_run_is_taken_after_a_time_and_forgotten_if_its_departure_becomes_known_later)
+{
+    UpstreamMonitor monitor;
+    monitor.awaitDepartures(start, wallNow);
+    monitor.onAnnouncement(ofRun(1000ms, 2, membership::UpstreamState::Ready), start);
+    BOOST_TEST(!monitor.takeHeld(start + UpstreamMonitor::s_departuresTimeout - 1ms));
+    BOOST_TEST(monitor.takeHeld(start + UpstreamMonitor::s_departuresTimeout));
+    BOOST_TEST(monitor.announcement().has_value());
+    BOOST_TEST(monitor.onDepartures({ { "i-1", WallTime { 1000ms } } }, start + 3s));
+    BOOST_TEST(!monitor.announcement().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(A_held_run_that_departs_is_not_taken)
+{
+    UpstreamMonitor monitor;
+    monitor.awaitDepartures(start, wallNow);
+    monitor.onAnnouncement(ofRun(1000ms, 2, membership::UpstreamState::Ready), start);
+    monitor.onDeparture({ "i-1", WallTime { 1000ms } }, wallNow);
+    BOOST_TEST(!monitor.onDepartures({}, start + 10ms));
+    BOOST_CHECK(monitor.onAnnouncement(ofRun(1000ms, 3, membership::UpstreamState::Ready), start) == Verdict::Late);
+}
+
+BOOST_AUTO_TEST_CASE(A_held_announcement_is_not_replaced_by_one_that_it_has_overtaken)
+{
+    UpstreamMonitor monitor;
+    monitor.awaitDepartures(start, wallNow);
+    monitor.onAnnouncement(ofRun(1000ms, 5, membership::UpstreamState::Ready), start);
+    BOOST_CHECK(monitor.onAnnouncement(ofRun(1000ms, 4, membership::UpstreamState::Cold), start) == Verdict::Late);
+    BOOST_TEST(monitor.onDepartures({}, start));
+    BOOST_CHECK(monitor.announcement()->upstream.state == membership::UpstreamState::Ready);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/tests/process/harness/FleetSite.cpp
+++ b/tests/process/harness/FleetSite.cpp
@@ -146,11 +146,11 @@
     return call(m_ready, request).status;
 }
 
-unsigned FleetNode::announce(const std::string& instance, const std::string& state, std::uint64_t sequence) const
+unsigned FleetNode::announce(const std::string& instance, const std::string& state, std::uint64_t sequence, std::uint64_t born) const
 {
     const nlohmann::json body {
         { "address", m_backend },
-        { "born", 1'700'000'000'000 },
+        { "born", born },
         { "server-info", { { "service", m_service }, { "version", "v1" }, { "zone", m_zone }, { "slots", 6 } } },
         { "status", { { "state", state }, { "seq", sequence }, { "cold-remaining-s", 0 } } },
     };
--- a/tests/process/harness/FleetSite.h
+++ b/tests/process/harness/FleetSite.h
@@ -18,6 +18,8 @@
 class FleetNode {
 public:
     static constexpr double s_fastLinkMegabits = 1000;
+    /// Start of the backend server's first run, in milliseconds since 1970.
+    static constexpr std::uint64_t s_firstRun = 1'700'000'000'000;
 
     /// \param store "IP:PORT" of the store.
     /// \param backend "IP:PORT" of the backend server beside the node.
@@ -32,7 +34,8 @@
     /// \returns the status of the platform's question whether the node is ready.
     unsigned readiness() const;
     /// The backend server says what it is; \returns the status of the answer.
-    unsigned announce(const std::string& instance, const std::string& state, std::uint64_t sequence) const;
+    /// \param born start of the run, in milliseconds since 1970.
+    unsigned announce(const std::string& instance, const std::string& state, std::uint64_t sequence, std::uint64_t born = s_firstRun) const;
     unsigned depart(const std::string& instance) const;
     /// Kills the process and starts it again with the same settings and addresses.
     void restart();
