A node that starts reads past a stale state of a move

Cause: a listing of the states has the newest record alone, and the versions of the service with it.

Change: a node that starts and finds a state older than the newest order reads the last 256 records of the stream once, in their order; outdated ones change nothing. It then asks for the newest state to be written again. One read more for a node that starts between an order and its first state; none else.

--- a/packages/moves/include/carobpath/moves/OrderedMoves.h
+++ b/packages/moves/include/carobpath/moves/OrderedMoves.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -206,6 +207,8 @@
     std::map<ServiceName, MoveOrder> m_pendingOrders;
     /// The status of the newest order read for each service, which may precede its order.
     std::map<ServiceName, MoveStatus> m_statuses;
+    /// Services for which the store holds an outdated status instead.
+    std::set<ServiceName> m_outdatedInStore;
     MonotonicTime m_tickedAt = MonotonicTime::min();
     /// Time between the last two ticks.
     std::chrono::milliseconds m_tickGap {};
--- a/packages/moves/src/OrderedMoves.cpp
+++ b/packages/moves/src/OrderedMoves.cpp
@@ -101,7 +101,7 @@
     const auto status = m_statuses.find(order.service);
     if (status != m_statuses.end() && isStatusOf(status->second, order)) {
         move.recorded = status->second.state;
-        move.isRecordSuspect = status->second.order != order.offset;
+        move.isRecordSuspect = status->second.order != order.offset || m_outdatedInStore.contains(order.service);
     }
     m_moves.insert_or_assign(order.service, std::move(move));
     retain();
@@ -149,8 +149,12 @@
 void OrderedMoves::onStatus(const MoveStatus& status)
 {
     const bool isNews = !isOutdated(status);
-    if (isNews)
+    if (isNews) {
         m_statuses.insert_or_assign(status.service, status);
+        m_outdatedInStore.erase(status.service);
+    } else if (status.order < m_statuses.at(status.service).order) {
+        m_outdatedInStore.insert(status.service);
+    }
     const auto it = m_moves.find(status.service);
     if (it == m_moves.end())
         return;
@@ -158,9 +162,8 @@
     if (isNews)
         updateVersions(move, status);
     if (!isStatusOf(status, move.order)) {
-        // The store holds it in place of this move's state.
-        const bool isReplacement = status.order < move.order.offset && move.recorded.has_value();
-        move.isRecordSuspect = move.isRecordSuspect || isReplacement;
+        const bool isReplaced = move.recorded && m_outdatedInStore.contains(status.service);
+        move.isRecordSuspect = move.isRecordSuspect || isReplaced;
         return;
     }
     // The first recorded final state wins.
--- a/packages/node/src/internal/OrderedMoveDriver.cpp
+++ b/packages/node/src/internal/OrderedMoveDriver.cpp
@@ -14,6 +14,8 @@
     constexpr milliseconds tickInterval { 100 };
     constexpr milliseconds statusPoll { 20'000 };
     const std::string statusStream { platform::statusStream };
+    /// Records of the stream of states that are read again where the newest state of a move is missing.
+    constexpr publication::Offset historyRecords = 256;
 
     /// \returns what the call says of the version: a lost connection speaks of an instance, and a refusal of load.
     std::optional<moves::CallResult> callResultOf(routing::BackendResult result)
@@ -131,12 +133,7 @@
     KeyedReaderHooks hooks;
     hooks.stream = m_statusHooks;
     hooks.onRecord = [this](const publication::KeyedRecord& record) { return onStatusRecord(record); };
-    hooks.onEnd = [this] {
-        if (std::exchange(m_statusKnown, true))
-            return;
-        for (const auto& [service, order] : m_orders)
-            takeOrder(order);
-    };
+    hooks.onEnd = [this] { onStatusListed(); };
     hooks.onAvailable = [](bool, const publication::LogFailure&) {
         // The reader of the operator's stream reports the same store.
     };
@@ -176,6 +173,52 @@
                                 .with("state", toString(stored.status.state)));
 }
 
+void OrderedMoveDriver::onStatusListed()
+{
+    if (m_statusKnown || m_isReadingHistory)
+        return;
+    if (!lacksStatus()) {
+        onStatusKnown();
+        return;
+    }
+    m_isReadingHistory = true;
+    const auto end = m_reader->position().offset;
+    readStatusHistory(end - std::min(end, historyRecords));
+}
+
+bool OrderedMoveDriver::lacksStatus() const
+{
+    return std::any_of(m_orders.begin(), m_orders.end(), [this](const auto& it) {
+        const auto stored = m_stored.find(it.first);
+        return stored != m_stored.end() && stored->second.status.order < it.second.offset;
+    });
+}
+
+void OrderedMoveDriver::readStatusHistory(publication::Offset from)
+{
+    m_store.readKeyed(statusStream, from, milliseconds { 0 }, [self = shared_from_this(), from](const publication::KeyedResult& result) {
+        if (self->m_stopped)
+            return;
+        const auto* trimmed = std::get_if<publication::Trimmed>(&result);
+        if (trimmed && trimmed->first > from) {
+            self->readStatusHistory(trimmed->first);
+            return;
+        }
+        if (const auto* batch = std::get_if<publication::KeyedBatch>(&result)) {
+            for (const auto& record : batch->records)
+                self->onStatusRecord(record);
+        }
+        self->onStatusKnown();
+    });
+}
+
+void OrderedMoveDriver::onStatusKnown()
+{
+    m_statusKnown = true;
+    for (const auto& [service, order] : m_orders)
+        takeOrder(order);
+}
+
 bool OrderedMoveDriver::onStatusRecord(const publication::KeyedRecord& record)
 {
     if (!platform::isMoveKey(record.key) || !record.value)
--- a/packages/node/src/internal/OrderedMoveDriver.h
+++ b/packages/node/src/internal/OrderedMoveDriver.h
@@ -47,6 +47,11 @@
     void tick();
     void followStatus();
     KeyedReaderHooks readerHooks();
+    /// The states in the store were listed. Where one is older than the newest order, those before it are read first.
+    void onStatusListed();
+    bool lacksStatus() const;
+    void readStatusHistory(publication::Offset from);
+    void onStatusKnown();
     bool onStatusRecord(const publication::KeyedRecord&);
     /// \returns nothing if the record cannot be read, which is logged.
     std::optional<platform::StoredMoveStatus> readStatus(const publication::KeyedRecord&);
@@ -75,6 +80,7 @@
     /// The state of each service's newest order, which tells when it was given, as far as the store told.
     std::map<ServiceName, platform::StoredMoveStatus> m_stored;
     bool m_statusKnown = false;
+    bool m_isReadingHistory = false;
     bool m_stopped = false;
 };
 
--- a/tests/process/harness/FleetSite.cpp
+++ b/tests/process/harness/FleetSite.cpp
@@ -169,14 +169,23 @@
     return call(m_control, request).status;
 }
 
-void putOrder(const std::string& store, const std::string& key, const std::string& value)
+void putOrder(const std::string& store, const std::string& key, const std::string& value) { putRecord(store, "keyed.op", key, value); }
+
+void putRecord(const std::string& store, const std::string& topic, const std::string& key, const std::string& value)
 {
     CallerRequest request;
     request.method = "POST";
-    request.target = "/v1/log-append?topic=keyed.op&part=0";
+    request.target = "/v1/log-append?topic=" + topic + "&part=0";
     request.body = platform::frameOf(platform::keyedContent(key, value));
     if (call(store, request).status != 200)
-        throw std::runtime_error("the store refuses the order");
+        throw std::runtime_error("the store refuses the record");
+}
+
+nlohmann::json newestRecords(const std::string& store, const std::string& topic)
+{
+    CallerRequest request;
+    request.target = "/v1/log-newest?topic=" + topic + "&part=0";
+    return nlohmann::json::parse(call(store, request).body)["items"];
 }
 
 }
--- a/tests/process/harness/FleetSite.h
+++ b/tests/process/harness/FleetSite.h
@@ -55,5 +55,9 @@
 
 /// Writes a record of the operator to the store.
 void putOrder(const std::string& store, const std::string& key, const std::string& value);
+/// Writes a record of a keyed topic, as any writer may.
+void putRecord(const std::string& store, const std::string& topic, const std::string& key, const std::string& value);
+/// \returns the newest record of each key; values are in base64.
+nlohmann::json newestRecords(const std::string& store, const std::string& topic);
 
 }
--- a/tests/process/tests/StoreReturnTests.cpp
+++ b/tests/process/tests/StoreReturnTests.cpp
@@ -59,12 +59,7 @@
         store.set(R"({"comeBackFromCopyMs": )" + std::to_string(age.count()) + "}");
     }
 
-    nlohmann::json newest(const std::string& topic) const
-    {
-        CallerRequest request;
-        request.target = "/v1/log-newest?topic=" + topic + "&part=0";
-        return nlohmann::json::parse(call(store.endpoint(), request).body)["items"];
-    }
+    nlohmann::json newest(const std::string& topic) const { return newestRecords(store.endpoint(), topic); }
 };
 
 }
