The evidence of a load test is sent again until all calls move

Cause, by move-state-requested and move-share-changed: the first node by rank had 2 of the 8 calls needed at 15.96 s, the four others had all of them at 15.2 s. Evidence is pushed to random peers a limited number of times; the load test's last revision is followed by no other, so that a node which missed it takes the version for untested and gives up first.

Change: the load-tested node sends the new version's entries of that window each 0.4 s from its end until all calls move: one entry a route of one node, four times a move.

EvidenceTable: counts are kept once, by a test. OrderedMovesTests: the new case fails without the change (4 checks).

--- a/packages/moves/include/carobpath/moves/EvidenceTable.h
+++ b/packages/moves/include/carobpath/moves/EvidenceTable.h
@@ -54,6 +54,9 @@
     /// Creates the revisions of local entries that are due.
     /// \returns the growth of the merged counts.
     std::vector<EvidenceGrowth> publishLocal(MonotonicTime);
+    /// Gives the local entries of a version and window a new revision with the same counts soon, so that they are sent again to nodes that
+    /// missed them: each revision is sent a limited number of times.
+    void repeat(const MoveId&, const VersionName&, std::uint32_t window);
     /// Stores the entries that are newer than the stored ones.
     /// \returns the growth of the merged counts.
     std::vector<EvidenceGrowth> merge(const EvidenceUpdate&);
--- a/packages/moves/include/carobpath/moves/OrderedMoves.h
+++ b/packages/moves/include/carobpath/moves/OrderedMoves.h
@@ -99,6 +99,16 @@
     /// concludes nothing from what it has not heard.
     static constexpr std::chrono::milliseconds s_evidenceLag { 1'500 };
 
+    /// Evidence window of the calls while the new version gets a part of the calls.
+    static constexpr std::uint32_t s_canaryWindow = 0;
+    /// Evidence window of the calls while the new version gets all calls.
+    static constexpr std::uint32_t s_fullWindow = 1;
+    /// Evidence window of the calls during the load test.
+    static constexpr std::uint32_t s_loadTestWindow = 2;
+    /// Time between two repetitions of the new version's evidence of the load test, from its end until all calls move. A node that
+    /// missed it would take the version for untested.
+    static constexpr std::chrono::milliseconds s_repeatInterval { 400 };
+
     OrderedMoves(NodeName self, Incarnation, const ExposureBound&);
 
     /// Sets the live nodes, which may all write.
@@ -125,13 +135,6 @@
     bool hasUnfinishedMove() const;
 
 private:
-    /// Evidence window of the calls while the new version gets a part of the calls.
-    static constexpr std::uint32_t s_canaryWindow = 0;
-    /// Evidence window of the calls while the new version gets all calls.
-    static constexpr std::uint32_t s_fullWindow = 1;
-    /// Evidence window of the calls during the load test.
-    static constexpr std::uint32_t s_loadTestWindow = 2;
-
     struct Move {
         MoveOrder order;
         OrderedMovePlan plan;
@@ -149,6 +152,8 @@
         bool isRecordSuspect = false;
         /// Orders of the service that this one replaced, in the order in which they were given.
         std::vector<MoveOrder> replaced;
+        /// When the evidence of the load test was last sent again.
+        MonotonicTime repeatedAt {};
         /// Versions of the service when this move was ordered.
         ServiceVersions versions {};
         /// \c MoveStatus::order of the state from which \c versions is known; 0 if no move preceded this one.
@@ -192,6 +197,7 @@
     double rateOf(const Move&, MonotonicTime now) const;
     double shareOf(const Move&, MonotonicTime now) const;
     OrderedMoveState stateOf(const Move&, MonotonicTime now) const;
+    void repeatLoadTest(Move&, MonotonicTime now);
     void add(const std::vector<EvidenceGrowth>&);
     void findRegression(Move&, std::vector<OrderedMoveCommand>&);
     void requestWrite(Move&, MonotonicTime now, std::vector<OrderedMoveCommand>&);
--- a/packages/moves/src/EvidenceTable.cpp
+++ b/packages/moves/src/EvidenceTable.cpp
@@ -33,6 +33,19 @@
     local.urgent = local.urgent || growth.failed > 0;
 }
 
+void EvidenceTable::repeat(const MoveId& move, const VersionName& version, std::uint32_t window)
+{
+    const auto it = m_moves.find(move);
+    if (it == m_moves.end())
+        return;
+    for (auto& [key, local] : it->second.local) {
+        if (key.version != version || key.window != window)
+            continue;
+        local.changed = true;
+        local.urgent = true;
+    }
+}
+
 std::vector<EvidenceGrowth> EvidenceTable::publishLocal(MonotonicTime now)
 {
     std::vector<EvidenceGrowth> result;
--- a/packages/moves/src/OrderedMoves.cpp
+++ b/packages/moves/src/OrderedMoves.cpp
@@ -34,27 +34,6 @@
 
 }
 
-bool isSameOrder(const MoveOrder& earlier, const MoveOrder& later)
-{
-    const bool isLaterEra = publication::eraOfPacked(earlier.offset) < publication::eraOfPacked(later.offset);
-    const bool isEqual = earlier.service == later.service && earlier.to == later.to && earlier.duration == later.duration;
-    return isEqual && (isLaterEra || earlier.offset == later.offset);
-}
-
-bool isStatusOf(const MoveStatus& status, const MoveOrder& order)
-{
-    if (status.order == order.offset)
-        return true;
-    return publication::eraOfPacked(status.order) < publication::eraOfPacked(order.offset) && status.to == order.to;
-}
-
-bool mayReplace(const MoveStatus& held, const MoveStatus& status)
-{
-    if (held.order != status.order)
-        return held.order < status.order;
-    return held.state == OrderedMoveState::Running && status.state != held.state;
-}
-
 OrderedMoves::OrderedMoves(NodeName self, Incarnation incarnation, const ExposureBound& bound)
     : m_self(std::move(self))
     , m_bound(bound)
@@ -90,7 +69,7 @@
         if (isSameOrder(known->second.order, order))
             return rebind(known->second, order, now);
     }
-    Move move { order, OrderedMovePlan { order.duration, m_bound }, now - age, {}, {}, {}, std::nullopt, 0, std::nullopt, now, false, {}, {}, 0 };
+    Move move { order, OrderedMovePlan { order.duration, m_bound }, now - age, {}, {}, {}, std::nullopt, 0, std::nullopt, now, false, {}, {}, {}, 0 };
     setVersions(move, known == m_moves.end() ? nullptr : &known->second, now);
     if (known != m_moves.end()) {
         move.replaced = std::move(known->second.replaced);
@@ -146,43 +125,6 @@
     m_evidence.retain(active, newest);
 }
 
-void OrderedMoves::onStatus(const MoveStatus& status)
-{
-    const bool isNews = !isOutdated(status);
-    if (isNews) {
-        m_statuses.insert_or_assign(status.service, status);
-        m_outdatedInStore.erase(status.service);
-    } else if (status.order < m_statuses.at(status.service).order) {
-        m_outdatedInStore.insert(status.service);
-    }
-    const auto it = m_moves.find(status.service);
-    if (it == m_moves.end())
-        return;
-    auto& move = it->second;
-    if (isNews)
-        updateVersions(move, status);
-    if (!isStatusOf(status, move.order)) {
-        const bool isReplaced = move.recorded && m_outdatedInStore.contains(status.service);
-        move.isRecordSuspect = move.isRecordSuspect || isReplaced;
-        return;
-    }
-    // The first recorded final state wins.
-    if (!move.recorded || *move.recorded == OrderedMoveState::Running)
-        move.recorded = status.state;
-    const bool isForgotten = hasEnded(move) && status.state == OrderedMoveState::Running;
-    move.isRecordSuspect = status.order != move.order.offset || isForgotten;
-}
-
-bool OrderedMoves::isOutdated(const MoveStatus& status) const
-{
-    const auto known = m_statuses.find(status.service);
-    if (known == m_statuses.end())
-        return false;
-    if (known->second.order != status.order)
-        return status.order < known->second.order;
-    return known->second.state != OrderedMoveState::Running && known->second.state != status.state;
-}
-
 void OrderedMoves::observe(const ServiceName& service, const RouteName& route, const VersionName& version, CallResult result, std::optional<std::chrono::nanoseconds> latency, MonotonicTime now)
 {
     const auto it = m_moves.find(service);
@@ -345,6 +287,8 @@
     if (!m_resumedAt || m_tickGap > s_maxTickGap)
         m_resumedAt = now;
     m_tickedAt = now;
+    for (auto& [service, move] : m_moves)
+        repeatLoadTest(move, now);
     add(m_evidence.publishLocal(now));
     for (auto& [service, move] : m_moves) {
         findRegression(move, commands);
@@ -358,6 +302,16 @@
     return commands;
 }
 
+void OrderedMoves::repeatLoadTest(Move& move, MonotonicTime now)
+{
+    const auto time = elapsed(move, now);
+    const bool isDue = time >= move.plan.loadTestEnd() && time < move.plan.fullAt() && now - move.repeatedAt >= s_repeatInterval;
+    if (!isDue || hasEnded(move))
+        return;
+    move.repeatedAt = now;
+    m_evidence.repeat(idOf(move.order), move.order.to, s_loadTestWindow);
+}
+
 void OrderedMoves::findRegression(Move& move, std::vector<OrderedMoveCommand>& commands)
 {
     const auto id = idOf(move.order);
@@ -376,36 +330,4 @@
         commands.emplace_back(BroadcastNotice { notice });
 }
 
-OrderedMoveState OrderedMoves::stateOf(const Move& move, MonotonicTime now) const
-{
-    if (isTakenBack(move))
-        return OrderedMoveState::TakenBack;
-    if (elapsed(move, now) < move.plan.verdictAt())
-        return OrderedMoveState::Running;
-    if (takesAllCalls(move, now))
-        return OrderedMoveState::Done;
-    // There is insufficient evidence on the new version, unless it is this node that lacks it.
-    const bool givesUp = elapsed(move, now) >= move.plan.giveUpAt() && isEvidenceCurrent(now);
-    return givesUp ? OrderedMoveState::TakenBack : OrderedMoveState::Running;
-}
-
-void OrderedMoves::requestWrite(Move& move, MonotonicTime now, std::vector<OrderedMoveCommand>& commands)
-{
-    const auto newest = m_statuses.find(move.order.service);
-    const bool isReplaced = newest != m_statuses.end() && newest->second.order > move.order.offset;
-    const auto state = hasEnded(move) ? *move.recorded : stateOf(move, now);
-    const bool isRecorded = move.recorded == state && !move.isRecordSuspect;
-    if (isReplaced || isRecorded)
-        return;
-    const auto rank = static_cast<int>(writerRank(idOf(move.order), m_self, m_nodes));
-    if (move.wantedState != state) {
-        move.wantedState = state;
-        move.writeAt = now + s_rankStep * rank;
-    }
-    if (now < move.writeAt)
-        return;
-    move.writeAt = now + s_writeRetryInterval * (1 + rank);
-    commands.emplace_back(WriteStatus { { move.order.service, move.order.to, move.order.offset, state, move.versions }, basisOf(move, now) });
-}
-
 }
--- a/packages/moves/tests/EvidenceTableTests.cpp
+++ b/packages/moves/tests/EvidenceTableTests.cpp
@@ -154,6 +154,25 @@
     BOOST_TEST(totalCalls(peer) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(Local_evidence_of_a_window_is_sent_again_on_request_and_counts_once)
+{
+    auto source = makeTable("n1", 1);
+    auto peer = makeTable("n2", 1);
+    source.observe(move, book, version, 0, succeeded(3), start);
+    source.observe(move, book, version, 2, succeeded(4), start);
+    source.publishLocal(start);
+    EvidenceCursor cursor;
+    peer.merge(source.changedSince(cursor));
+    source.repeat(move, version, 2);
+    source.publishLocal(start + 100ms);
+    const auto repeated = source.changedSince(cursor);
+    BOOST_REQUIRE(repeated.entries.size() == 1U);
+    BOOST_TEST(repeated.entries.front().window == 2U);
+    peer.merge(repeated);
+    BOOST_TEST(totalCalls(source) == 7U);
+    BOOST_TEST(totalCalls(peer) == 7U);
+}
+
 BOOST_AUTO_TEST_CASE(The_number_of_stored_incarnations_of_an_observer_is_bounded)
 {
     auto peer = makeTable("n2", 1);
--- a/packages/moves/tests/OrderedMovesTests.cpp
+++ b/packages/moves/tests/OrderedMovesTests.cpp
@@ -190,6 +190,32 @@
     BOOST_TEST(node.trafficSplit(service, start + 5s).nextShare == 0);
 }
 
+// Guards against a good version that is taken back since the node that writes first missed the evidence of the load test.
+BOOST_AUTO_TEST_CASE(A_node_that_missed_the_evidence_of_the_load_test_gets_it_again_before_all_calls_move)
+{
+    Fleet fleet { 4 };
+    fleet.addOrder(order(), start);
+    const OrderedMovePlan plan { 16s, {} };
+    const auto tickAll = [&](std::chrono::milliseconds from, std::chrono::milliseconds to) {
+        for (auto at = from; at < to; at += 100ms) {
+            for (auto& node : fleet.nodes)
+                node.tick(start + at);
+        }
+    };
+    // By then every node has sent its last revision.
+    const auto heardUntil = plan.loadTestEnd() + EvidenceTable::s_revisionInterval + 100ms;
+    fleet.run(0ms, plan.loadTestEnd(), never);
+    tickAll(plan.loadTestEnd(), heardUntil);
+    std::vector<EvidenceCursor> heard(fleet.nodes.size());
+    for (std::size_t i = 0; i < fleet.nodes.size(); ++i)
+        fleet.nodes[i].changedSince(heard[i]);
+    tickAll(heardUntil, plan.fullAt());
+    for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+        const auto update = fleet.nodes[i].changedSince(heard[i]);
+        BOOST_TEST(std::any_of(update.entries.begin(), update.entries.end(), [](const auto& it) { return it.window == OrderedMoves::s_loadTestWindow; }));
+    }
+}
+
 // Guards against a node that wakes after the end of a move and rejects its version, since it saw too few calls before the pause.
 BOOST_AUTO_TEST_CASE(A_node_that_was_paused_concludes_nothing_from_the_evidence_of_before)
 {
--- a/tests/process/tests/StaleStatusTests.cpp
+++ b/tests/process/tests/StaleStatusTests.cpp
@@ -63,7 +63,8 @@
 {
     beginMove();
     putStaleStatus();
-    eventually("the newest state is written again", [&] { return isNewestStatus(); }, serveBound);
+    eventually(
+        "the newest state is written again", [&] { return isNewestStatus(); }, serveBound);
     BOOST_TEST(isServed());
 }
 
@@ -79,8 +80,10 @@
     for (auto* node : { &a, &b })
         eventually("the node is ready", [&] { return node->readiness() == 200; });
     a.announce("i-a", "ready", 2);
-    eventually("calls are served", [&] { return isServed(); }, serveBound);
-    eventually("the newest state is written again", [&] { return isNewestStatus(); }, serveBound);
+    eventually(
+        "calls are served", [&] { return isServed(); }, serveBound);
+    eventually(
+        "the newest state is written again", [&] { return isNewestStatus(); }, serveBound);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
