Departures: retries have names, and a later departure ends those of the one before

Found in a newcomer's reading: closures that shadow self, and a retry that stayed armed once another run had left (one write more). Process suite Departures passes.

--- a/packages/node/src/internal/DepartureDriver.cpp
+++ b/packages/node/src/internal/DepartureDriver.cpp
@@ -86,10 +86,15 @@
         }
         if (const auto* failure = std::get_if<publication::LogFailure>(&result))
             self->fail("list", *failure);
-        self->after(self->m_listTimer, self->m_listBackoff.next(self->m_random), [self = self.get()] { self->list(); });
+        self->listAgain();
     });
 }
 
+void DepartureDriver::listAgain()
+{
+    after(m_listTimer, m_listBackoff.next(m_random), [this] { list(); });
+}
+
 void DepartureDriver::onListed(const publication::KeyedBatch& listing)
 {
     std::vector<membership::BackendRun> departed;
@@ -108,11 +113,12 @@
     }
     m_waiting.push_back(std::move(recorded));
     acknowledgeAfterTimeout();
-    const bool isBeingWritten = m_departed == run;
+    if (m_departed == run)
+        return;
     m_departed = run;
     m_isRecorded = false;
-    if (!isBeingWritten)
-        write();
+    m_writeTimer.cancel();
+    write();
 }
 
 void DepartureDriver::onStoreReturned()
@@ -136,10 +142,15 @@
             return;
         }
         self->fail("write", *failure);
-        self->after(self->m_writeTimer, self->m_writeBackoff.next(self->m_random), [self = self.get()] { self->write(); });
+        self->writeAgain();
     });
 }
 
+void DepartureDriver::writeAgain()
+{
+    after(m_writeTimer, m_writeBackoff.next(m_random), [this] { write(); });
+}
+
 void DepartureDriver::onWritten(const membership::BackendRun& run)
 {
     m_isRecorded = true;
--- a/packages/node/src/internal/DepartureDriver.h
+++ b/packages/node/src/internal/DepartureDriver.h
@@ -42,12 +42,15 @@
 
 private:
     void list();
+    void listAgain();
     void onListed(const publication::KeyedBatch&);
     void write();
+    void writeAgain();
     void onWritten(const membership::BackendRun&);
     void acknowledge();
     void acknowledgeAfterTimeout();
     void fail(std::string_view step, const publication::LogFailure&);
+    /// Runs the action after the delay, unless the driver is stopped; the driver lives until then.
     void after(boost::asio::steady_timer&, std::chrono::milliseconds delay, std::function<void()> action);
 
     NodeContext& m_context;
--- a/tests/process/harness/FleetSite.h
+++ b/tests/process/harness/FleetSite.h
@@ -4,6 +4,7 @@
 #include "Process.h"
 #include "TemporaryDirectory.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
