--- a/packages/moves/include/carobpath/moves/OrderedMoves.h
+++ b/packages/moves/include/carobpath/moves/OrderedMoves.h
@@ -49,7 +49,7 @@
 /// the first end of the same one: the writer may have been paused since it decided.
 bool mayReplace(const MoveStatus& held, const MoveStatus&);
 
-/// What a node knew when it requested that a state is written, for the log.
+/// What a node knows of a move when it decides on its state.
 struct StatusBasis {
     /// Time since the order.
     std::chrono::milliseconds elapsed {};
