--- a/packages/foundation/include/carobpath/foundation/EventNames.h
+++ b/packages/foundation/include/carobpath/foundation/EventNames.h
@@ -21,8 +21,10 @@
     inline constexpr EventName stopped { "stopped" };
     inline constexpr EventName settingsReloaded { "settings-reloaded" };
     inline constexpr EventName settingsRefused { "settings-refused" };
+    inline constexpr EventName threadDelayed { "thread-delayed" };
 
     inline constexpr EventName configurationRead { "configuration-read" };
+    inline constexpr EventName stateFetched { "state-fetched" };
     inline constexpr EventName configurationInForce { "configuration-in-force" };
     inline constexpr EventName configurationRefused { "configuration-refused" };
     inline constexpr EventName configurationPassedOver { "configuration-passed-over" };
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -19,6 +19,8 @@
     constexpr std::uint32_t placesInFleet = 6;
     constexpr std::chrono::milliseconds tickInterval { 100 };
     constexpr std::chrono::milliseconds slowTickInterval { 1'000 };
+    /// A tick that is later than this is recorded.
+    constexpr std::chrono::milliseconds recordedDelay { 200 };
 
     Incarnation incarnationNow()
     {
@@ -299,11 +301,19 @@
     m_tick.async_wait([this](boost::system::error_code ec) {
         if (ec)
             return;
+        recordDelay(std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicClock::now() - m_tick.expiry()));
         tick();
         scheduleTick();
     });
 }
 
+void NodeAssembly::recordDelay(std::chrono::milliseconds delay)
+{
+    m_metrics.setThreadDelay(delay);
+    if (delay > recordedDelay)
+        m_events.record(Event(event::threadDelayed).with("delayMs", delay));
+}
+
 void NodeAssembly::tick()
 {
     m_upstream->onTick();
--- a/packages/node/src/internal/NodeAssembly.h
+++ b/packages/node/src/internal/NodeAssembly.h
@@ -79,6 +79,8 @@
     std::string status() const;
 
     void scheduleTick();
+    /// \param delay time that the tick, and so each event that was due with it, waited for the thread.
+    void recordDelay(std::chrono::milliseconds delay);
     void tick();
     void slowTick();
     void finishStop();
--- a/packages/node/src/internal/NodeAssemblyHooks.cpp
+++ b/packages/node/src/internal/NodeAssemblyHooks.cpp
@@ -122,6 +122,9 @@
         if (m_fleet)
             m_fleet->onStreamAdvanced(reached);
     };
+    callbacks.onFetchEnded = [this](const peer::EndedFetch& it) {
+        m_events.record(Event(event::stateFetched).with("peer", it.peer).with("succeeded", it.succeeded).with("openMs", it.took));
+    };
     callbacks.onClaim = [this](const peer::ClaimRequest& request, peer::ClaimReply reply) { m_ledger.onPeerClaim(request, std::move(reply)); };
     callbacks.onEndClaim = [this](const peer::EndRequest& request) { m_ledger.onPeerEnd(request); };
     callbacks.onCrashes = [this](const routing::CrashUpdate& update) { m_quarantine.onPeerUpdate(update); };
--- a/packages/node/src/internal/NodeMetrics.cpp
+++ b/packages/node/src/internal/NodeMetrics.cpp
@@ -60,6 +60,7 @@
     , m_waiting(gauge(*m_registry, "carobpath_admission_waiting", "Calls that wait for a slot."))
     , m_linkBacklog(gauge(*m_registry, "carobpath_link_backlog_seconds", "Time that the instance's link needs for the answers that were written; 0 where the link is not known."))
     , m_linkWaiting(gauge(*m_registry, "carobpath_link_waiting", "Downloads whose next piece waits for the instance's link."))
+    , m_threadDelay(gauge(*m_registry, "carobpath_thread_delay_seconds", "Time that the last timer waited for the thread after it was due."))
 {
 }
 
@@ -112,6 +113,11 @@
     m_waiting.Set(waiting);
 }
 
+void NodeMetrics::setThreadDelay(std::chrono::milliseconds delay)
+{
+    m_threadDelay.Set(seconds(delay));
+}
+
 void NodeMetrics::setLink(const capacity::LinkLoad& load)
 {
     m_linkBacklog.Set(seconds(load.backlog));
--- a/packages/node/src/internal/NodeMetrics.h
+++ b/packages/node/src/internal/NodeMetrics.h
@@ -13,6 +13,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -40,6 +41,7 @@
     void setNodes(std::size_t alive) { m_nodes.Set(static_cast<double>(alive)); }
     /// \param callsPerSecond limit that the backend server names; empty if it names none.
     void setRateLimit(const std::optional<double>& callsPerSecond);
+    void setThreadDelay(std::chrono::milliseconds);
     void setLink(const capacity::LinkLoad&);
     void setAdmission(std::uint32_t inFlight, std::uint32_t waiting);
     /// \param upstream the one beside this node; nothing where there is none.
@@ -75,6 +77,7 @@
     prometheus::Gauge& m_waiting;
     prometheus::Gauge& m_linkBacklog;
     prometheus::Gauge& m_linkWaiting;
+    prometheus::Gauge& m_threadDelay;
 };
 
 }
--- a/packages/peer/include/carobpath/peer/ExchangeRunner.h
+++ b/packages/peer/include/carobpath/peer/ExchangeRunner.h
@@ -5,6 +5,7 @@
 #include "carobpath/peer/PeerServer.h"
 #include "carobpath/routing/CrashReport.h"
 
+#include <chrono>
 #include <memory>
 
 namespace carobpath::peer {
@@ -15,6 +16,15 @@
     std::uint32_t counter = 0;
 };
 
+/// A fetch of the whole state from a peer that has ended.
+struct EndedFetch {
+    Endpoint peer;
+    /// The state came; it may hold no newer configuration.
+    bool succeeded = false;
+    /// Time since the request was sent.
+    std::chrono::milliseconds took {};
+};
+
 /// What a runner reports. Each may be left empty; all are called on the context's thread.
 struct RunnerCallbacks {
     /// A version is in force from now on; never older than one reported before. Not called below the node's floor.
@@ -27,6 +37,7 @@
     std::function<void(bool)> onReady;
     /// A peer knows that a stream of the log reaches further than this node has read.
     std::function<void(const distribution::StreamEnd&)> onStreamAdvanced;
+    std::function<void(const EndedFetch&)> onFetchEnded;
     /// Another node forwards a claim of an idempotency key; the reply may be given later.
     std::function<void(const ClaimRequest&, ClaimReply)> onClaim;
     /// A call whose claim was forwarded here has ended.
--- a/packages/peer/src/ExchangeRunner.cpp
+++ b/packages/peer/src/ExchangeRunner.cpp
@@ -139,11 +139,16 @@
 
     void execute(const distribution::FetchSnapshot& it)
     {
+        const auto sentAt = MonotonicClock::now();
         Completion<StateSnapshot> completion;
-        completion.done = guarded<StateSnapshot>([this, id = it.id](const StateSnapshot& state) {
+        completion.done = guarded<StateSnapshot>([this, id = it.id, peer = it.from, sentAt](const StateSnapshot& state) {
+            reportFetch(peer, true, sentAt);
             runLater(exchange->onSnapshot(id, state, MonotonicClock::now()));
         });
-        completion.failed = failure(it.id);
+        completion.failed = [report = guarded<PeerError>([this, peer = it.from, sentAt](PeerError) { reportFetch(peer, false, sentAt); }), failed = failure(it.id)](PeerError error) {
+            report(error);
+            failed(error);
+        };
         client.fetchWhole(it.from, it.scope, completion);
     }
 
@@ -177,6 +182,12 @@
             callbacks.onStreamAdvanced(it.reached);
     }
 
+    void reportFetch(const Endpoint& peer, bool succeeded, MonotonicTime sentAt) const
+    {
+        if (callbacks.onFetchEnded)
+            callbacks.onFetchEnded({ peer, succeeded, std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicClock::now() - sentAt) });
+    }
+
     std::function<void(PeerError)> failure(GossipId id)
     {
         return guarded<PeerError>([this, id](PeerError error) {
