A large answer of the store takes few turns of the thread

Cause: the answers of the store were read in pieces of 512 bytes, the least that Beast reads where the buffer has no more room. Each piece waits for a turn of the one thread, and between two turns are all events that are due: 348 KB take 688 reads.

Change: the buffer gets 64 KiB once an answer has begun.

The new test failed before: 1,376 handlers for 350 KB, where 50 are allowed (a second, at 20 ms a turn). It passes now.

--- a/packages/publication/include/carobpath/publication/HttpExchange.h
+++ b/packages/publication/include/carobpath/publication/HttpExchange.h
@@ -74,6 +74,8 @@
 private:
     /// Maximum number of unparsed bytes. A header, a trailer or the header of a chunk stays unparsed until it is complete.
     static constexpr std::size_t s_bufferBytes = 128ULL * 1024;
+    /// Bytes of one read of the body. Each read waits for a turn of the thread, so small ones make a large answer late.
+    static constexpr std::size_t s_readBytes = 64ULL * 1024;
 
     void send();
     void receiveHeader();
--- a/packages/publication/src/HttpExchange.cpp
+++ b/packages/publication/src/HttpExchange.cpp
@@ -82,6 +82,8 @@
         self->m_bodyDeadline = MonotonicClock::now() + self->m_parameters.bodyTimeout;
         if (self->m_parameters.onAnswerBegun)
             self->m_parameters.onAnswerBegun();
+        // Beast reads as much at a time as the buffer has room for, and gives it 512 bytes unless told otherwise.
+        self->m_buffer.reserve(s_readBytes);
         self->receiveBody();
     });
 }
--- a/packages/publication/tests/HttpExchangeTests.cpp
+++ b/packages/publication/tests/HttpExchangeTests.cpp
@@ -2,9 +2,11 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <future>
 #include <optional>
 #include <string>
 
@@ -60,6 +62,56 @@
         }
     };
 
+    /// Takes one request and answers it with a body that the kernel has whole before the client reads on.
+    struct LargeStore {
+        boost::asio::io_context storeIo;
+        boost::asio::io_context io;
+        tcp::acceptor acceptor { storeIo, { boost::asio::ip::make_address("127.0.0.1"), 0 } };
+        tcp::socket socket { storeIo };
+
+        explicit LargeStore(std::size_t bodyBytes)
+            : m_answer("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'x'))
+        {
+        }
+
+        void answer()
+        {
+            acceptor.accept(socket);
+            socket.set_option(boost::asio::socket_base::send_buffer_size { 4 * static_cast<int>(m_answer.size()) });
+            std::string request;
+            boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n");
+            boost::asio::write(socket, boost::asio::buffer(m_answer));
+        }
+
+        /// \returns the handlers that ran on the client's thread for the whole answer.
+        std::size_t turnsOfGet()
+        {
+            HttpRequest request;
+            request.target = "/";
+            request.connectTimeout = 20s;
+            request.answerTimeout = 20s;
+            request.silenceTimeout = 20s;
+            request.bodyTimeout = 20s;
+            request.answerBytes = 1'000'000;
+            std::optional<HttpResult> result;
+            const auto exchange = std::make_shared<HttpExchange>(io.get_executor(), Endpoint { "127.0.0.1", acceptor.local_endpoint().port() }, request,
+                [&](HttpResult it) { result = std::move(it); });
+            const auto store = std::async(std::launch::async, [this] { answer(); });
+            exchange->start();
+            // Connect and send; then the thread is busy elsewhere until the answer is there, as far as the kernel takes it.
+            std::size_t turns = io.run_one_for(5s) + io.run_one_for(5s);
+            store.wait_for(1s);
+            while (!result && io.run_one_for(5s) > 0)
+                ++turns;
+            BOOST_TEST_REQUIRE(result.has_value());
+            BOOST_TEST(std::get<HttpAnswer>(*result).body.size() > 0U);
+            return turns;
+        }
+
+    private:
+        std::string m_answer;
+    };
+
 }
 
 BOOST_AUTO_TEST_SUITE(HttpExchanges)
@@ -79,6 +131,15 @@
     }
 }
 
+// Guards against a configuration that takes seconds to arrive on a busy instance, since each piece of 512 bytes waits for a turn of its thread.
+BOOST_AUTO_TEST_CASE(A_large_answer_takes_few_turns_of_the_thread)
+{
+    constexpr std::size_t largeConfigurationBytes = 350'000;
+    // With turns of 20 ms, the last byte is there within a second.
+    constexpr std::size_t mostTurns = 50;
+    BOOST_TEST(LargeStore(largeConfigurationBytes).turnsOfGet() <= mostTurns);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
