Admin, readiness and announcement addresses hold 4 MiB each

Hostile callers could send bodies to these addresses, too, and each had the limits of the callers' one: 96 MiB held, from 4,096 connections. On the smallest instance (160 MB) one of them beside a crowd of callers ended the process.

Change: AdminServer has limits of its own: bodies of 64 KiB, 4 MiB in all, 256 connections.

--- a/packages/gateway/include/carobpath/gateway/AdminServer.h
+++ b/packages/gateway/include/carobpath/gateway/AdminServer.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -34,6 +35,12 @@
     using Reply = std::function<void(AdminResponse)>;
     using DeferredHandler = std::function<void(const AdminRequest&, Reply)>;
 
+    /// Body of one request, in bytes.
+    static constexpr std::uint64_t s_bodyBytes = 64ULL * 1024;
+    /// All requests that are read or handled, in bytes.
+    static constexpr std::uint64_t s_heldBytes = 4ULL * 1024 * 1024;
+    static constexpr std::uint32_t s_connections = 256;
+
     /// Listens at once. Fails with \c ListenFailure.
     static Result<AdminServer> listen(boost::asio::io_context&, const Endpoint&, Handler);
     /// The same, with a handler that may answer later.
--- a/packages/gateway/src/AdminServer.cpp
+++ b/packages/gateway/src/AdminServer.cpp
@@ -7,6 +7,21 @@
 
 namespace carobpath::gateway {
 
+namespace {
+
+    /// \returns the limits of a server whose callers are a few local programs with short requests. Each such address adds its own to what the
+    /// process may hold.
+    GatewayLimits adminLimits()
+    {
+        GatewayLimits limits;
+        limits.bodyBytes = AdminServer::s_bodyBytes;
+        limits.heldBytes = AdminServer::s_heldBytes;
+        limits.connections = AdminServer::s_connections;
+        return limits;
+    }
+
+}
+
 class AdminServer::Implementation {
 public:
     Implementation(boost::asio::io_context& context, DeferredHandler chosenHandler)
@@ -29,7 +44,7 @@
         });
     }
 
-    GatewayLimits limits;
+    GatewayLimits limits = adminLimits();
     Dialect dialect;
     DeferredHandler handler;
     std::shared_ptr<Detail::Listener> listener;
