Requests hold half of their instance's memory at the most

limits.held-bytes is a constant of 96 MiB, whatever the instance has.

Change: limits.memory-megabytes, which the deploy file fills in; the smaller of held-bytes and half of the memory is in force. Half of 160 MB is 76 MiB, of which large requests may fill 71: the largest legal body (64 MiB) still fits. Where the memory is not told, nothing changes.

--- a/packages/node/src/internal/SettingsConversions.cpp
+++ b/packages/node/src/internal/SettingsConversions.cpp
@@ -2,11 +2,25 @@
 
 #include "carobpath/node/BadKeySetting.h"
 
+#include <algorithm>
+
 namespace carobpath::node::Detail {
 
 namespace {
 
     constexpr double bytesPerMegabit = 125'000;
+    constexpr double bytesPerMegabyte = 1'000'000;
+    /// Part of an instance's memory that requests may hold. The rest is for the node itself, for connections and what they keep unread, and
+    /// for what the allocator does not give back.
+    constexpr double heldPart = 0.5;
+
+    std::uint64_t heldBytesOf(const NodeSettings& settings)
+    {
+        const auto& limits = settings.limits;
+        if (limits.memoryMegabytes <= 0)
+            return limits.heldBytes;
+        return std::min(limits.heldBytes, static_cast<std::uint64_t>(limits.memoryMegabytes * bytesPerMegabyte * heldPart));
+    }
 
 }
 
@@ -17,7 +31,7 @@
     gateway::GatewayLimits limits;
     limits.headerBytes = static_cast<std::uint32_t>(settings.limits.headerBytes);
     limits.bodyBytes = settings.limits.bodyBytes;
-    limits.heldBytes = settings.limits.heldBytes;
+    limits.heldBytes = heldBytesOf(settings);
     limits.pipelinedRequests = static_cast<std::uint32_t>(settings.limits.pipelinedRequests);
     limits.readAheadBytes = settings.limits.readAheadBytes;
     limits.connections = static_cast<std::uint32_t>(settings.limits.callerConnections);
