A busy instance in small: configurations beside calls of calls and downloads

This joins the parts under virtual time: a link of 11 Mbit/s in each direction, a tenth of a core in one thread, LinkPacer and ReadWatchdog, a configuration of 350 KB each second, 83 calls a second with an inner call each and 4 downloads of 90 KB a second.

--- a/packages/gateway/include/carobpath/gateway/GatewayLimits.h
+++ b/packages/gateway/include/carobpath/gateway/GatewayLimits.h
@@ -1,12 +1,16 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 
 namespace carobpath::gateway {
 
 /// Bounds of the HTTP sessions of a node. The defaults fit a node beside a backend server with a few slots.
 struct GatewayLimits {
+    /// Bytes of one read of an answer's body. Each read waits for a turn of the thread.
+    static constexpr std::size_t s_pieceBytes = 16ULL * 1024;
+
     /// Header of one request or answer, in bytes.
     std::uint32_t headerBytes = 16U * 1024;
     /// Body of one request, in bytes. Bodies of requests are held whole; bodies of answers are streamed.
--- a/packages/gateway/src/internal/UpstreamExchange.cpp
+++ b/packages/gateway/src/internal/UpstreamExchange.cpp
@@ -196,9 +196,9 @@
 void UpstreamExchange::makeRoomForBody()
 {
     const auto left = m_parser->content_length_remaining();
-    const auto unread = left ? *left - std::min<std::uint64_t>(*left, m_connection->buffer.size()) : s_pieceBytes;
+    const auto unread = left ? *left - std::min<std::uint64_t>(*left, m_connection->buffer.size()) : GatewayLimits::s_pieceBytes;
     if (unread > Connection::s_shortAnswerBytes)
-        m_connection->makeRoomForBody(s_pieceBytes);
+        m_connection->makeRoomForBody(GatewayLimits::s_pieceBytes);
 }
 
 bool UpstreamExchange::answersRequest() const
--- a/packages/gateway/src/internal/UpstreamExchange.h
+++ b/packages/gateway/src/internal/UpstreamExchange.h
@@ -61,7 +61,6 @@
     bool failed() const override { return m_failed; }
 
 private:
-    static constexpr std::size_t s_pieceBytes = 16ULL * 1024;
     static constexpr std::uint64_t s_discardBytes = 4ULL * 1024;
     /// Size of a stale answer that is read for the sake of the one behind it.
     static constexpr std::uint64_t s_staleBytes = 64ULL * 1024;
@@ -101,7 +100,7 @@
     /// Made where silence may end the exchange.
     std::optional<boost::asio::steady_timer> m_silenceTimer;
     std::optional<Parser> m_parser;
-    std::array<char, s_pieceBytes> m_piece {};
+    std::array<char, GatewayLimits::s_pieceBytes> m_piece {};
     std::uint64_t m_bodyBytes = 0;
     bool m_skippedStale = false;
     bool m_cancelled = false;
--- /dev/null
+++ b/packages/node/tests/BusyInstance.h
@@ -0,0 +1,348 @@
+#pragma once
+
+/// \file
+/// An instance in virtual time: a link of 11 Mbit/s in each direction and a tenth of a core, on which configurations are read while calls, their
+/// inner calls and downloads pass.
+
+#include "carobpath/capacity/LinkPacer.h"
+#include "carobpath/foundation/Time.h"
+#include "carobpath/publication/ReadWatchdog.h"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+#include <vector>
+
+namespace carobpath::node::tests {
+
+using namespace std::chrono_literals;
+using Duration = MonotonicClock::duration;
+
+/// Runs events in the order of their times.
+class VirtualTime {
+public:
+    void after(Duration time, std::function<void()> event) { at(now + time, std::move(event)); }
+    void at(MonotonicTime time, std::function<void()> event) { m_events.emplace(time, std::move(event)); }
+    void runUntil(MonotonicTime end)
+    {
+        while (!m_events.empty() && m_events.begin()->first < end) {
+            const auto it = m_events.extract(m_events.begin());
+            now = it.key();
+            it.mapped()();
+        }
+        now = end;
+    }
+
+    MonotonicTime now { 1h };
+
+private:
+    std::multimap<MonotonicTime, std::function<void()>> m_events;
+};
+
+/// One direction of a link: what is sent first arrives first.
+class Link {
+public:
+    explicit Link(VirtualTime& time)
+        : m_time(time)
+    {
+    }
+
+    void send(std::size_t bytes, std::function<void()> arrived)
+    {
+        const std::chrono::duration<double> transfer { static_cast<double>(bytes) / s_bytesPerSecond };
+        m_busyUntil = std::max(m_busyUntil, m_time.now) + std::chrono::duration_cast<Duration>(transfer);
+        m_time.at(m_busyUntil, std::move(arrived));
+    }
+
+    static constexpr double s_bytesPerSecond = 11e6 / 8;
+
+private:
+    VirtualTime& m_time;
+    MonotonicTime m_busyUntil;
+};
+
+/// One thread with a tenth of a core, which runs what is due in turn.
+class Thread {
+public:
+    explicit Thread(VirtualTime& time)
+        : m_time(time)
+    {
+    }
+
+    /// \param work time at full speed.
+    void post(Duration work, std::function<void()> done)
+    {
+        m_busyUntil = std::max(m_busyUntil, m_time.now) + work * s_slowness;
+        m_time.at(m_busyUntil, std::move(done));
+    }
+
+private:
+    static constexpr int s_slowness = 10;
+
+    VirtualTime& m_time;
+    MonotonicTime m_busyUntil;
+};
+
+/// Bytes of one connection into the instance. The sender keeps a window full; the reader takes some of what is there at each turn of the thread.
+class Inflow {
+public:
+    Inflow(Link& link, Thread& thread, std::size_t bytes, std::size_t readBytes, std::function<void(std::size_t read)> onRead)
+        : m_link(link)
+        , m_thread(thread)
+        , m_unsent(bytes)
+        , m_readBytes(readBytes)
+        , m_onRead(std::move(onRead))
+    {
+        fill();
+    }
+
+private:
+    static constexpr std::size_t s_windowBytes = 64UL * 1024;
+    static constexpr std::size_t s_packetBytes = 1'460;
+    static constexpr Duration s_workOfRead = 50us;
+
+    void fill()
+    {
+        while (m_unsent > 0 && m_inFlight + m_unread < s_windowBytes) {
+            const auto n = std::min(m_unsent, s_packetBytes);
+            m_unsent -= n;
+            m_inFlight += n;
+            m_link.send(n, [this, n] {
+                m_inFlight -= n;
+                m_unread += n;
+                read();
+            });
+        }
+    }
+
+    void read()
+    {
+        if (m_isReading || m_unread == 0)
+            return;
+        m_isReading = true;
+        m_thread.post(s_workOfRead, [this] {
+            m_isReading = false;
+            const auto n = std::min(m_unread, m_readBytes);
+            m_unread -= n;
+            fill();
+            m_onRead(n);
+            read();
+        });
+    }
+
+    Link& m_link;
+    Thread& m_thread;
+    std::size_t m_unsent;
+    std::size_t m_readBytes;
+    std::function<void(std::size_t)> m_onRead;
+    std::size_t m_inFlight = 0;
+    std::size_t m_unread = 0;
+    bool m_isReading = false;
+};
+
+/// Bytes that one read takes at the most.
+struct ReadSizes {
+    std::size_t ofStore = 0;
+    std::size_t ofUpstream = 0;
+};
+
+class BusyInstance {
+public:
+    explicit BusyInstance(ReadSizes reads)
+        : m_reads(reads)
+    {
+    }
+
+    /// Calls, each with an inner call of its own, and downloads pass while a new configuration is written each second.
+    void run(std::chrono::seconds time)
+    {
+        const auto end = m_time.now + time;
+        repeat(s_callInterval, end, [this] { call(); });
+        repeat(s_downloadInterval, end, [this] { download(); });
+        repeat(s_tickInterval, end, [this] { tick(); });
+        repeat(s_configurationInterval, end, [this] { writeConfiguration(); });
+        poll();
+        m_time.runUntil(end + s_configurationInterval);
+    }
+
+    /// Time from the writing of a version until one as new is in force, of each version.
+    std::vector<Duration> configurationAges;
+    /// Time that inner calls take besides their work.
+    std::vector<Duration> innerCallDelays;
+    std::size_t downloadsBegun = 0;
+    /// Those that were written whole.
+    std::size_t downloads = 0;
+
+private:
+    static constexpr Duration s_callInterval = 12ms;
+    static constexpr Duration s_downloadInterval = 250ms;
+    static constexpr Duration s_tickInterval = 100ms;
+    static constexpr Duration s_configurationInterval = 1s;
+    static constexpr Duration s_tellingTime = 100ms;
+    static constexpr Duration s_callTimeLeft = 400ms;
+    static constexpr Duration s_downloadObjective = 1500ms;
+    static constexpr std::size_t s_configurationBytes = 350'000;
+    static constexpr std::size_t s_downloadBytes = 90'000;
+    static constexpr std::size_t s_messageBytes = 1'000;
+    static constexpr Duration s_workOfMessage = 300us;
+    static constexpr Duration s_workOfConfiguration = 25ms;
+
+    void repeat(Duration interval, MonotonicTime end, const std::function<void()>& action)
+    {
+        if (m_time.now >= end)
+            return;
+        action();
+        m_time.after(interval, [this, interval, end, action] { repeat(interval, end, action); });
+    }
+
+    /// A message of a call arrives, is handled and answered.
+    void message(const std::function<void()>& answered)
+    {
+        m_pacer.onShortCall(s_callTimeLeft, m_time.now);
+        m_in.send(s_messageBytes, [this, answered] {
+            m_thread.post(s_workOfMessage, [this, answered] {
+                m_pacer.onWritten(s_messageBytes, m_time.now);
+                m_out.send(s_messageBytes, answered);
+            });
+        });
+    }
+
+    void call()
+    {
+        message([this] {
+            const auto startedAt = m_time.now;
+            message([this, startedAt] { innerCallDelays.push_back(m_time.now - startedAt); });
+        });
+    }
+
+    void download()
+    {
+        ++downloadsBegun;
+        const auto id = m_pacer.addBody(m_time.now + s_downloadObjective);
+        m_downloads[id] = {};
+        m_inflows.emplace_back(m_in, m_thread, s_downloadBytes, m_reads.ofUpstream, [this, id](std::size_t n) {
+            auto& it = m_downloads.at(id);
+            it.read += n;
+            if (!it.isAsking)
+                askTurn(id);
+        });
+    }
+
+    void askTurn(capacity::LinkPacer::BodyId id)
+    {
+        auto& it = m_downloads.at(id);
+        it.isAsking = it.read > it.written;
+        if (!it.isAsking)
+            return;
+        it.asked = std::min(it.read - it.written, m_pacer.pieceBytes());
+        m_pacer.askTurn(id, it.asked, m_time.now);
+        giveTurns();
+    }
+
+    void giveTurns()
+    {
+        while (const auto id = m_pacer.takeTurn(m_time.now)) {
+            auto& it = m_downloads.at(*id);
+            const auto n = it.asked;
+            it.written += n;
+            m_thread.post(s_workOfMessage / 4, [this, n, id = *id] {
+                m_out.send(n, [] {});
+                onWritten(id);
+            });
+        }
+        if (const auto next = m_pacer.nextTurn(m_time.now); next && *next > m_time.now)
+            m_time.at(*next, [this] { giveTurns(); });
+    }
+
+    void onWritten(capacity::LinkPacer::BodyId id)
+    {
+        if (m_downloads.at(id).written < s_downloadBytes) {
+            askTurn(id);
+            return;
+        }
+        m_pacer.removeBody(id);
+        m_downloads.erase(id);
+        ++downloads;
+    }
+
+    void writeConfiguration()
+    {
+        m_writtenAt.push_back(m_time.now);
+        const auto end = position(m_writtenAt.size());
+        m_time.after(s_tellingTime, [this, end] { m_watchdog.onEndKnown(end, m_time.now); });
+        if (m_isPolling)
+            answer(publication::ReadKind::LongPoll);
+    }
+
+    /// Reads the next version, or waits for it.
+    void poll()
+    {
+        m_watchdog.onReadSent(publication::ReadKind::LongPoll, position(m_inForce), m_time.now);
+        m_isPolling = true;
+        if (m_writtenAt.size() > m_inForce)
+            answer(publication::ReadKind::LongPoll);
+    }
+
+    void answer(publication::ReadKind kind)
+    {
+        m_isPolling = false;
+        const auto version = m_writtenAt.size();
+        // Values are in base64 in a listing.
+        const auto bytes = kind == publication::ReadKind::LongPoll ? s_configurationBytes : s_configurationBytes / 3 * 4;
+        const auto number = ++m_readNumber;
+        m_read = 0;
+        m_inflows.emplace_back(m_in, m_thread, bytes, m_reads.ofStore, [this, bytes, version, number](std::size_t n) {
+            if (number != m_readNumber)
+                return;
+            m_watchdog.onAnswerBegun();
+            m_read += n;
+            if (m_read >= bytes)
+                m_thread.post(s_workOfConfiguration, [this, version] { apply(version); });
+        });
+    }
+
+    void apply(std::size_t version)
+    {
+        for (; m_inForce < version; ++m_inForce)
+            configurationAges.push_back(m_time.now - m_writtenAt[m_inForce]);
+        m_watchdog.onReadAnswered();
+        m_watchdog.onRecordsRead(m_time.now);
+        poll();
+    }
+
+    void tick()
+    {
+        if (m_watchdog.next(m_time.now) != publication::ReadStep::ReadAgain)
+            return;
+        m_watchdog.onReadSent(publication::ReadKind::Immediate, position(m_inForce), m_time.now);
+        answer(publication::ReadKind::Immediate);
+    }
+
+    static publication::StreamPosition position(std::size_t offset) { return { {}, offset }; }
+
+    struct Download {
+        std::size_t read = 0;
+        std::size_t written = 0;
+        std::size_t asked = 0;
+        bool isAsking = false;
+    };
+
+    ReadSizes m_reads;
+    VirtualTime m_time;
+    Link m_in { m_time };
+    Link m_out { m_time };
+    Thread m_thread { m_time };
+    capacity::LinkPacer m_pacer { Link::s_bytesPerSecond };
+    publication::ReadWatchdog m_watchdog { std::mt19937_64(1) };
+    std::deque<Inflow> m_inflows;
+    std::map<capacity::LinkPacer::BodyId, Download> m_downloads;
+    std::vector<MonotonicTime> m_writtenAt;
+    std::size_t m_inForce = 0;
+    std::uint64_t m_readNumber = 0;
+    std::size_t m_read = 0;
+    bool m_isPolling = false;
+};
+
+}
--- a/packages/publication/include/carobpath/publication/HttpExchange.h
+++ b/packages/publication/include/carobpath/publication/HttpExchange.h
@@ -62,6 +62,9 @@
 /// One HTTP request and its answer on one connection. The object keeps itself alive until its handler has run.
 class HttpExchange : public std::enable_shared_from_this<HttpExchange> {
 public:
+    /// Bytes of one read of the body. Each read waits for a turn of the thread, so small ones make a large answer late.
+    static constexpr std::size_t s_readBytes = 64ULL * 1024;
+
     HttpExchange(const boost::asio::any_io_executor&, Endpoint, HttpRequest, HttpHandler);
 
     /// Connects and sends the request.
@@ -74,8 +77,6 @@
 private:
     /// Maximum number of unparsed bytes. A header, a trailer or the header of a chunk stays unparsed until it is complete.
     static constexpr std::size_t s_bufferBytes = 128ULL * 1024;
-    /// Bytes of one read of the body. Each read waits for a turn of the thread, so small ones make a large answer late.
-    static constexpr std::size_t s_readBytes = 64ULL * 1024;
 
     void send();
     void receiveHeader();
