--- a/packages/gateway/src/internal/Listener.cpp
+++ b/packages/gateway/src/internal/Listener.cpp
@@ -13,8 +13,7 @@
     /// Pause after the system refused a connection, mostly for want of file descriptors.
     constexpr std::chrono::milliseconds acceptPause { 50 };
 
-    /// Bytes of one connection that the system keeps unread, of which it may take twice as many. They are memory of the instance like those
-    /// that were read; the window that they leave carries some 20 Mbit/s to a caller 3 ms away.
+    /// Bytes of one connection that the system keeps unread; it takes up to twice as many. They are memory of the instance, too.
     constexpr int receiveBufferBytes = 16 * 1024;
 
 }
--- a/packages/gateway/tests/UpstreamExchangeTests.cpp
+++ b/packages/gateway/tests/UpstreamExchangeTests.cpp
@@ -308,7 +308,7 @@
 BOOST_AUTO_TEST_CASE(A_download_comes_in_few_pieces)
 {
     constexpr std::size_t downloadBytes = 60'000;
-    // Each piece costs a turn of 5 to 20 ms on a busy instance, on each of two nodes; with these, a download of 90 KB has both behind it in half a second.
+    // At 20 ms a turn and on two nodes, the reads of 90 KB take half a second with as many.
     constexpr std::size_t mostPieces = 8;
     Bench bench("HTTP/1.1 200 OK\r\nCarobpath-Request-Id: r-1\r\nContent-Length: " + std::to_string(downloadBytes) + "\r\n\r\n" + std::string(downloadBytes, 'x'),
         ScriptEnd::StaySilent);
--- a/packages/node/tests/BusyInstanceTests.cpp
+++ b/packages/node/tests/BusyInstanceTests.cpp
@@ -16,13 +16,14 @@
     constexpr Duration innerCallBound = 350ms;
     /// What Beast reads at a time from a buffer without room.
     constexpr std::size_t smallRead = 512;
-    constexpr std::size_t part = 20;
+    /// One value of this many may be larger.
+    constexpr std::size_t outlierEvery = 20;
 
     /// \returns the value that all but one of twenty stay below.
     Duration mostOf(std::vector<Duration> values)
     {
         std::sort(values.begin(), values.end());
-        return values.at(values.size() - 1 - values.size() / part);
+        return values.at(values.size() - 1 - values.size() / outlierEvery);
     }
 
     Duration longest(const std::vector<Duration>& values) { return *std::max_element(values.begin(), values.end()); }
--- a/packages/peer/include/carobpath/peer/ExchangeRunner.h
+++ b/packages/peer/include/carobpath/peer/ExchangeRunner.h
@@ -37,6 +37,7 @@
     std::function<void(bool)> onReady;
     /// A peer knows that a stream of the log reaches further than this node has read.
     std::function<void(const distribution::StreamEnd&)> onStreamAdvanced;
+    /// A fetch of a peer's state has ended, well or not.
     std::function<void(const EndedFetch&)> onFetchEnded;
     /// Another node forwards a claim of an idempotency key; the reply may be given later.
     std::function<void(const ClaimRequest&, ClaimReply)> onClaim;
--- a/packages/publication/tests/HttpExchangeTests.cpp
+++ b/packages/publication/tests/HttpExchangeTests.cpp
@@ -18,6 +18,19 @@
 
     using boost::asio::ip::tcp;
 
+    /// \returns a request whose limits do not matter.
+    HttpRequest patientRequest()
+    {
+        HttpRequest it;
+        it.target = "/";
+        it.connectTimeout = 20s;
+        it.answerTimeout = 20s;
+        it.silenceTimeout = 20s;
+        it.bodyTimeout = 20s;
+        it.answerBytes = 1'000'000;
+        return it;
+    }
+
     /// Sends a start to the first connection, then a piece again and again until the other end closes.
     struct EndlessStore {
         boost::asio::io_context io;
@@ -43,13 +56,7 @@
 
         std::optional<HttpResult> get()
         {
-            HttpRequest request;
-            request.target = "/";
-            request.connectTimeout = 20s;
-            request.answerTimeout = 20s;
-            request.silenceTimeout = 20s;
-            request.bodyTimeout = 20s;
-            request.answerBytes = 1'000'000;
+            const auto request = patientRequest();
             std::optional<HttpResult> result;
             const auto exchange = std::make_shared<HttpExchange>(io.get_executor(), Endpoint { "127.0.0.1", acceptor.local_endpoint().port() }, request,
                 [&](HttpResult it) { result = std::move(it); });
@@ -86,13 +93,7 @@
         /// \returns the handlers that ran on the client's thread for the whole answer.
         std::size_t turnsOfGet()
         {
-            HttpRequest request;
-            request.target = "/";
-            request.connectTimeout = 20s;
-            request.answerTimeout = 20s;
-            request.silenceTimeout = 20s;
-            request.bodyTimeout = 20s;
-            request.answerBytes = 1'000'000;
+            const auto request = patientRequest();
             std::optional<HttpResult> result;
             const auto exchange = std::make_shared<HttpExchange>(io.get_executor(), Endpoint { "127.0.0.1", acceptor.local_endpoint().port() }, request,
                 [&](HttpResult it) { result = std::move(it); });
--- a/tests/process/tests/CallerCrowdTests.cpp
+++ b/tests/process/tests/CallerCrowdTests.cpp
@@ -1,4 +1,4 @@
-#include "Crowd.h"
+#include "CrowdScripts.h"
 #include "Eventually.h"
 #include "Fleet.h"
 #include "FleetPair.h"
@@ -10,12 +10,11 @@
 #include <fstream>
 
 using namespace carobpath::harness;
+using namespace carobpath::harness::crowds;
 using namespace std::chrono_literals;
 
 namespace {
 
-constexpr std::size_t kibibyte = 1024;
-constexpr std::size_t mebibyte = 1024 * kibibyte;
 constexpr std::size_t callers = 250;
 constexpr std::size_t callerConnections = 240;
 /// Memory of the smallest instance.
@@ -24,42 +23,10 @@
 constexpr std::size_t ownDescriptors = 64;
 /// Both listeners, unused connections to other nodes and to the backend server, and the process's own.
 constexpr std::size_t descriptors = 2 * callerConnections + 2 * pooledConnections + ownDescriptors;
-/// One caller of this many sends its request to the end.
-constexpr std::size_t wholeEvery = 10;
 
 const std::string settings = "timeouts: {caller-header: 120s, caller-idle: 120s}\n"
                              "limits: {body-bytes: 1MiB, caller-connections: 240}\n";
 
-std::string post(const std::string& framing)
-{
-    return "POST /booking HTTP/1.1\r\nHost: " + std::string(objects::bookingHost) + "\r\n" + framing + "\r\n\r\n";
-}
-
-bool isWhole(std::size_t caller) { return caller % wholeEvery == 0; }
-
-/// A body of a stated length; all but one caller of ten stop one byte short of it.
-CrowdScript stated(std::size_t caller, std::size_t pieceBytes)
-{
-    CrowdScript it;
-    it.start = post("Content-Length: " + std::to_string(mebibyte));
-    it.pattern = std::string(kibibyte, 'b');
-    it.repeats = mebibyte / kibibyte - 1;
-    it.end = std::string(isWhole(caller) ? kibibyte : kibibyte - 1, 'b');
-    it.pieceBytes = pieceBytes;
-    return it;
-}
-
-/// A chunked body; all but one caller of ten stop one byte short of its end.
-CrowdScript chunked(std::size_t caller, const std::string& sizeLine, std::size_t chunkBytes, std::size_t bodyBytes)
-{
-    CrowdScript it;
-    it.start = post("Transfer-Encoding: chunked");
-    it.pattern = sizeLine + "\r\n" + std::string(chunkBytes, 'c') + "\r\n";
-    it.repeats = bodyBytes / chunkBytes;
-    it.end = isWhole(caller) ? "0\r\n\r\n" : "0\r\n\r";
-    return it;
-}
-
 struct OneInstance {
     Fleet fleet;
 
@@ -111,12 +78,12 @@
 
 BOOST_AUTO_TEST_CASE(Bodies_of_legal_size_whole_at_once)
 {
-    checkStands([](std::size_t caller) { return stated(caller, 2 * mebibyte); });
+    checkStands([](std::size_t caller) { return stated(caller, mebibyte, 2 * mebibyte); });
 }
 
 BOOST_AUTO_TEST_CASE(Bodies_of_legal_size_piece_by_piece)
 {
-    checkStands([](std::size_t caller) { return stated(caller, 4 * kibibyte); });
+    checkStands([](std::size_t caller) { return stated(caller, mebibyte, 4 * kibibyte); });
 }
 
 BOOST_AUTO_TEST_CASE(Chunked_bodies_in_large_chunks)
--- a/tests/process/tests/CallerMemoryTests.cpp
+++ b/tests/process/tests/CallerMemoryTests.cpp
@@ -1,4 +1,4 @@
-#include "Crowd.h"
+#include "CrowdScripts.h"
 #include "Eventually.h"
 #include "Fleet.h"
 #include "MemoryUse.h"
@@ -7,53 +7,20 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace carobpath::harness;
+using namespace carobpath::harness::crowds;
 using namespace std::chrono_literals;
 
 namespace {
 
-constexpr std::size_t kibibyte = 1024;
-constexpr std::size_t mebibyte = 1024 * kibibyte;
 constexpr std::size_t megabyte = 1'000'000;
 constexpr std::size_t callers = 580;
-/// Half of the smallest instance, beside less than half of its limits: what the process holds, and what the kernel has received for it and it
-/// has not read.
+/// Memory of the process, with what the kernel has received for it and it has not read: half of the smallest instance, for less than half of its
+/// connections.
 constexpr std::size_t memoryBytes = 80 * megabyte;
-/// One caller of this many sends its request to the end.
-constexpr std::size_t wholeEvery = 10;
 
 const std::string settings = "timeouts: {caller-header: 120s, caller-idle: 120s}\n"
                              "limits: {body-bytes: 1MiB, held-bytes: 32MiB, caller-connections: 600}\n";
 
-std::string post(const std::string& framing)
-{
-    return "POST /booking HTTP/1.1\r\nHost: " + std::string(objects::bookingHost) + "\r\n" + framing + "\r\n\r\n";
-}
-
-bool isWhole(std::size_t caller) { return caller % wholeEvery == 0; }
-
-/// A body of a stated length; all but one caller of ten stop one byte short of it.
-CrowdScript stated(std::size_t caller, std::size_t bodyBytes, std::size_t pieceBytes)
-{
-    CrowdScript it;
-    it.start = post("Content-Length: " + std::to_string(bodyBytes));
-    it.pattern = std::string(kibibyte, 'b');
-    it.repeats = bodyBytes / kibibyte - 1;
-    it.end = std::string(isWhole(caller) ? kibibyte : kibibyte - 1, 'b');
-    it.pieceBytes = pieceBytes;
-    return it;
-}
-
-/// A chunked body; all but one caller of ten stop one byte short of its end.
-CrowdScript chunked(std::size_t caller, const std::string& sizeLine, std::size_t chunkBytes, std::size_t bodyBytes)
-{
-    CrowdScript it;
-    it.start = post("Transfer-Encoding: chunked");
-    it.pattern = sizeLine + "\r\n" + std::string(chunkBytes, 'c') + "\r\n";
-    it.repeats = bodyBytes / chunkBytes;
-    it.end = isWhole(caller) ? "0\r\n\r\n" : "0\r\n\r";
-    return it;
-}
-
 struct OneInstance {
     Fleet fleet;
 
