The instance's memory is what the system reports

Change: without limits.memory-megabytes, a node takes the memory that the system reports, which on the fleet is the instance's.

--- a/packages/foundation/include/carobpath/foundation/NodeSettings.h
+++ b/packages/foundation/include/carobpath/foundation/NodeSettings.h
@@ -70,7 +70,7 @@
         std::uint64_t headerBytes = 0;
         std::uint64_t bodyBytes = 0;
         std::uint64_t heldBytes = 0;
-        /// 0 where it is not known.
+        /// 0 for what the system reports.
         double memoryMegabytes = 0;
         std::int64_t pipelinedRequests = 0;
         std::uint64_t readAheadBytes = 0;
--- a/packages/foundation/src/NodeSettings.cpp
+++ b/packages/foundation/src/NodeSettings.cpp
@@ -152,7 +152,7 @@
             "What all requests that are read or handled hold together; beyond it, the one that stands still is refused.");
         it.withDefault(
             "limits.memory-megabytes", decimalSetting(0, 1'000'000), "0", [](auto& s) -> auto& { return s.limits.memoryMegabytes; },
-            "Memory of the instance, in megabytes; requests hold half of it at the most. 0 where it is not known.");
+            "Memory of the instance, in megabytes; requests hold half of it at the most. 0 takes what the system reports.");
         it.withDefault(
             "limits.pipelined-requests", integerSetting(1, 1'000), "16", [](auto& s) -> auto& { return s.limits.pipelinedRequests; },
             "Requests of one connection that are read before the first of them is answered.");
--- a/packages/node/src/internal/SettingsConversions.cpp
+++ b/packages/node/src/internal/SettingsConversions.cpp
@@ -3,6 +3,7 @@
 #include "carobpath/node/BadKeySetting.h"
 
 #include <algorithm>
+#include <unistd.h>
 
 namespace carobpath::node::Detail {
 
@@ -14,12 +15,16 @@
     /// for what the allocator does not give back.
     constexpr double heldPart = 0.5;
 
+    /// \returns the memory that the system reports, in bytes; negative where it does not.
+    double systemMemory() { return static_cast<double>(::sysconf(_SC_PHYS_PAGES)) * static_cast<double>(::sysconf(_SC_PAGESIZE)); }
+
     std::uint64_t heldBytesOf(const NodeSettings& settings)
     {
         const auto& limits = settings.limits;
-        if (limits.memoryMegabytes <= 0)
+        const double memory = limits.memoryMegabytes > 0 ? limits.memoryMegabytes * bytesPerMegabyte : systemMemory();
+        if (memory <= 0)
             return limits.heldBytes;
-        return std::min(limits.heldBytes, static_cast<std::uint64_t>(limits.memoryMegabytes * bytesPerMegabyte * heldPart));
+        return std::min(limits.heldBytes, static_cast<std::uint64_t>(memory * heldPart));
     }
 
 }
