--- a/packages/capacity/include/carobpath/capacity/LinkPacer.h
+++ b/packages/capacity/include/carobpath/capacity/LinkPacer.h
@@ -17,6 +17,8 @@
     std::chrono::nanoseconds backlog {};
     /// Bodies that wait for their turn.
     std::size_t waiting = 0;
+    /// Bytes of paced bodies that were handed to the system and not acknowledged by their receivers.
+    std::size_t unacknowledgedBytes = 0;
 };
 
 /// Decides when a piece of a large body may be handed to the system. What was handed over cannot be overtaken, so that
@@ -55,6 +57,8 @@
     BodyId addBody(std::optional<MonotonicTime> objective);
     void removeBody(BodyId);
     void askTurn(BodyId, std::size_t bytes, MonotonicTime now);
+    /// \param bytes of the body's connection that its receiver has not acknowledged.
+    void onUnacknowledged(BodyId, std::size_t bytes, MonotonicTime now);
     /// \returns the body whose piece is to be written now, which is counted as written.
     std::optional<BodyId> takeTurn(MonotonicTime now);
     /// \returns when the next turn may be taken; nothing if no body waits.
@@ -76,6 +80,7 @@
         /// Bytes written, counted from the least of the bodies that were there before.
         std::size_t bytes = 0;
         std::optional<Asked> asked;
+        std::size_t unacknowledgedBytes = 0;
     };
 
     using Bodies = std::map<BodyId, Body>;
--- a/packages/capacity/src/LinkPacer.cpp
+++ b/packages/capacity/src/LinkPacer.cpp
@@ -46,6 +46,11 @@
     m_bodies.erase(id);
 }
 
+void LinkPacer::onUnacknowledged(BodyId id, std::size_t bytes, MonotonicTime)
+{
+    m_bodies.at(id).unacknowledgedBytes = bytes;
+}
+
 void LinkPacer::askTurn(BodyId id, std::size_t bytes, MonotonicTime now)
 {
     m_bodies.at(id).asked = Asked { bytes, now };
@@ -119,8 +124,12 @@
 
 LinkLoad LinkPacer::load(MonotonicTime now) const
 {
-    const auto waiting = std::count_if(m_bodies.begin(), m_bodies.end(), [](const auto& it) { return it.second.asked.has_value(); });
-    return { backlog(now), static_cast<std::size_t>(waiting) };
+    LinkLoad load { backlog(now) };
+    for (const auto& [id, body] : m_bodies) {
+        load.waiting += body.asked ? 1 : 0;
+        load.unacknowledgedBytes += body.unacknowledgedBytes;
+    }
+    return load;
 }
 
 }
--- a/packages/foundation/include/carobpath/foundation/EventNames.h
+++ b/packages/foundation/include/carobpath/foundation/EventNames.h
@@ -21,6 +21,8 @@
     inline constexpr EventName stopped { "stopped" };
     inline constexpr EventName settingsReloaded { "settings-reloaded" };
     inline constexpr EventName settingsRefused { "settings-refused" };
+    inline constexpr EventName quotaRefused { "quota-refused" };
+    inline constexpr EventName linkLoaded { "link-loaded" };
     inline constexpr EventName threadDelayed { "thread-delayed" };
 
     inline constexpr EventName configurationRead { "configuration-read" };
--- a/packages/gateway/include/carobpath/gateway/Gateway.h
+++ b/packages/gateway/include/carobpath/gateway/Gateway.h
@@ -88,7 +88,7 @@
     std::size_t inFlight() const;
 
     /// Load of the instance's link by answers; all zero where the link is not known.
-    capacity::LinkLoad linkLoad() const;
+    capacity::LinkLoad linkLoad();
 
     /// Ends the timers, so that the context can run out of work.
     void stop();
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -130,7 +130,11 @@
 
 std::uint64_t Gateway::heldBytes() const { return m_implementation->memory->store()->heldBytes(); }
 
-capacity::LinkLoad Gateway::linkLoad() const { return m_implementation->link.load(); }
+capacity::LinkLoad Gateway::linkLoad()
+{
+    m_implementation->link.readAcknowledgements();
+    return m_implementation->link.load();
+}
 
 void Gateway::endUnanswered()
 {
--- a/packages/gateway/src/internal/BodyRelay.cpp
+++ b/packages/gateway/src/internal/BodyRelay.cpp
@@ -1,5 +1,7 @@
 #include "internal/BodyRelay.h"
 
+#include "internal/SocketOptions.h"
+
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -20,7 +22,7 @@
 {
     m_done = std::move(done);
     if (m_link.gate && m_link.isPaced && !framing.headerOnly)
-        m_pacedBody = m_link.gate->begin(m_link.objective);
+        m_pacedBody = m_link.gate->begin(m_link.objective, [this] { return unacknowledgedBytes(m_stream.socket()); });
     static_cast<ResponseHeader&>(m_message) = std::move(header);
     m_message.version(framing.mayChunk ? 11 : 10);
     m_message.body().data = nullptr;
--- a/packages/gateway/src/internal/LinkGate.cpp
+++ b/packages/gateway/src/internal/LinkGate.cpp
@@ -28,6 +28,20 @@
     m_pacer.onWritten(bytes, MonotonicClock::now());
 }
 
+LinkGate::BodyId LinkGate::begin(std::optional<MonotonicTime> objective, std::function<std::size_t()> unacknowledged)
+{
+    const auto id = m_pacer.addBody(objective);
+    m_unacknowledged.emplace(id, std::move(unacknowledged));
+    return id;
+}
+
+void LinkGate::readAcknowledgements()
+{
+    const auto now = MonotonicClock::now();
+    for (const auto& [id, unacknowledged] : m_unacknowledged)
+        m_pacer.onUnacknowledged(id, unacknowledged(), now);
+}
+
 void LinkGate::awaitTurn(BodyId id, std::size_t bytes, std::function<void()> turn)
 {
     if (m_isStopped) {
@@ -42,6 +56,7 @@
 void LinkGate::end(BodyId id)
 {
     m_turns.erase(id);
+    m_unacknowledged.erase(id);
     m_pacer.removeBody(id);
 }
 
--- a/packages/gateway/src/internal/LinkGate.h
+++ b/packages/gateway/src/internal/LinkGate.h
@@ -35,13 +35,16 @@
     bool isPacing() const { return m_pacer.isPacing(); }
     std::size_t pieceBytes() const { return m_pacer.pieceBytes(); }
     capacity::LinkLoad load() const { return m_pacer.load(MonotonicClock::now()); }
+    /// Asks the system what receivers have acknowledged.
+    void readAcknowledgements();
 
     LinkUse use(bool isDownload, std::optional<MonotonicTime> objective);
     /// A call came that is answered over the link.
     void onShortCall(MonotonicTime objective, MonotonicTime now);
     void onWritten(std::size_t bytes);
 
-    BodyId begin(std::optional<MonotonicTime> objective) { return m_pacer.addBody(objective); }
+    /// \param unacknowledged tells how many bytes of the body's connection its receiver has not acknowledged; called until \c end.
+    BodyId begin(std::optional<MonotonicTime> objective, std::function<std::size_t()> unacknowledged);
     /// Calls \c turn once the piece may be written, at once where there is room.
     void awaitTurn(BodyId, std::size_t bytes, std::function<void()> turn);
     void end(BodyId);
@@ -55,6 +58,7 @@
     capacity::LinkPacer m_pacer;
     boost::asio::steady_timer m_timer;
     std::unordered_map<BodyId, std::function<void()>> m_turns;
+    std::unordered_map<BodyId, std::function<std::size_t()>> m_unacknowledged;
     bool m_isStopped = false;
 };
 
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -320,7 +320,8 @@
     if (m_fleet)
         m_fleet->onTick(MonotonicClock::now());
     m_metrics.setAdmission(m_controller.inFlight(), m_controller.waiting());
-    m_metrics.setLink(m_gateway->linkLoad());
+    m_linkLoad = m_gateway->linkLoad();
+    m_metrics.setLink(m_linkLoad);
     m_metrics.setRateLimit(m_controller.reported().callsPerSecond());
     for (const auto& it : m_router.takeObservations())
         m_peers->reportCall(it.node, it.reachability == routing::NodeReachability::Answered);
@@ -332,6 +333,7 @@
 void NodeAssembly::slowTick()
 {
     m_slowTickAt = MonotonicClock::now();
+    recordLinkLoad();
     m_metrics.setUpstream(m_controller.upstream());
     if (m_slowTickAt - m_startedAt >= longestWaitForOrders)
         setOrdersKnown();
@@ -339,6 +341,16 @@
         m_checkpoints->onTick(m_reader->follower(), *m_view);
 }
 
+void NodeAssembly::recordLinkLoad()
+{
+    if (m_linkLoad.waiting == 0 && m_linkLoad.unacknowledgedBytes == 0)
+        return;
+    m_events.record(Event(event::linkLoaded)
+                        .with("backlogMs", m_linkLoad.backlog)
+                        .with("waiting", m_linkLoad.waiting)
+                        .with("unacknowledgedBytes", m_linkLoad.unacknowledgedBytes));
+}
+
 void NodeAssembly::onSettingsRead(const NodeSettings& settings)
 {
     m_settings.retries = settings.retries;
--- a/packages/node/src/internal/NodeAssembly.h
+++ b/packages/node/src/internal/NodeAssembly.h
@@ -81,6 +81,7 @@
     void scheduleTick();
     /// \param delay time that the tick, and so each event that was due with it, waited for the thread.
     void recordDelay(std::chrono::milliseconds delay);
+    void recordLinkLoad();
     void tick();
     void slowTick();
     void finishStop();
@@ -122,6 +123,7 @@
     MonotonicTime m_stoppingAt;
     std::function<void()> m_stopped;
     MonotonicTime m_slowTickAt;
+    capacity::LinkLoad m_linkLoad;
     MonotonicTime m_startedAt;
     bool m_exchangeReady = false;
     /// The operator's orders were read once, or waited for long enough.
--- a/packages/node/src/internal/NodeMetrics.cpp
+++ b/packages/node/src/internal/NodeMetrics.cpp
@@ -60,6 +60,7 @@
     , m_waiting(gauge(*m_registry, "carobpath_admission_waiting", "Calls that wait for a slot."))
     , m_linkBacklog(gauge(*m_registry, "carobpath_link_backlog_seconds", "Time that the instance's link needs for the answers that were written; 0 where the link is not known."))
     , m_linkWaiting(gauge(*m_registry, "carobpath_link_waiting", "Downloads whose next piece waits for the instance's link."))
+    , m_linkUnacknowledged(gauge(*m_registry, "carobpath_link_unacknowledged_bytes", "Bytes of paced downloads that were written and that their receivers have not acknowledged."))
     , m_threadDelay(gauge(*m_registry, "carobpath_thread_delay_seconds", "Time that the last timer waited for the thread after it was due."))
 {
 }
@@ -122,6 +123,7 @@
 {
     m_linkBacklog.Set(seconds(load.backlog));
     m_linkWaiting.Set(static_cast<double>(load.waiting));
+    m_linkUnacknowledged.Set(static_cast<double>(load.unacknowledgedBytes));
 }
 
 void NodeMetrics::setUpstream(const std::optional<membership::Upstream>& upstream)
--- a/packages/node/src/internal/NodeMetrics.h
+++ b/packages/node/src/internal/NodeMetrics.h
@@ -77,6 +77,7 @@
     prometheus::Gauge& m_waiting;
     prometheus::Gauge& m_linkBacklog;
     prometheus::Gauge& m_linkWaiting;
+    prometheus::Gauge& m_linkUnacknowledged;
     prometheus::Gauge& m_threadDelay;
 };
 
--- a/packages/node/src/internal/QuotaDriver.cpp
+++ b/packages/node/src/internal/QuotaDriver.cpp
@@ -1,5 +1,6 @@
 #include "internal/QuotaDriver.h"
 
+#include "carobpath/foundation/EventNames.h"
 #include "internal/SettingsConversions.h"
 
 #include <boost/asio/post.hpp>
@@ -76,13 +77,35 @@
 {
     const auto ticket = ++m_lastTicket;
     if (const auto verdict = m_gate.take(await.workspace, ticket, MonotonicClock::now())) {
-        handler(*verdict);
+        answer(await.workspace, handler, *verdict);
         return;
     }
-    m_waiting.emplace(ticket, std::move(handler));
+    m_waiting.emplace(ticket, Waiting { await.workspace, std::move(handler) });
     scheduleReports();
 }
 
+void QuotaDriver::answer(const WorkspaceName& workspace, const gateway::QuotaHandler& handler, const quota::QuotaVerdict& verdict)
+{
+    if (!verdict.isAdmitted)
+        recordRefusal(workspace);
+    handler(verdict);
+}
+
+void QuotaDriver::recordRefusal(const WorkspaceName& workspace)
+{
+    const auto now = MonotonicClock::now();
+    const auto basis = m_gate.basisOf(workspace, now);
+    if (!basis)
+        return;
+    Event it(event::quotaRefused);
+    it.with("workspace", workspace).with("mode", quota::toString(basis->mode)).with("reachable", basis->isOwnerReachable);
+    if (const auto owner = m_owners.ownerOf(workspace, now))
+        it.with("owner", owner->name);
+    if (basis->answerAge)
+        it.with("answerAgeMs", *basis->answerAge);
+    m_context.events.record(it);
+}
+
 void QuotaDriver::giveBack(const WorkspaceName& workspace)
 {
     m_gate.giveBack(workspace, MonotonicClock::now());
@@ -243,9 +266,9 @@
 void QuotaDriver::answerDecided()
 {
     for (const auto& [ticket, verdict] : m_gate.takeDecided(MonotonicClock::now())) {
-        auto handler = m_waiting.extract(ticket);
-        if (handler)
-            handler.mapped()(verdict);
+        const auto found = m_waiting.extract(ticket);
+        if (found)
+            answer(found.mapped().workspace, found.mapped().handler, verdict);
     }
 }
 
@@ -255,7 +278,7 @@
     for (const auto& it : m_owner.states(MonotonicClock::now())) {
         workspaces.push_back({
             { "workspace", it.workspace.value() },
-            { "mode", it.mode == quota::QuotaMode::Open ? "open" : "metered" },
+            { "mode", quota::toString(it.mode) },
             { "limit", it.callsPerSecond },
             { "tokens", it.tokens },
             { "demand", it.demand },
--- a/packages/node/src/internal/QuotaDriver.h
+++ b/packages/node/src/internal/QuotaDriver.h
@@ -50,8 +50,15 @@
         std::size_t awaited = 0;
     };
     using ByOwner = std::map<NodeName, std::pair<quota::OwnerNode, quota::UsageMessage>>;
-    using Handlers = std::unordered_map<quota::QuotaTicket, gateway::QuotaHandler>;
+    /// A call that waits for its workspace's quota.
+    struct Waiting {
+        WorkspaceName workspace;
+        gateway::QuotaHandler handler;
+    };
+    using WaitingCalls = std::unordered_map<quota::QuotaTicket, Waiting>;
 
+    void answer(const WorkspaceName&, const gateway::QuotaHandler&, const quota::QuotaVerdict&);
+    void recordRefusal(const WorkspaceName&);
     void scheduleTick();
     void tick();
     /// Sends reports once the events that are here already were dealt with, so that calls which enter together share one.
@@ -73,7 +80,7 @@
     quota::QuotaOwner m_owner;
     quota::QuotaOwners m_owners;
     std::shared_ptr<const membership::MembershipView> m_view;
-    Handlers m_waiting;
+    WaitingCalls m_waiting;
     quota::QuotaTicket m_lastTicket = 0;
     boost::asio::steady_timer m_timer;
     MonotonicTime m_ownersUpdatedAt {};
--- a/packages/quota/include/carobpath/quota/QuotaGate.h
+++ b/packages/quota/include/carobpath/quota/QuotaGate.h
@@ -31,6 +31,14 @@
 /// metered, and at once up to the node's share of the tokens that it heard of last.
 class QuotaGate {
 public:
+    /// What a decision on a call of a workspace rests on.
+    struct Basis {
+        QuotaMode mode = QuotaMode::Open;
+        /// Time since the owner's last answer; empty before the first.
+        std::optional<std::chrono::nanoseconds> answerAge;
+        bool isOwnerReachable = true;
+    };
+
     /// Time between two reports of a workspace, unless calls wait.
     static constexpr std::chrono::milliseconds s_reportInterval { 50 };
     /// Calls of a metered workspace without tokens are refused for this time after an answer of the owner.
@@ -55,6 +63,9 @@
     /// A call that was admitted has not run.
     void giveBack(const WorkspaceName&, MonotonicTime now);
 
+    /// \returns nothing for a workspace without calls.
+    std::optional<Basis> basisOf(const WorkspaceName&, MonotonicTime now) const;
+
     /// \returns the reports that are due. Each is to be answered by \c onGrant or \c onReportFailed.
     std::vector<UsageReport> takeReports(MonotonicTime now);
     void onGrant(const QuotaGrant&, MonotonicTime now);
--- a/packages/quota/include/carobpath/quota/QuotaMessages.h
+++ b/packages/quota/include/carobpath/quota/QuotaMessages.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace carobpath::quota {
@@ -50,6 +51,9 @@
     Metered,
 };
 
+/// \returns the text that stands in logs: "open", "metered".
+constexpr std::string_view toString(QuotaMode mode) { return mode == QuotaMode::Open ? "open" : "metered"; }
+
 /// The owner's answer to the report of one workspace.
 struct QuotaGrant {
     WorkspaceName workspace;
--- a/packages/quota/src/QuotaGate.cpp
+++ b/packages/quota/src/QuotaGate.cpp
@@ -106,6 +106,18 @@
         --it->second.charge;
 }
 
+std::optional<QuotaGate::Basis> QuotaGate::basisOf(const WorkspaceName& workspace, MonotonicTime now) const
+{
+    const auto it = m_accounts.find(workspace);
+    if (it == m_accounts.end())
+        return std::nullopt;
+    const auto& account = it->second;
+    Basis basis { account.mode, std::nullopt, !isOwnerUnreachable(account, now) };
+    if (account.answeredAt)
+        basis.answerAge = now - *account.answeredAt;
+    return basis;
+}
+
 bool QuotaGate::isReportDue(const Account& account, MonotonicTime now)
 {
     if (account.isReporting)
