Downloads go out no faster than they are acknowledged

Cause: the pacer gave turns by the rate of the link that it was told, and knew nothing of what the link holds. Refusals, requests, small packets and peers' messages come on top, so the queue in front of the link grew while downloads waited. Class: a resource driven by a model of itself.

Change: what receivers have not acknowledged of paced bodies (SIOCOUTQ of each connection) is bounded by the same time as what was written by the stated rate.

Evidence: A_link_beside_downloads failed before (3 to 26 s of wait after three minutes, 30 ms allowed) and passes.

--- a/packages/capacity/include/carobpath/capacity/LinkPacer.h
+++ b/packages/capacity/include/carobpath/capacity/LinkPacer.h
@@ -23,6 +23,10 @@
 
 /// Decides when a piece of a large body may be handed to the system. What was handed over cannot be overtaken, so that
 /// all later answers wait behind it: a piece is held back while the most urgent call of the link cannot bear that wait.
+///
+/// Two bounds hold: what was written is not more than the link sends by its stated rate, and what receivers have not acknowledged of
+/// large bodies is not more than the link sends in the time of that wait. The second holds whatever else passes over the link, and
+/// whatever it carries.
 class LinkPacer {
 public:
     using BodyId = std::uint64_t;
@@ -38,6 +42,10 @@
     static constexpr std::chrono::milliseconds s_pieceTime { 4 };
     /// For how long a call counts after it came.
     static constexpr std::chrono::seconds s_callMemory { 2 };
+    /// Shortest time after which acknowledgements are looked at again.
+    static constexpr std::chrono::milliseconds s_checkInterval { 4 };
+    /// Bytes of a body that makes no progress for longer wait for its receiver and not for the link.
+    static constexpr std::chrono::milliseconds s_stall { 200 };
     /// A body that waited longer goes first, so that no receiver takes it for lost.
     static constexpr std::chrono::milliseconds s_maxTurnWait { 200 };
 
@@ -61,7 +69,7 @@
     void onUnacknowledged(BodyId, std::size_t bytes, MonotonicTime now);
     /// \returns the body whose piece is to be written now, which is counted as written.
     std::optional<BodyId> takeTurn(MonotonicTime now);
-    /// \returns when the next turn may be taken; nothing if no body waits.
+    /// \returns when the next turn may be taken, or acknowledgements are to be looked at again; nothing if no body waits.
     std::optional<MonotonicTime> nextTurn(MonotonicTime now) const;
 
     /// \returns up to which backlog pieces may be written.
@@ -81,17 +89,21 @@
         std::size_t bytes = 0;
         std::optional<Asked> asked;
         std::size_t unacknowledgedBytes = 0;
+        /// When bytes were acknowledged last, or the first of them written.
+        MonotonicTime progressAt;
     };
 
     using Bodies = std::map<BodyId, Body>;
 
     Bodies::const_iterator nextBody(MonotonicTime now) const;
+    static bool isStalled(const Body&, MonotonicTime now);
     static bool goesBefore(const Body& first, const Body& second, MonotonicTime now);
     std::chrono::nanoseconds transferTime(std::size_t bytes) const;
     std::chrono::nanoseconds backlog(MonotonicTime now) const;
 
     double m_bytesPerSecond;
     RecentMinimum m_shortestTime { s_callMemory };
+    /// When the link has sent what was written, by its stated rate.
     MonotonicTime m_busyUntil {};
     Bodies m_bodies;
     BodyId m_lastBody = 0;
--- a/packages/capacity/src/LinkPacer.cpp
+++ b/packages/capacity/src/LinkPacer.cpp
@@ -46,9 +46,17 @@
     m_bodies.erase(id);
 }
 
-void LinkPacer::onUnacknowledged(BodyId id, std::size_t bytes, MonotonicTime)
+void LinkPacer::onUnacknowledged(BodyId id, std::size_t bytes, MonotonicTime now)
 {
-    m_bodies.at(id).unacknowledgedBytes = bytes;
+    auto& body = m_bodies.at(id);
+    if (bytes < body.unacknowledgedBytes || body.unacknowledgedBytes == 0)
+        body.progressAt = now;
+    body.unacknowledgedBytes = bytes;
+}
+
+bool LinkPacer::isStalled(const Body& body, MonotonicTime now)
+{
+    return body.unacknowledgedBytes > 0 && now - body.progressAt > s_stall;
 }
 
 void LinkPacer::askTurn(BodyId id, std::size_t bytes, MonotonicTime now)
@@ -64,6 +72,7 @@
     const auto id = nextBody(now)->first;
     auto& body = m_bodies.at(id);
     body.bytes += body.asked->bytes;
+    onUnacknowledged(id, body.unacknowledgedBytes + body.asked->bytes, now);
     onWritten(body.asked->bytes, now);
     body.asked.reset();
     return id;
@@ -75,8 +84,9 @@
     if (next == m_bodies.end())
         return std::nullopt;
     // A piece larger than the bound goes out on an idle link.
-    const auto excess = backlog(now) + transferTime(next->second.asked->bytes) - maxBacklog(now);
-    return now + std::clamp(excess, nanoseconds {}, backlog(now));
+    const auto ahead = backlog(now);
+    const auto excess = std::min(ahead, ahead + transferTime(next->second.asked->bytes) - maxBacklog(now));
+    return excess > nanoseconds {} ? now + std::max<nanoseconds>(excess, s_checkInterval) : now;
 }
 
 LinkPacer::Bodies::const_iterator LinkPacer::nextBody(MonotonicTime now) const
@@ -105,12 +115,17 @@
 
 nanoseconds LinkPacer::transferTime(std::size_t bytes) const
 {
+    if (bytes == 0)
+        return {};
     return duration_cast<nanoseconds>(std::chrono::duration<double> { static_cast<double>(bytes) / m_bytesPerSecond });
 }
 
 nanoseconds LinkPacer::backlog(MonotonicTime now) const
 {
-    return std::max<nanoseconds>(m_busyUntil - now, nanoseconds {});
+    std::size_t unacknowledged = 0;
+    for (const auto& [id, body] : m_bodies)
+        unacknowledged += isStalled(body, now) ? 0 : body.unacknowledgedBytes;
+    return std::max<nanoseconds>({ m_busyUntil - now, transferTime(unacknowledged), nanoseconds {} });
 }
 
 nanoseconds LinkPacer::maxBacklog(MonotonicTime now) const
--- a/packages/capacity/tests/LinkPacerTests.cpp
+++ b/packages/capacity/tests/LinkPacerTests.cpp
@@ -17,7 +17,7 @@
     constexpr std::size_t downloadBytes = 90'000;
     constexpr MonotonicTime start { 1000s };
 
-    /// A link that sends one byte after the other, and bodies that are always ready to be written.
+    /// A link that sends one byte after the other to receivers that acknowledge at once, and bodies that are always ready to be written.
     struct PacedLink {
         LinkPacer pacer;
         double bytesPerSecond;
@@ -25,6 +25,13 @@
         MonotonicTime busyUntil = start;
         std::map<LinkPacer::BodyId, std::size_t> left;
         std::map<LinkPacer::BodyId, MonotonicTime> endedAt;
+        /// Pieces in the order in which they were written, each with the time at which the link has sent it.
+        struct Piece {
+            LinkPacer::BodyId id;
+            std::size_t bytes;
+            MonotonicTime sentAt;
+        };
+        std::vector<Piece> onLink;
         std::size_t sentBytes = 0;
         std::chrono::nanoseconds longestWait {};
 
@@ -64,11 +71,25 @@
             return wait;
         }
 
+        void acknowledge()
+        {
+            std::erase_if(onLink, [this](const auto& it) { return it.sentAt <= now; });
+            std::map<LinkPacer::BodyId, std::size_t> unacknowledged;
+            for (const auto& it : onLink)
+                unacknowledged[it.id] += it.bytes;
+            for (const auto& [id, bytes] : left) {
+                if (!endedAt.contains(id))
+                    pacer.onUnacknowledged(id, unacknowledged[id], now);
+            }
+        }
+
         void takeTurns()
         {
+            acknowledge();
             while (const auto id = pacer.takeTurn(now)) {
                 const auto n = pieceOf(*id);
                 send(n);
+                onLink.push_back({ *id, n, busyUntil });
                 left[*id] -= n;
                 if (left[*id] > 0) {
                     ask(*id);
@@ -203,6 +224,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(Goes_on_beside_a_body_whose_receiver_reads_no_more)
+{
+    LinkPacer pacer { narrowLink };
+    MonotonicTime now = start;
+    const auto stalled = pacer.addBody(std::nullopt);
+    while (pacer.load(now).backlog <= pacer.maxBacklog(now) - LinkPacer::s_pieceTime) {
+        pacer.askTurn(stalled, pacer.pieceBytes(), now);
+        BOOST_TEST_REQUIRE((pacer.takeTurn(now) == stalled));
+    }
+    const auto other = pacer.addBody(std::nullopt);
+    pacer.askTurn(other, pacer.pieceBytes(), now);
+    BOOST_TEST(!pacer.takeTurn(now).has_value());
+    now += LinkPacer::s_stall + 1ms;
+    BOOST_TEST((pacer.takeTurn(now) == other));
+}
+
 BOOST_AUTO_TEST_CASE(Forgets_a_body_that_was_removed_while_it_waited)
 {
     PacedLink link { narrowLink };
--- a/packages/gateway/src/internal/LinkGate.cpp
+++ b/packages/gateway/src/internal/LinkGate.cpp
@@ -62,6 +62,7 @@
 
 void LinkGate::giveTurns()
 {
+    readAcknowledgements();
     const auto now = MonotonicClock::now();
     while (const auto id = m_pacer.takeTurn(now)) {
         const auto turn = m_turns.extract(*id);
--- a/packages/node/tests/BusyInstance.h
+++ b/packages/node/tests/BusyInstance.h
@@ -243,17 +243,32 @@
 
     void giveTurns()
     {
+        for (const auto& [id, it] : m_downloads)
+            m_pacer.onUnacknowledged(id, it.unacknowledged, m_time.now);
         while (const auto id = m_pacer.takeTurn(m_time.now)) {
             auto& it = m_downloads.at(*id);
             const auto n = it.asked;
             it.written += n;
+            it.unacknowledged += n;
             m_thread.post(s_workOfMessage / 4, [this, n, id = *id] {
-                m_out.send(n, [] {});
+                m_out.send(n, [this, id, n] { onAcknowledged(id, n); });
                 onWritten(id);
             });
         }
-        if (const auto next = m_pacer.nextTurn(m_time.now); next && *next > m_time.now)
-            m_time.at(*next, [this] { giveTurns(); });
+        const auto next = m_pacer.nextTurn(m_time.now);
+        if (!next || (m_nextTurnAt > m_time.now && m_nextTurnAt <= *next))
+            return;
+        m_nextTurnAt = *next;
+        m_time.at(*next, [this, at = *next] {
+            if (m_nextTurnAt == at)
+                giveTurns();
+        });
+    }
+
+    void onAcknowledged(capacity::LinkPacer::BodyId id, std::size_t n)
+    {
+        if (const auto it = m_downloads.find(id); it != m_downloads.end())
+            it->second.unacknowledged -= n;
     }
 
     void onWritten(capacity::LinkPacer::BodyId id)
@@ -326,6 +341,7 @@
         std::size_t read = 0;
         std::size_t written = 0;
         std::size_t asked = 0;
+        std::size_t unacknowledged = 0;
         bool isAsking = false;
     };
 
@@ -336,6 +352,7 @@
     Thread m_thread { m_time };
     capacity::LinkPacer m_pacer { Link::s_bytesPerSecond };
     publication::ReadWatchdog m_watchdog { std::mt19937_64(1) };
+    MonotonicTime m_nextTurnAt {};
     std::deque<Inflow> m_inflows;
     std::map<capacity::LinkPacer::BodyId, Download> m_downloads;
     std::vector<MonotonicTime> m_writtenAt;
