Calls are refused at their entry node while the upstreams of their service refuse most

Callers saw less served after a burst than during it, for ten seconds and more: refused callers come back twice, each time each of their calls was offered to several nodes, and 15,000 refused offers a second took the processors and the links of the 2,000 calls that could have been served.

Cause: a bound on the further offers of a call, and none on the first ones, however few are taken. Class: load that grows with refusals.

Change: CallThrottle offers, by service and rank, half as many calls again as were taken lately; the others are refused at once, not run.

--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -169,6 +169,7 @@
     if (m_settings.balancing.speedMemory.count() > 0)
         policy.picks = routing::PickPolicy::byLearnedSpeed();
     policy.localDomainFirst = inFleet();
+    policy.throttlesCalls = inFleet();
     policy.maxCandidates = inFleet() ? placesInFleet : policy.maxCandidates;
     return policy;
 }
--- a/packages/routing/include/carobpath/routing/CallDecision.h
+++ b/packages/routing/include/carobpath/routing/CallDecision.h
@@ -127,6 +127,9 @@
     CallCommand proceed(MonotonicTime now);
     /// Draws the service from the route's destinations, and whether the call goes to its next version.
     void drawDestination();
+    /// \returns whether the call is refused without an offer, since the service's upstreams take far fewer.
+    bool isThrottled(MonotonicTime now);
+    void reportToThrottle(const AttemptResult&, MonotonicTime now);
     std::uint32_t maxAttempts() const;
     void endBody();
     /// \returns whether a call that is sent now is expected to end before this node does; true unless the node is stopping.
--- a/packages/routing/include/carobpath/routing/EntryRouter.h
+++ b/packages/routing/include/carobpath/routing/EntryRouter.h
@@ -45,6 +45,8 @@
     /// The same while less than half of the offers are left, so that the last ones go where nodes may be less busy.
     std::uint32_t maxLocalCandidatesWhenBusy = 1;
     PickPolicy picks;
+    /// Whether calls are refused at the entry node while the upstreams of their service refuse most.
+    bool throttlesCalls = false;
 };
 
 /// Makes the routing decisions of an entry node. It creates a \c CallDecision for each call and holds the state that
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -89,6 +89,8 @@
 CallCommand CallDecision::proceed(MonotonicTime now)
 {
     drawDestination();
+    if (isThrottled(now))
+        return refuse(RefusalReason::Overloaded, m_state->spread(m_state->throttleOf(m_service).retryAfter(m_rank)));
     m_state->budgetOf(m_service).onCall(now);
     m_state->offerBudgetOf(m_service).onCall(now);
     if (repeatable() || !m_request.idempotencyKey)
@@ -98,6 +100,21 @@
     return AwaitClaimResult { *m_request.idempotencyKey, m_route->name, m_deadline };
 }
 
+bool CallDecision::isThrottled(MonotonicTime now)
+{
+    // The backend server has begun on the parent of an inner call.
+    if (m_isInner || !m_state->policy.throttlesCalls)
+        return false;
+    return !m_state->throttleOf(m_service).tryOffer(m_rank, m_state->picker.drawUnit(), now);
+}
+
+void CallDecision::reportToThrottle(const AttemptResult& result, MonotonicTime now)
+{
+    if (m_isInner || !m_state->policy.throttlesCalls)
+        return;
+    m_state->throttleOf(m_service).onEnded(m_rank, result.outcome == Outcome::Ran, result.retryAfter, now);
+}
+
 std::optional<Refusal> CallDecision::refusalAtArrival(MonotonicTime now)
 {
     const auto refusal = [&](RefusalReason reason) {
@@ -234,6 +251,7 @@
     recordAttempt(result, now);
     if (auto again = retry(result, now))
         return *again;
+    reportToThrottle(result, now);
     if (result.outcome == Outcome::Ran) {
         m_headerAt = now;
         return relay();
--- a/packages/routing/src/EntryState.h
+++ b/packages/routing/src/EntryState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carobpath/routing/AnswerTimes.h"
+#include "carobpath/routing/CallThrottle.h"
 #include "carobpath/routing/EntryRouter.h"
 #include "carobpath/routing/RetryBudget.h"
 #include "carobpath/routing/RouteTable.h"
@@ -29,6 +30,7 @@
     ServiceName destinationOf(const publication::Route&);
     RetryBudget& budgetOf(const ServiceName&);
     RetryBudget& offerBudgetOf(const ServiceName&);
+    CallThrottle& throttleOf(const ServiceName& service) { return throttles[service]; }
     /// \returns the maximum number of local nodes that a call of the service is offered to.
     std::uint32_t maxLocalCandidates(const ServiceName&);
     void setPolicy(const EntryPolicy&);
@@ -41,6 +43,7 @@
     EntryPolicy policy;
     std::unordered_map<ServiceName, RetryBudget> budgets;
     std::unordered_map<ServiceName, RetryBudget> offerBudgets;
+    std::unordered_map<ServiceName, CallThrottle> throttles;
     std::unordered_map<RouteName, WeightedRoundRobin> roundRobins;
     std::shared_ptr<const RouteTable> table = std::make_shared<RouteTable>();
     /// Null unless inner calls are to be told from others.
--- /dev/null
+++ b/packages/routing/tests/CallThrottleTests.cpp
@@ -0,0 +1,130 @@
+#include "carobpath/routing/CallThrottle.h"
+
+#include "EntryFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+namespace carobpath::routing::tests {
+
+namespace {
+
+    /// A service that takes a number of calls a second and refuses the others, behind one entry node.
+    struct LimitedService {
+        CallThrottle throttle;
+        std::mt19937_64 random { 3 };
+        MonotonicTime now = startTime;
+        std::size_t offered = 0;
+        std::size_t taken = 0;
+
+        void run(double askedPerSecond, double takenPerSecond, std::chrono::milliseconds time, std::uint32_t rank = 0)
+        {
+            offered = 0;
+            taken = 0;
+            const std::chrono::duration<double> interval { 1 / askedPerSecond };
+            double room = 1;
+            for (const auto end = now + time; now < end; now += std::chrono::duration_cast<MonotonicClock::duration>(interval)) {
+                room = std::min(takenPerSecond / 10, room + takenPerSecond * interval.count());
+                if (!throttle.tryOffer(rank, std::uniform_real_distribution<double> {}(random), now))
+                    continue;
+                ++offered;
+                const bool isTaken = room >= 1;
+                room -= isTaken ? 1 : 0;
+                taken += isTaken ? 1 : 0;
+                throttle.onEnded(rank, isTaken, std::nullopt, now);
+            }
+        }
+    };
+
+    /// An entry node whose service refuses every call for load.
+    struct FullService : EntryFixture {
+        FullService()
+            : EntryFixture({ makeNode("a", "v1") })
+        {
+            EntryPolicy policy;
+            policy.throttlesCalls = true;
+            router.setPolicy(policy);
+        }
+
+        /// \returns how many of the calls were offered; \c last is the refusal of one that was not.
+        int call(int n)
+        {
+            int offered = 0;
+            for (int i = 0; i < n; ++i, now += 10ms) {
+                const auto decision = router.begin(makeCall("GET", "/x"), now);
+                auto command = decision->start(now);
+                if (const auto* refused = std::get_if<AnswerRefusal>(&command)) {
+                    last = refused->refusal;
+                    continue;
+                }
+                ++offered;
+                while (std::holds_alternative<SendAttempt>(command)) {
+                    auto result = ended(Outcome::NotRun, RefusalReason::Overloaded, 503);
+                    result.retryAfter = 300ms;
+                    command = decision->onAttemptFinished(result, now);
+                }
+            }
+            return offered;
+        }
+
+        Refusal last;
+    };
+
+}
+
+BOOST_AUTO_TEST_SUITE(The_call_throttle)
+
+BOOST_AUTO_TEST_CASE(Offers_every_call_while_the_service_takes_most)
+{
+    LimitedService service;
+    service.run(100, 90, 60s);
+    BOOST_TEST(service.offered == 6000U);
+}
+
+// Guards against refused calls that use up the instances that could serve others.
+BOOST_AUTO_TEST_CASE(Offers_hardly_more_than_the_service_takes_however_many_ask)
+{
+    for (const double asked : { 200.0, 400.0, 1600.0 }) {
+        LimitedService service;
+        service.run(asked, 50, 5s);
+        service.run(asked, 50, 60s);
+        BOOST_TEST(service.taken >= 60U * 50 * 95 / 100);
+        const auto probes = asked * 60 * (1 - CallThrottle::s_mostRefused);
+        BOOST_TEST(static_cast<double>(service.offered) <= 60 * 50 * CallThrottle::s_offeredPerTaken * 1.1 + probes);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(Finds_room_that_has_come_back_within_seconds)
+{
+    LimitedService service;
+    service.run(100, 100, 5s);
+    service.run(300, 5, 20s);
+    service.run(100, 100, 5s);
+    service.run(100, 100, 1s);
+    BOOST_TEST(service.taken >= 95U);
+}
+
+BOOST_AUTO_TEST_CASE(Keeps_ranks_apart)
+{
+    LimitedService service;
+    service.run(200, 1, 5s, 2);
+    service.run(100, 100, 1s, 0);
+    BOOST_TEST(service.offered == 100U);
+}
+
+BOOST_AUTO_TEST_CASE(A_call_without_an_offer_is_told_that_it_has_not_run_and_when_to_come_back)
+{
+    FullService service;
+    service.call(100);
+    const int offered = service.call(200);
+    BOOST_TEST(offered > 0);
+    BOOST_TEST(offered < 40);
+    BOOST_TEST((service.last.outcome == Outcome::NotRun));
+    BOOST_TEST((service.last.reason == RefusalReason::Overloaded));
+    BOOST_TEST((service.last.retryAfter.value_or(0ms) >= CallThrottle::s_minRetryAfter));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}
