A busy instance, joined: inner calls beside downloads of 0.9 to 2 times the link, for minutes and after a burst

The bound on unacknowledged bytes was proved with a pacer alone; here it stands beside the thread, the link in both directions and inner calls, on a link that carries a tenth less than stated too.

--- a/packages/node/tests/BusyInstance.h
+++ b/packages/node/tests/BusyInstance.h
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <random>
 #include <vector>
@@ -44,14 +45,16 @@
 /// One direction of a link: what is sent first arrives first.
 class Link {
 public:
-    explicit Link(VirtualTime& time)
+    /// \param carriedPart part of the stated rate that the link carries.
+    explicit Link(VirtualTime& time, double carriedPart = 1)
         : m_time(time)
+        , m_carriedPart(carriedPart)
     {
     }
 
     void send(std::size_t bytes, std::function<void()> arrived)
     {
-        const std::chrono::duration<double> transfer { static_cast<double>(bytes) / s_bytesPerSecond };
+        const std::chrono::duration<double> transfer { static_cast<double>(bytes) / (s_bytesPerSecond * m_carriedPart) };
         m_busyUntil = std::max(m_busyUntil, m_time.now) + std::chrono::duration_cast<Duration>(transfer);
         m_time.at(m_busyUntil, std::move(arrived));
     }
@@ -60,6 +63,7 @@
 
 private:
     VirtualTime& m_time;
+    double m_carriedPart;
     MonotonicTime m_busyUntil;
 };
 
@@ -148,23 +152,41 @@
     std::size_t ofUpstream = 0;
 };
 
+/// What passes beside the calls.
+struct BusyLoad {
+    Duration downloadInterval = 250ms;
+    /// Time between two configurations.
+    Duration configurationInterval = 1s;
+    /// Part of its stated rate that the instance's link carries.
+    double carriedPart = 1;
+    /// Downloads at a time; those beyond are refused.
+    std::size_t mostDownloads = std::numeric_limits<std::size_t>::max();
+};
+
 class BusyInstance {
 public:
-    explicit BusyInstance(ReadSizes reads)
+    explicit BusyInstance(ReadSizes reads, const BusyLoad& load = {})
         : m_reads(reads)
+        , m_load(load)
+        , m_in(m_time, load.carriedPart)
+        , m_out(m_time, load.carriedPart)
     {
     }
 
+    /// Downloads begin at another interval from now on.
+    void setDownloadInterval(Duration interval) { m_load.downloadInterval = interval; }
+
     /// Calls, each with an inner call of its own, and downloads pass while a new configuration is written each second.
     void run(std::chrono::seconds time)
     {
         const auto end = m_time.now + time;
         repeat(s_callInterval, end, [this] { call(); });
-        repeat(s_downloadInterval, end, [this] { download(); });
+        repeat(m_load.downloadInterval, end, [this] { download(); });
         repeat(s_tickInterval, end, [this] { tick(); });
-        repeat(s_configurationInterval, end, [this] { writeConfiguration(); });
-        poll();
-        m_time.runUntil(end + s_configurationInterval);
+        repeat(m_load.configurationInterval, end, [this] { writeConfiguration(); });
+        if (!m_isPolling)
+            poll();
+        m_time.runUntil(end + s_afterRun);
     }
 
     /// Time from the writing of a version until one as new is in force, of each version.
@@ -175,16 +197,16 @@
     /// Those that were written whole.
     std::size_t downloads = 0;
 
+    static constexpr std::size_t s_downloadBytes = 90'000;
+
 private:
     static constexpr Duration s_callInterval = 12ms;
-    static constexpr Duration s_downloadInterval = 250ms;
     static constexpr Duration s_tickInterval = 100ms;
-    static constexpr Duration s_configurationInterval = 1s;
+    static constexpr Duration s_afterRun = 1s;
     static constexpr Duration s_tellingTime = 100ms;
     static constexpr Duration s_callTimeLeft = 400ms;
     static constexpr Duration s_downloadObjective = 1500ms;
     static constexpr std::size_t s_configurationBytes = 350'000;
-    static constexpr std::size_t s_downloadBytes = 90'000;
     static constexpr std::size_t s_messageBytes = 1'000;
     static constexpr Duration s_workOfMessage = 300us;
     static constexpr Duration s_workOfConfiguration = 25ms;
@@ -219,6 +241,8 @@
 
     void download()
     {
+        if (m_downloads.size() >= m_load.mostDownloads)
+            return;
         ++downloadsBegun;
         const auto id = m_pacer.addBody(m_time.now + s_downloadObjective);
         m_downloads[id] = {};
@@ -346,9 +370,10 @@
     };
 
     ReadSizes m_reads;
+    BusyLoad m_load;
     VirtualTime m_time;
-    Link m_in { m_time };
-    Link m_out { m_time };
+    Link m_in;
+    Link m_out;
     Thread m_thread { m_time };
     capacity::LinkPacer m_pacer { Link::s_bytesPerSecond };
     publication::ReadWatchdog m_watchdog { std::mt19937_64(1) };
--- a/packages/node/tests/BusyInstanceTests.cpp
+++ b/packages/node/tests/BusyInstanceTests.cpp
@@ -16,6 +16,16 @@
     constexpr Duration innerCallBound = 350ms;
     /// What Beast reads at a time from a buffer without room.
     constexpr std::size_t smallRead = 512;
+    constexpr std::chrono::seconds minutes { 120 };
+    constexpr ReadSizes largeReads { publication::Detail::HttpExchange::s_readBytes, gateway::GatewayLimits::s_pieceBytes };
+
+    /// \returns downloads that ask for this part of the link's stated rate, beside hardly any configuration.
+    BusyLoad loadOf(double demand, double carriedPart)
+    {
+        const std::chrono::duration<double> interval { BusyInstance::s_downloadBytes / (Link::s_bytesPerSecond * demand) };
+        return { std::chrono::duration_cast<Duration>(interval), 60s, carriedPart, 8 };
+    }
+
     /// One value of this many may be larger.
     constexpr std::size_t outlierEvery = 20;
 
@@ -43,6 +53,34 @@
     BOOST_TEST(instance.downloads == instance.downloadsBegun);
 }
 
+// Guards against inner calls that wait longer and longer behind the downloads of their instance.
+BOOST_AUTO_TEST_CASE(Inner_calls_come_back_in_time_for_minutes_beside_downloads_of_any_demand)
+{
+    for (const double demand : { 0.9, 1.0, 1.2, 2.0 }) {
+        for (const double carriedPart : { 1.0, 0.9 }) {
+            BusyInstance instance(largeReads, loadOf(demand, carriedPart));
+            instance.run(minutes);
+            const auto& delays = instance.innerCallDelays;
+            const std::vector<Duration> last(delays.end() - static_cast<std::ptrdiff_t>(delays.size() / 10), delays.end());
+            BOOST_TEST((mostOf(last) <= innerCallBound), "demand " << demand << " on a link of " << carriedPart);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(Inner_calls_are_as_fast_after_a_burst_of_downloads_as_before)
+{
+    BusyInstance instance(largeReads, loadOf(0.5, 1));
+    instance.run(20s);
+    const auto before = mostOf(instance.innerCallDelays);
+    instance.setDownloadInterval(loadOf(3, 1).downloadInterval);
+    instance.run(10s);
+    instance.setDownloadInterval(loadOf(0.5, 1).downloadInterval);
+    instance.run(5s);
+    instance.innerCallDelays.clear();
+    instance.run(20s);
+    BOOST_TEST((mostOf(instance.innerCallDelays) <= 2 * before));
+}
+
 BOOST_AUTO_TEST_CASE(Reads_of_512_bytes_of_the_store_alone_make_configurations_late)
 {
     BusyInstance instance({ smallRead, gateway::GatewayLimits::s_pieceBytes });
