--- a/packages/capacity/tests/LinkDriftTests.cpp
+++ b/packages/capacity/tests/LinkDriftTests.cpp
@@ -1,4 +1,4 @@
-#include "VaultLink.h"
+#include "SharedLink.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -12,7 +12,7 @@
 
     void checkWait(const LinkDemand& demand)
     {
-        VaultLink link { demand };
+        SharedLink link { demand };
         link.run(minutes);
         BOOST_TEST((link.longestWait <= waitBound),
             "a short answer waited " << std::chrono::duration_cast<std::chrono::milliseconds>(link.longestWait).count() << " ms with downloads of "
@@ -38,7 +38,7 @@
 
 BOOST_AUTO_TEST_CASE(Is_back_at_short_waits_after_a_burst_of_downloads)
 {
-    VaultLink link { { .downloads = 0.5 } };
+    SharedLink link { { .downloads = 0.5 } };
     link.run(10s);
     link.setDownloads(4);
     link.run(10s);
@@ -51,7 +51,7 @@
 BOOST_AUTO_TEST_CASE(Uses_the_room_that_other_bytes_leave)
 {
     for (const double uncounted : { 0.02, 0.08, 0.3 }) {
-        VaultLink link { { .downloads = 1.5, .uncounted = uncounted } };
+        SharedLink link { { .downloads = 1.5, .uncounted = uncounted } };
         link.run(60s);
         BOOST_TEST(link.utilization >= 0.9);
     }
--- a/packages/capacity/tests/VaultLink.h
+++ b/packages/capacity/tests/SharedLink.h
@@ -28,9 +28,9 @@
 };
 
 /// Sends what it is handed in order. Receivers acknowledge what has arrived.
-class VaultLink {
+class SharedLink {
 public:
-    explicit VaultLink(const LinkDemand& demand)
+    explicit SharedLink(const LinkDemand& demand)
         : m_demand(demand)
         , m_pacer(demand.statedBytesPerSecond)
     {
--- a/packages/routing/include/carobpath/routing/CallThrottle.h
+++ b/packages/routing/include/carobpath/routing/CallThrottle.h
@@ -9,26 +9,26 @@
 
 namespace carobpath::routing {
 
-/// Refuses calls of one service at their entry node while its upstreams refuse most of what they are offered: an offer that is refused
-/// costs two nodes processor time and room on their links, which the calls that can be served need.
+/// Refuses calls of one service at their entry node while its upstreams take few of what they are offered. Answers the load of more calls
+/// than the service bears: an offer that is refused costs two nodes processor time and room on their links.
 ///
-/// Of each rank only as many calls are offered as were taken lately, and a part more, which finds room that has come free. Answers the
-/// load of more calls than the service bears.
+/// Of each rank, as many calls are offered as were taken lately, and half as many more, which find room that has come free.
 class CallThrottle {
 public:
     /// Averaging time of the calls that ended.
     static constexpr std::chrono::duration<double> s_memory { 0.5 };
     /// Calls that are offered for each that was taken.
     static constexpr double s_offeredPerTaken = 1.5;
-    /// Most calls of a rank that are refused without an offer, as a part.
-    static constexpr double s_mostRefused = 0.9;
+    /// Largest part of the calls of a rank that is refused without an offer.
+    static constexpr double s_maxRefusedPart = 0.9;
     /// Shortest time after which a refused caller may come back.
     static constexpr std::chrono::milliseconds s_minRetryAfter { 500 };
 
     /// A call asks to be offered. \param draw uniform, from 0 to 1.
     /// \returns whether it may be.
     bool tryOffer(std::uint32_t rank, double draw, MonotonicTime now);
-    /// An offered call has ended: an upstream took it, or all refused it for load.
+    /// An offered call has ended: an upstream took it, or none did.
+    /// \param retryAfter what the last upstream named; empty where it named nothing.
     void onEnded(std::uint32_t rank, bool isTaken, std::optional<std::chrono::milliseconds> retryAfter, MonotonicTime now);
 
     /// \returns the time after which a call of the rank that was refused here may come back.
--- a/packages/routing/src/CallThrottle.cpp
+++ b/packages/routing/src/CallThrottle.cpp
@@ -20,7 +20,7 @@
 {
     auto& counts = countsOf(rank, now);
     const double excess = counts.asked - s_offeredPerTaken * counts.taken;
-    const double refused = std::min(s_mostRefused, excess / (counts.asked + 1));
+    const double refused = std::min(s_maxRefusedPart, excess / (counts.asked + 1));
     if (draw >= refused)
         return true;
     counts.asked += 1;
--- a/packages/routing/tests/CallThrottleTests.cpp
+++ b/packages/routing/tests/CallThrottleTests.cpp
@@ -90,7 +90,7 @@
         service.run(asked, 50, 5s);
         service.run(asked, 50, 60s);
         BOOST_TEST(service.taken >= 60U * 50 * 95 / 100);
-        const auto probes = asked * 60 * (1 - CallThrottle::s_mostRefused);
+        const auto probes = asked * 60 * (1 - CallThrottle::s_maxRefusedPart);
         BOOST_TEST(static_cast<double>(service.offered) <= 60 * 50 * CallThrottle::s_offeredPerTaken * 1.1 + probes);
     }
 }
