The call throttle counts refusals for load alone, and lets an instance bear some

Cause: the share of refused calls was judged from few, and every end without an answer counted as a refusal. Class: a ratio without its count.

Change: only refusals for load count, and 8 of them in the averaging time are borne before any call is refused without an offer.

--- a/packages/routing/include/carobpath/routing/CallThrottle.h
+++ b/packages/routing/include/carobpath/routing/CallThrottle.h
@@ -19,6 +19,8 @@
     static constexpr std::chrono::duration<double> s_memory { 0.5 };
     /// Calls that are offered for each that was taken.
     static constexpr double s_offeredPerTaken = 1.5;
+    /// Refused calls within the averaging time that cost an instance little, and show no lasting want of room.
+    static constexpr double s_bearableRefusals = 8;
     /// Largest part of the calls of a rank that is refused without an offer.
     static constexpr double s_maxRefusedPart = 0.9;
     /// Shortest time after which a refused caller may come back.
@@ -27,7 +29,7 @@
     /// A call asks to be offered. \param draw uniform, from 0 to 1.
     /// \returns whether it may be.
     bool tryOffer(std::uint32_t rank, double draw, MonotonicTime now);
-    /// An offered call has ended: an upstream took it, or none did.
+    /// An offered call has ended: an upstream took it, or all refused it for load.
     /// \param retryAfter what the last upstream named; empty where it named nothing.
     void onEnded(std::uint32_t rank, bool isTaken, std::optional<std::chrono::milliseconds> retryAfter, MonotonicTime now);
 
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -110,9 +110,11 @@
 
 void CallDecision::reportToThrottle(const AttemptResult& result, MonotonicTime now)
 {
-    if (m_isInner || !m_state->policy.throttlesCalls)
+    const bool isTaken = result.outcome == Outcome::Ran;
+    const bool tellsOfRoom = isTaken || wasRefusedForLoad(result);
+    if (!tellsOfRoom || m_isInner || !m_state->policy.throttlesCalls)
         return;
-    m_state->throttleOf(m_service).onEnded(m_rank, result.outcome == Outcome::Ran, result.retryAfter, now);
+    m_state->throttleOf(m_service).onEnded(m_rank, isTaken, result.retryAfter, now);
 }
 
 std::optional<Refusal> CallDecision::refusalAtArrival(MonotonicTime now)
--- a/packages/routing/src/CallThrottle.cpp
+++ b/packages/routing/src/CallThrottle.cpp
@@ -19,7 +19,7 @@
 bool CallThrottle::tryOffer(std::uint32_t rank, double draw, MonotonicTime now)
 {
     auto& counts = countsOf(rank, now);
-    const double excess = counts.asked - s_offeredPerTaken * counts.taken;
+    const double excess = counts.asked - s_offeredPerTaken * counts.taken - s_bearableRefusals;
     const double refused = std::min(s_maxRefusedPart, excess / (counts.asked + 1));
     if (draw >= refused)
         return true;
