--- a/packages/routing/include/carobpath/routing/CallThrottle.h
+++ b/packages/routing/include/carobpath/routing/CallThrottle.h
@@ -20,7 +20,7 @@
     /// Calls that are offered for each that was taken.
     static constexpr double s_offeredPerTaken = 1.5;
     /// Refused calls within the averaging time that cost an instance little, and show no lasting want of room.
-    static constexpr double s_bearableRefusals = 8;
+    static constexpr double s_bearableRefusals = 3;
     /// Largest part of the calls of a rank that is refused without an offer.
     static constexpr double s_maxRefusedPart = 0.9;
     /// Shortest time after which a refused caller may come back.
