Routes whose text did not change are not decoded and encoded again

Cause: each version of the configuration was decoded whole, and its digest taken over a whole new encoding.

Change: ConfigurationReader keeps the routes of the version read last, by their text, with their canonical encoding.

--- a/packages/node/src/internal/FleetDriver.cpp
+++ b/packages/node/src/internal/FleetDriver.cpp
@@ -207,7 +207,7 @@
         [&]() -> Result<bool> {
             const auto read = m_reader->answeredRead();
             const auto begunAt = MonotonicClock::now();
-            BOOST_LEAF_AUTO(configuration, platform::readConfiguration(*record.value));
+            BOOST_LEAF_AUTO(configuration, m_configurations.read(*record.value));
             m_hooks.onConfiguration(configuration);
             const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicClock::now() - begunAt);
             recordConfigurationRead(read, *configuration, record.value->size(), took);
--- a/packages/node/src/internal/FleetDriver.h
+++ b/packages/node/src/internal/FleetDriver.h
@@ -2,6 +2,7 @@
 
 #include "carobpath/distribution/StreamEnds.h"
 #include "carobpath/gateway/AdminServer.h"
+#include "carobpath/platform/ConfigurationReader.h"
 #include "carobpath/platform/StoreClient.h"
 #include "carobpath/publication/ConfigurationSet.h"
 #include "internal/DepartureDriver.h"
@@ -83,6 +84,7 @@
     UpstreamDriver& m_upstream;
     FleetHooks m_hooks;
     std::shared_ptr<Reader> m_reader;
+    platform::ConfigurationReader m_configurations;
     /// When this node checks the streams; nothing if other nodes check them.
     std::optional<publication::CheckSchedule> m_checkSchedule;
     /// For the operator's stream, whose records are large; those of the stream of states are not.
--- a/packages/publication/include/carobpath/publication/Codec.h
+++ b/packages/publication/include/carobpath/publication/Codec.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace carobpath::publication {
 
@@ -46,4 +47,8 @@
 /// \returns the digest of the set's canonical encoding.
 Digest digestOfSet(const ConfigurationSet&);
 
+/// \returns the digest of \c digestOfSet, with the set's routes encoded beforehand.
+/// \param encodedRoutes the canonical encoding of each route's entry, in the order of the set.
+Digest digestWithEncodedRoutes(const ConfigurationSet&, const std::vector<std::string_view>& encodedRoutes);
+
 }
--- a/packages/publication/src/Codec.cpp
+++ b/packages/publication/src/Codec.cpp
@@ -31,6 +31,32 @@
     const MoveName& nameOf(const MoveEntry& it) { return it.move.name; }
     const WorkspaceName& nameOf(const WorkspaceEntry& it) { return it.workspace.name; }
 
+    /// Adds one key of an object, with a value that is encoded already.
+    void appendMember(std::string& out, std::string_view key, std::string_view encoded)
+    {
+        out += out.empty() ? '{' : ',';
+        out += '"';
+        out += key;
+        out += "\":";
+        out += encoded;
+    }
+
+    std::string listOf(const std::vector<std::string_view>& encoded)
+    {
+        std::string list = "[";
+        for (const auto it : encoded) {
+            list += list.size() > 1 ? "," : "";
+            list += it;
+        }
+        return list + "]";
+    }
+
+    template <typename Map>
+    std::string encodeEntries(const Map& map)
+    {
+        return Detail::dumpCanonical(entriesOf(map));
+    }
+
     template <typename Map>
     void readEntries(const nlohmann::json& in, Map& map)
     {
@@ -222,4 +248,16 @@
     return digestOf(encode(set));
 }
 
+Digest digestWithEncodedRoutes(const ConfigurationSet& set, const std::vector<std::string_view>& encodedRoutes)
+{
+    std::string text;
+    appendMember(text, "moves", encodeEntries(set.moves));
+    appendMember(text, "routes", listOf(encodedRoutes));
+    appendMember(text, "services", encodeEntries(set.services));
+    appendMember(text, "versions", encodeEntries(set.versions));
+    if (!set.workspaces.empty())
+        appendMember(text, "workspaces", encodeEntries(set.workspaces));
+    return digestOf(text + "}");
+}
+
 }
