--- a/packages/routing/tests/CallThrottleTests.cpp
+++ b/packages/routing/tests/CallThrottleTests.cpp
@@ -5,6 +5,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <random>
+#include <string>
+#include <vector>
 
 namespace carobpath::routing::tests {
 
@@ -40,10 +42,18 @@
         }
     };
 
+    std::vector<membership::KnownNode> makeNodes(int count)
+    {
+        std::vector<membership::KnownNode> nodes;
+        for (int i = 0; i < count; ++i)
+            nodes.push_back(makeNode("n-" + std::to_string(i), "v1"));
+        return nodes;
+    }
+
     /// An entry node whose service refuses every call for load.
     struct FullService : EntryFixture {
-        FullService()
-            : EntryFixture({ makeNode("a", "v1") })
+        explicit FullService(int nodes = 1)
+            : EntryFixture(makeNodes(nodes))
         {
             EntryPolicy policy;
             policy.throttlesCalls = true;
@@ -63,6 +73,7 @@
                 }
                 ++offered;
                 while (std::holds_alternative<SendAttempt>(command)) {
+                    ++attempts;
                     auto result = ended(Outcome::NotRun, RefusalReason::Overloaded, 503);
                     result.retryAfter = 300ms;
                     command = decision->onAttemptFinished(result, now);
@@ -72,6 +83,8 @@
         }
 
         Refusal last;
+        /// Offers of all calls.
+        int attempts = 0;
     };
 
 }
@@ -124,6 +137,20 @@
     BOOST_TEST(service.offered == 100U);
 }
 
+// Guards against refused calls each of which costs as many offers as there are instances.
+BOOST_AUTO_TEST_CASE(Bounds_the_offers_to_a_service_that_refuses_all_however_many_nodes_it_has)
+{
+    FullService service(6);
+    service.call(100);
+    service.attempts = 0;
+    constexpr int calls = 200;
+    service.call(calls);
+    const std::chrono::duration<double> time = calls * 10ms;
+    const auto probes = (calls + service.attempts) * (1 - CallThrottle::s_maxRefusedPart);
+    BOOST_TEST(service.attempts > 0);
+    BOOST_TEST(service.attempts <= probes + time / CallThrottle::s_memory * CallThrottle::s_bearableRefusals);
+}
+
 BOOST_AUTO_TEST_CASE(A_call_without_an_offer_is_told_that_it_has_not_run_and_when_to_come_back)
 {
     FullService service;
