The throttle counts offers instead of calls, and bounds the later offers of a call too

Cause: the throttle counted calls that ended, and let each one through be offered to as many nodes as its budget allowed. A count of calls also sent callers of quiet instances away for a few refusals.

A call that may not be offered again is refused at once.

--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -251,9 +251,9 @@
     if (m_phase != Phase::Attempting)
         return m_final ? *m_final : refuse(RefusalReason::Cancelled);
     recordAttempt(result, now);
+    reportToThrottle(result, now);
     if (auto again = retry(result, now))
         return *again;
-    reportToThrottle(result, now);
     if (result.outcome == Outcome::Ran) {
         m_headerAt = now;
         return relay();
@@ -302,7 +302,7 @@
 {
     if (!mayRetry(result, now))
         return std::nullopt;
-    if (wasRefusedForLoad(result) && !m_state->offerBudgetOf(m_service).tryWithdraw(now))
+    if (wasRefusedForLoad(result) && (isThrottled(now) || !m_state->offerBudgetOf(m_service).tryWithdraw(now)))
         return std::nullopt;
     auto attempt = nextAttempt(now);
     if (!attempt)
