Inner calls are offered by their deadline: failing test

Cause: an inner call was offered with its route's objective, and refused by instances that could not answer within that, with a deadline of twice the time still open.

--- a/packages/routing/tests/InnerCallTests.cpp
+++ b/packages/routing/tests/InnerCallTests.cpp
@@ -11,7 +11,7 @@
 namespace {
 
     /// The sample configuration with a workspace, whose route "list" is open to callers without an API key.
-    publication::ConfigurationPointer makeConfigurationWithWorkspace()
+    std::shared_ptr<publication::ConfigurationVersion> makeConfigurationWithWorkspace()
     {
         auto it = std::make_shared<publication::ConfigurationVersion>(*makeConfiguration());
         auto& shop = it->set.workspaces[WorkspaceName { "shop" }].workspace;
@@ -30,16 +30,18 @@
             innerCalls->onDispatched();
         }
 
-        bool isInner(const CallRequest& request)
+        SendAttempt firstAttempt(const CallRequest& request)
         {
             const auto call = router.begin(request, now);
             const auto command = call->start(now);
             const auto* attempt = std::get_if<SendAttempt>(&command);
             BOOST_REQUIRE(attempt);
             BOOST_TEST(attempt->isInner == call->isInner());
-            return attempt->isInner;
+            return *attempt;
         }
 
+        bool isInner(const CallRequest& request) { return firstAttempt(request).isInner; }
+
         std::shared_ptr<capacity::InnerCalls> innerCalls = std::make_shared<capacity::InnerCalls>();
     };
 
@@ -203,6 +205,21 @@
     BOOST_TEST(!it.isInner(call));
 }
 
+// Guards against inner calls that are refused though their parent has time for their answer.
+BOOST_AUTO_TEST_CASE(An_inner_call_is_offered_with_its_deadline_in_place_of_its_objective)
+{
+    InnerFixture it;
+    const auto configuration = makeConfigurationWithWorkspace();
+    auto& route = configuration->set.routes[RouteName { "list" }].route;
+    route.objective = 150ms;
+    route.timeout = 400ms;
+    it.router.setConfiguration(configuration);
+    BOOST_CHECK((it.firstAttempt(makeCall("GET", "/bookings")).objective == it.now + 400ms));
+    auto call = makeCall("GET", "/bookings");
+    call.apiKey = digestOf("shop-key");
+    BOOST_CHECK((it.firstAttempt(call).objective == it.now + 150ms));
+}
+
 BOOST_AUTO_TEST_CASE(Without_workspaces_no_call_is_taken_for_an_inner_one)
 {
     InnerFixture it;
