Inner calls are offered by their deadline, not by the objective of their route

Cause: an instance refuses what it cannot answer within the objective. For an inner call that was untrue: its parent has time until its deadline. The refusal cost further offers, counted as want of room, and lowered the bound on parents.

Change: the objective of an inner call is its deadline.

--- a/packages/routing/src/AttemptChoice.cpp
+++ b/packages/routing/src/AttemptChoice.cpp
@@ -135,7 +135,8 @@
         return std::nullopt;
     // A caller whose timeout is shorter than the route's has already spent the difference waiting.
     const auto waited = std::max<MonotonicClock::duration>(m_arrivedAt + m_route->timeout - m_deadline, {});
-    const auto objective = m_arrivedAt + m_route->objective - waited;
+    // An inner call is worth what its parent is, and the parent fails only past the deadline.
+    const auto objective = m_isInner ? m_deadline : m_arrivedAt + m_route->objective - waited;
     const bool reservesRemoteTime = scope == DomainScope::Local && m_route->trafficClass != publication::TrafficClass::Download && objective > now;
     if (!reservesRemoteTime)
         return objective;
