--- a/packages/routing/tests/CallThrottleTests.cpp
+++ b/packages/routing/tests/CallThrottleTests.cpp
@@ -45,6 +45,7 @@
     std::vector<membership::KnownNode> makeNodes(int count)
     {
         std::vector<membership::KnownNode> nodes;
+        nodes.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i)
             nodes.push_back(makeNode("n-" + std::to_string(i), "v1"));
         return nodes;
