--- a/packages/routing/include/carobpath/routing/CallThrottle.h
+++ b/packages/routing/include/carobpath/routing/CallThrottle.h
@@ -12,15 +12,15 @@
 /// Bounds the offers of calls to the upstreams of one service while these take few of them. Answers the load of more calls than the service
 /// bears: an offer that is refused costs two nodes processor time and room on their links, at whichever attempt of a call it is.
 ///
-/// Of each rank, twice as many calls are offered as were taken lately, which finds room that has come free. A call that may not be offered, or not
-/// again, is refused at its entry node.
+/// For each rank it allows twice as many offers as calls were taken lately, which finds room that has come free. A call that may not be offered, or
+/// not again, is refused at its entry node.
 class CallThrottle {
 public:
     /// Averaging time of the offers that ended.
     static constexpr std::chrono::duration<double> s_memory { 0.5 };
     /// Offers for each call that was taken.
     static constexpr double s_offeredPerTaken = 2;
-    /// Refused offers within the averaging time that cost an instance little, and show no lasting want of room.
+    /// Refused offers within the averaging time that are borne, since they show no lasting want of room.
     static constexpr double s_bearableRefusals = 10;
     /// Largest part of the offers of a rank that is refused here.
     static constexpr double s_maxRefusedPart = 0.9;
--- a/packages/routing/src/AttemptChoice.cpp
+++ b/packages/routing/src/AttemptChoice.cpp
@@ -135,7 +135,7 @@
         return std::nullopt;
     // A caller whose timeout is shorter than the route's has already spent the difference waiting.
     const auto waited = std::max<MonotonicClock::duration>(m_arrivedAt + m_route->timeout - m_deadline, {});
-    // An inner call is worth what its parent is, and the parent fails only past the deadline.
+    // Only the parent waits for an inner call, until the deadline.
     const auto objective = m_isInner ? m_deadline : m_arrivedAt + m_route->objective - waited;
     const bool reservesRemoteTime = scope == DomainScope::Local && m_route->trafficClass != publication::TrafficClass::Download && objective > now;
     if (!reservesRemoteTime)
