Up to 16 new connections are accepted at a turn of the thread

Cause: one connection was accepted at each turn of the thread, behind all events that were due. Whoever needed a new connection waited 700 ms, took it for lost and opened the next, so that the load of new connections stayed when its cause had gone. The queue of the system is no bound of work: it hides the load until each call in it is dead.

--- a/packages/gateway/src/internal/Listener.cpp
+++ b/packages/gateway/src/internal/Listener.cpp
@@ -44,6 +44,9 @@
     if (ec)
         return ec;
     m_acceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
+    if (ec)
+        return ec;
+    m_acceptor.non_blocking(true, ec);
     if (ec)
         return ec;
     accept();
@@ -63,6 +66,7 @@
             return;
         if (!ec) {
             self->add(std::move(socket));
+            self->acceptWaiting();
             self->accept();
             return;
         }
@@ -74,6 +78,18 @@
     });
 }
 
+void Listener::acceptWaiting()
+{
+    for (std::size_t n = 1; n < s_acceptsPerTurn; ++n) {
+        boost::asio::ip::tcp::socket socket(m_acceptor.get_executor());
+        boost::system::error_code ec;
+        m_acceptor.accept(socket, ec);
+        if (ec)
+            return;
+        add(std::move(socket));
+    }
+}
+
 void Listener::add(boost::asio::ip::tcp::socket&& socket)
 {
     if (m_sessions.size() >= m_forgetAt)
--- a/packages/gateway/src/internal/Listener.h
+++ b/packages/gateway/src/internal/Listener.h
@@ -49,7 +49,12 @@
     std::size_t busyConnections() const;
 
 private:
+    /// Connections that are accepted at a turn of the thread. New ones come in bursts, and the system refuses those for which its queue has no room.
+    static constexpr std::size_t s_acceptsPerTurn = 16;
+
     void accept();
+    /// Takes the connections that wait beside the one that was just accepted.
+    void acceptWaiting();
     void add(boost::asio::ip::tcp::socket&&);
     void forgetClosed();
     /// Closes a connection that can be spared.
