The time that a caller has waited before is learned from first tries

Cause: the time that a caller had waited was taken for the difference of its timeout to the route's. Where callers give more time (3 s) than the route (1.5 s), those who came back after 0.7 s counted as new and took the place of calls that could be in time. Where they give as much, but of differing patience (3.4 to 4 s of 4), a first try counted as one that had waited up to 0.6 s of its objective of 1.5 s.

Change: CallerTimeouts learns the time that first tries have, which are known by their connection, since callers try again over a new one. What is left of it tells the time that has been used up. The line call-ended tells callerTimeoutMs and waitedBeforeMs.

The test in Local_domain_first failed before: an objective of 500 ms in place of 300 and -500 ms for callers who come back.

--- a/packages/gateway/include/carobpath/gateway/GatewayHooks.h
+++ b/packages/gateway/include/carobpath/gateway/GatewayHooks.h
@@ -56,6 +56,10 @@
     std::chrono::nanoseconds latency {};
     /// Time from the first byte of the request to the header of the answer that was relayed; empty where none was.
     std::optional<std::chrono::nanoseconds> headerLatency;
+    /// Time that the caller gave the call; empty where it did not say.
+    std::optional<std::chrono::milliseconds> callerTimeout;
+    /// Time for which the caller is taken to have waited in earlier tries.
+    std::chrono::milliseconds waitedBefore {};
     /// Offset of the configuration that decided; empty where there was none.
     std::optional<std::uint64_t> configuration;
     /// The route's objective for the latency; 0 where it has none.
--- a/packages/gateway/src/internal/EntryCall.cpp
+++ b/packages/gateway/src/internal/EntryCall.cpp
@@ -338,6 +338,8 @@
     observation.latency = MonotonicClock::now() - m_caller->arrivedAt();
     if (m_headerAt)
         observation.headerLatency = *m_headerAt - m_caller->arrivedAt();
+    observation.callerTimeout = m_call.callerTimeout;
+    observation.waitedBefore = m_decision->waitedBefore();
     observation.configuration = m_decision->configurationOffset();
     if (const auto* workspace = m_decision->workspace())
         observation.workspace = workspace->name;
--- a/packages/gateway/src/internal/EntryHandler.cpp
+++ b/packages/gateway/src/internal/EntryHandler.cpp
@@ -97,6 +97,7 @@
     call.path = std::string { target.substr(0, target.find('?')) };
     call.idempotencyKey = idempotencyKey(request, m_dialect.idempotencyKey);
     call.callerTimeout = milliseconds(request, m_dialect.callerTimeout);
+    call.isOnNewConnection = exchange->isFirstOnConnection();
     call.fingerprint = fingerprintOf(request);
     const bool hasOneKeyAtMost = takeKey(*exchange, call);
     if (!id || !hasOneKeyAtMost || isMalformed(request, call)) {
--- a/packages/gateway/src/internal/ServerExchange.cpp
+++ b/packages/gateway/src/internal/ServerExchange.cpp
@@ -37,10 +37,11 @@
 
 }
 
-ServerExchange::ServerExchange(std::shared_ptr<ServerSession> session, Request&& request, MonotonicTime arrivedAt)
+ServerExchange::ServerExchange(std::shared_ptr<ServerSession> session, Request&& request, MonotonicTime arrivedAt, bool isFirstOnConnection)
     : m_session(std::move(session))
     , m_request(std::move(request))
     , m_arrivedAt(arrivedAt)
+    , m_isFirstOnConnection(isFirstOnConnection)
 {
 }
 
--- a/packages/gateway/src/internal/ServerExchange.h
+++ b/packages/gateway/src/internal/ServerExchange.h
@@ -27,13 +27,14 @@
     /// Called once the answer is out or cut short.
     using AnswerDone = std::function<void(AnswerEnd)>;
 
-    ServerExchange(std::shared_ptr<ServerSession>, Request&&, MonotonicTime arrivedAt);
+    ServerExchange(std::shared_ptr<ServerSession>, Request&&, MonotonicTime arrivedAt, bool isFirstOnConnection);
 
     const Request& request() const { return m_request; }
     /// Removes the field from the request, so that it is passed on to nobody.
     void removeField(std::string_view name) { m_request.erase(name); }
     /// When the first byte of the request came. Waiting for its turn counts against its deadline.
     MonotonicTime arrivedAt() const { return m_arrivedAt; }
+    bool isFirstOnConnection() const { return m_isFirstOnConnection; }
 
     /// Answers with a whole message.
     void respond(Response&&, AnswerDone = nullptr);
@@ -107,6 +108,7 @@
     std::shared_ptr<ServerSession> m_session;
     Request m_request;
     MonotonicTime m_arrivedAt;
+    bool m_isFirstOnConnection;
     State m_state = State::Queued;
     /// Whether the request may be handled beside others; unknown until another one comes behind it.
     std::optional<bool> m_isSafe;
--- a/packages/gateway/src/internal/ServerSession.cpp
+++ b/packages/gateway/src/internal/ServerSession.cpp
@@ -144,7 +144,7 @@
     }
     m_takesRequests = request.message.keep_alive();
     m_heldBytes += request.message.body().size();
-    m_exchanges.push_back(std::make_shared<ServerExchange>(shared_from_this(), std::move(request.message), request.arrivedAt));
+    m_exchanges.push_back(std::make_shared<ServerExchange>(shared_from_this(), std::move(request.message), request.arrivedAt, ++m_requests == 1));
     beginQueued();
 }
 
@@ -184,7 +184,7 @@
         refusal.retryAfter = s_comeBackAfter;
     if (m_handlers.onUnreadable)
         m_handlers.onUnreadable(refusal, unreadable.arrivedAt);
-    const auto exchange = std::make_shared<ServerExchange>(shared_from_this(), Request { http::verb::get, "/", 11 }, unreadable.arrivedAt);
+    const auto exchange = std::make_shared<ServerExchange>(shared_from_this(), Request { http::verb::get, "/", 11 }, unreadable.arrivedAt, m_requests == 0);
     m_exchanges.push_back(exchange);
     exchange->refuse(refusal, {});
 }
--- a/packages/gateway/src/internal/ServerSession.h
+++ b/packages/gateway/src/internal/ServerSession.h
@@ -141,6 +141,8 @@
     std::deque<ServerExchange::Pointer> m_exchanges;
     /// Bytes of the bodies of \c m_exchanges.
     std::uint64_t m_heldBytes = 0;
+    /// Requests that came whole.
+    std::uint64_t m_requests = 0;
     MonotonicTime m_idleSince;
     State m_state = State::Open;
     bool m_isUnfinished = false;
--- a/packages/node/src/internal/CallLog.cpp
+++ b/packages/node/src/internal/CallLog.cpp
@@ -39,6 +39,10 @@
         it.with("headerMs", *call.headerLatency);
     if (call.objective.count() > 0)
         it.with("objectiveMs", call.objective);
+    if (call.callerTimeout)
+        it.with("callerTimeoutMs", *call.callerTimeout);
+    if (call.waitedBefore.count() > 0)
+        it.with("waitedBeforeMs", call.waitedBefore);
     if (call.configuration)
         it.with("configuration", *call.configuration);
     if (isUnknownHere(call) && m_configurationAge) {
--- a/packages/routing/include/carobpath/routing/CallDecision.h
+++ b/packages/routing/include/carobpath/routing/CallDecision.h
@@ -90,6 +90,8 @@
     /// Offset of the configuration that was used for the call; empty if there was none.
     std::optional<std::uint64_t> configurationOffset() const;
     MonotonicTime deadline() const { return m_deadline; }
+    /// \returns the time for which the caller waited in earlier tries, as far as its remaining time shows it.
+    std::chrono::milliseconds waitedBefore() const { return m_waitedBefore; }
     bool ended() const { return m_phase == Phase::Ended; }
 
     /// Outcome to report to the owner of the idempotency key once the call has ended.
@@ -123,6 +125,8 @@
     /// Determines the caller by its API key. \returns why the call may not use the route; empty if it may.
     std::optional<RefusalReason> authenticate();
     bool isTakenForInner() const;
+    /// \returns the time that the caller has used up before this try.
+    std::chrono::milliseconds timeUsedUp() const;
     /// Continues with a call that is within the quota of its workspace.
     CallCommand proceed(MonotonicTime now);
     /// Draws the service from the route's destinations, and whether the call goes to its next version.
@@ -170,6 +174,7 @@
     CallRequest m_request;
     MonotonicTime m_arrivedAt;
     MonotonicTime m_deadline;
+    std::chrono::milliseconds m_waitedBefore {};
     std::shared_ptr<const RouteTable> m_table;
     const publication::Route* m_route = nullptr;
     access::Caller m_caller;
--- a/packages/routing/src/AttemptChoice.cpp
+++ b/packages/routing/src/AttemptChoice.cpp
@@ -133,10 +133,8 @@
 {
     if (m_route->objective.count() == 0)
         return std::nullopt;
-    // A caller whose timeout is shorter than the route's has already spent the difference waiting.
-    const auto waited = std::max<MonotonicClock::duration>(m_arrivedAt + m_route->timeout - m_deadline, {});
     // Only the parent waits for an inner call, until the deadline.
-    const auto objective = m_isInner ? m_deadline : m_arrivedAt + m_route->objective - waited;
+    const auto objective = m_isInner ? m_deadline : m_arrivedAt + m_route->objective - m_waitedBefore;
     const bool reservesRemoteTime = scope == DomainScope::Local && m_route->trafficClass != publication::TrafficClass::Download && objective > now;
     if (!reservesRemoteTime)
         return objective;
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -132,6 +132,7 @@
     if (const auto reason = authenticate())
         return refusal(*reason);
     m_deadline = m_arrivedAt + std::min(m_route->timeout, m_request.callerTimeout.value_or(m_route->timeout));
+    m_waitedBefore = timeUsedUp();
     if (now >= m_deadline)
         return refusal(RefusalReason::DeadlineExceeded);
     if (!m_state->quarantineSource)
@@ -159,6 +160,18 @@
     return mayBeInner && m_state->innerCalls && m_state->innerCalls->onEntered(m_route->name);
 }
 
+std::chrono::milliseconds CallDecision::timeUsedUp() const
+{
+    if (!m_request.callerTimeout || m_isInner)
+        return {};
+    auto& timeouts = m_state->callerTimeouts[m_route->name];
+    if (!m_request.isOnNewConnection)
+        timeouts.onFirstTry(*m_request.callerTimeout);
+    // A caller whose timeout is shorter than the route's is taken to have spent the difference waiting.
+    const auto byRoute = std::max(m_route->timeout - *m_request.callerTimeout, std::chrono::milliseconds {});
+    return timeouts.timeUsedUp(*m_request.callerTimeout).value_or(byRoute);
+}
+
 void CallDecision::drawDestination()
 {
     m_service = m_state->destinationOf(*m_route);
--- a/packages/routing/src/EntryRouter.cpp
+++ b/packages/routing/src/EntryRouter.cpp
@@ -18,8 +18,11 @@
 
 void EntryRouter::setConfiguration(publication::ConfigurationPointer configuration)
 {
-    if (configuration)
-        std::erase_if(m_state->answerTimes, [&](const auto& it) { return !configuration->set.routes.contains(it.first); });
+    if (configuration) {
+        const auto isGone = [&](const auto& it) { return !configuration->set.routes.contains(it.first); };
+        std::erase_if(m_state->answerTimes, isGone);
+        std::erase_if(m_state->callerTimeouts, isGone);
+    }
     m_state->table = std::make_shared<RouteTable>(std::move(configuration));
 }
 
--- a/packages/routing/src/EntryState.h
+++ b/packages/routing/src/EntryState.h
@@ -2,6 +2,7 @@
 
 #include "carobpath/routing/AnswerTimes.h"
 #include "carobpath/routing/CallThrottle.h"
+#include "carobpath/routing/CallerTimeouts.h"
 #include "carobpath/routing/EntryRouter.h"
 #include "carobpath/routing/RetryBudget.h"
 #include "carobpath/routing/RouteTable.h"
@@ -53,6 +54,8 @@
     bool ready = false;
     /// Times of the routes that have been used.
     std::unordered_map<RouteName, AnswerTimes> answerTimes;
+    /// Of the routes that have been used.
+    std::unordered_map<RouteName, CallerTimeouts> callerTimeouts;
     RunningBodies runningBodies;
     /// When answers must have ended; empty unless the node is stopping.
     std::optional<MonotonicTime> drainDeadline;
--- a/packages/routing/tests/LocalDomainTests.cpp
+++ b/packages/routing/tests/LocalDomainTests.cpp
@@ -106,6 +106,26 @@
     BOOST_TEST(remote.node.value() == "far");
 }
 
+// Guards against callers who come back late and take the place of those who can still be answered in time.
+BOOST_AUTO_TEST_CASE(A_caller_who_comes_back_has_the_rest_of_its_objective_though_its_timeout_exceeds_the_route)
+{
+    LocalDomainFixture fixture;
+    const auto objective = [&](std::chrono::milliseconds timeout, bool isOnNewConnection) {
+        auto call = makeCall("GET", "/x");
+        call.callerTimeout = timeout;
+        call.isOnNewConnection = isOnNewConnection;
+        fixture.now += 10s;
+        const auto decision = fixture.router.begin(call, fixture.now);
+        decision->start(fixture.now);
+        const auto command = decision->onAttemptFinished(overloaded(100ms), fixture.now);
+        return std::get<SendAttempt>(command).objective.value() - fixture.now;
+    };
+    for (int i = 0; i < 20; ++i)
+        BOOST_CHECK(objective(4000ms, false) == 500ms);
+    BOOST_CHECK(objective(3800ms, true) == 300ms);
+    BOOST_CHECK(objective(3000ms, true) == -500ms);
+}
+
 BOOST_AUTO_TEST_CASE(Time_that_the_caller_has_already_waited_reduces_the_time_to_the_objective)
 {
     LocalDomainFixture fixture;
