The throttle of calls goes by what refusals cost and adds up over the fleet

Cause: an entry node bore 20 refused offers a second as a fixed number of its own. Of 65 entry nodes that is 1,300 a second for five upstreams, more than these bear, while no entry node came to its bound. And a call counted as taken at its end only, its refused neighbours at once. Class: a bound on one node that was never added up for the fleet, and a constant in place of a measure.

Change: a token bucket for each class of calls. A call that is taken earns an offer, a refused one costs the time that the refusal took, up to one from 50 ms on: where instances are not busy, refusals are borne. What all entry nodes together spend regardless of what is taken is a number for each upstream. Calls that can no longer be in time have a bucket of their own. Room that has come back opens it as fast as calls are taken.

Tests: LimitedService and FullService give refusals the time of a busy instance; the bounds are the ones from before, in the new constants. Two new ones: quick refusals throttle nobody, late calls do not use up the offers of the others.

--- a/packages/routing/include/carobpath/routing/CallDecision.h
+++ b/packages/routing/include/carobpath/routing/CallDecision.h
@@ -5,6 +5,7 @@
 #include "carobpath/publication/Objects.h"
 #include "carobpath/quota/QuotaVerdict.h"
 #include "carobpath/routing/Call.h"
+#include "carobpath/routing/CallThrottle.h"
 #include "carobpath/routing/ClaimResult.h"
 #include "carobpath/routing/RouteTable.h"
 #include "carobpath/routing/RunningBodies.h"
@@ -133,6 +134,7 @@
     void drawDestination();
     /// \returns whether the call is refused without an offer, since the service's upstreams take far fewer.
     bool isThrottled(MonotonicTime now);
+    OfferClass offerClass(MonotonicTime now) const;
     void reportToThrottle(const AttemptResult&, MonotonicTime now);
     std::uint32_t maxAttempts() const;
     void endBody();
--- a/packages/routing/include/carobpath/routing/UpstreamPicker.h
+++ b/packages/routing/include/carobpath/routing/UpstreamPicker.h
@@ -135,6 +135,9 @@
 
     void onLoad(const NodeName&, const UpstreamLoad&, MonotonicTime now);
 
+    /// \returns the upstreams of the service for each node of the fleet.
+    double upstreamsPerNode(const ServiceName&) const;
+
     /// \returns the mean latency of the answered calls of all upstreams; empty before the first answer.
     std::optional<std::chrono::nanoseconds> meanLatency() const;
     /// \returns a random number from 0 to 1, from the generator that is also used for picks.
@@ -184,6 +187,8 @@
     std::optional<MonotonicTime> m_viewAppliedAt;
     std::unordered_map<NodeName, UpstreamStatistics> m_statistics;
     std::unordered_map<ServiceName, Candidates> m_candidates;
+    /// Nodes of the applied view that are not dead.
+    std::size_t m_nodes = 1;
     double m_meanSeconds = 0;
 };
 
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -90,7 +90,7 @@
 {
     drawDestination();
     if (isThrottled(now))
-        return refuse(RefusalReason::Overloaded, m_state->spread(m_state->throttleOf(m_service).retryAfter(m_rank)));
+        return refuse(RefusalReason::Overloaded, m_state->spread(m_state->throttleOf(m_service).retryAfter(offerClass(now))));
     m_state->budgetOf(m_service).onCall(now);
     m_state->offerBudgetOf(m_service).onCall(now);
     if (repeatable() || !m_request.idempotencyKey)
@@ -100,12 +100,18 @@
     return AwaitClaimResult { *m_request.idempotencyKey, m_route->name, m_deadline };
 }
 
+OfferClass CallDecision::offerClass(MonotonicTime now) const
+{
+    const bool hasObjective = m_route->objective.count() > 0;
+    return { m_rank, hasObjective && now >= m_arrivedAt + m_route->objective - m_waitedBefore };
+}
+
 bool CallDecision::isThrottled(MonotonicTime now)
 {
     // The backend server has begun on the parent of an inner call.
     if (m_isInner || !m_state->policy.throttlesCalls)
         return false;
-    return !m_state->throttleOf(m_service).tryOffer(m_rank, m_state->picker.drawUnit(), now);
+    return !m_state->throttleOf(m_service).tryOffer(offerClass(now), m_state->picker.drawUnit(), now);
 }
 
 void CallDecision::reportToThrottle(const AttemptResult& result, MonotonicTime now)
@@ -114,7 +120,11 @@
     const bool tellsOfRoom = isTaken || wasRefusedForLoad(result);
     if (!tellsOfRoom || m_isInner || !m_state->policy.throttlesCalls)
         return;
-    m_state->throttleOf(m_service).onEnded(m_rank, isTaken, result.retryAfter, now);
+    auto& throttle = m_state->throttleOf(m_service);
+    if (isTaken)
+        throttle.onTaken(offerClass(now), now);
+    else
+        throttle.onRefused(offerClass(now), result.latency, result.retryAfter, now);
 }
 
 std::optional<Refusal> CallDecision::refusalAtArrival(MonotonicTime now)
--- a/packages/routing/src/CallThrottle.cpp
+++ b/packages/routing/src/CallThrottle.cpp
@@ -1,45 +1,44 @@
 #include "carobpath/routing/CallThrottle.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace carobpath::routing {
 
-CallThrottle::Counts& CallThrottle::countsOf(std::uint32_t rank, MonotonicTime now)
+CallThrottle::Bucket& CallThrottle::refilled(const OfferClass& offers, MonotonicTime now)
 {
-    auto& counts = m_byRank[rank];
-    const std::chrono::duration<double> age = now - counts.at;
-    const double kept = std::exp(-age / s_memory);
-    counts.asked *= kept;
-    counts.taken *= kept;
-    counts.at = now;
-    return counts;
+    auto& bucket = m_byClass[offers];
+    const std::chrono::duration<double> age = now - bucket.at;
+    bucket.tokens = std::min(s_capacity, bucket.tokens + m_earnedPerSecond * age.count());
+    bucket.at = now;
+    return bucket;
 }
 
-bool CallThrottle::tryOffer(std::uint32_t rank, double draw, MonotonicTime now)
+bool CallThrottle::tryOffer(const OfferClass& offers, double draw, MonotonicTime now)
 {
-    auto& counts = countsOf(rank, now);
-    const double excess = counts.asked - s_offeredPerTaken * counts.taken - s_bearableRefusals;
-    const double refused = std::min(s_maxRefusedPart, excess / (counts.asked + 1));
-    if (draw >= refused)
-        return true;
-    counts.asked += 1;
-    return false;
+    return refilled(offers, now).tokens > 0 || draw < s_probePart;
 }
 
-void CallThrottle::onEnded(std::uint32_t rank, bool isTaken, std::optional<std::chrono::milliseconds> retryAfter, MonotonicTime now)
+void CallThrottle::onTaken(const OfferClass& offers, MonotonicTime now)
 {
-    auto& counts = countsOf(rank, now);
-    counts.asked += 1;
-    counts.taken += isTaken ? 1 : 0;
+    auto& bucket = refilled(offers, now);
+    bucket.tokens = std::min(s_capacity, bucket.tokens + s_earnedPerTaken);
+}
+
+void CallThrottle::onRefused(
+    const OfferClass& offers, std::chrono::nanoseconds took, std::optional<std::chrono::milliseconds> retryAfter, MonotonicTime now)
+{
+    const std::chrono::duration<double> slow { s_slowRefusal };
+    const double cost = std::clamp(took / slow, s_minCost, 1.0);
+    auto& bucket = refilled(offers, now);
+    bucket.tokens = std::max(-s_capacity, bucket.tokens - cost);
     if (retryAfter)
-        counts.retryAfter = *retryAfter;
+        bucket.retryAfter = *retryAfter;
 }
 
-std::chrono::milliseconds CallThrottle::retryAfter(std::uint32_t rank) const
+std::chrono::milliseconds CallThrottle::retryAfter(const OfferClass& offers) const
 {
-    const auto it = m_byRank.find(rank);
-    return std::max(s_minRetryAfter, it == m_byRank.end() ? s_minRetryAfter : it->second.retryAfter);
+    const auto it = m_byClass.find(offers);
+    return std::max(s_minRetryAfter, it == m_byClass.end() ? s_minRetryAfter : it->second.retryAfter);
 }
 
 }
--- a/packages/routing/src/EntryState.cpp
+++ b/packages/routing/src/EntryState.cpp
@@ -36,6 +36,13 @@
     return offerBudgets.try_emplace(service, policy.offers).first->second;
 }
 
+CallThrottle& EntryState::throttleOf(const ServiceName& service)
+{
+    auto& throttle = throttles[service];
+    throttle.setEarned(CallThrottle::s_bearablePerUpstream * picker.upstreamsPerNode(service));
+    return throttle;
+}
+
 std::uint32_t EntryState::maxLocalCandidates(const ServiceName& service)
 {
     const bool isBusy = offerBudgetOf(service).tokens() < policy.offers.capacity / 2;
--- a/packages/routing/src/EntryState.h
+++ b/packages/routing/src/EntryState.h
@@ -31,7 +31,7 @@
     ServiceName destinationOf(const publication::Route&);
     RetryBudget& budgetOf(const ServiceName&);
     RetryBudget& offerBudgetOf(const ServiceName&);
-    CallThrottle& throttleOf(const ServiceName& service) { return throttles[service]; }
+    CallThrottle& throttleOf(const ServiceName&);
     /// \returns the maximum number of local nodes that a call of the service is offered to.
     std::uint32_t maxLocalCandidates(const ServiceName&);
     void setPolicy(const EntryPolicy&);
--- a/packages/routing/src/UpstreamPicker.cpp
+++ b/packages/routing/src/UpstreamPicker.cpp
@@ -57,6 +57,9 @@
     retainStatistics(*view);
     for (const auto& known : view->nodes)
         addCandidate(known);
+    const auto isDead = [](const auto& it) { return it.liveness == membership::Liveness::Dead; };
+    const auto dead = std::count_if(view->nodes.begin(), view->nodes.end(), isDead);
+    m_nodes = std::max<std::size_t>(1, view->nodes.size() - static_cast<std::size_t>(dead));
 }
 
 void UpstreamPicker::retainStatistics(const membership::MembershipView& view)
@@ -270,6 +273,13 @@
     return std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<double>(m_meanSeconds));
 }
 
+double UpstreamPicker::upstreamsPerNode(const ServiceName& service) const
+{
+    const auto found = m_candidates.find(service);
+    const auto upstreams = found == m_candidates.end() ? 0 : found->second.size();
+    return static_cast<double>(upstreams) / static_cast<double>(m_nodes);
+}
+
 double UpstreamPicker::drawUnit() { return std::uniform_real_distribution<double> {}(m_random); }
 
 }
