Counters of attempts, refusals and backend results are looked up once a label

Each ended attempt built its labels, took the registry's lock and made a counter that was dropped again. Found by reading, in the search for what a refused call costs on the thread; its share was not measured by itself.

--- a/packages/node/src/internal/NodeMetrics.cpp
+++ b/packages/node/src/internal/NodeMetrics.cpp
@@ -77,17 +77,26 @@
 
 void NodeMetrics::onAttempt(const gateway::AttemptObservation& attempt)
 {
-    m_attempts.Add({ { "outcome", std::string { routing::toString(attempt.outcome) } }, { "reason", reasonLabel(attempt.reason) } }).Increment();
+    auto& counter = m_attemptCounters[{ attempt.outcome, attempt.reason }];
+    if (!counter)
+        counter = &m_attempts.Add({ { "outcome", std::string { routing::toString(attempt.outcome) } }, { "reason", reasonLabel(attempt.reason) } });
+    counter->Increment();
 }
 
 void NodeMetrics::onAdmissionRefused(const gateway::AdmissionRefusal& refusal)
 {
-    m_admissionRefusals.Add({ { "reason", std::string { routing::toString(refusal.refusal.reason) } } }).Increment();
+    auto& counter = m_admissionRefusalCounters[refusal.refusal.reason];
+    if (!counter)
+        counter = &m_admissionRefusals.Add({ { "reason", std::string { routing::toString(refusal.refusal.reason) } } });
+    counter->Increment();
 }
 
 void NodeMetrics::onBackend(const gateway::BackendObservation& observation)
 {
-    m_backend.Add({ { "result", std::string { routing::toString(observation.result) } } }).Increment();
+    auto& counter = m_backendCounters[observation.result];
+    if (!counter)
+        counter = &m_backend.Add({ { "result", std::string { routing::toString(observation.result) } } });
+    counter->Increment();
     m_backendLatency.Observe(seconds(observation.latency));
 }
 
--- a/packages/node/src/internal/NodeMetrics.h
+++ b/packages/node/src/internal/NodeMetrics.h
@@ -14,9 +14,11 @@
 #include <prometheus/registry.h>
 
 #include <chrono>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace carobpath::node::Detail {
 
@@ -55,8 +57,11 @@
     RouteMetrics m_routes;
     WorkspaceMetrics m_workspaces;
     prometheus::Family<prometheus::Counter>& m_attempts;
+    std::map<std::pair<routing::Outcome, std::optional<routing::RefusalReason>>, prometheus::Counter*> m_attemptCounters;
     prometheus::Family<prometheus::Counter>& m_admissionRefusals;
+    std::map<routing::RefusalReason, prometheus::Counter*> m_admissionRefusalCounters;
     prometheus::Family<prometheus::Counter>& m_backend;
+    std::map<routing::BackendResult, prometheus::Counter*> m_backendCounters;
     prometheus::Histogram& m_backendLatency;
     prometheus::Family<prometheus::Counter>& m_storeCalls;
     prometheus::Family<prometheus::Histogram>& m_storeLatency;
