Offers by class: what a review of the throttle and of callers' waiting found

The class of the offer is kept. - A call on a connection that was used before is a first try, whatever timeout it names; callers with a shorter timeout than most counted as late at each try. - What was owed took up to 50 s to pay back at a node with few calls. They earn by what is taken alone. - A bound for quick refusals was not tested.

Open from the same review: an offer is charged at its end, so that those under way are not bounded while refusals are slow.

--- a/packages/routing/include/carobpath/routing/Call.h
+++ b/packages/routing/include/carobpath/routing/Call.h
@@ -33,7 +33,7 @@
     /// Timeout that the caller sent with the call; it cannot exceed the route's timeout.
     std::optional<std::chrono::milliseconds> callerTimeout;
     /// Whether the call is the first one on its connection.
-    bool isOnNewConnection = false;
+    bool isOnNewConnection = true;
     /// Hash of the method, the host, the path and the start of the body; identifies a request that is sent again.
     std::uint64_t fingerprint = 0;
     /// False if the body is too large to be buffered for a second attempt.
--- a/packages/routing/include/carobpath/routing/CallDecision.h
+++ b/packages/routing/include/carobpath/routing/CallDecision.h
@@ -183,6 +183,8 @@
     /// Rank of the call in queues; see \c access::rankOf.
     std::uint32_t m_rank = 0;
     bool m_isInner = false;
+    /// Class in which the call was offered last.
+    OfferClass m_offerClass;
     Phase m_phase = Phase::Created;
     ServiceName m_service;
     bool m_wantsNext = false;
--- a/packages/routing/include/carobpath/routing/CallThrottle.h
+++ b/packages/routing/include/carobpath/routing/CallThrottle.h
@@ -13,7 +13,7 @@
 /// Calls that compete for the same room.
 struct OfferClass {
     std::uint32_t rank = 0;
-    /// Whether the calls can no longer be answered within their objective.
+    /// Whether the objective of the calls has passed.
     bool isLate = false;
 
     friend auto operator<=>(const OfferClass&, const OfferClass&) = default;
@@ -28,8 +28,11 @@
 public:
     /// Tokens that each call earns which an upstream takes.
     static constexpr double s_earnedPerTaken = 1;
-    /// Most tokens that are saved or owed.
+    /// Most tokens that are saved.
     static constexpr double s_capacity = 10;
+    /// Most tokens that are owed: what this node earns in a time, but at least a few.
+    static constexpr std::chrono::seconds s_maxOwedTime { 2 };
+    static constexpr double s_minOwed = 2;
     /// A refusal that took as long or longer spends a whole token, one from an idle instance a small part of it.
     static constexpr std::chrono::milliseconds s_slowRefusal { 50 };
     static constexpr double s_minCost = 0.1;
@@ -40,12 +43,13 @@
     /// Shortest time after which a refused caller may come back.
     static constexpr std::chrono::milliseconds s_minRetryAfter { 500 };
 
-    /// \param perSecond tokens that this node earns regardless of its calls: its part of what the upstreams bear.
+    /// \param perSecond tokens that this node earns regardless of its calls: its part of what the upstreams bear. Late calls earn none, so that
+    /// their refusals do not take the room of calls that can be in time.
     void setEarned(double perSecond) { m_earnedPerSecond = perSecond; }
 
     /// A call asks to be offered, for the first time or once more. \param draw uniform, from 0 to 1.
     /// \returns whether it may be.
-    bool tryOffer(const OfferClass&, double draw, MonotonicTime now);
+    bool mayOffer(const OfferClass&, double draw, MonotonicTime now);
     /// An upstream took the call that was offered.
     void onTaken(const OfferClass&, MonotonicTime now);
     /// An upstream refused the offer for load.
@@ -64,6 +68,7 @@
     };
 
     Bucket& refilled(const OfferClass&, MonotonicTime now);
+    double maxOwed() const;
 
     double m_earnedPerSecond = s_bearablePerUpstream;
     std::map<OfferClass, Bucket> m_byClass;
--- a/packages/routing/include/carobpath/routing/CallerTimeouts.h
+++ b/packages/routing/include/carobpath/routing/CallerTimeouts.h
@@ -19,7 +19,7 @@
     /// A call came on a connection that was used before.
     void onFirstTry(std::chrono::milliseconds remaining);
 
-    /// \returns the time for which a caller that waits so much longer has waited before, 0 for a first try; empty while that is not known.
+    /// \returns the time that a caller has used up who has so much left, 0 for a first try; empty while that is not known.
     std::optional<std::chrono::milliseconds> timeUsedUp(std::chrono::milliseconds remaining) const;
 
 private:
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -90,7 +90,7 @@
 {
     drawDestination();
     if (isThrottled(now))
-        return refuse(RefusalReason::Overloaded, m_state->spread(m_state->throttleOf(m_service).retryAfter(offerClass(now))));
+        return refuse(RefusalReason::Overloaded, m_state->spread(m_state->throttleOf(m_service).retryAfter(m_offerClass)));
     m_state->budgetOf(m_service).onCall(now);
     m_state->offerBudgetOf(m_service).onCall(now);
     if (repeatable() || !m_request.idempotencyKey)
@@ -111,7 +111,8 @@
     // The backend server has begun on the parent of an inner call.
     if (m_isInner || !m_state->policy.throttlesCalls)
         return false;
-    return !m_state->throttleOf(m_service).tryOffer(offerClass(now), m_state->picker.drawUnit(), now);
+    m_offerClass = offerClass(now);
+    return !m_state->throttleOf(m_service).mayOffer(m_offerClass, m_state->picker.drawUnit(), now);
 }
 
 void CallDecision::reportToThrottle(const AttemptResult& result, MonotonicTime now)
@@ -122,9 +123,9 @@
         return;
     auto& throttle = m_state->throttleOf(m_service);
     if (isTaken)
-        throttle.onTaken(offerClass(now), now);
+        throttle.onTaken(m_offerClass, now);
     else
-        throttle.onRefused(offerClass(now), result.latency, result.retryAfter, now);
+        throttle.onRefused(m_offerClass, result.latency, result.retryAfter, now);
 }
 
 std::optional<Refusal> CallDecision::refusalAtArrival(MonotonicTime now)
@@ -175,8 +176,10 @@
     if (!m_request.callerTimeout || m_isInner)
         return {};
     auto& timeouts = m_state->callerTimeouts[m_route->name];
-    if (!m_request.isOnNewConnection)
+    if (!m_request.isOnNewConnection) {
         timeouts.onFirstTry(*m_request.callerTimeout);
+        return {};
+    }
     // A caller whose timeout is shorter than the route's is taken to have spent the difference waiting.
     const auto byRoute = std::max(m_route->timeout - *m_request.callerTimeout, std::chrono::milliseconds {});
     return timeouts.timeUsedUp(*m_request.callerTimeout).value_or(byRoute);
--- a/packages/routing/src/CallThrottle.cpp
+++ b/packages/routing/src/CallThrottle.cpp
@@ -8,12 +8,13 @@
 {
     auto& bucket = m_byClass[offers];
     const std::chrono::duration<double> age = now - bucket.at;
-    bucket.tokens = std::min(s_capacity, bucket.tokens + m_earnedPerSecond * age.count());
+    const double earned = offers.isLate ? 0 : m_earnedPerSecond * age.count();
+    bucket.tokens = std::min(s_capacity, bucket.tokens + earned);
     bucket.at = now;
     return bucket;
 }
 
-bool CallThrottle::tryOffer(const OfferClass& offers, double draw, MonotonicTime now)
+bool CallThrottle::mayOffer(const OfferClass& offers, double draw, MonotonicTime now)
 {
     return refilled(offers, now).tokens > 0 || draw < s_probePart;
 }
@@ -30,11 +31,17 @@
     const std::chrono::duration<double> slow { s_slowRefusal };
     const double cost = std::clamp(took / slow, s_minCost, 1.0);
     auto& bucket = refilled(offers, now);
-    bucket.tokens = std::max(-s_capacity, bucket.tokens - cost);
+    bucket.tokens = std::max(-maxOwed(), bucket.tokens - cost);
     if (retryAfter)
         bucket.retryAfter = *retryAfter;
 }
 
+double CallThrottle::maxOwed() const
+{
+    const std::chrono::duration<double> time { s_maxOwedTime };
+    return std::max(s_minOwed, m_earnedPerSecond * time.count());
+}
+
 std::chrono::milliseconds CallThrottle::retryAfter(const OfferClass& offers) const
 {
     const auto it = m_byClass.find(offers);
--- a/packages/routing/tests/CallThrottleTests.cpp
+++ b/packages/routing/tests/CallThrottleTests.cpp
@@ -33,7 +33,7 @@
             for (const auto end = now + time; now < end; now += std::chrono::duration_cast<MonotonicClock::duration>(interval)) {
                 ++asked;
                 room = std::min(takenPerSecond / 10, room + takenPerSecond * interval.count());
-                if (!throttle.tryOffer(offers, std::uniform_real_distribution<double> {}(random), now))
+                if (!throttle.mayOffer(offers, std::uniform_real_distribution<double> {}(random), now))
                     continue;
                 ++offered;
                 const bool isTaken = room >= 1;
@@ -155,6 +155,42 @@
     BOOST_TEST(service.offered == 100U);
 }
 
+// Guards against late calls that are offered to busy upstreams again and again.
+BOOST_AUTO_TEST_CASE(Offers_late_calls_by_what_is_taken_alone)
+{
+    LimitedService service;
+    service.run(100, 1, 10s, { 0, true });
+    service.run(100, 1, 60s, { 0, true });
+    const auto probes = 100 * 60 * CallThrottle::s_probePart;
+    BOOST_TEST(static_cast<double>(service.offered) <= probes * 1.1 + static_cast<double>(service.taken) * (1 + CallThrottle::s_earnedPerTaken));
+    service.run(100, 100, 2s, { 0, true });
+    service.run(100, 100, 1s, { 0, true });
+    BOOST_TEST(service.taken >= 95U);
+}
+
+// Guards against callers who are sent away long after room has come back, at nodes with few calls for a service with few upstreams.
+BOOST_AUTO_TEST_CASE(Offers_all_calls_again_within_seconds_at_a_node_with_few_calls)
+{
+    LimitedService service;
+    service.throttle.setEarned(1);
+    service.run(20, 0.1, 10s);
+    service.run(2, 100, 5s);
+    service.run(2, 100, 10s);
+    BOOST_TEST(service.offered == service.asked);
+}
+
+// Guards against quick refusals that are not bounded at all.
+BOOST_AUTO_TEST_CASE(Bounds_offers_that_are_refused_at_once_by_their_smaller_cost)
+{
+    LimitedService service;
+    service.refusalTime = 0ms;
+    service.run(1600, 1, 5s);
+    service.run(1600, 1, 20s);
+    const auto bearable = 20 * CallThrottle::s_bearablePerUpstream / CallThrottle::s_minCost;
+    const auto probes = 1600 * 20 * CallThrottle::s_probePart;
+    BOOST_TEST(static_cast<double>(service.offered) <= bearable + probes + static_cast<double>(service.taken) / CallThrottle::s_minCost);
+}
+
 BOOST_AUTO_TEST_CASE(Keeps_ranks_apart)
 {
     LimitedService service;
--- a/packages/routing/tests/LocalDomainTests.cpp
+++ b/packages/routing/tests/LocalDomainTests.cpp
@@ -126,6 +126,21 @@
     BOOST_CHECK(objective(3000ms, true) == -500ms);
 }
 
+// Guards against callers with a shorter timeout than most who are taken for late at each try.
+BOOST_AUTO_TEST_CASE(A_call_on_a_connection_that_was_used_before_has_its_full_objective_whatever_timeout_it_names)
+{
+    LocalDomainFixture fixture;
+    for (int i = 0; i < 50; ++i) {
+        auto call = makeCall("GET", "/x");
+        call.callerTimeout = i % 10 == 0 ? 1000ms : 4000ms;
+        call.isOnNewConnection = false;
+        fixture.now += 1s;
+        const auto decision = fixture.router.begin(call, fixture.now);
+        decision->start(fixture.now);
+        BOOST_TEST(decision->waitedBefore().count() == 0);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(Time_that_the_caller_has_already_waited_reduces_the_time_to_the_objective)
 {
     LocalDomainFixture fixture;
