--- a/packages/distribution/tests/Fleet.cpp
+++ b/packages/distribution/tests/Fleet.cpp
@@ -271,8 +271,8 @@
     else if (const auto* advanced = std::get_if<AdvanceStream>(&command))
         m_nodes[node].streamEnd = std::max(m_nodes[node].streamEnd, advanced->reached.end);
     else if (const auto* role = std::get_if<ReadLog>(&command)) {
-        m_nodes[node].reading = role->enabled;
-        if (role->enabled)
+        m_nodes[node].reading = role->enabled && m_options.electedNodesRead;
+        if (m_nodes[node].reading)
             readLog(node, m_nodes[node].incarnation, true);
     }
 }
@@ -309,6 +309,11 @@
     });
 }
 
+void Fleet::deliverRead(std::size_t node, publication::Offset newest)
+{
+    step(node, m_nodes[node].incarnation, [this, newest](GossipEngine& it) { return it.onLogAdvanced(m_log[newest], m_now); });
+}
+
 void Fleet::reachEnd(std::size_t node, const StreamEnd& reached) { execute(node, engine(node).onStreamEnd(reached)); }
 
 std::size_t Fleet::indexOf(const Endpoint& endpoint) const
--- a/packages/distribution/tests/Fleet.h
+++ b/packages/distribution/tests/Fleet.h
@@ -42,6 +42,8 @@
     bool withoutDigests = false;
     /// Whether every node reads the log itself.
     bool eachNodeReads = false;
+    /// Whether the elected readers get each version as it is published; otherwise a node reads only when a test lets it.
+    bool electedNodesRead = true;
     /// Whether the CPU time spent in the gossip engines is measured.
     bool measureCpu = false;
 };
@@ -64,6 +66,8 @@
     void kill(std::size_t node);
     /// Lets the node read the log once, whether it is a log reader or not.
     void readOnce(std::size_t node) { readLog(node, m_nodes[node].incarnation, false); }
+    /// Delivers to the node the answer to an earlier read, in which this version was the newest.
+    void deliverRead(std::size_t node, publication::Offset newest);
     void pause(std::size_t node);
     void resume(std::size_t node);
     void setUpstream(std::size_t node, membership::UpstreamState);
@@ -98,6 +102,8 @@
     void execute(std::size_t node, Commands);
 
     const std::vector<std::string>& violations() const { return m_violations; }
+    /// \returns the version that was published last.
+    publication::Offset newest() const { return m_log.back()->stamp.offset; }
     std::uint64_t logReads() const { return m_logReads; }
     /// Stops counting bytes and CPU time.
     void stopCounting();
--- a/packages/node/src/internal/FleetDriver.cpp
+++ b/packages/node/src/internal/FleetDriver.cpp
@@ -236,6 +236,8 @@
         .with("applyingMs", applying);
     if (read.arriving)
         it.with("arrivingMs", *read.arriving);
+    if (read.behind)
+        it.with("behindMs", *read.behind);
     m_context.events.record(it);
 }
 
--- a/packages/node/src/internal/KeyedReader.h
+++ b/packages/node/src/internal/KeyedReader.h
@@ -44,6 +44,8 @@
     std::chrono::milliseconds open {};
     /// Time since its answer began to arrive; nothing for a listing.
     std::optional<std::chrono::milliseconds> arriving;
+    /// Time since this node was told of records that it had not read; nothing if its own read was the first to tell.
+    std::optional<std::chrono::milliseconds> behind;
 };
 
 /// What a reader reports of its reads of a stream.
@@ -93,7 +95,13 @@
     void setDeliveryTimeout(std::chrono::milliseconds timeout) { m_watchdog.setDeliveryTimeout(timeout); }
 
     /// Another node knows that the stream reaches this end.
-    void onEndKnown(publication::StreamPosition end) { m_watchdog.onEndKnown(end, MonotonicClock::now()); }
+    void onEndKnown(publication::StreamPosition end)
+    {
+        const auto now = MonotonicClock::now();
+        if (!m_behindSince && end > m_follower.position())
+            m_behindSince = now;
+        m_watchdog.onEndKnown(end, now);
+    }
 
     /// The store has come back from a copy: the stream is listed again, at a random time soon.
     void onEra(publication::StoreEra era)
@@ -134,9 +142,13 @@
     /// \returns the read whose records are being reported; to be called from \c KeyedReaderHooks::onRecord.
     AnsweredRead answeredRead() const
     {
-        AnsweredRead it { m_sentKind, openTime(), std::nullopt };
+        const auto now = MonotonicClock::now();
+        const auto since = [now](MonotonicTime then) { return std::chrono::duration_cast<std::chrono::milliseconds>(now - then); };
+        AnsweredRead it { m_sentKind, openTime(), std::nullopt, std::nullopt };
         if (m_begunAt)
-            it.arriving = std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicClock::now() - *m_begunAt);
+            it.arriving = since(*m_begunAt);
+        if (m_behindSince)
+            it.behind = since(*m_behindSince);
         return it;
     }
 
@@ -292,6 +304,8 @@
             if (!isUsed)
                 m_follower.onRefused(news);
         }
+        if (m_follower.position() >= m_watchdog.knownEnd())
+            m_behindSince.reset();
         m_hooks.stream.onPosition(m_follower.position());
         m_hooks.onEnd();
     }
@@ -323,6 +337,8 @@
     /// When the store made the last answer, as far as it is known: an immediate read is answered as it is sent.
     MonotonicTime m_answerMadeAt;
     std::optional<MonotonicTime> m_answeredAt;
+    /// When this node was told of records that it has not read; empty if it knows of none.
+    std::optional<MonotonicTime> m_behindSince;
     bool m_available = true;
     bool m_stopped = false;
 };
