--- a/packages/distribution/include/carobpath/distribution/ConfigurationReplica.h
+++ b/packages/distribution/include/carobpath/distribution/ConfigurationReplica.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace carobpath::distribution {
 
@@ -40,21 +41,27 @@
     std::optional<publication::ConfigurationStamp> stamp() const;
 
     /// Adopts a version that this node replayed from the log. Its digest is not checked.
-    Adoption adoptFromLog(publication::ConfigurationPointer);
+    /// \param span the records that led to it, if they are all configurations.
+    Adoption adoptFromLog(publication::ConfigurationPointer, const std::optional<publication::RecordSpan>& span = std::nullopt);
     /// Adopts a full set from a peer if its digest matches its stamp.
     Adoption adoptFullSet(publication::ConfigurationPointer);
     /// Applies a delta from a peer if its base is the current version and the digest of the result matches.
     Adoption applyDelta(const Delta&);
+    /// Applies deltas one after the other, each to the version that the ones before led to, or to one that is newer than its
+    /// base. The digest of the last result decides, and no version between is adopted.
+    Adoption applyDeltas(const std::vector<std::shared_ptr<const Delta>>&);
 
     /// \returns the delta from an earlier version to the current one, or null if that version is no longer stored.
     std::shared_ptr<const Delta> deltaFrom(const publication::ConfigurationStamp& base) const;
 
 private:
     std::optional<Adoption> refusal(const publication::ConfigurationStamp&) const;
-    Adoption install(publication::ConfigurationPointer);
+    Adoption install(publication::ConfigurationPointer, const std::optional<publication::RecordSpan>& span);
 
     SetDigest m_digest;
     publication::ConfigurationPointer m_current;
+    /// The records that led to the current version, if they are known and all configurations.
+    std::optional<publication::RecordSpan> m_span;
     std::deque<publication::ConfigurationPointer> m_earlier;
     /// Cached deltas to the current version, computed on first use.
     mutable std::vector<std::shared_ptr<const Delta>> m_deltas;
--- a/packages/distribution/include/carobpath/distribution/Delta.h
+++ b/packages/distribution/include/carobpath/distribution/Delta.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "carobpath/publication/ConfigurationSet.h"
+#include "carobpath/publication/StoreEra.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +25,8 @@
     std::vector<VersionName> removedVersions;
     std::vector<MoveName> removedMoves;
     std::vector<WorkspaceName> removedWorkspaces;
+    /// Records of the log that are all configurations, and led to the result; empty if other records lie between them.
+    std::optional<publication::RecordSpan> span;
 
     friend bool operator==(const Delta&, const Delta&) = default;
 };
--- a/packages/distribution/include/carobpath/distribution/GossipEngine.h
+++ b/packages/distribution/include/carobpath/distribution/GossipEngine.h
@@ -3,6 +3,7 @@
 #include "carobpath/distribution/ConfigurationReplica.h"
 #include "carobpath/distribution/EvidenceGossip.h"
 #include "carobpath/distribution/PeerMessage.h"
+#include "carobpath/distribution/PendingDeltas.h"
 #include "carobpath/distribution/RelayTree.h"
 #include "carobpath/distribution/SnapshotFetch.h"
 #include "carobpath/distribution/SnapshotTransferLimit.h"
@@ -63,7 +64,14 @@
     StreamEnd reached;
 };
 
-using Command = std::variant<SendGossip, SendPush, FetchSnapshot, ReadLog, ActivateConfiguration, PublishView, SetReady, AdvanceStream>;
+/// Report that a peer has handed on what these records of the log, all configurations, led to.
+struct CoverRecords {
+    publication::RecordSpan span;
+    /// Whether the version is adopted, so that the records need not be read; otherwise it soon will be.
+    bool isAdopted = false;
+};
+
+using Command = std::variant<SendGossip, SendPush, FetchSnapshot, ReadLog, ActivateConfiguration, PublishView, SetReady, AdvanceStream, CoverRecords>;
 using Commands = std::vector<Command>;
 
 /// Counters since the start of the engine, for metrics.
@@ -118,9 +126,13 @@
     static constexpr std::size_t s_membershipBudget = 4096;
     static constexpr std::size_t s_evidenceBudget = 2048;
     static constexpr std::size_t s_compareBudget = 32768;
-    /// Maximum size of a delta that is sent without a request, in general and if every node reads the configuration itself.
+    /// Maximum size of a delta that is sent without a request, in general and if every node reads the configuration itself. The
+    /// latter leaves a link of 10 Mbit/s to calls while a delta goes to all neighbours.
     static constexpr std::size_t s_deltaBudget = 262144;
-    static constexpr std::size_t s_deltaBudgetWhenAllRead = 4096;
+    static constexpr std::size_t s_deltaBudgetWhenAllRead = 32768;
+    /// Part of its time that a node spends on putting versions into force that peers hand on, and the longest wait between two.
+    static constexpr int s_activationDivisor = 5;
+    static constexpr std::chrono::milliseconds s_longestActivationWait { 500 };
     static constexpr std::size_t s_maxOutstanding = 256;
     static constexpr std::size_t s_maxSeeds = 64;
     /// Time to wait for a pushed delta before the full set is fetched instead.
@@ -134,8 +146,9 @@
     GossipEngine(membership::NodeEntry self, std::vector<Endpoint> seeds, SetDigest, EvidencePort, std::mt19937_64, MonotonicTime now);
 
     /// Sets whether every node reads the configuration from a store that notifies all of them of a new version at once.
-    /// Versions are then not pushed, and a node fetches one from a peer only if its own read is late: a set of some hundred
-    /// kilobytes that each node sends to its neighbours would saturate a link of 10 Mbit/s for seconds.
+    /// Only what a version changes is then handed on, and only if it is small. A node fetches a whole set from a peer only if its
+    /// own read is late: some hundred kilobytes that each node sends to its neighbours would saturate a link of 10 Mbit/s for
+    /// seconds.
     void setEachNodeReads(bool each) { m_eachNodeReads = each; }
 
     /// Must be called every \c s_tickInterval.
@@ -154,7 +167,10 @@
     Commands onBusy(GossipId, MonotonicTime now);
 
     /// Reports a version that this node replayed from the log.
-    Commands onLogAdvanced(publication::ConfigurationPointer, MonotonicTime now);
+    /// \param span the records that led to it, if they are all configurations.
+    Commands onLogAdvanced(publication::ConfigurationPointer, MonotonicTime now, const std::optional<publication::RecordSpan>& span = std::nullopt);
+    /// Reports how long it took to put a version into force that a peer had handed on.
+    void onActivated(std::chrono::nanoseconds took, MonotonicTime now);
     /// Reports that this node has read the log to its end.
     Commands onLogEnd(MonotonicTime now);
 
@@ -205,6 +221,7 @@
     void tickGate(MonotonicTime now, Commands&);
     void queryWitnesses(const std::vector<const membership::KnownNode*>&, Commands&);
     void tickFetch(MonotonicTime now, Commands&);
+    void tickDeltas(MonotonicTime now, Commands&);
     void tickRole(MonotonicTime now, Commands&);
 
     void sendGossip(const Endpoint&, const NodeName&, Commands&);
@@ -227,13 +244,19 @@
     void recordMatchingTable(const PeerMessage&);
     void recordFloor(const PeerMessage&);
     void processDelta(const PeerMessage&, MonotonicTime now, Commands&);
+    /// Keeps a delta until the next tick, and hands it on if it is news.
+    /// \returns whether it was handed on.
+    bool keepDelta(const PeerMessage&, Commands&);
+    /// Hands on what the version that was adopted changes.
+    void pushChange(const publication::ConfigurationPointer& before, const Endpoint& except, Commands&);
     void compareStamps(const PeerMessage&, bool deltaExpected, MonotonicTime now);
     /// \returns the time to wait before a newer configuration is fetched from a peer.
     std::chrono::milliseconds fetchGrace(bool deltaExpected) const;
     bool isLocal(const NodeName&) const;
-    void processStreamEnds(const PeerMessage&, Commands&);
-    /// Sends the known ends of streams to the neighbours in the relay tree except one, and to some random peers.
-    void pushStreamEnds(const Endpoint& except, Commands&);
+    /// \returns whether an end of a stream was news.
+    bool processStreamEnds(const PeerMessage&, Commands&);
+    /// Sends the known ends of streams to some random peers, and to the neighbours in the relay tree if they are not told otherwise.
+    void pushStreamEnds(const Endpoint& except, bool neighboursKnow, Commands&);
     void answerComparison(const PeerMessage&, Commands&);
     void onAdoption(Adoption, const publication::ConfigurationPointer& before, const Endpoint& source, MonotonicTime now, Commands&);
     bool comparisonDue(const PeerMessage& request, MonotonicTime now);
@@ -245,6 +268,8 @@
     std::mt19937_64 m_random;
     membership::MembershipTable m_members;
     ConfigurationReplica m_replica;
+    PendingDeltas m_pendingDeltas;
+    MonotonicTime m_activationAt;
     VersionFloorTable m_floors;
     VersionFloorGate m_gate;
     RelayTree m_tree;
--- a/packages/distribution/include/carobpath/distribution/ReaderElection.h
+++ b/packages/distribution/include/carobpath/distribution/ReaderElection.h
@@ -2,6 +2,7 @@
 
 #include "carobpath/membership/NodeEntry.h"
 
+#include <chrono>
 #include <cstddef>
 #include <vector>
 
@@ -17,6 +18,23 @@
 /// \returns whether the node is one of the log readers of its failure domain.
 bool isLogReader(const membership::MembershipView&, const NodeName&, const FailureDomainName&);
 
+/// Time within which the store answers all polls that a new record ends.
+inline constexpr std::chrono::milliseconds pollAnswerTime { 150 };
+
+/// What a new record costs the store.
+struct StoreLoad {
+    /// What the store sends to all nodes together; 0 if that is not known.
+    double bytesPerSecond = 0;
+    std::size_t recordBytes = 0;
+};
+
+/// \returns the number of nodes of each failure domain that may wait for new records at the store, so that it answers them within
+/// \c pollAnswerTime; at least \c logReadersPerDomain. The others are told by their peers.
+std::size_t pollingNodesPerDomain(const membership::MembershipView&, const StoreLoad&);
+
+/// \returns whether the node is among the first of its failure domain by rank.
+bool isPollingNode(const membership::MembershipView&, const NodeName&, const FailureDomainName&, std::size_t perDomain);
+
 /// \returns the log readers of all failure domains, ordered by their rank in their domain, so that those next to each other
 /// are in different domains.
 std::vector<const membership::KnownNode*> logReaders(const membership::MembershipView&);
--- a/packages/distribution/src/GossipEngine.cpp
+++ b/packages/distribution/src/GossipEngine.cpp
@@ -27,6 +27,7 @@
     , m_random(random)
     , m_members(std::move(self), now)
     , m_replica(std::move(digest))
+    , m_activationAt(now)
     , m_evidence(std::move(evidence))
     , m_startedAt(now)
     , m_lastTick(now)
@@ -50,6 +51,7 @@
     tickGossip(now, commands);
     tickGate(now, commands);
     tickFetch(now, commands);
+    tickDeltas(now, commands);
     publishState(now, commands);
     tickRole(now, commands);
     return commands;
@@ -171,6 +173,30 @@
     commands.emplace_back(FetchSnapshot { id, source->peer, source->scope });
 }
 
+void GossipEngine::tickDeltas(MonotonicTime now, Commands& commands)
+{
+    if (!m_replica.current() || now < m_activationAt)
+        return;
+    const auto deltas = m_pendingDeltas.takeFrom(m_replica.current()->stamp.offset);
+    if (deltas.empty())
+        return;
+    const auto before = m_replica.current();
+    const auto adoption = m_replica.applyDeltas(deltas);
+    onAdoption(adoption, before, Endpoint {}, now, commands);
+    if (adoption != Adoption::Adopted)
+        return;
+    m_counters.deltasApplied += deltas.size();
+    for (const auto& it : deltas) {
+        if (it->span)
+            commands.emplace_back(CoverRecords { *it->span, true });
+    }
+}
+
+void GossipEngine::onActivated(std::chrono::nanoseconds took, MonotonicTime now)
+{
+    m_activationAt = now + std::min<std::chrono::nanoseconds>(took * s_activationDivisor, s_longestActivationWait);
+}
+
 void GossipEngine::tickRole(MonotonicTime now, Commands& commands)
 {
     const bool joinTimedOut = !m_receivedFromJoinedPeer && now - m_startedAt >= m_joinTimeout;
@@ -214,11 +240,11 @@
     commands.emplace_back(SetReady { ready });
 }
 
-Commands GossipEngine::onLogAdvanced(publication::ConfigurationPointer replayed, MonotonicTime now)
+Commands GossipEngine::onLogAdvanced(publication::ConfigurationPointer replayed, MonotonicTime now, const std::optional<publication::RecordSpan>& span)
 {
     Commands commands;
     const auto before = m_replica.current();
-    onAdoption(m_replica.adoptFromLog(std::move(replayed)), before, Endpoint {}, now, commands);
+    onAdoption(m_replica.adoptFromLog(std::move(replayed), span), before, Endpoint {}, now, commands);
     publishState(now, commands);
     return commands;
 }
@@ -235,7 +261,7 @@
 {
     Commands commands;
     if (m_streamEnds.advance(reached))
-        pushStreamEnds(Endpoint {}, commands);
+        pushStreamEnds(Endpoint {}, false, commands);
     return commands;
 }
 
--- a/packages/distribution/src/GossipMessages.cpp
+++ b/packages/distribution/src/GossipMessages.cpp
@@ -132,14 +132,17 @@
     m_isViewUrgent = m_isViewUrgent || !merged.urgent.empty();
     push(content, message.sender, commands);
     pushNotices(m_evidence.merge(message.evidence), message.sender, commands);
-    processStreamEnds(message, commands);
+    const bool hasNewEnd = processStreamEnds(message, commands);
     const bool hadDelta = message.delta != nullptr;
-    if (hadDelta)
+    const bool isHandedOn = hadDelta && m_eachNodeReads && keepDelta(message, commands);
+    if (hadDelta && !m_eachNodeReads)
         processDelta(message, now, commands);
+    if (hasNewEnd)
+        pushStreamEnds(message.sender, isHandedOn, commands);
     compareStamps(message, !hadDelta, now);
 }
 
-void GossipEngine::processStreamEnds(const PeerMessage& message, Commands& commands)
+bool GossipEngine::processStreamEnds(const PeerMessage& message, Commands& commands)
 {
     bool hasNews = false;
     for (const auto& it : message.streamEnds) {
@@ -148,15 +151,16 @@
         hasNews = true;
         commands.emplace_back(AdvanceStream { it });
     }
-    if (hasNews)
-        pushStreamEnds(message.sender, commands);
+    return hasNews;
 }
 
-void GossipEngine::pushStreamEnds(const Endpoint& except, Commands& commands)
+void GossipEngine::pushStreamEnds(const Endpoint& except, bool neighboursKnow, Commands& commands)
 {
     std::set<Endpoint> receivers;
-    for (const auto* it : m_tree.neighbours())
-        receivers.insert(it->addresses.peer);
+    for (const auto* it : m_tree.neighbours()) {
+        if (!neighboursKnow)
+            receivers.insert(it->addresses.peer);
+    }
     for (std::size_t i = 0; i < s_streamEndFanOut; ++i) {
         if (const auto* peer = m_tree.randomPeer(m_random))
             receivers.insert(peer->addresses.peer);
@@ -190,6 +194,23 @@
     onAdoption(adoption, before, message.sender, now, commands);
 }
 
+bool GossipEngine::keepDelta(const PeerMessage& message, Commands& commands)
+{
+    const auto& delta = message.delta;
+    const auto& current = m_replica.current();
+    if (current && current->stamp.offset >= delta->result.offset)
+        return false;
+    m_pendingDeltas.add(delta);
+    if (delta->span)
+        commands.emplace_back(CoverRecords { *delta->span, false });
+    if (!m_pendingDeltas.markSeen(delta->result))
+        return false;
+    PushContent content;
+    content.delta = delta;
+    push(content, message.sender, commands);
+    return true;
+}
+
 void GossipEngine::compareStamps(const PeerMessage& message, bool deltaExpected, MonotonicTime now)
 {
     if (m_joining && !message.joining) {
@@ -228,12 +249,18 @@
     if (!m_joining)
         m_fetch.clear();
     notifyWitnesses(source, commands);
-    if (!before || m_eachNodeReads)
-        return;
+    // Where each node reads, several read the same version, and one that came from a peer was handed on when it came.
+    const bool isKnown = m_eachNodeReads && !m_pendingDeltas.markSeen(m_replica.current()->stamp);
+    if (before && !isKnown)
+        pushChange(before, source, commands);
+}
+
+void GossipEngine::pushChange(const publication::ConfigurationPointer& before, const Endpoint& except, Commands& commands)
+{
     PushContent content;
     content.delta = m_replica.deltaFrom(before->stamp);
     if (maySend(content.delta))
-        push(content, source, commands);
+        push(content, except, commands);
 }
 
 void GossipEngine::notifyWitnesses(const Endpoint& except, Commands& commands)
--- a/packages/distribution/src/ReaderElection.cpp
+++ b/packages/distribution/src/ReaderElection.cpp
@@ -35,6 +35,25 @@
     return std::any_of(ranked.begin(), end, [&](const auto* it) { return it->entry.name == node; });
 }
 
+std::size_t pollingNodesPerDomain(const membership::MembershipView& view, const StoreLoad& load)
+{
+    if (load.bytesPerSecond <= 0)
+        return view.nodes.size();
+    const auto seconds = std::chrono::duration<double> { pollAnswerTime }.count();
+    const auto answered = static_cast<std::size_t>(load.bytesPerSecond * seconds / static_cast<double>(std::max<std::size_t>(load.recordBytes, 1)));
+    std::set<FailureDomainName> domains;
+    for (const auto& it : view.nodes)
+        domains.insert(it.entry.domain);
+    return std::max(logReadersPerDomain, answered / std::max<std::size_t>(domains.size(), 1));
+}
+
+bool isPollingNode(const membership::MembershipView& view, const NodeName& node, const FailureDomainName& domain, std::size_t perDomain)
+{
+    const auto ranked = rankedNodes(view, domain);
+    const auto self = std::find_if(ranked.begin(), ranked.end(), [&](const auto* it) { return it->entry.name == node; });
+    return self == ranked.end() || static_cast<std::size_t>(self - ranked.begin()) < perDomain;
+}
+
 std::vector<const membership::KnownNode*> logReaders(const membership::MembershipView& view)
 {
     std::set<FailureDomainName> domains;
--- a/packages/distribution/tests/Fleet.h
+++ b/packages/distribution/tests/Fleet.h
@@ -60,6 +60,8 @@
 
     /// Appends a version to the log. \returns its offset.
     publication::Offset publish();
+    /// Appends a version in which each route has changed. \returns its offset.
+    publication::Offset publishWholeChange();
     /// Starts a process without state at the node's address.
     void start(std::size_t node);
     void startAll();
@@ -165,6 +167,7 @@
     PeerMessage asReceived(const PeerMessage&);
     Digest digestOf(const publication::ConfigurationSet&) const;
     publication::ConfigurationPointer makeVersion(publication::Offset) const;
+    publication::Offset append(publication::ConfigurationPointer);
 
     FleetOptions m_options;
     std::mt19937_64 m_random;
--- a/packages/node/src/internal/FleetDriver.cpp
+++ b/packages/node/src/internal/FleetDriver.cpp
@@ -113,11 +113,25 @@
     m_deliveryTimeout = publication::ReadWatchdog::deliveryTimeoutFor(aliveNodes(view), readRate);
     if (!m_reader)
         return;
+    m_isPollingNode = isPollingNodeIn(view);
     m_directory->onView(view);
     m_reader->setCheckSchedule(m_checkSchedule);
     m_reader->setDeliveryTimeout(m_deliveryTimeout);
 }
 
+bool FleetDriver::isPollingNodeIn(const membership::MembershipView& view) const
+{
+    const auto& settings = m_context.settings;
+    const distribution::StoreLoad load { settings.log.readMegabytes * bytesPerMegabyte, m_configurationBytes };
+    return distribution::isPollingNode(view, settings.name, settings.failureDomain, distribution::pollingNodesPerDomain(view, load));
+}
+
+void FleetDriver::onTick(MonotonicTime now, bool isIsolated)
+{
+    m_reader->setPolling(m_isPollingNode || isIsolated);
+    m_reader->onTick(now);
+}
+
 void FleetDriver::onStreamAdvanced(const distribution::StreamEnd& reached)
 {
     if (reached.stream == platform::operatorStream && m_reader) {
@@ -128,6 +142,18 @@
         m_moves->onStatusEndKnown(reached.end);
 }
 
+void FleetDriver::onRecordsCovered(const distribution::CoverRecords& covered)
+{
+    if (!m_reader)
+        return;
+    if (!covered.isAdopted) {
+        m_reader->onCoverPending(covered.span);
+        return;
+    }
+    m_coveredEnd = std::max(m_coveredEnd, publication::StreamPosition { covered.span.era, covered.span.end });
+    m_reader->onCovered(std::string { platform::configurationKey }, covered.span);
+}
+
 void FleetDriver::recordStreamAhead(const distribution::StreamEnd& reached)
 {
     if (reached.end <= m_reader->position())
@@ -203,12 +229,15 @@
 
 bool FleetDriver::onConfigurationRecord(const publication::KeyedRecord& record)
 {
+    if (publication::StreamPosition { record.era, record.offset } < m_coveredEnd)
+        return true;
     return boost::leaf::try_handle_all(
         [&]() -> Result<bool> {
             const auto read = m_reader->answeredRead();
             const auto begunAt = MonotonicClock::now();
             BOOST_LEAF_AUTO(configuration, m_configurations.read(*record.value));
-            m_hooks.onConfiguration(configuration);
+            m_configurationBytes = record.value->size();
+            m_hooks.onConfiguration(configuration, m_reader->spanOf(record.key));
             const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicClock::now() - begunAt);
             recordConfigurationRead(read, *configuration, record.value->size(), took);
             return true;
--- a/packages/node/src/internal/FleetDriver.h
+++ b/packages/node/src/internal/FleetDriver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "carobpath/distribution/GossipEngine.h"
 #include "carobpath/distribution/StreamEnds.h"
 #include "carobpath/gateway/AdminServer.h"
 #include "carobpath/platform/ConfigurationReader.h"
@@ -21,7 +22,8 @@
 
 /// What a node that runs in the shared fleet tells the rest of the node.
 struct FleetHooks {
-    std::function<void(const publication::ConfigurationPointer&)> onConfiguration;
+    /// With the records that led to it, if they are all configurations.
+    std::function<void(const publication::ConfigurationPointer&, const std::optional<publication::RecordSpan>&)> onConfiguration;
     /// The operator's stream was read to its end.
     std::function<void()> onStoreRead;
     std::function<void(const std::vector<Endpoint>& peers)> onPeersFound;
@@ -54,13 +56,18 @@
     void onView(const membership::MembershipView&);
     /// A peer knows that a stream reaches this end.
     void onStreamAdvanced(const distribution::StreamEnd&);
+    /// A peer has handed on what these records of the operator's stream led to.
+    void onRecordsCovered(const distribution::CoverRecords&);
     /// The store has come back from a copy.
     void onStoreReturned(const platform::StoreEraChange&);
-    void onTick(MonotonicTime now) { m_reader->onTick(now); }
+    /// \param isIsolated whether no other node has been heard for a while, so that none can tell of new records.
+    void onTick(MonotonicTime now, bool isIsolated);
 
 private:
     using Reader = KeyedReader<platform::StoreClient>;
 
+    /// \returns whether this node waits for new records at the store, as far as its rank decides.
+    bool isPollingNodeIn(const membership::MembershipView&) const;
     KeyedReaderHooks readerHooks();
     StreamHooks streamHooks(std::string_view stream);
     /// Logs that a peer knows more of the operator's stream than this node has read.
@@ -85,6 +92,11 @@
     FleetHooks m_hooks;
     std::shared_ptr<Reader> m_reader;
     platform::ConfigurationReader m_configurations;
+    /// Size of the last configuration that was read; allows for a large one before the first.
+    std::size_t m_configurationBytes = publication::ReadWatchdog::s_largeAnswerBytes;
+    bool m_isPollingNode = true;
+    /// The end of the configurations that peers handed on and that are held.
+    publication::StreamPosition m_coveredEnd;
     /// When this node checks the streams; nothing if other nodes check them.
     std::optional<publication::CheckSchedule> m_checkSchedule;
     /// For the operator's stream, whose records are large; those of the stream of states are not.
--- a/packages/node/src/internal/KeyedReader.h
+++ b/packages/node/src/internal/KeyedReader.h
@@ -94,6 +94,15 @@
     /// Sets the time in which a pending read must deliver a record that exists, see \c ReadWatchdog::deliveryTimeoutFor.
     void setDeliveryTimeout(std::chrono::milliseconds timeout) { m_watchdog.setDeliveryTimeout(timeout); }
 
+    /// Sets whether this node waits for new records at the store. Otherwise it rests until another node tells of some, and reads
+    /// them only if they are not handed on.
+    void setPolling(bool polling)
+    {
+        m_isPolling = polling;
+        if (m_isPolling && m_isResting)
+            read();
+    }
+
     /// Another node knows that the stream reaches this end.
     void onEndKnown(publication::StreamPosition end)
     {
@@ -103,6 +112,28 @@
         m_watchdog.onEndKnown(end, now);
     }
 
+    /// Another node has handed on what these records led to, all of which are of this key.
+    void onCovered(const std::string& key, const publication::RecordSpan& span)
+    {
+        if (!m_follower.onCovered(key, span))
+            return;
+        m_watchdog.onCovered(m_follower.position());
+        if (m_follower.position() >= m_watchdog.knownEnd())
+            m_behindSince.reset();
+        if (m_pausedAt)
+            m_follower.onIdle();
+    }
+
+    /// Another node has handed on what these records led to, which will be in force soon.
+    void onCoverPending(const publication::RecordSpan& span)
+    {
+        m_pendingEnd = std::max(m_pendingEnd, publication::StreamPosition { span.era, span.end });
+        m_pendingAt = MonotonicClock::now();
+    }
+
+    /// \returns the records up to the position that are all of this key; empty if the last one is of another key.
+    std::optional<publication::RecordSpan> spanOf(const std::string& key) const { return m_follower.spanOf(key); }
+
     /// The store has come back from a copy: the stream is listed again, at a random time soon.
     void onEra(publication::StoreEra era)
     {
@@ -119,6 +150,13 @@
     {
         if (m_stopped)
             return;
+        if (isHandedOn(now))
+            return;
+        if (m_pausedAt && hasMissedNews(now)) {
+            m_retry.cancel();
+            read();
+            return;
+        }
         switch (m_watchdog.next(now)) {
         case publication::ReadStep::ReadAgain:
             readAgain();
@@ -165,16 +203,24 @@
 private:
     static constexpr std::chrono::milliseconds s_retryBase { 200 };
     static constexpr std::chrono::milliseconds s_retryCap { 1'500 };
-    /// Time between two answers with news, so that changes in quick succession are read together. It counts from the moment
-    /// an answer was made: one that took long on its way is that old already.
+    /// Bounds of the time between two answers with news, so that changes in quick succession are read together. Each node draws
+    /// its own time: then one of those that poll waits at the store again soon, and hands on what it reads. The time counts from
+    /// the moment an answer was made: one that took long on its way is that old already.
+    static constexpr std::chrono::milliseconds s_shortestNewsInterval { 100 };
     static constexpr std::chrono::milliseconds s_newsInterval { 1'000 };
-    /// Leaves an instance with a busy link some time for calls between two large answers.
+    /// Leaves an instance with a busy link some time for calls before it reads what was not handed on.
     static constexpr std::chrono::milliseconds s_shortestNewsPause { 300 };
+    /// Time within which another node hands on a record whose existence is known.
+    static constexpr std::chrono::milliseconds s_handOnTime { 120 };
+    /// Time within which a version that another node has handed on is in force.
+    static constexpr std::chrono::milliseconds s_activationTime { 800 };
     /// Listings of the nodes that notice a new era together are spread over this time.
     static constexpr std::chrono::milliseconds s_eraSpread { 500 };
 
     void read()
     {
+        m_pausedAt.reset();
+        m_isResting = false;
         auto handler = [self = this->shared_from_this(), number = ++m_readNumber](publication::KeyedResult result) {
             if (!self->m_stopped && number == self->m_readNumber)
                 self->onResult(std::move(result));
@@ -273,22 +319,72 @@
         if (m_stopped)
             return;
         if (!m_follower.shouldPause()) {
-            read();
+            readOrRest();
             return;
         }
         m_watchdog.onRecordsRead(MonotonicClock::now());
-        readAfter(newsPause());
+        m_lastReadCost = readCost();
+        pause(newsPause());
+    }
+
+    /// Waits before the next read. The pause ends early if records are known that no other node hands on.
+    void pause(std::chrono::milliseconds time)
+    {
+        m_pausedAt = MonotonicClock::now();
+        m_retry.expires_after(time);
+        m_retry.async_wait([self = this->shared_from_this()](boost::system::error_code ec) {
+            if (!ec && !self->m_stopped)
+                self->readOrRest();
+        });
+    }
+
+    void readOrRest()
+    {
+        const bool isBehind = m_watchdog.knownEnd() > m_follower.position();
+        if (m_isPolling || isBehind || m_follower.needsListing() || m_follower.isReadingOmitted()) {
+            read();
+            return;
+        }
+        m_isResting = true;
+        m_pausedAt = MonotonicClock::now();
+    }
+
+    /// \returns whether all that is known to be new has come from another node and is about to be in force.
+    bool isHandedOn(MonotonicTime now) const
+    {
+        const bool isBehind = m_watchdog.knownEnd() > m_follower.position();
+        return isBehind && m_watchdog.knownEnd() <= m_pendingEnd && now - m_pendingAt < s_activationTime;
+    }
+
+    /// \returns whether records are known that no other node has handed on, and the last read is long enough ago.
+    bool hasMissedNews(MonotonicTime now) const
+    {
+        const bool isBehind = m_watchdog.knownEnd() > m_follower.position();
+        return isBehind && now - m_watchdog.knownEndAt() >= s_handOnTime && now - *m_pausedAt >= shortestPause();
+    }
+
+    /// \returns a pause that leaves at least as much time for calls, and for other readers, as the last read took.
+    std::chrono::milliseconds shortestPause() const { return std::clamp(m_lastReadCost, s_shortestNewsPause, s_newsInterval); }
+
+    /// \returns the time from when the records that were read had to exist until now.
+    std::chrono::milliseconds readCost() const
+    {
+        const auto begunAt = m_sentKind == publication::ReadKind::LongPoll ? m_begunAt.value_or(m_sentAt) : m_sentAt;
+        return std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicClock::now() - begunAt);
     }
 
-    std::chrono::milliseconds newsPause() const
+    std::chrono::milliseconds newsPause()
     {
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicClock::now() - m_answerMadeAt);
-        return std::max(s_shortestNewsPause, s_newsInterval - age);
+        std::uniform_int_distribution<std::int64_t> interval { s_shortestNewsInterval.count(), s_newsInterval.count() };
+        return std::max(s_shortestNewsInterval, std::chrono::milliseconds { interval(m_random) } - age);
     }
 
-    void readAfter(std::chrono::milliseconds pause)
+    void readAfter(std::chrono::milliseconds time)
     {
-        m_retry.expires_after(pause);
+        m_pausedAt.reset();
+        m_isResting = false;
+        m_retry.expires_after(time);
         m_retry.async_wait([self = this->shared_from_this()](boost::system::error_code ec) {
             if (!ec && !self->m_stopped)
                 self->read();
@@ -339,6 +435,15 @@
     std::optional<MonotonicTime> m_answeredAt;
     /// When this node was told of records that it has not read; empty if it knows of none.
     std::optional<MonotonicTime> m_behindSince;
+    /// When the pause after an answer with news began; empty if there is none.
+    std::optional<MonotonicTime> m_pausedAt;
+    bool m_isPolling = true;
+    /// Neither a read nor a timer is pending: another node tells of what is new.
+    bool m_isResting = false;
+    /// The end of what other nodes have handed on, and when the last of it came.
+    publication::StreamPosition m_pendingEnd;
+    MonotonicTime m_pendingAt;
+    std::chrono::milliseconds m_lastReadCost {};
     bool m_available = true;
     bool m_stopped = false;
 };
--- a/packages/node/src/internal/NodeAssembly.cpp
+++ b/packages/node/src/internal/NodeAssembly.cpp
@@ -19,6 +19,8 @@
     constexpr std::uint32_t placesInFleet = 6;
     constexpr std::chrono::milliseconds tickInterval { 100 };
     constexpr std::chrono::milliseconds slowTickInterval { 1'000 };
+    /// A node that has heard no peer for longer than this looks for new orders itself.
+    constexpr std::chrono::milliseconds longestPeerSilence { 1'200 };
     /// A tick that is later than this is recorded.
     constexpr std::chrono::milliseconds recordedDelay { 200 };
 
@@ -211,7 +213,7 @@
                         .with("failureDomain", m_settings.failureDomain));
 }
 
-void NodeAssembly::onConfigurationRead(const publication::ConfigurationPointer& configuration)
+void NodeAssembly::onConfigurationRead(const publication::ConfigurationPointer& configuration, const std::optional<publication::RecordSpan>& span)
 {
     if (m_configuration && configuration->stamp.offset < m_configuration->stamp.offset) {
         m_events.record(Event(event::configurationPassedOver)
@@ -219,7 +221,7 @@
                             .with("held", m_configuration->stamp.offset));
     }
     m_readStamp = configuration->stamp;
-    m_peers->publishConfiguration(configuration);
+    m_peers->publishConfiguration(configuration, span);
 }
 
 void NodeAssembly::onConfiguration(const publication::ConfigurationPointer& configuration)
@@ -319,7 +321,7 @@
 {
     m_upstream->onTick();
     if (m_fleet)
-        m_fleet->onTick(MonotonicClock::now());
+        m_fleet->onTick(MonotonicClock::now(), MonotonicClock::now() - m_peers->heardAt() > longestPeerSilence);
     m_metrics.setAdmission(m_controller.inFlight(), m_controller.waiting());
     m_linkLoad = m_gateway->linkLoad();
     m_metrics.setLink(m_linkLoad);
--- a/packages/node/src/internal/NodeAssembly.h
+++ b/packages/node/src/internal/NodeAssembly.h
@@ -68,7 +68,8 @@
     void recordStarted();
 
     /// A configuration was read from the store; it comes into force if none as new is held.
-    void onConfigurationRead(const publication::ConfigurationPointer&);
+    /// \param span the records that led to it, if they are all configurations.
+    void onConfigurationRead(const publication::ConfigurationPointer&, const std::optional<publication::RecordSpan>& span);
     void onConfiguration(const publication::ConfigurationPointer&);
     void onView(const std::shared_ptr<const membership::MembershipView>&);
     void onReady(bool exchangeReady);
--- a/packages/node/src/internal/NodeAssemblyHooks.cpp
+++ b/packages/node/src/internal/NodeAssemblyHooks.cpp
@@ -43,7 +43,7 @@
 FleetHooks NodeAssembly::fleetHooks()
 {
     FleetHooks hooks;
-    hooks.onConfiguration = [this](const publication::ConfigurationPointer& it) { onConfigurationRead(it); };
+    hooks.onConfiguration = [this](const publication::ConfigurationPointer& it, const auto& span) { onConfigurationRead(it, span); };
     hooks.onStoreRead = [this] {
         m_peers->reportLogEnd();
         setOrdersKnown();
@@ -97,7 +97,7 @@
     hooks.onStart = [this](const publication::CheckpointMatched& start) { m_checkpoints->onRecovered(start); };
     hooks.onEnd = [this](const publication::ConfigurationPointer& configuration) {
         if (configuration)
-            onConfigurationRead(configuration);
+            onConfigurationRead(configuration, std::nullopt);
         m_peers->reportLogEnd();
     };
     hooks.onAvailable = [this](bool available) {
@@ -122,6 +122,10 @@
         if (m_fleet)
             m_fleet->onStreamAdvanced(reached);
     };
+    callbacks.onRecordsCovered = [this](const distribution::CoverRecords& it) {
+        if (m_fleet)
+            m_fleet->onRecordsCovered(it);
+    };
     callbacks.onFetchEnded = [this](const peer::EndedFetch& it) {
         m_events.record(Event(event::stateFetched).with("peer", it.peer).with("succeeded", it.succeeded).with("openMs", it.took));
     };
--- a/packages/node/tests/KeyedReaderTests.cpp
+++ b/packages/node/tests/KeyedReaderTests.cpp
@@ -304,6 +304,79 @@
     BOOST_TEST(availability.empty());
 }
 
+BOOST_AUTO_TEST_CASE(Records_that_a_peer_handed_on_are_neither_awaited_nor_listed)
+{
+    store.append("second");
+    reader->onEndKnown(store.end());
+    reader->onCovered("config", { {}, 1, 2 });
+    tickAfter(10 * publication::ReadWatchdog::s_deliveryTimeout);
+    BOOST_TEST(store.listings.size() == 1U);
+    BOOST_TEST((reader->position() == StreamPosition { {}, 2 }));
+}
+
+BOOST_AUTO_TEST_CASE(After_a_pause_in_which_peers_handed_on_what_is_new_the_node_polls_from_there)
+{
+    store.append("second");
+    store.reads.front()(publication::KeyedBatch { 2, { store.records.back() } });
+    store.append("third");
+    reader->onEndKnown(store.end());
+    reader->onCovered("config", { {}, 1, 3 });
+    tickAfter(900ms);
+    BOOST_TEST(store.reads.size() == 1U);
+    io.run_for(1'200ms);
+    BOOST_REQUIRE(store.reads.size() == 2U);
+    BOOST_TEST((reader->position() == StreamPosition { {}, 3 }));
+    BOOST_TEST(store.listings.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(A_pause_ends_soon_if_what_is_known_to_be_new_is_not_handed_on)
+{
+    store.append("second");
+    store.reads.front()(publication::KeyedBatch { 2, { store.records.back() } });
+    store.append("third");
+    reader->onEndKnown(store.end());
+    tickAfter(100ms);
+    BOOST_TEST(store.reads.size() == 1U);
+    tickAfter(400ms);
+    BOOST_TEST(store.reads.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(What_a_peer_handed_on_is_read_if_it_does_not_come_into_force)
+{
+    store.append("second");
+    reader->onEndKnown(store.end());
+    reader->onCoverPending({ {}, 1, 2 });
+    tickAfter(500ms);
+    BOOST_TEST(store.listings.size() == 1U);
+    tickAfter(1'000ms);
+    BOOST_TEST(store.listings.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(A_node_that_does_not_poll_rests_until_it_is_told_of_news_that_nobody_hands_on)
+{
+    reader->setPolling(false);
+    store.append("second");
+    store.reads.front()(publication::KeyedBatch { 2, { store.records.back() } });
+    io.run_for(1'200ms);
+    BOOST_TEST(store.reads.size() == 1U);
+    store.append("third");
+    reader->onEndKnown(store.end());
+    tickAfter(1'000ms);
+    BOOST_REQUIRE(store.reads.size() == 2U);
+    store.reads.back()(publication::KeyedBatch { 3, { store.records.back() } });
+    BOOST_TEST((delivered == std::vector<std::string> { "first", "second", "third" }));
+}
+
+BOOST_AUTO_TEST_CASE(A_node_that_rested_polls_as_soon_as_it_has_to)
+{
+    reader->setPolling(false);
+    store.append("second");
+    store.reads.front()(publication::KeyedBatch { 2, { store.records.back() } });
+    io.run_for(1'200ms);
+    reader->setPolling(true);
+    BOOST_TEST(store.reads.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
--- a/packages/peer/include/carobpath/peer/ExchangeRunner.h
+++ b/packages/peer/include/carobpath/peer/ExchangeRunner.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 
 namespace carobpath::peer {
 
@@ -37,6 +38,8 @@
     std::function<void(bool)> onReady;
     /// A peer knows that a stream of the log reaches further than this node has read.
     std::function<void(const distribution::StreamEnd&)> onStreamAdvanced;
+    /// A peer has handed on what these records of the log, all configurations, led to.
+    std::function<void(const distribution::CoverRecords&)> onRecordsCovered;
     /// A fetch of a peer's state has ended, well or not.
     std::function<void(const EndedFetch&)> onFetchEnded;
     /// Another node forwards a claim of an idempotency key; the reply may be given later.
@@ -81,7 +84,8 @@
     Endpoint endpoint() const;
 
     /// This node folded a version from the log.
-    void publishConfiguration(publication::ConfigurationPointer);
+    /// \param span the records that led to it, if they are all configurations.
+    void publishConfiguration(publication::ConfigurationPointer, const std::optional<publication::RecordSpan>& span = std::nullopt);
     /// This node has read the log to its end.
     void reportLogEnd();
     /// A stream reaches this end, as far as this node knows from the log.
@@ -99,6 +103,8 @@
     /// Calls of the ledger to other nodes.
     PeerClient& client();
     bool ready() const;
+    /// \returns when a message of another node last came.
+    MonotonicTime heardAt() const;
     const distribution::GossipEngine& exchange() const;
 
 private:
--- a/packages/peer/schema/Peer.capnp
+++ b/packages/peer/schema/Peer.capnp
@@ -104,6 +104,14 @@
   removedMoves @9 :List(Text);
   workspaces @10 :List(Text);
   removedWorkspaces @11 :List(Text);
+  # Absent where the records that led to the result are not all configurations.
+  span @12 :RecordSpan;
+}
+
+struct RecordSpan {
+  era @0 :UInt64;
+  since @1 :UInt64;
+  end @2 :UInt64;
 }
 
 struct StreamEnd {
--- a/packages/peer/src/ExchangeRunner.cpp
+++ b/packages/peer/src/ExchangeRunner.cpp
@@ -1,10 +1,13 @@
 #include "carobpath/peer/ExchangeRunner.h"
 
-#include "carobpath/publication/Codec.h"
+#include "carobpath/publication/SetDigester.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
+#include <variant>
+
 namespace carobpath::peer {
 
 using distribution::Commands;
@@ -38,10 +41,15 @@
         , timer(runtime->context())
     {
         parts.self.addresses.peer = server.endpoint();
-        exchange = std::make_unique<GossipEngine>(std::move(parts.self), std::move(parts.seeds), publication::digestOfSet, std::move(parts.evidence), parts.random, MonotonicClock::now());
+        exchange = std::make_unique<GossipEngine>(std::move(parts.self), std::move(parts.seeds), digestFunction(), std::move(parts.evidence), parts.random, MonotonicClock::now());
         exchange->setEachNodeReads(parts.eachNodeReads);
     }
 
+    static distribution::SetDigest digestFunction()
+    {
+        return [digester = std::make_shared<publication::SetDigester>()](const publication::ConfigurationSet& set) { return digester->digestOf(set); };
+    }
+
     PeerHooks hooks()
     {
         PeerHooks it;
@@ -62,12 +70,23 @@
         timer.async_wait([this, alive = std::weak_ptr<bool>(life)](const boost::system::error_code& ec) {
             if (ec || alive.expired())
                 return;
-            run(exchange->tick(MonotonicClock::now()));
+            tick();
             if (!stopped)
                 scheduleTick();
         });
     }
 
+    void tick()
+    {
+        const auto begunAt = MonotonicClock::now();
+        auto commands = exchange->tick(begunAt);
+        const bool activates = std::any_of(commands.begin(), commands.end(), [](const auto& it) { return std::holds_alternative<distribution::ActivateConfiguration>(it); });
+        run(std::move(commands));
+        const auto now = MonotonicClock::now();
+        if (activates)
+            exchange->onActivated(now - begunAt, now);
+    }
+
     PeerMessage answer(const PeerMessage& request)
     {
         hear(request);
@@ -86,6 +105,7 @@
 
     void hear(const PeerMessage& message)
     {
+        heardAt = MonotonicClock::now();
         if (callbacks.onHybridTime)
             callbacks.onHybridTime(HybridTime { message.hybridMilliseconds, message.hybridCounter });
     }
@@ -182,6 +202,12 @@
             callbacks.onStreamAdvanced(it.reached);
     }
 
+    void execute(const distribution::CoverRecords& it) const
+    {
+        if (callbacks.onRecordsCovered)
+            callbacks.onRecordsCovered(it);
+    }
+
     void reportFetch(const Endpoint& peer, bool succeeded, MonotonicTime sentAt) const
     {
         if (callbacks.onFetchEnded)
@@ -221,6 +247,7 @@
     PeerClient client;
     PeerServer server;
     boost::asio::steady_timer timer;
+    MonotonicTime heardAt = MonotonicClock::now();
     bool stopped = false;
 };
 
@@ -255,9 +282,9 @@
     return m_impl->exchange->members().self().addresses.peer;
 }
 
-void ExchangeRunner::publishConfiguration(publication::ConfigurationPointer folded)
+void ExchangeRunner::publishConfiguration(publication::ConfigurationPointer folded, const std::optional<publication::RecordSpan>& span)
 {
-    m_impl->run(m_impl->exchange->onLogAdvanced(std::move(folded), MonotonicClock::now()));
+    m_impl->run(m_impl->exchange->onLogAdvanced(std::move(folded), MonotonicClock::now(), span));
 }
 
 void ExchangeRunner::reportLogEnd()
@@ -305,6 +332,8 @@
     return m_impl->exchange->ready();
 }
 
+MonotonicTime ExchangeRunner::heardAt() const { return m_impl->heardAt; }
+
 const GossipEngine& ExchangeRunner::exchange() const
 {
     return *m_impl->exchange;
--- a/packages/peer/src/internal/ConfigurationConversions.cpp
+++ b/packages/peer/src/internal/ConfigurationConversions.cpp
@@ -58,6 +58,18 @@
         return names;
     }
 
+    void writeSpan(const publication::RecordSpan& span, schema::RecordSpan::Builder to)
+    {
+        to.setEra(span.era.number);
+        to.setSince(span.since);
+        to.setEnd(span.end);
+    }
+
+    publication::RecordSpan readSpan(schema::RecordSpan::Reader from)
+    {
+        return { publication::StoreEra { from.getEra() }, from.getSince(), from.getEnd() };
+    }
+
     template <typename Items>
     unsigned sizeOf(const Items& items)
     {
@@ -99,6 +111,8 @@
     writeNames(it.removedMoves, to.initRemovedMoves(sizeOf(it.removedMoves)));
     if (!it.removedWorkspaces.empty())
         writeNames(it.removedWorkspaces, to.initRemovedWorkspaces(sizeOf(it.removedWorkspaces)));
+    if (it.span)
+        writeSpan(*it.span, to.initSpan());
 }
 
 Result<distribution::Delta> read(schema::Delta::Reader from)
@@ -116,6 +130,8 @@
     BOOST_LEAF_ASSIGN(delta.removedVersions, readNames<VersionName>(from.getRemovedVersions()));
     BOOST_LEAF_ASSIGN(delta.removedMoves, readNames<MoveName>(from.getRemovedMoves()));
     BOOST_LEAF_ASSIGN(delta.removedWorkspaces, readNames<WorkspaceName>(from.getRemovedWorkspaces()));
+    if (from.hasSpan())
+        delta.span = readSpan(from.getSpan());
     return delta;
 }
 
--- a/packages/publication/include/carobpath/publication/KeyedFollower.h
+++ b/packages/publication/include/carobpath/publication/KeyedFollower.h
@@ -22,7 +22,7 @@
 class KeyedFollower {
 public:
     /// \returns whether the next request must be a listing rather than a read from \c nextRead.
-    bool needsListing() const { return m_needsListing; }
+    bool needsListing() const { return m_needsListing || m_isBusy; }
     Offset nextRead() const { return m_nextRead; }
     /// \returns whether the next read is for records that a listing omitted.
     bool isReadingOmitted() const { return m_isRereading; }
@@ -30,9 +30,21 @@
     /// \returns whether the next request should be delayed, so that one answer contains more updates.
     bool shouldPause() const { return m_shouldPause; }
 
+    /// \returns the known records up to the position that are all of this key; empty if the last one is of another key.
+    std::optional<RecordSpan> spanOf(const std::string& key) const;
+
+    /// Must be called if another node has handed on what a span of records led to, all of which are of this key. The records
+    /// are not read any more if the span adjoins the position.
+    /// \returns whether the position has moved.
+    bool onCovered(const std::string& key, const RecordSpan&);
+
+    /// May be called while no request is pending and nothing known is left to read: the next request need not be a listing, even
+    /// if a key changed fast.
+    void onIdle() { m_isBusy = false; }
+
     /// \returns whether an answer can be used. One of an earlier era cannot, and neither can an answer to a read if it is of a
     /// later era than the position that was read from: it lacks the records before that position.
-    bool accepts(const KeyedBatch& batch) const { return batch.era == m_era || (m_needsListing && batch.era > m_era); }
+    bool accepts(const KeyedBatch& batch) const { return batch.era == m_era || (needsListing() && batch.era > m_era); }
 
     /// Processes the answer to a listing or a read, which must be acceptable.
     /// \returns for each key the records that are newer than the known ones, ordered by the newest offset of each key.
@@ -47,6 +59,7 @@
     {
         m_needsListing = true;
         m_isRereading = false;
+        m_coveredEnd = 0;
     }
 
     /// Must be called when a connection was lost; a listing provides the records written in the meantime.
@@ -57,7 +70,14 @@
     bool onEra(StoreEra);
 
 private:
+    /// Records of one key that end at the position.
+    struct Run {
+        std::string key;
+        Offset since = 0;
+    };
+
     std::vector<KeyUpdates> collectUpdates(const KeyedBatch&);
+    void extendRun(const KeyedBatch&, bool isListing);
     void planNext(bool wasListing, const std::vector<KeyUpdates>&);
     bool isRefused(const KeyedRecord&) const;
     /// \returns whether a newer record has replaced the refused one, so that the omitted ones are not needed.
@@ -76,6 +96,9 @@
     /// between does not contain them.
     bool m_isRereading = false;
     Offset m_nextRead = 0;
+    /// The end of the spans that were covered since the last answer; answers that were on their way do not lead back before it.
+    Offset m_coveredEnd = 0;
+    std::optional<Run> m_run;
     bool m_needsListing = true;
     bool m_shouldPause = false;
     bool m_caughtUp = false;
--- a/packages/publication/include/carobpath/publication/ReadWatchdog.h
+++ b/packages/publication/include/carobpath/publication/ReadWatchdog.h
@@ -83,6 +83,9 @@
     /// Reports that a read delivered new records.
     void onRecordsRead(MonotonicTime now);
 
+    /// Reports that another node has handed on the records up to this position, which the pending read need not deliver.
+    void onCovered(StreamPosition);
+
     /// Reports that the stream is known to have reached this end. An end of a later era is further than any before it.
     void onEndKnown(StreamPosition, MonotonicTime now);
     void onCheckAnswered(StreamPosition end, MonotonicTime now);
@@ -94,6 +97,8 @@
 
     /// \returns the furthest known end of the stream.
     StreamPosition knownEnd() const { return m_knownEnd; }
+    /// \returns when this end became known.
+    MonotonicTime knownEndAt() const { return m_knownEndAt; }
 
 private:
     struct Read {
--- a/packages/publication/include/carobpath/publication/StoreEra.h
+++ b/packages/publication/include/carobpath/publication/StoreEra.h
@@ -24,6 +24,16 @@
     friend auto operator<=>(const StreamPosition&, const StreamPosition&) = default;
 };
 
+/// Consecutive records of a stream.
+struct RecordSpan {
+    StoreEra era;
+    /// Offset of the first record, and of the one after the last.
+    Offset since = 0;
+    Offset end = 0;
+
+    friend bool operator==(const RecordSpan&, const RecordSpan&) = default;
+};
+
 /// Bits of a packed position that hold the offset.
 inline constexpr unsigned packedOffsetBits = 40;
 
--- a/packages/publication/src/KeyedFollower.cpp
+++ b/packages/publication/src/KeyedFollower.cpp
@@ -1,20 +1,25 @@
 #include "carobpath/publication/KeyedFollower.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace carobpath::publication {
 
 std::vector<KeyUpdates> KeyedFollower::onBatch(const KeyedBatch& batch)
 {
-    const bool wasListing = m_needsListing;
+    const bool wasListing = needsListing();
     onEra(batch.era);
     m_previousNewest = m_newest;
     m_previousNextRead = wasListing && m_caughtUp ? std::optional { m_nextRead } : std::nullopt;
     auto updates = collectUpdates(batch);
+    extendRun(batch, wasListing);
+    const Offset covered = std::exchange(m_coveredEnd, 0);
     if (!wasListing || !m_isRereading || hasSuccessor(updates))
-        m_nextRead = batch.next;
+        m_nextRead = std::max(batch.next, covered);
     m_isRereading = m_isRereading && m_nextRead <= m_refused->offset;
     planNext(wasListing, updates);
+    // What was handed on in time of the answer was news too.
+    m_shouldPause = m_shouldPause || (covered > 0 && !m_isRereading);
     m_caughtUp = true;
     return updates;
 }
@@ -51,14 +56,54 @@
 {
     const bool wasReplaced = std::any_of(updates.begin(), updates.end(), [](const KeyUpdates& it) { return it.size() > 1; });
     m_isBusy = wasListing ? m_isBusy && !updates.empty() : wasReplaced;
-    m_needsListing = m_isBusy;
+    m_needsListing = false;
     m_shouldPause = m_caughtUp && !updates.empty();
     if (m_isRereading) {
-        m_needsListing = false;
+        m_isBusy = false;
         m_shouldPause = false;
     }
 }
 
+void KeyedFollower::extendRun(const KeyedBatch& batch, bool isListing)
+{
+    const auto last = std::max_element(batch.records.begin(), batch.records.end(), [](const auto& a, const auto& b) { return a.offset < b.offset; });
+    if (batch.skipped > 0 || last == batch.records.end()) {
+        if (batch.next != m_nextRead)
+            m_run.reset();
+        return;
+    }
+    // A listing holds the newest record of each key, so that those between them are of the key of the last one.
+    const bool continuesRun = m_run && m_run->key == last->key && !isListing;
+    Offset since = continuesRun ? m_run->since : m_nextRead;
+    if (isListing)
+        since = 0;
+    for (const auto& it : batch.records) {
+        if (it.key != last->key)
+            since = std::max(since, it.offset + 1);
+    }
+    m_run = Run { last->key, since };
+}
+
+std::optional<RecordSpan> KeyedFollower::spanOf(const std::string& key) const
+{
+    if (!m_run || m_run->key != key || m_run->since >= m_nextRead)
+        return std::nullopt;
+    return RecordSpan { m_era, m_run->since, m_nextRead };
+}
+
+bool KeyedFollower::onCovered(const std::string& key, const RecordSpan& span)
+{
+    const bool adjoins = span.since <= m_nextRead && m_nextRead < span.end;
+    if (!m_caughtUp || m_isRereading || span.era != m_era || !adjoins)
+        return false;
+    const bool continuesRun = m_run && m_run->key == key;
+    m_run = Run { key, continuesRun ? std::min(m_run->since, span.since) : span.since };
+    m_nextRead = span.end;
+    m_coveredEnd = span.end;
+    m_newest[key] = span.end - 1;
+    return true;
+}
+
 bool KeyedFollower::isRefused(const KeyedRecord& record) const
 {
     return m_refused && m_refused->offset == record.offset;
@@ -83,7 +128,9 @@
     m_refused->value.reset();
     m_isRereading = true;
     m_nextRead = *m_previousNextRead;
+    m_run.reset();
     m_needsListing = false;
+    m_isBusy = false;
     m_shouldPause = false;
 }
 
--- a/packages/publication/src/ReadWatchdog.cpp
+++ b/packages/publication/src/ReadWatchdog.cpp
@@ -57,6 +57,12 @@
         m_checkAt = now + m_checkSchedule->delay;
 }
 
+void ReadWatchdog::onCovered(StreamPosition position)
+{
+    if (m_read)
+        m_read->from = std::max(m_read->from, position);
+}
+
 void ReadWatchdog::onEndKnown(StreamPosition end, MonotonicTime now)
 {
     if (end <= m_knownEnd)
--- a/packages/publication/tests/KeyedFollowerTests.cpp
+++ b/packages/publication/tests/KeyedFollowerTests.cpp
@@ -223,6 +223,67 @@
     BOOST_TEST(next.front().front().offset == 4);
 }
 
+BOOST_AUTO_TEST_CASE(A_span_holds_the_records_of_one_key_up_to_the_position)
+{
+    KeyedFollower follower;
+    follower.onBatch({ 5, { record(2, "b", "1"), record(4, "a", "1") } });
+    BOOST_TEST((follower.spanOf("a") == RecordSpan { {}, 3, 5 }));
+    BOOST_TEST(!follower.spanOf("b").has_value());
+    follower.onBatch({ 7, { record(5, "a", "2"), record(6, "a", "3") } });
+    BOOST_TEST((follower.spanOf("a") == RecordSpan { {}, 3, 7 }));
+    follower.onBatch({ 9, { record(7, "b", "2"), record(8, "a", "4") } });
+    BOOST_TEST((follower.spanOf("a") == RecordSpan { {}, 8, 9 }));
+    follower.onBatch({ 10, { record(9, "b", "3") } });
+    BOOST_TEST(!follower.spanOf("a").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(A_span_ends_before_an_entry_that_cannot_be_read)
+{
+    KeyedFollower follower;
+    follower.onBatch({ 2, { record(1, "a", "1") } });
+    follower.onBatch({ 4, { record(3, "a", "2") }, {}, 1 });
+    BOOST_TEST(!follower.spanOf("a").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(A_span_that_adjoins_the_position_is_not_read)
+{
+    KeyedFollower follower;
+    follower.onBatch({ 3, { record(2, "a", "1") } });
+    BOOST_TEST(!follower.onCovered("a", { {}, 4, 6 }));
+    BOOST_TEST(!follower.onCovered("a", { {}, 0, 3 }));
+    BOOST_TEST(!follower.onCovered("a", { StoreEra { 1 }, 0, 6 }));
+    BOOST_TEST(follower.onCovered("a", { {}, 1, 6 }));
+    BOOST_TEST(follower.nextRead() == 6);
+    BOOST_TEST((follower.spanOf("a") == RecordSpan { {}, 0, 6 }));
+}
+
+BOOST_AUTO_TEST_CASE(An_answer_that_was_on_its_way_does_not_lead_back_before_a_covered_span)
+{
+    KeyedFollower follower;
+    follower.onBatch({ 3, { record(2, "a", "1") } });
+    follower.onCovered("a", { {}, 3, 6 });
+    BOOST_TEST(follower.onBatch({ 4, { record(3, "a", "2") } }).empty());
+    BOOST_TEST(follower.nextRead() == 6);
+    BOOST_TEST(follower.shouldPause());
+}
+
+BOOST_AUTO_TEST_CASE(A_stream_that_was_recreated_is_read_from_its_start_after_a_covered_span)
+{
+    KeyedFollower follower;
+    follower.onBatch({ 3, { record(2, "a", "1") } });
+    follower.onCovered("a", { {}, 3, 6 });
+    follower.onTrimmed();
+    follower.onBatch({ 2, { record(1, "b", "1") } });
+    BOOST_TEST(follower.nextRead() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(A_node_that_has_listed_nothing_yet_skips_no_records)
+{
+    KeyedFollower follower;
+    BOOST_TEST(!follower.onCovered("a", { {}, 0, 6 }));
+    BOOST_TEST(follower.needsListing());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
