--- a/bench/routing/NodeRun.h
+++ b/bench/routing/NodeRun.h
@@ -78,14 +78,23 @@
         std::uint64_t attempt = 0;
         MonotonicTime sentAt;
         MonotonicTime since;
+        std::size_t entry = 0;
         bool open = true;
     };
     using CallPointer = std::shared_ptr<Call>;
 
     static NodeName nodeName(std::size_t index) { return NodeName { "n" + std::to_string(index) }; }
-    FailureDomainName domainOf(std::size_t index) const
+    std::size_t domainIndex(std::size_t node) const { return node % overloadCase().domains; }
+    FailureDomainName domainOf(std::size_t node) const { return FailureDomainName { "domain-" + std::to_string(domainIndex(node)) }; }
+
+    std::size_t drawEntry()
     {
-        return FailureDomainName { "domain-" + std::to_string(index % overloadCase().domains) };
+        const auto& loads = overloadCase().domainLoads;
+        if (loads.empty())
+            return random()() % m_routers.size();
+        const std::size_t domain = std::discrete_distribution<std::size_t>(loads.begin(), loads.end())(random());
+        const auto nodes = (m_routers.size() - domain + loads.size() - 1) / loads.size();
+        return domain + loads.size() * (random()() % nodes);
     }
 
     membership::NodeEntry makeEntry(std::size_t index) const
@@ -113,7 +122,9 @@
         request.method = "GET";
         request.path = "/";
         call->since = queue().now();
-        call->decision = m_routers[random()() % m_routers.size()]->begin(request, queue().now());
+        call->entry = drawEntry();
+        onCallOf(domainIndex(call->entry));
+        call->decision = m_routers[call->entry]->begin(request, queue().now());
         perform(call, call->decision->start(queue().now()));
         queue().at(call->decision->deadline(), [this, call] { onDeadline(call); });
     }
@@ -125,8 +136,10 @@
             return;
         }
         call->open = false;
-        if (std::holds_alternative<RelayAnswer>(command))
+        if (std::holds_alternative<RelayAnswer>(command)) {
             onAnswered(call->since);
+            onAnswerFor(domainIndex(call->entry), call->since);
+        }
         else if (queue().now() >= call->decision->deadline())
             onLate();
         else
@@ -140,6 +153,8 @@
         call->id = RequestId { std::to_string(call->attempt) };
         call->upstream = send.calls.port;
         call->sentAt = queue().now();
+        if (domainIndex(call->upstream) != domainIndex(call->entry))
+            onRemoteAttempt();
         AdmissionRequest request;
         request.id = call->id;
         request.service = send.service;
--- a/bench/routing/OverloadRun.h
+++ b/bench/routing/OverloadRun.h
@@ -4,6 +4,8 @@
 #include "EventQueue.h"
 #include "Report.h"
 
+#include <algorithm>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -36,6 +38,8 @@
     /// Whether the nodes decide as those of a fleet do and report their load with each answer.
     bool inFleet = false;
     std::size_t domains = 3;
+    /// Relative numbers of calls that the callers of each failure domain send; empty if all are alike.
+    std::vector<double> domainLoads;
     /// Entry nodes; 0 for one beside each upstream.
     std::size_t entries = 0;
     /// Whether the nodes weigh the upstreams by learned speed.
@@ -54,6 +58,11 @@
     std::uint64_t inTime = 0;
     std::uint64_t refused = 0;
     std::uint64_t late = 0;
+    /// By the failure domain of the caller, where the run tells it.
+    std::map<std::size_t, std::uint64_t> callsByDomain;
+    std::map<std::size_t, std::uint64_t> inTimeByDomain;
+    /// Attempts that left the failure domain of their caller.
+    std::uint64_t remote = 0;
     std::vector<double> answerMilliseconds;
     std::vector<double> refusalMilliseconds;
 };
@@ -94,7 +103,7 @@
         return { { "case", m_case.name }, { "load", m_case.load }, { "policy", policy },
             { "sent/call", perCall(offered() - offeredBefore) }, { "attempts/call", perCall(m_counts.attempts) },
             { "answered", perCall(m_counts.answered) },
-            { "in time", perCall(m_counts.inTime) }, { "of capacity", perCall(m_counts.answered) * m_case.load },
+            { "in time", perCall(m_counts.inTime) }, { "worst domain", worstDomain() }, { "remote", perCall(m_counts.remote) }, { "of capacity", perCall(m_counts.answered) * m_case.load },
             { "refused", perCall(m_counts.refused) }, { "late", perCall(m_counts.late) },
             { "answer p50 ms", quantile(m_counts.answerMilliseconds, 0.5) },
             { "answer p99 ms", quantile(m_counts.answerMilliseconds, 0.99) },
@@ -105,11 +114,17 @@
 protected:
     virtual void startCall() = 0;
 
+    void onCallOf(std::size_t domain) { ++m_counts.callsByDomain[domain]; }
+    void onAnswerFor(std::size_t domain, MonotonicTime since)
+    {
+        if (isInTime(since))
+            ++m_counts.inTimeByDomain[domain];
+    }
+    void onRemoteAttempt() { ++m_counts.remote; }
     void onAnswered(MonotonicTime since)
     {
         ++m_counts.answered;
-        const bool isInTime = m_case.objective.count() == 0 || m_queue.now() - since <= m_case.objective;
-        m_counts.inTime += isInTime ? 1 : 0;
+        m_counts.inTime += isInTime(since) ? 1 : 0;
         m_counts.answerMilliseconds.push_back(millisecondsSince(since));
     }
     void onRefused(MonotonicTime since)
@@ -127,6 +142,20 @@
     std::mt19937_64& random() { return m_random; }
 
 private:
+    bool isInTime(MonotonicTime since) const { return m_case.objective.count() == 0 || m_queue.now() - since <= m_case.objective; }
+
+    /// \returns the part of the calls that were answered in time of the failure domain where it is smallest.
+    double worstDomain() const
+    {
+        double worst = 1;
+        for (const auto& [domain, calls] : m_counts.callsByDomain) {
+            const auto inTime = m_counts.inTimeByDomain.find(domain);
+            const auto served = inTime == m_counts.inTimeByDomain.end() ? 0 : inTime->second;
+            worst = std::min(worst, static_cast<double>(served) / static_cast<double>(calls));
+        }
+        return worst;
+    }
+
     double millisecondsSince(MonotonicTime since) const
     {
         return std::chrono::duration<double, std::milli>(m_queue.now() - since).count();
--- a/bench/routing/balance_bench.cpp
+++ b/bench/routing/balance_bench.cpp
@@ -1,4 +1,4 @@
-// Balancing beside an upstream that is slower than the others and says that it is idle, and over upstreams whose speeds differ.
+// Balancing beside an upstream that is slower than the others and says that it is idle, over upstreams whose speeds differ, and for the callers of a loaded failure domain.
 #include "AdmittedRun.h"
 #include "NodeRun.h"
 #include "PlainRetryRun.h"
@@ -53,9 +53,30 @@
         }
     }
 
+    /// Callers of one failure domain send more than their part, at backend servers that are alike.
+    OverloadCase loadedDomainCase(std::vector<double> loads)
+    {
+        auto it = unequalCase("domain x" + std::to_string(loads.front()).substr(0, 3), {});
+        it.slowMoments = {};
+        it.upstreams = 36;
+        it.entries = 65;
+        it.domains = loads.size();
+        it.domainLoads = std::move(loads);
+        it.learnsSpeed = true;
+        return it;
+    }
+
+    void addLoadedDomain(Report& report, OverloadCase it)
+    {
+        for (const double load : { 0.5, 0.7, 0.85, 1.0, 1.5 }) {
+            it.load = load;
+            report.add(NodeRun(it, 1).run("carobpath"));
+        }
+    }
+
     Report run()
     {
-        Report report("one upstream slower by a factor, which says that it is idle, service 20 ms; then unequal speeds, service 140 ms, objective 500 ms; exponential");
+        Report report("one upstream slower by a factor, which says that it is idle, service 20 ms; then unequal speeds, service 140 ms, objective 500 ms; exponential; then domains of unequal load");
         for (auto it : cases()) {
             const std::string name = it.name;
             it.load = 0.5;
@@ -69,6 +90,9 @@
         }
         addUnequal(report, unequalCase("0.6 1.0 1.6", { 0.6, 1.0, 1.6 }));
         addUnequal(report, unequalCase("0.5 1 1 1.5", { 0.5, 1.0, 1.0, 1.5 }));
+        addLoadedDomain(report, loadedDomainCase({ 1.0, 1.0, 1.0 }));
+        addLoadedDomain(report, loadedDomainCase({ 1.3, 0.9, 0.8 }));
+        addLoadedDomain(report, loadedDomainCase({ 2.0, 0.5, 0.5 }));
         return report;
     }
 
