A failure domain whose calls take longer than the others' gives a part of them away

Cause: a call was offered at up to three nodes of its caller's failure domain before it left, whatever the others had free. A domain with more calls than its part (piraeus: 37% of the load, 12 of 37 upstreams of its main service) refused more at home and let the rest wait.

Change: each node keeps the mean time of its calls in its own domain, with refusals for load counted as twice the time that the call could have waited, and tells it with its messages to other nodes. While calls take longer at home than elsewhere, the part that is offered elsewhere first grows, and it falls otherwise; downloads stay. No figure of a site is in it.

--- a/bench/routing/NodeRun.h
+++ b/bench/routing/NodeRun.h
@@ -68,6 +68,8 @@
         }
         for (const auto& node : view->nodes)
             m_admissions.emplace_back(makeAdmissionPolicy(it)).setUpstream(node.entry.upstream, queue().now());
+        if (it.inFleet)
+            exchangeTimes();
     }
 
 private:
@@ -83,6 +85,19 @@
     };
     using CallPointer = std::shared_ptr<Call>;
 
+    /// Each node tells one of another failure domain how long its calls take.
+    void exchangeTimes()
+    {
+        for (std::size_t i = 0; i < m_routers.size(); ++i) {
+            const auto other = random()() % m_routers.size();
+            if (domainIndex(other) != domainIndex(i))
+                m_routers[other]->onRemoteTimes(m_routers[i]->localTimes(queue().now()), queue().now());
+        }
+        queue().after(s_exchangeInterval, [this] { exchangeTimes(); });
+    }
+
+    static constexpr std::chrono::milliseconds s_exchangeInterval { 1'000 };
+
     static NodeName nodeName(std::size_t index) { return NodeName { "n" + std::to_string(index) }; }
     std::size_t domainIndex(std::size_t node) const { return node % overloadCase().domains; }
     FailureDomainName domainOf(std::size_t node) const { return FailureDomainName { "domain-" + std::to_string(domainIndex(node)) }; }
@@ -139,8 +154,7 @@
         if (std::holds_alternative<RelayAnswer>(command)) {
             onAnswered(call->since);
             onAnswerFor(domainIndex(call->entry), call->since);
-        }
-        else if (queue().now() >= call->decision->deadline())
+        } else if (queue().now() >= call->decision->deadline())
             onLate();
         else
             onRefused(call->since);
--- a/packages/node/src/internal/NodeAssemblyHooks.cpp
+++ b/packages/node/src/internal/NodeAssemblyHooks.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace carobpath::node::Detail {
@@ -134,11 +135,33 @@
     callbacks.onCrashes = [this](const routing::CrashUpdate& update) { m_quarantine.onPeerUpdate(update); };
     callbacks.onUsage = [this](const quota::UsageMessage& usage, peer::UsageReply reply) { m_quota.onPeerUsage(usage, std::move(reply)); };
     callbacks.onMalformed = [this](peer::MessageError error) { m_logger.warn("refused a peer's message: " + std::string { peer::toString(error.fault) }); };
+    callbacks.answerTimes = [this] { return answerTimes(); };
+    callbacks.onAnswerTimes = [this](const NodeName& from, const auto& times) { onAnswerTimes(from, times); };
     callbacks.hybridNow = [this] { return toPeer(m_clock.tick(wallNow())); };
     callbacks.onHybridTime = [this](peer::HybridTime time) { m_clock.observe(fromPeer(time), wallNow()); };
     return callbacks;
 }
 
+std::vector<distribution::AnswerTime> NodeAssembly::answerTimes() const
+{
+    std::vector<distribution::AnswerTime> times;
+    for (const auto& it : m_router.localTimes(MonotonicClock::now()))
+        times.push_back({ it.service, it.mean });
+    return times;
+}
+
+void NodeAssembly::onAnswerTimes(const NodeName& from, const std::vector<distribution::AnswerTime>& told)
+{
+    const auto isSender = [&](const membership::KnownNode& it) { return it.entry.name == from; };
+    const auto sender = m_view ? std::find_if(m_view->nodes.begin(), m_view->nodes.end(), isSender) : std::vector<membership::KnownNode>::const_iterator {};
+    if (!m_view || sender == m_view->nodes.end() || sender->entry.domain == m_settings.failureDomain)
+        return;
+    std::vector<routing::ServiceTime> times;
+    for (const auto& it : told)
+        times.push_back({ it.service, it.mean });
+    m_router.onRemoteTimes(times, MonotonicClock::now());
+}
+
 AdminSources NodeAssembly::adminSources()
 {
     AdminSources sources;
--- a/packages/peer/include/carobpath/peer/ExchangeRunner.h
+++ b/packages/peer/include/carobpath/peer/ExchangeRunner.h
@@ -52,6 +52,10 @@
     std::function<void(const quota::UsageMessage&, UsageReply)> onUsage;
     /// A peer sent a message that breaks the protocol.
     std::function<void(MessageError)> onMalformed;
+    /// How long calls took in this node's failure domain, for a message that is sent.
+    std::function<std::vector<distribution::AnswerTime>()> answerTimes;
+    /// Another node told the same of its failure domain.
+    std::function<void(const NodeName&, const std::vector<distribution::AnswerTime>&)> onAnswerTimes;
     /// Reads the hybrid clock for a message that is sent.
     std::function<HybridTime()> hybridNow;
     /// A message came with this reading.
--- a/packages/peer/schema/Peer.capnp
+++ b/packages/peer/schema/Peer.capnp
@@ -138,6 +138,13 @@
   hybridCounter @13 :UInt32;
   membershipSummary @14 :RecordSummary;
   streamEnds @15 :List(StreamEnd);
+  answerTimes @16 :List(AnswerTime);
+}
+
+# How long calls of a service took in the sender's failure domain.
+struct AnswerTime {
+  service @0 :Text;
+  milliseconds @1 :UInt32;
 }
 
 struct WholeState {
--- a/packages/peer/src/ExchangeRunner.cpp
+++ b/packages/peer/src/ExchangeRunner.cpp
@@ -108,10 +108,14 @@
         heardAt = MonotonicClock::now();
         if (callbacks.onHybridTime)
             callbacks.onHybridTime(HybridTime { message.hybridMilliseconds, message.hybridCounter });
+        if (callbacks.onAnswerTimes && !message.answerTimes.empty())
+            callbacks.onAnswerTimes(message.from, message.answerTimes);
     }
 
     void stamp(PeerMessage& message) const
     {
+        if (callbacks.answerTimes)
+            message.answerTimes = callbacks.answerTimes();
         if (!callbacks.hybridNow)
             return;
         const HybridTime now = callbacks.hybridNow();
--- a/packages/peer/src/internal/MessageConversions.cpp
+++ b/packages/peer/src/internal/MessageConversions.cpp
@@ -104,6 +104,29 @@
         return ends;
     }
 
+    void writeAnswerTimes(const std::vector<distribution::AnswerTime>& times, capnp::List<schema::AnswerTime>::Builder list)
+    {
+        unsigned index = 0;
+        for (const auto& it : times) {
+            auto to = list[index++];
+            to.setService(textOf(it.service));
+            to.setMilliseconds(static_cast<std::uint32_t>(it.mean.count()));
+        }
+    }
+
+    Result<std::vector<distribution::AnswerTime>> readAnswerTimes(capnp::List<schema::AnswerTime>::Reader list)
+    {
+        if (list.size() > maxListLength)
+            return malformed(MessageFault::TooManyEntries);
+        std::vector<distribution::AnswerTime> times;
+        times.reserve(list.size());
+        for (const auto it : list) {
+            BOOST_LEAF_AUTO(service, Detail::readName<ServiceName>(it.getService()));
+            times.push_back({ service, std::chrono::milliseconds { it.getMilliseconds() } });
+        }
+        return times;
+    }
+
     Result<Endpoint> readSender(schema::Endpoint::Reader from)
     {
         if (from.getAddress().size() == 0 || from.getAddress().size() > maxNameLength || from.getPort() == 0)
@@ -132,6 +155,8 @@
     writeNews(message, to);
     if (!message.streamEnds.empty())
         writeStreamEnds(message.streamEnds, to.initStreamEnds(sizeOf(message.streamEnds)));
+    if (!message.answerTimes.empty())
+        writeAnswerTimes(message.answerTimes, to.initAnswerTimes(sizeOf(message.answerTimes)));
     to.setHybridMilliseconds(message.hybridMilliseconds);
     to.setHybridCounter(message.hybridCounter);
 }
@@ -159,6 +184,7 @@
     if (!news)
         return news.error();
     BOOST_LEAF_ASSIGN(message.streamEnds, readStreamEnds(from.getStreamEnds()));
+    BOOST_LEAF_ASSIGN(message.answerTimes, readAnswerTimes(from.getAnswerTimes()));
     message.hybridMilliseconds = from.getHybridMilliseconds();
     message.hybridCounter = from.getHybridCounter();
     return message;
--- a/packages/routing/include/carobpath/routing/CallDecision.h
+++ b/packages/routing/include/carobpath/routing/CallDecision.h
@@ -119,6 +119,8 @@
     struct Attempt {
         NodeName node;
         bool toNext = false;
+        /// Whether it was sent to a node of the local failure domain because of that.
+        bool isLocal = false;
         MonotonicTime sentAt;
     };
 
@@ -154,6 +156,10 @@
     SendAttempt beginAttempt(const UpstreamChoice&, DomainScope, bool toNext, MonotonicTime now);
     /// One more attempt at the node that reported the shortest wait, although its answer will miss the objective.
     std::optional<SendAttempt> lateAttempt(MonotonicTime now);
+    /// \returns whether the call is sent to another failure domain before it is offered in the local one.
+    bool leavesDomain(MonotonicTime now);
+    /// Tells the balance of the domains how long the call took in the local one.
+    void reportToBalance(const AttemptResult&, MonotonicTime now);
     void recordRefusedOffer(const AttemptResult&);
     std::optional<MonotonicTime> objectiveFor(DomainScope, MonotonicTime now) const;
     SendAttempt attemptAt(const UpstreamChoice&, const VersionName&, MonotonicTime deadline) const;
--- a/packages/routing/include/carobpath/routing/EntryRouter.h
+++ b/packages/routing/include/carobpath/routing/EntryRouter.h
@@ -24,6 +24,14 @@
 using QuarantineSource
     = std::function<std::optional<std::chrono::milliseconds>(std::uint64_t fingerprint, MonotonicTime now)>;
 
+/// Mean time of the calls of a service.
+struct ServiceTime {
+    ServiceName service;
+    std::chrono::milliseconds mean {};
+
+    friend bool operator==(const ServiceTime&, const ServiceTime&) = default;
+};
+
 /// Policy of the entry node for the choice of upstreams and for calls that fail.
 struct EntryPolicy {
     RetryAllowance retries;
@@ -35,7 +43,8 @@
     bool splitDeadline = true;
     /// Whether the upstreams of the local failure domain receive every call that they can answer within the objective,
     /// and remote ones only calls that the local ones refuse. This reduces traffic between failure domains, and it
-    /// suits a load that only some of the domains can carry.
+    /// suits a load that only some of the domains can carry. Where calls take longer than in the other domains, a part of
+    /// them is sent there first, see \c DomainBalance.
     bool localDomainFirst = false;
     /// Maximum number of candidate nodes to which one call is offered.
     std::uint32_t maxCandidates = 4;
@@ -82,6 +91,11 @@
     /// \returns whether callers need an API key.
     bool needsKeys() const;
 
+    /// \returns how long this node's calls took lately at the upstreams of its own failure domain, for each service that it called.
+    std::vector<ServiceTime> localTimes(MonotonicTime now) const;
+    /// A node of another failure domain told the same of its calls.
+    void onRemoteTimes(const std::vector<ServiceTime>&, MonotonicTime now);
+
     /// \returns the observations of other nodes since the last call of this function; the oldest are dropped if there
     /// are too many.
     std::vector<NodeObservation> takeObservations();
--- a/packages/routing/src/AttemptChoice.cpp
+++ b/packages/routing/src/AttemptChoice.cpp
@@ -34,6 +34,10 @@
         return attempt;
     if (!m_state->policy.localDomainFirst)
         return pickAttempt(DomainScope::Any, now);
+    if (leavesDomain(now)) {
+        if (auto remote = pickAttempt(DomainScope::Remote, now))
+            return remote;
+    }
     if (m_localCandidates < m_state->maxLocalCandidates(m_service)) {
         if (auto local = pickAttempt(DomainScope::Local, now))
             return local;
@@ -49,6 +53,15 @@
     return lateAttempt(now);
 }
 
+bool CallDecision::leavesDomain(MonotonicTime now)
+{
+    const bool isDownload = m_route->trafficClass == publication::TrafficClass::Download;
+    if (!m_tried.empty() || isDownload)
+        return false;
+    const double share = m_state->balances[m_service].remoteShare(now);
+    return share > 0 && m_state->picker.drawUnit() < share;
+}
+
 std::optional<SendAttempt> CallDecision::pickAttempt(DomainScope scope, MonotonicTime now)
 {
     if (m_tried.size() >= m_state->policy.maxCandidates)
@@ -107,7 +120,7 @@
 
 SendAttempt CallDecision::beginAttempt(const UpstreamChoice& choice, DomainScope scope, bool toNext, MonotonicTime now)
 {
-    m_attempt = Attempt { choice.node, toNext, now };
+    m_attempt = Attempt { choice.node, toNext, scope == DomainScope::Local, now };
     m_localCandidates += scope == DomainScope::Local ? 1 : 0;
     m_state->picker.onSent(choice.node, choice.probe);
     m_version = choice.version;
@@ -125,7 +138,7 @@
     attempt.mayBeLate = true;
     attempt.isFirstOfAll = false;
     attempt.number = static_cast<std::uint32_t>(m_tried.size() + 1);
-    m_attempt = Attempt { attempt.node, false, now };
+    m_attempt = Attempt { attempt.node, false, false, now };
     m_state->picker.onSent(attempt.node, false);
     return attempt;
 }
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -246,7 +246,7 @@
     if (!choice || !m_state->budgetOf(m_service).tryWithdraw(now))
         return std::nullopt;
     m_state->picker.onSent(choice->node, choice->probe);
-    m_attempt = Attempt { choice->node, false, now };
+    m_attempt = Attempt { choice->node, false, false, now };
     auto attempt = attemptAt(*choice, m_version, now + m_route->timeout);
     attempt.inactivityTimeout = inactivityTimeout(now);
     m_tried.push_back(choice->node);
@@ -287,8 +287,21 @@
     return refuse(routing::reasonOf(result), result.retryAfter);
 }
 
+void CallDecision::reportToBalance(const AttemptResult& result, MonotonicTime now)
+{
+    if (!m_attempt->isLocal)
+        return;
+    auto& balance = m_state->balances[m_service];
+    if (result.outcome == Outcome::Ran)
+        balance.onLocalCall(result.latency, now);
+    const bool couldHaveWaited = m_sent.objective && *m_sent.objective > m_attempt->sentAt;
+    if (wasRefusedForLoad(result) && couldHaveWaited)
+        balance.onLocalCall(DomainBalance::s_refusalFactor * (*m_sent.objective - m_attempt->sentAt), now);
+}
+
 void CallDecision::recordAttempt(const AttemptResult& result, MonotonicTime now)
 {
+    reportToBalance(result, now);
     m_outcome = stronger(m_outcome, result.outcome);
     recordRefusedOffer(result);
     if (reasonOf(result) == RefusalReason::RateLimited && result.retryAfter)
--- a/packages/routing/src/EntryRouter.cpp
+++ b/packages/routing/src/EntryRouter.cpp
@@ -22,6 +22,7 @@
         const auto isGone = [&](const auto& it) { return !configuration->set.routes.contains(it.first); };
         std::erase_if(m_state->answerTimes, isGone);
         std::erase_if(m_state->callerTimeouts, isGone);
+        std::erase_if(m_state->balances, [&](const auto& it) { return !configuration->set.services.contains(it.first); });
     }
     m_state->table = std::make_shared<RouteTable>(std::move(configuration));
 }
@@ -38,6 +39,25 @@
 void EntryRouter::setReady(bool ready) { m_state->ready = ready; }
 void EntryRouter::setDrainDeadline(MonotonicTime time) { m_state->drainDeadline = time; }
 
+std::vector<ServiceTime> EntryRouter::localTimes(MonotonicTime now) const
+{
+    std::vector<ServiceTime> times;
+    for (const auto& [service, balance] : m_state->balances) {
+        if (const auto mean = balance.localTime(now))
+            times.push_back({ service, std::chrono::ceil<std::chrono::milliseconds>(*mean) });
+    }
+    return times;
+}
+
+void EntryRouter::onRemoteTimes(const std::vector<ServiceTime>& times, MonotonicTime now)
+{
+    for (const auto& it : times) {
+        const auto balance = m_state->balances.find(it.service);
+        if (balance != m_state->balances.end())
+            balance->second.onRemoteTime(it.mean, now);
+    }
+}
+
 std::shared_ptr<CallDecision> EntryRouter::begin(const CallRequest& request, MonotonicTime arrivedAt)
 {
     return std::make_shared<CallDecision>(m_state, request, arrivedAt);
--- a/packages/routing/src/EntryState.h
+++ b/packages/routing/src/EntryState.h
@@ -3,6 +3,7 @@
 #include "carobpath/routing/AnswerTimes.h"
 #include "carobpath/routing/CallThrottle.h"
 #include "carobpath/routing/CallerTimeouts.h"
+#include "carobpath/routing/DomainBalance.h"
 #include "carobpath/routing/EntryRouter.h"
 #include "carobpath/routing/RetryBudget.h"
 #include "carobpath/routing/RouteTable.h"
@@ -45,6 +46,7 @@
     std::unordered_map<ServiceName, RetryBudget> budgets;
     std::unordered_map<ServiceName, RetryBudget> offerBudgets;
     std::unordered_map<ServiceName, CallThrottle> throttles;
+    std::unordered_map<ServiceName, DomainBalance> balances;
     std::unordered_map<RouteName, WeightedRoundRobin> roundRobins;
     std::shared_ptr<const RouteTable> table = std::make_shared<RouteTable>();
     /// Null unless inner calls are to be told from others.
