--- a/packages/node/tests/BusyInstance.h
+++ b/packages/node/tests/BusyInstance.h
@@ -5,6 +5,7 @@
 /// inner calls and downloads pass.
 
 #include "carobpath/capacity/LinkPacer.h"
+#include "carobpath/distribution/GossipEngine.h"
 #include "carobpath/foundation/Time.h"
 #include "carobpath/publication/ReadWatchdog.h"
 
@@ -161,6 +162,8 @@
     double carriedPart = 1;
     /// Downloads at a time; those beyond are refused.
     std::size_t mostDownloads = std::numeric_limits<std::size_t>::max();
+    /// Size of what a version changes, if it is handed on by another node; 0 if the whole set is read.
+    std::size_t changeBytes = 0;
 };
 
 class BusyInstance {
@@ -184,7 +187,7 @@
         repeat(m_load.downloadInterval, end, [this] { download(); });
         repeat(s_tickInterval, end, [this] { tick(); });
         repeat(m_load.configurationInterval, end, [this] { writeConfiguration(); });
-        if (!m_isPolling)
+        if (!m_isPolling && m_load.changeBytes == 0)
             poll();
         m_time.runUntil(end + s_afterRun);
     }
@@ -210,6 +213,9 @@
     static constexpr std::size_t s_messageBytes = 1'000;
     static constexpr Duration s_workOfMessage = 300us;
     static constexpr Duration s_workOfConfiguration = 25ms;
+    /// To apply what other nodes handed on, however many versions it leads over.
+    static constexpr Duration s_workOfChange = 10ms;
+    static constexpr std::size_t s_neighbours = 5;
 
     void repeat(Duration interval, MonotonicTime end, const std::function<void()>& action)
     {
@@ -310,11 +316,38 @@
     {
         m_writtenAt.push_back(m_time.now);
         const auto end = position(m_writtenAt.size());
+        if (m_load.changeBytes > 0) {
+            receiveChange(m_writtenAt.size());
+            return;
+        }
         m_time.after(s_tellingTime, [this, end] { m_watchdog.onEndKnown(end, m_time.now); });
         if (m_isPolling)
             answer(publication::ReadKind::LongPoll);
     }
 
+    /// What a version changes comes from another node and goes on to the neighbours.
+    void receiveChange(std::size_t version)
+    {
+        m_in.send(m_load.changeBytes, [this, version] {
+            m_thread.post(s_workOfMessage, [this, version] { m_handedOn = version; });
+            for (std::size_t i = 0; i < s_neighbours; ++i)
+                m_thread.post(s_workOfMessage, [this] { m_out.send(m_load.changeBytes, [] { }); });
+        });
+    }
+
+    void applyChanges()
+    {
+        if (m_handedOn <= m_inForce || m_time.now < m_activationAt)
+            return;
+        m_activationAt = MonotonicTime::max();
+        m_thread.post(s_workOfChange, [this, version = m_handedOn, begunAt = m_time.now] {
+            for (; m_inForce < version; ++m_inForce)
+                configurationAges.push_back(m_time.now - m_writtenAt[m_inForce]);
+            const auto wait = (m_time.now - begunAt) * distribution::GossipEngine::s_activationDivisor;
+            m_activationAt = m_time.now + std::min<Duration>(wait, distribution::GossipEngine::s_longestActivationWait);
+        });
+    }
+
     /// Reads the next version, or waits for it.
     void poll()
     {
@@ -353,6 +386,7 @@
 
     void tick()
     {
+        applyChanges();
         if (m_watchdog.next(m_time.now) != publication::ReadStep::ReadAgain)
             return;
         m_watchdog.onReadSent(publication::ReadKind::Immediate, position(m_inForce), m_time.now);
@@ -382,6 +416,9 @@
     std::map<capacity::LinkPacer::BodyId, Download> m_downloads;
     std::vector<MonotonicTime> m_writtenAt;
     std::size_t m_inForce = 0;
+    /// The newest version that another node has handed on.
+    std::size_t m_handedOn = 0;
+    MonotonicTime m_activationAt;
     std::uint64_t m_readNumber = 0;
     std::size_t m_read = 0;
     bool m_isPolling = false;
--- a/packages/node/tests/BusyInstanceTests.cpp
+++ b/packages/node/tests/BusyInstanceTests.cpp
@@ -12,6 +12,7 @@
     constexpr std::chrono::seconds changes = 12s;
     /// Time within which a version must be in force.
     constexpr Duration configurationBound = 2500ms;
+    constexpr Duration halfConfigurationBound = configurationBound / 2;
     /// Time that an inner call of 400 ms leaves for its way besides the work of its backend server.
     constexpr Duration innerCallBound = 350ms;
     /// What Beast reads at a time from a buffer without room.
@@ -53,6 +54,22 @@
     BOOST_TEST(instance.downloads == instance.downloadsBegun);
 }
 
+// Guards against a series of versions that takes the thread and the link from calls, or is late behind them.
+BOOST_AUTO_TEST_CASE(A_series_of_versions_that_are_handed_on_is_in_force_in_half_of_its_bound_for_minutes)
+{
+    for (const Duration interval : { 170ms, 300ms, 1'000ms }) {
+        BusyLoad load;
+        load.configurationInterval = interval;
+        load.changeBytes = 3'000;
+        load.downloadInterval = 150ms;
+        BusyInstance instance(largeReads, load);
+        instance.run(minutes);
+        BOOST_TEST(instance.configurationAges.size() + 3 >= static_cast<std::size_t>(minutes / interval));
+        BOOST_TEST((longest(instance.configurationAges) <= halfConfigurationBound));
+        BOOST_TEST((mostOf(instance.innerCallDelays) <= innerCallBound));
+    }
+}
+
 // Guards against inner calls that wait longer and longer behind the downloads of their instance.
 BOOST_AUTO_TEST_CASE(Inner_calls_come_back_in_time_for_minutes_beside_downloads_of_any_demand)
 {
