--- a/packages/distribution/tests/PendingDeltasTests.cpp
+++ b/packages/distribution/tests/PendingDeltasTests.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 namespace carobpath::distribution {
 
 namespace {
@@ -42,9 +44,8 @@
 
     std::vector<Offset> resultsOf(const std::vector<DeltaPointer>& deltas)
     {
-        std::vector<Offset> results;
-        for (const auto& it : deltas)
-            results.push_back(it->result.offset);
+        std::vector<Offset> results(deltas.size());
+        std::transform(deltas.begin(), deltas.end(), results.begin(), [](const auto& it) { return it->result.offset; });
         return results;
     }
 
--- a/packages/node/src/internal/NodeAssemblyHooks.cpp
+++ b/packages/node/src/internal/NodeAssemblyHooks.cpp
@@ -157,6 +157,7 @@
     if (!m_view || sender == m_view->nodes.end() || sender->entry.domain == m_settings.failureDomain)
         return;
     std::vector<routing::ServiceTime> times;
+    times.reserve(told.size());
     for (const auto& it : told)
         times.push_back({ it.service, it.mean });
     m_router.onRemoteTimes(times, MonotonicClock::now());
--- a/packages/node/tests/BusyInstance.h
+++ b/packages/node/tests/BusyInstance.h
@@ -331,7 +331,7 @@
         m_in.send(m_load.changeBytes, [this, version] {
             m_thread.post(s_workOfMessage, [this, version] { m_handedOn = version; });
             for (std::size_t i = 0; i < s_neighbours; ++i)
-                m_thread.post(s_workOfMessage, [this] { m_out.send(m_load.changeBytes, [] { }); });
+                m_thread.post(s_workOfMessage, [this] { m_out.send(m_load.changeBytes, [] {}); });
         });
     }
 
--- a/packages/node/tests/BusyInstanceTests.cpp
+++ b/packages/node/tests/BusyInstanceTests.cpp
@@ -70,6 +70,16 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(The_same_series_read_whole_is_late)
+{
+    BusyLoad load;
+    load.configurationInterval = 300ms;
+    load.downloadInterval = 150ms;
+    BusyInstance instance(largeReads, load);
+    instance.run(minutes);
+    BOOST_TEST((longest(instance.configurationAges) > halfConfigurationBound));
+}
+
 // Guards against inner calls that wait longer and longer behind the downloads of their instance.
 BOOST_AUTO_TEST_CASE(Inner_calls_come_back_in_time_for_minutes_beside_downloads_of_any_demand)
 {
