--- a/packages/capacity/include/carobpath/capacity/DecayingShare.h
+++ b/packages/capacity/include/carobpath/capacity/DecayingShare.h
@@ -1,28 +1,25 @@
 #pragma once
 
-#include "carobpath/foundation/Time.h"
+#include "carobpath/capacity/DecayingMean.h"
 
 #include <chrono>
 
 namespace carobpath::capacity {
 
-/// Part of the recent events that were hits, averaged with weights that fall exponentially with their age.
+/// Part of the recent events that were hits, averaged as by \c DecayingMean.
 class DecayingShare {
 public:
     explicit DecayingShare(std::chrono::duration<double> averagingTime)
-        : m_averagingTime(averagingTime)
+        : m_hits(averagingTime)
     {
     }
 
-    void add(bool isHit, MonotonicTime now);
+    void add(bool isHit, MonotonicTime now) { m_hits.add(isHit ? 1 : 0, now); }
     /// \returns the part, from 0 to 1; 0 before the first event.
-    double value() const { return m_events > 0 ? m_hits / m_events : 0; }
+    double value() const { return m_hits.value(); }
 
 private:
-    std::chrono::duration<double> m_averagingTime;
-    double m_events = 0;
-    double m_hits = 0;
-    MonotonicTime m_at {};
+    DecayingMean m_hits;
 };
 
 }
--- a/packages/distribution/include/carobpath/distribution/PeerMessage.h
+++ b/packages/distribution/include/carobpath/distribution/PeerMessage.h
@@ -2,25 +2,17 @@
 
 #include "carobpath/distribution/Delta.h"
 #include "carobpath/distribution/StreamEnds.h"
+#include "carobpath/membership/AnswerTime.h"
 #include "carobpath/membership/MembershipUpdate.h"
 #include "carobpath/membership/TableDigest.h"
 #include "carobpath/moves/Evidence.h"
 
-#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
 
 namespace carobpath::distribution {
 
-/// How long calls of a service took in the sender's failure domain.
-struct AnswerTime {
-    ServiceName service;
-    std::chrono::milliseconds mean {};
-
-    friend bool operator==(const AnswerTime&, const AnswerTime&) = default;
-};
-
 /// A message between two nodes: a gossip request, its reply, or a push.
 struct PeerMessage {
     NodeName from;
@@ -42,8 +34,8 @@
     std::shared_ptr<const Delta> delta;
     /// How far the sender knows streams of the log to reach. The receiver pushes on what is new to it.
     std::vector<StreamEnd> streamEnds;
-    /// Written and read by the transport, like the clock.
-    std::vector<AnswerTime> answerTimes;
+    /// In the sender's failure domain. Written and read by the transport, like the clock.
+    std::vector<membership::AnswerTime> answerTimes;
     /// Hybrid logical clock of the sender, written and read by the transport.
     std::uint64_t hybridMilliseconds = 0;
     std::uint32_t hybridCounter = 0;
--- a/packages/distribution/include/carobpath/distribution/ReaderElection.h
+++ b/packages/distribution/include/carobpath/distribution/ReaderElection.h
@@ -15,6 +15,9 @@
 /// \c logReadersPerDomain are the log readers. The pointers refer to elements of the view.
 std::vector<const membership::KnownNode*> rankedNodes(const membership::MembershipView&, const FailureDomainName&);
 
+/// \returns whether the node is among so many first ones of its failure domain. A node that leaves is not.
+bool isAmongFirst(const membership::MembershipView&, const NodeName&, const FailureDomainName&, std::size_t count);
+
 /// \returns whether the node is one of the log readers of its failure domain.
 bool isLogReader(const membership::MembershipView&, const NodeName&, const FailureDomainName&);
 
@@ -32,9 +35,6 @@
 /// \c pollAnswerTime; at least \c logReadersPerDomain. The others are told by their peers.
 std::size_t pollingNodesPerDomain(const membership::MembershipView&, const StoreLoad&);
 
-/// \returns whether the node is among the first of its failure domain by rank.
-bool isPollingNode(const membership::MembershipView&, const NodeName&, const FailureDomainName&, std::size_t perDomain);
-
 /// \returns the log readers of all failure domains, ordered by their rank in their domain, so that those next to each other
 /// are in different domains.
 std::vector<const membership::KnownNode*> logReaders(const membership::MembershipView&);
--- a/packages/distribution/src/ReaderElection.cpp
+++ b/packages/distribution/src/ReaderElection.cpp
@@ -7,6 +7,18 @@
 
 namespace carobpath::distribution {
 
+namespace {
+
+    std::set<FailureDomainName> domainsOf(const membership::MembershipView& view)
+    {
+        std::set<FailureDomainName> domains;
+        for (const auto& it : view.nodes)
+            domains.insert(it.entry.domain);
+        return domains;
+    }
+
+}
+
 std::vector<const membership::KnownNode*> rankedNodes(const membership::MembershipView& view, const FailureDomainName& domain)
 {
     struct Scored {
@@ -28,37 +40,30 @@
     return ranked;
 }
 
-bool isLogReader(const membership::MembershipView& view, const NodeName& node, const FailureDomainName& domain)
+bool isAmongFirst(const membership::MembershipView& view, const NodeName& node, const FailureDomainName& domain, std::size_t count)
 {
     const auto ranked = rankedNodes(view, domain);
-    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(logReadersPerDomain, ranked.size()));
+    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(count, ranked.size()));
     return std::any_of(ranked.begin(), end, [&](const auto* it) { return it->entry.name == node; });
 }
 
+bool isLogReader(const membership::MembershipView& view, const NodeName& node, const FailureDomainName& domain)
+{
+    return isAmongFirst(view, node, domain, logReadersPerDomain);
+}
+
 std::size_t pollingNodesPerDomain(const membership::MembershipView& view, const StoreLoad& load)
 {
     if (load.bytesPerSecond <= 0)
         return view.nodes.size();
     const auto seconds = std::chrono::duration<double> { pollAnswerTime }.count();
     const auto answered = static_cast<std::size_t>(load.bytesPerSecond * seconds / static_cast<double>(std::max<std::size_t>(load.recordBytes, 1)));
-    std::set<FailureDomainName> domains;
-    for (const auto& it : view.nodes)
-        domains.insert(it.entry.domain);
-    return std::max(logReadersPerDomain, answered / std::max<std::size_t>(domains.size(), 1));
-}
-
-bool isPollingNode(const membership::MembershipView& view, const NodeName& node, const FailureDomainName& domain, std::size_t perDomain)
-{
-    const auto ranked = rankedNodes(view, domain);
-    const auto self = std::find_if(ranked.begin(), ranked.end(), [&](const auto* it) { return it->entry.name == node; });
-    return self == ranked.end() || static_cast<std::size_t>(self - ranked.begin()) < perDomain;
+    return std::max(logReadersPerDomain, answered / std::max<std::size_t>(domainsOf(view).size(), 1));
 }
 
 std::vector<const membership::KnownNode*> logReaders(const membership::MembershipView& view)
 {
-    std::set<FailureDomainName> domains;
-    for (const auto& it : view.nodes)
-        domains.insert(it.entry.domain);
+    const auto domains = domainsOf(view);
     std::vector<std::vector<const membership::KnownNode*>> byDomain;
     byDomain.reserve(domains.size());
     for (const auto& it : domains)
--- a/packages/node/src/internal/NodeAssembly.h
+++ b/packages/node/src/internal/NodeAssembly.h
@@ -72,9 +72,8 @@
     void onConfigurationRead(const publication::ConfigurationPointer&, const std::optional<publication::RecordSpan>& span);
     void onConfiguration(const publication::ConfigurationPointer&);
     void onView(const std::shared_ptr<const membership::MembershipView>&);
-    std::vector<distribution::AnswerTime> answerTimes() const;
     /// Another node told how long calls take in its failure domain.
-    void onAnswerTimes(const NodeName& from, const std::vector<distribution::AnswerTime>&);
+    void onAnswerTimes(const NodeName& from, const std::vector<membership::AnswerTime>&);
     void onReady(bool exchangeReady);
     void setOrdersKnown();
     void onStep(const publication::AppliedRecord&);
--- a/packages/node/src/internal/NodeAssemblyHooks.cpp
+++ b/packages/node/src/internal/NodeAssemblyHooks.cpp
@@ -135,32 +135,21 @@
     callbacks.onCrashes = [this](const routing::CrashUpdate& update) { m_quarantine.onPeerUpdate(update); };
     callbacks.onUsage = [this](const quota::UsageMessage& usage, peer::UsageReply reply) { m_quota.onPeerUsage(usage, std::move(reply)); };
     callbacks.onMalformed = [this](peer::MessageError error) { m_logger.warn("refused a peer's message: " + std::string { peer::toString(error.fault) }); };
-    callbacks.answerTimes = [this] { return answerTimes(); };
+    callbacks.answerTimes = [this] { return m_router.localTimes(MonotonicClock::now()); };
     callbacks.onAnswerTimes = [this](const NodeName& from, const auto& times) { onAnswerTimes(from, times); };
     callbacks.hybridNow = [this] { return toPeer(m_clock.tick(wallNow())); };
     callbacks.onHybridTime = [this](peer::HybridTime time) { m_clock.observe(fromPeer(time), wallNow()); };
     return callbacks;
 }
 
-std::vector<distribution::AnswerTime> NodeAssembly::answerTimes() const
+void NodeAssembly::onAnswerTimes(const NodeName& from, const std::vector<membership::AnswerTime>& times)
 {
-    std::vector<distribution::AnswerTime> times;
-    for (const auto& it : m_router.localTimes(MonotonicClock::now()))
-        times.push_back({ it.service, it.mean });
-    return times;
-}
-
-void NodeAssembly::onAnswerTimes(const NodeName& from, const std::vector<distribution::AnswerTime>& told)
-{
-    const auto isSender = [&](const membership::KnownNode& it) { return it.entry.name == from; };
-    const auto sender = m_view ? std::find_if(m_view->nodes.begin(), m_view->nodes.end(), isSender) : std::vector<membership::KnownNode>::const_iterator {};
-    if (!m_view || sender == m_view->nodes.end() || sender->entry.domain == m_settings.failureDomain)
+    if (!m_view)
         return;
-    std::vector<routing::ServiceTime> times;
-    times.reserve(told.size());
-    for (const auto& it : told)
-        times.push_back({ it.service, it.mean });
-    m_router.onRemoteTimes(times, MonotonicClock::now());
+    const auto isSender = [&](const membership::KnownNode& it) { return it.entry.name == from; };
+    const auto sender = std::find_if(m_view->nodes.begin(), m_view->nodes.end(), isSender);
+    if (sender != m_view->nodes.end() && sender->entry.domain != m_settings.failureDomain)
+        m_router.onRemoteTimes(times, MonotonicClock::now());
 }
 
 AdminSources NodeAssembly::adminSources()
--- a/packages/peer/include/carobpath/peer/ExchangeRunner.h
+++ b/packages/peer/include/carobpath/peer/ExchangeRunner.h
@@ -53,9 +53,9 @@
     /// A peer sent a message that breaks the protocol.
     std::function<void(MessageError)> onMalformed;
     /// How long calls took in this node's failure domain, for a message that is sent.
-    std::function<std::vector<distribution::AnswerTime>()> answerTimes;
+    std::function<std::vector<membership::AnswerTime>()> answerTimes;
     /// Another node told the same of its failure domain.
-    std::function<void(const NodeName&, const std::vector<distribution::AnswerTime>&)> onAnswerTimes;
+    std::function<void(const NodeName&, const std::vector<membership::AnswerTime>&)> onAnswerTimes;
     /// Reads the hybrid clock for a message that is sent.
     std::function<HybridTime()> hybridNow;
     /// A message came with this reading.
--- a/packages/peer/src/internal/MessageConversions.cpp
+++ b/packages/peer/src/internal/MessageConversions.cpp
@@ -104,7 +104,7 @@
         return ends;
     }
 
-    void writeAnswerTimes(const std::vector<distribution::AnswerTime>& times, capnp::List<schema::AnswerTime>::Builder list)
+    void writeAnswerTimes(const std::vector<membership::AnswerTime>& times, capnp::List<schema::AnswerTime>::Builder list)
     {
         unsigned index = 0;
         for (const auto& it : times) {
@@ -114,11 +114,11 @@
         }
     }
 
-    Result<std::vector<distribution::AnswerTime>> readAnswerTimes(capnp::List<schema::AnswerTime>::Reader list)
+    Result<std::vector<membership::AnswerTime>> readAnswerTimes(capnp::List<schema::AnswerTime>::Reader list)
     {
         if (list.size() > maxListLength)
             return malformed(MessageFault::TooManyEntries);
-        std::vector<distribution::AnswerTime> times;
+        std::vector<membership::AnswerTime> times;
         times.reserve(list.size());
         for (const auto it : list) {
             BOOST_LEAF_AUTO(service, Detail::readName<ServiceName>(it.getService()));
--- a/packages/routing/include/carobpath/routing/EntryRouter.h
+++ b/packages/routing/include/carobpath/routing/EntryRouter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carobpath/capacity/InnerCalls.h"
+#include "carobpath/membership/AnswerTime.h"
 #include "carobpath/membership/NodeEntry.h"
 #include "carobpath/moves/TrafficSplit.h"
 #include "carobpath/routing/Call.h"
@@ -24,14 +25,6 @@
 using QuarantineSource
     = std::function<std::optional<std::chrono::milliseconds>(std::uint64_t fingerprint, MonotonicTime now)>;
 
-/// Mean time of the calls of a service.
-struct ServiceTime {
-    ServiceName service;
-    std::chrono::milliseconds mean {};
-
-    friend bool operator==(const ServiceTime&, const ServiceTime&) = default;
-};
-
 /// Policy of the entry node for the choice of upstreams and for calls that fail.
 struct EntryPolicy {
     RetryAllowance retries;
@@ -92,9 +85,9 @@
     bool needsKeys() const;
 
     /// \returns how long this node's calls took lately at the upstreams of its own failure domain, for each service that it called.
-    std::vector<ServiceTime> localTimes(MonotonicTime now) const;
+    std::vector<membership::AnswerTime> localTimes(MonotonicTime now) const;
     /// A node of another failure domain told the same of its calls.
-    void onRemoteTimes(const std::vector<ServiceTime>&, MonotonicTime now);
+    void onRemoteTimes(const std::vector<membership::AnswerTime>&, MonotonicTime now);
 
     /// \returns the observations of other nodes since the last call of this function; the oldest are dropped if there
     /// are too many.
--- a/packages/routing/src/CallDecision.cpp
+++ b/packages/routing/src/CallDecision.cpp
@@ -100,34 +100,6 @@
     return AwaitClaimResult { *m_request.idempotencyKey, m_route->name, m_deadline };
 }
 
-OfferClass CallDecision::offerClass(MonotonicTime now) const
-{
-    const bool hasObjective = m_route->objective.count() > 0;
-    return { m_rank, hasObjective && now >= m_arrivedAt + m_route->objective - m_waitedBefore };
-}
-
-bool CallDecision::isThrottled(MonotonicTime now)
-{
-    // The backend server has begun on the parent of an inner call.
-    if (m_isInner || !m_state->policy.throttlesCalls)
-        return false;
-    m_offerClass = offerClass(now);
-    return !m_state->throttleOf(m_service).mayOffer(m_offerClass, m_state->picker.drawUnit(), now);
-}
-
-void CallDecision::reportToThrottle(const AttemptResult& result, MonotonicTime now)
-{
-    const bool isTaken = result.outcome == Outcome::Ran;
-    const bool tellsOfRoom = isTaken || wasRefusedForLoad(result);
-    if (!tellsOfRoom || m_isInner || !m_state->policy.throttlesCalls)
-        return;
-    auto& throttle = m_state->throttleOf(m_service);
-    if (isTaken)
-        throttle.onTaken(m_offerClass, now);
-    else
-        throttle.onRefused(m_offerClass, result.latency, result.retryAfter, now);
-}
-
 std::optional<Refusal> CallDecision::refusalAtArrival(MonotonicTime now)
 {
     const auto refusal = [&](RefusalReason reason) {
@@ -287,18 +259,6 @@
     return refuse(routing::reasonOf(result), result.retryAfter);
 }
 
-void CallDecision::reportToBalance(const AttemptResult& result, MonotonicTime now)
-{
-    if (!m_attempt->isLocal)
-        return;
-    auto& balance = m_state->balances[m_service];
-    if (result.outcome == Outcome::Ran)
-        balance.onLocalCall(result.latency, now);
-    const bool couldHaveWaited = m_sent.objective && *m_sent.objective > m_attempt->sentAt;
-    if (wasRefusedForLoad(result) && couldHaveWaited)
-        balance.onLocalCall(DomainBalance::s_refusalFactor * (*m_sent.objective - m_attempt->sentAt), now);
-}
-
 void CallDecision::recordAttempt(const AttemptResult& result, MonotonicTime now)
 {
     reportToBalance(result, now);
--- a/packages/routing/src/DomainBalance.cpp
+++ b/packages/routing/src/DomainBalance.cpp
@@ -1,7 +1,6 @@
 #include "carobpath/routing/DomainBalance.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace carobpath::routing {
@@ -15,30 +14,23 @@
 
 }
 
-double FadingMean::fading(MonotonicTime now) const { return std::exp(-Seconds { now - m_at } / s_memory); }
+void DomainBalance::onLocalCall(std::chrono::nanoseconds took, MonotonicTime now) { m_local.add(Seconds { took }.count(), now); }
 
-void FadingMean::add(std::chrono::nanoseconds sample, MonotonicTime now)
-{
-    const double factor = fading(now);
-    m_seconds = m_seconds * factor + Seconds { sample }.count();
-    m_weight = m_weight * factor + 1;
-    m_at = now;
-}
+void DomainBalance::onRemoteTime(std::chrono::nanoseconds mean, MonotonicTime now) { m_remote.add(Seconds { mean }.count(), now); }
 
-std::optional<std::chrono::nanoseconds> FadingMean::value(double leastWeight, MonotonicTime now) const
+std::optional<std::chrono::nanoseconds> DomainBalance::localTime(MonotonicTime now) const
 {
-    if (m_weight * fading(now) < leastWeight)
+    if (m_local.weight(now) < s_leastLocalWeight)
         return std::nullopt;
-    return std::chrono::duration_cast<std::chrono::nanoseconds>(Seconds { m_seconds / m_weight });
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(Seconds { m_local.value() });
 }
 
 double DomainBalance::changePerSecond(MonotonicTime now) const
 {
-    const auto local = m_local.value(s_leastLocalWeight, now);
-    const auto remote = m_remote.value(s_leastRemoteWeight, now);
-    if (!local || !remote || local->count() <= 0 || remote->count() <= 0)
+    const bool areKnown = m_local.weight(now) >= s_leastLocalWeight && m_remote.weight(now) >= s_leastRemoteWeight;
+    if (!areKnown || m_local.value() <= 0 || m_remote.value() <= 0)
         return -s_decayPerSecond;
-    const double ratio = Seconds { *local } / Seconds { *remote };
+    const double ratio = m_local.value() / m_remote.value();
     if (ratio > s_tolerance)
         return s_gainPerSecond * (1 - s_tolerance / ratio);
     if (ratio < 1)
--- a/packages/routing/src/EntryRouter.cpp
+++ b/packages/routing/src/EntryRouter.cpp
@@ -39,9 +39,9 @@
 void EntryRouter::setReady(bool ready) { m_state->ready = ready; }
 void EntryRouter::setDrainDeadline(MonotonicTime time) { m_state->drainDeadline = time; }
 
-std::vector<ServiceTime> EntryRouter::localTimes(MonotonicTime now) const
+std::vector<membership::AnswerTime> EntryRouter::localTimes(MonotonicTime now) const
 {
-    std::vector<ServiceTime> times;
+    std::vector<membership::AnswerTime> times;
     for (const auto& [service, balance] : m_state->balances) {
         if (const auto mean = balance.localTime(now))
             times.push_back({ service, std::chrono::ceil<std::chrono::milliseconds>(*mean) });
@@ -49,7 +49,7 @@
     return times;
 }
 
-void EntryRouter::onRemoteTimes(const std::vector<ServiceTime>& times, MonotonicTime now)
+void EntryRouter::onRemoteTimes(const std::vector<membership::AnswerTime>& times, MonotonicTime now)
 {
     for (const auto& it : times) {
         const auto balance = m_state->balances.find(it.service);
