A node that is leaving waits for new records at the store

Such a node is in no relay tree, and peers push nothing to it; while it serves on in its time of grace it would have heard of a version from its own rounds only.

--- a/packages/distribution/include/carobpath/distribution/ReaderElection.h
+++ b/packages/distribution/include/carobpath/distribution/ReaderElection.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 namespace carobpath::distribution {
@@ -15,8 +16,8 @@
 /// \c logReadersPerDomain are the log readers. The pointers refer to elements of the view.
 std::vector<const membership::KnownNode*> rankedNodes(const membership::MembershipView&, const FailureDomainName&);
 
-/// \returns whether the node is among so many first ones of its failure domain. A node that leaves is not.
-bool isAmongFirst(const membership::MembershipView&, const NodeName&, const FailureDomainName&, std::size_t count);
+/// \returns the position of the node among the ranked nodes of its failure domain; empty if it is not among them.
+std::optional<std::size_t> rankOf(const membership::MembershipView&, const NodeName&, const FailureDomainName&);
 
 /// \returns whether the node is one of the log readers of its failure domain.
 bool isLogReader(const membership::MembershipView&, const NodeName&, const FailureDomainName&);
@@ -35,6 +36,10 @@
 /// \c pollAnswerTime; at least \c logReadersPerDomain. The others are told by their peers.
 std::size_t pollingNodesPerDomain(const membership::MembershipView&, const StoreLoad&);
 
+/// \returns whether the node waits for new records at the store. One that is not ranked does, since it is in no relay tree and peers
+/// push nothing to it.
+bool isPollingNode(const membership::MembershipView&, const NodeName&, const FailureDomainName&, const StoreLoad&);
+
 /// \returns the log readers of all failure domains, ordered by their rank in their domain, so that those next to each other
 /// are in different domains.
 std::vector<const membership::KnownNode*> logReaders(const membership::MembershipView&);
--- a/packages/distribution/src/ReaderElection.cpp
+++ b/packages/distribution/src/ReaderElection.cpp
@@ -40,16 +40,17 @@
     return ranked;
 }
 
-bool isAmongFirst(const membership::MembershipView& view, const NodeName& node, const FailureDomainName& domain, std::size_t count)
+std::optional<std::size_t> rankOf(const membership::MembershipView& view, const NodeName& node, const FailureDomainName& domain)
 {
     const auto ranked = rankedNodes(view, domain);
-    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(count, ranked.size()));
-    return std::any_of(ranked.begin(), end, [&](const auto* it) { return it->entry.name == node; });
+    const auto self = std::find_if(ranked.begin(), ranked.end(), [&](const auto* it) { return it->entry.name == node; });
+    return self == ranked.end() ? std::nullopt : std::optional { static_cast<std::size_t>(self - ranked.begin()) };
 }
 
 bool isLogReader(const membership::MembershipView& view, const NodeName& node, const FailureDomainName& domain)
 {
-    return isAmongFirst(view, node, domain, logReadersPerDomain);
+    const auto rank = rankOf(view, node, domain);
+    return rank && *rank < logReadersPerDomain;
 }
 
 std::size_t pollingNodesPerDomain(const membership::MembershipView& view, const StoreLoad& load)
@@ -61,6 +62,12 @@
     return std::max(logReadersPerDomain, answered / std::max<std::size_t>(domainsOf(view).size(), 1));
 }
 
+bool isPollingNode(const membership::MembershipView& view, const NodeName& node, const FailureDomainName& domain, const StoreLoad& load)
+{
+    const auto rank = rankOf(view, node, domain);
+    return !rank || *rank < pollingNodesPerDomain(view, load);
+}
+
 std::vector<const membership::KnownNode*> logReaders(const membership::MembershipView& view)
 {
     const auto domains = domainsOf(view);
--- a/packages/node/src/internal/FleetDriver.cpp
+++ b/packages/node/src/internal/FleetDriver.cpp
@@ -123,7 +123,7 @@
 {
     const auto& settings = m_context.settings;
     const distribution::StoreLoad load { settings.log.readMegabytes * bytesPerMegabyte, m_configurationBytes };
-    return distribution::isAmongFirst(view, settings.name, settings.failureDomain, distribution::pollingNodesPerDomain(view, load));
+    return distribution::isPollingNode(view, settings.name, settings.failureDomain, load);
 }
 
 void FleetDriver::onTick(MonotonicTime now, bool isIsolated)
