A version that was missed in a series is read while later ones are forwarded

Cause: a reader left what it lacked to its peers for 0.8 s after the last delta that came, and counted 120 ms from the last end that became known. In a series each new version began both waits anew, so that a node which had missed one did not read it before the series ended, however many followed. The watchdog of reads counted from the last end in the same way: a poll that was lost was not repeated while versions came faster than its time.

Change: both count from the first record that is lacking, and begin anew only where the position moves. What peers do is called forwarding, and what a reader does skipping, in names and pages; the command with a flag became two. Weighed: a limit for the whole series (needs to know where one ends).

--- a/packages/distribution/include/carobpath/distribution/GossipEngine.h
+++ b/packages/distribution/include/carobpath/distribution/GossipEngine.h
@@ -64,14 +64,17 @@
     StreamEnd reached;
 };
 
-/// Report that a peer has handed on what these records of the log, all configurations, led to.
-struct CoverRecords {
+/// Report that a peer has forwarded what these records of the log, all configurations, changed. It will be adopted soon.
+struct AwaitRecords {
     publication::RecordSpan span;
-    /// Whether the version is adopted, so that the records need not be read; otherwise it soon will be.
-    bool isAdopted = false;
 };
 
-using Command = std::variant<SendGossip, SendPush, FetchSnapshot, ReadLog, ActivateConfiguration, PublishView, SetReady, AdvanceStream, CoverRecords>;
+/// Report that what these records of the log, all configurations, changed is adopted, so that they need not be read.
+struct SkipRecords {
+    publication::RecordSpan span;
+};
+
+using Command = std::variant<SendGossip, SendPush, FetchSnapshot, ReadLog, ActivateConfiguration, PublishView, SetReady, AdvanceStream, AwaitRecords, SkipRecords>;
 using Commands = std::vector<Command>;
 
 /// Counters since the start of the engine, for metrics.
@@ -127,11 +130,12 @@
     static constexpr std::size_t s_evidenceBudget = 2048;
     static constexpr std::size_t s_compareBudget = 32768;
     /// Maximum size of a delta that is sent without a request, in general and if every node reads the configuration itself. The
-    /// latter leaves a link of 10 Mbit/s to calls while a delta goes to all neighbours.
+    /// latter is small, since a delta goes to all neighbours over the link that carries calls.
     static constexpr std::size_t s_deltaBudget = 262144;
     static constexpr std::size_t s_deltaBudgetWhenAllRead = 32768;
-    /// Part of its time that a node spends on putting versions into force that peers hand on, and the longest wait between two.
-    static constexpr int s_activationDivisor = 5;
+    /// After a forwarded version was put into force, the next one waits this many times as long as that took, and no longer than
+    /// \c s_longestActivationWait.
+    static constexpr int s_activationWaitFactor = 5;
     static constexpr std::chrono::milliseconds s_longestActivationWait { 500 };
     static constexpr std::size_t s_maxOutstanding = 256;
     static constexpr std::size_t s_maxSeeds = 64;
@@ -146,7 +150,7 @@
     GossipEngine(membership::NodeEntry self, std::vector<Endpoint> seeds, SetDigest, EvidencePort, std::mt19937_64, MonotonicTime now);
 
     /// Sets whether every node reads the configuration from a store that notifies all of them of a new version at once.
-    /// Only what a version changes is then handed on, and only if it is small. A node fetches a whole set from a peer only if its
+    /// Only what a version changes is then forwarded, and only if it is small. A node fetches a whole set from a peer only if its
     /// own read is late: some hundred kilobytes that each node sends to its neighbours would saturate a link of 10 Mbit/s for
     /// seconds.
     void setEachNodeReads(bool each) { m_eachNodeReads = each; }
@@ -169,7 +173,7 @@
     /// Reports a version that this node replayed from the log.
     /// \param span the records that led to it, if they are all configurations.
     Commands onLogAdvanced(publication::ConfigurationPointer, MonotonicTime now, const std::optional<publication::RecordSpan>& span = std::nullopt);
-    /// Reports how long it took to put a version into force that a peer had handed on.
+    /// Reports how long it took to put a version into force that a peer had forwarded.
     void onActivated(std::chrono::nanoseconds took, MonotonicTime now);
     /// Reports that this node has read the log to its end.
     Commands onLogEnd(MonotonicTime now);
@@ -244,10 +248,10 @@
     void recordMatchingTable(const PeerMessage&);
     void recordFloor(const PeerMessage&);
     void processDelta(const PeerMessage&, MonotonicTime now, Commands&);
-    /// Keeps a delta until the next tick, and hands it on if it is news.
-    /// \returns whether it was handed on.
+    /// Keeps a delta until the next tick, and forwards it if it is news.
+    /// \returns whether it was forwarded.
     bool keepDelta(const PeerMessage&, Commands&);
-    /// Hands on what the version that was adopted changes.
+    /// Forwards what the version that was adopted changes.
     void pushChange(const publication::ConfigurationPointer& before, const Endpoint& except, Commands&);
     void compareStamps(const PeerMessage&, bool deltaExpected, MonotonicTime now);
     /// \returns the time to wait before a newer configuration is fetched from a peer.
--- a/packages/distribution/include/carobpath/distribution/PendingDeltas.h
+++ b/packages/distribution/include/carobpath/distribution/PendingDeltas.h
@@ -10,12 +10,12 @@
 
 namespace carobpath::distribution {
 
-/// Deltas that peers have handed on and that are not applied yet, and the results of those that came before.
+/// Deltas from peers that are not applied yet, and the results of those that came before.
 class PendingDeltas {
 public:
     /// Deltas that are kept; further ones are dropped, and the node reads the log instead.
     static constexpr std::size_t s_capacity = 32;
-    /// Results that are remembered, so that each delta is handed on once.
+    /// Results that are remembered, so that each delta is forwarded once.
     static constexpr std::size_t s_memory = 64;
 
     /// Keeps the delta. Of two that lead to the same version, the one with the older base is kept.
--- a/packages/distribution/src/GossipEngine.cpp
+++ b/packages/distribution/src/GossipEngine.cpp
@@ -188,13 +188,13 @@
     m_counters.deltasApplied += deltas.size();
     for (const auto& it : deltas) {
         if (it->span)
-            commands.emplace_back(CoverRecords { *it->span, true });
+            commands.emplace_back(SkipRecords { *it->span });
     }
 }
 
 void GossipEngine::onActivated(std::chrono::nanoseconds took, MonotonicTime now)
 {
-    m_activationAt = now + std::min<std::chrono::nanoseconds>(took * s_activationDivisor, s_longestActivationWait);
+    m_activationAt = now + std::min<std::chrono::nanoseconds>(took * s_activationWaitFactor, s_longestActivationWait);
 }
 
 void GossipEngine::tickRole(MonotonicTime now, Commands& commands)
--- a/packages/distribution/src/GossipMessages.cpp
+++ b/packages/distribution/src/GossipMessages.cpp
@@ -134,11 +134,11 @@
     pushNotices(m_evidence.merge(message.evidence), message.sender, commands);
     const bool hasNewEnd = processStreamEnds(message, commands);
     const bool hadDelta = message.delta != nullptr;
-    const bool isHandedOn = hadDelta && m_eachNodeReads && keepDelta(message, commands);
+    const bool isForwarded = hadDelta && m_eachNodeReads && keepDelta(message, commands);
     if (hadDelta && !m_eachNodeReads)
         processDelta(message, now, commands);
     if (hasNewEnd)
-        pushStreamEnds(message.sender, isHandedOn, commands);
+        pushStreamEnds(message.sender, isForwarded, commands);
     compareStamps(message, !hadDelta, now);
 }
 
@@ -202,7 +202,7 @@
         return false;
     m_pendingDeltas.add(delta);
     if (delta->span)
-        commands.emplace_back(CoverRecords { *delta->span, false });
+        commands.emplace_back(AwaitRecords { *delta->span });
     if (!m_pendingDeltas.markSeen(delta->result))
         return false;
     PushContent content;
@@ -249,7 +249,7 @@
     if (!m_joining)
         m_fetch.clear();
     notifyWitnesses(source, commands);
-    // Where each node reads, several read the same version, and one that came from a peer was handed on when it came.
+    // Where each node reads, several read the same version, and one that came from a peer was forwarded when it came.
     const bool isKnown = m_eachNodeReads && !m_pendingDeltas.markSeen(m_replica.current()->stamp);
     if (before && !isKnown)
         pushChange(before, source, commands);
--- a/packages/distribution/tests/PendingDeltasTests.cpp
+++ b/packages/distribution/tests/PendingDeltasTests.cpp
@@ -93,7 +93,7 @@
 
 BOOST_AUTO_TEST_CASE(A_change_that_a_delta_does_not_hold_is_found_by_the_digest)
 {
-    // Version 3 changes catalog again, so a delta from 2 to 4 lacks nothing that 1 has, but one from 3 to 4 does.
+    // It lacks the changes of versions 2 and 3.
     auto replica = versions.replicaAt(1);
     auto incomplete = *versions.delta(3, 4);
     incomplete.base = versions.all[1]->stamp;
--- a/packages/distribution/tests/VersionSeriesTests.cpp
+++ b/packages/distribution/tests/VersionSeriesTests.cpp
@@ -1,4 +1,5 @@
 #include "Fleet.h"
+#include "carobpath/publication/ReadPacer.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -48,11 +49,11 @@
 
     private:
         static constexpr std::size_t s_nodes = 294;
-        /// 365 KB at 80 MB/s.
+        /// Time in which the store sends one answer.
         static constexpr std::chrono::microseconds s_sendTime { 4'600 };
-        /// Time between two reads of a node, and before it reads what a peer told of and has not handed on.
+        /// Time between two reads of a node, and before it reads what a peer told of and has not forwarded.
         static constexpr milliseconds s_readPause { 300 };
-        static constexpr milliseconds s_handOnTime { 120 };
+        static constexpr milliseconds s_forwardTimeout { publication::ReadPacer::s_forwardTimeout };
         static constexpr std::size_t s_domains = 5;
         /// Nodes of a failure domain that wait at the store.
         static constexpr std::size_t s_pollingPerDomain = 6;
@@ -98,7 +99,7 @@
             else if (!it.toldAt)
                 it.toldAt = now;
             const bool isPolling = node / s_domains < s_pollingPerDomain;
-            const bool hasMissed = it.toldAt && now - *it.toldAt >= s_handOnTime;
+            const bool hasMissed = it.toldAt && now - *it.toldAt >= s_forwardTimeout;
             const bool reads = isPolling ? held < fleet.newest() : hasMissed;
             if (it.pending || now < it.mayReadAt || !reads)
                 return;
--- a/packages/node/src/internal/FleetDriver.cpp
+++ b/packages/node/src/internal/FleetDriver.cpp
@@ -142,16 +142,17 @@
         m_moves->onStatusEndKnown(reached.end);
 }
 
-void FleetDriver::onRecordsCovered(const distribution::CoverRecords& covered)
+void FleetDriver::onRecordsForwarded(const publication::RecordSpan& span)
 {
-    if (!m_reader)
-        return;
-    if (!covered.isAdopted) {
-        m_reader->onCoverPending(covered.span);
-        return;
-    }
-    m_coveredEnd = std::max(m_coveredEnd, publication::StreamPosition { covered.span.era, covered.span.end });
-    m_reader->onCovered(std::string { platform::configurationKey }, covered.span);
+    if (m_reader)
+        m_reader->onForwarded(span);
+}
+
+void FleetDriver::onRecordsAdopted(const publication::RecordSpan& span)
+{
+    m_adoptedEnd = std::max(m_adoptedEnd, publication::StreamPosition { span.era, span.end });
+    if (m_reader)
+        m_reader->skip(std::string { platform::configurationKey }, span);
 }
 
 void FleetDriver::recordStreamAhead(const distribution::StreamEnd& reached)
@@ -229,7 +230,7 @@
 
 bool FleetDriver::onConfigurationRecord(const publication::KeyedRecord& record)
 {
-    if (publication::StreamPosition { record.era, record.offset } < m_coveredEnd)
+    if (publication::StreamPosition { record.era, record.offset } < m_adoptedEnd)
         return true;
     return boost::leaf::try_handle_all(
         [&]() -> Result<bool> {
--- a/packages/node/src/internal/FleetDriver.h
+++ b/packages/node/src/internal/FleetDriver.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "carobpath/distribution/GossipEngine.h"
 #include "carobpath/distribution/StreamEnds.h"
 #include "carobpath/gateway/AdminServer.h"
 #include "carobpath/platform/ConfigurationReader.h"
@@ -56,8 +55,10 @@
     void onView(const membership::MembershipView&);
     /// A peer knows that a stream reaches this end.
     void onStreamAdvanced(const distribution::StreamEnd&);
-    /// A peer has handed on what these records of the operator's stream led to.
-    void onRecordsCovered(const distribution::CoverRecords&);
+    /// A peer has forwarded what these records of the operator's stream changed; it will be in force soon.
+    void onRecordsForwarded(const publication::RecordSpan&);
+    /// What these records of the operator's stream changed is adopted.
+    void onRecordsAdopted(const publication::RecordSpan&);
     /// The store has come back from a copy.
     void onStoreReturned(const platform::StoreEraChange&);
     /// \param isIsolated whether no other node has been heard for a while, so that none can tell of new records.
@@ -95,8 +96,8 @@
     /// Size of the last configuration that was read; allows for a large one before the first.
     std::size_t m_configurationBytes = publication::ReadWatchdog::s_largeAnswerBytes;
     bool m_isPollingNode = true;
-    /// The end of the configurations that peers handed on and that are held.
-    publication::StreamPosition m_coveredEnd;
+    /// The end of the configurations that peers forwarded and that are adopted.
+    publication::StreamPosition m_adoptedEnd;
     /// When this node checks the streams; nothing if other nodes check them.
     std::optional<publication::CheckSchedule> m_checkSchedule;
     /// For the operator's stream, whose records are large; those of the stream of states are not.
--- a/packages/node/src/internal/KeyedReader.h
+++ b/packages/node/src/internal/KeyedReader.h
@@ -3,6 +3,7 @@
 #include "carobpath/foundation/Backoff.h"
 #include "carobpath/foundation/Time.h"
 #include "carobpath/publication/KeyedFollower.h"
+#include "carobpath/publication/ReadPacer.h"
 #include "carobpath/publication/ReadWatchdog.h"
 
 #include <boost/asio/io_context.hpp>
@@ -82,6 +83,7 @@
         , m_hooks(std::move(hooks))
         , m_random(random)
         , m_watchdog(std::mt19937_64(m_random()))
+        , m_pacer(std::mt19937_64(m_random()))
         , m_retry(context)
     {
     }
@@ -94,12 +96,12 @@
     /// Sets the time in which a pending read must deliver a record that exists, see \c ReadWatchdog::deliveryTimeoutFor.
     void setDeliveryTimeout(std::chrono::milliseconds timeout) { m_watchdog.setDeliveryTimeout(timeout); }
 
-    /// Sets whether this node waits for new records at the store. Otherwise it rests until another node tells of some, and reads
-    /// them only if they are not handed on.
+    /// Sets whether this node waits for new records at the store. Otherwise it reads those that other nodes tell of and do not
+    /// forward.
     void setPolling(bool polling)
     {
         m_isPolling = polling;
-        if (m_isPolling && m_isResting)
+        if (m_isPolling && m_pacer.isIdle())
             read();
     }
 
@@ -107,30 +109,25 @@
     void onEndKnown(publication::StreamPosition end)
     {
         const auto now = MonotonicClock::now();
-        if (!m_behindSince && end > m_follower.position())
-            m_behindSince = now;
+        m_pacer.onEndKnown(end, now);
         m_watchdog.onEndKnown(end, now);
     }
 
-    /// Another node has handed on what these records led to, all of which are of this key.
-    void onCovered(const std::string& key, const publication::RecordSpan& span)
+    /// Another node has forwarded what these records changed, and it will be in force soon.
+    void onForwarded(const publication::RecordSpan& span) { m_pacer.onForwarded({ span.era, span.end }); }
+
+    /// What these records changed is in force, and all of them are of this key: they are not read if the position adjoins them.
+    void skip(const std::string& key, const publication::RecordSpan& span)
     {
-        if (!m_follower.onCovered(key, span))
+        if (!m_follower.skip(key, span))
             return;
-        m_watchdog.onCovered(m_follower.position());
-        if (m_follower.position() >= m_watchdog.knownEnd())
-            m_behindSince.reset();
-        if (m_pausedAt)
+        const auto now = MonotonicClock::now();
+        m_watchdog.onSkippedTo(m_follower.position(), now);
+        m_pacer.onPosition(m_follower.position(), now);
+        if (m_pacer.isPaused())
             m_follower.onIdle();
     }
 
-    /// Another node has handed on what these records led to, which will be in force soon.
-    void onCoverPending(const publication::RecordSpan& span)
-    {
-        m_pendingEnd = std::max(m_pendingEnd, publication::StreamPosition { span.era, span.end });
-        m_pendingAt = MonotonicClock::now();
-    }
-
     /// \returns the records up to the position that are all of this key; empty if the last one is of another key.
     std::optional<publication::RecordSpan> spanOf(const std::string& key) const { return m_follower.spanOf(key); }
 
@@ -150,9 +147,9 @@
     {
         if (m_stopped)
             return;
-        if (isHandedOn(now))
+        if (m_pacer.awaitsActivation(now))
             return;
-        if (m_pausedAt && hasMissedNews(now)) {
+        if (m_pacer.isReadDue(now)) {
             m_retry.cancel();
             read();
             return;
@@ -181,12 +178,9 @@
     AnsweredRead answeredRead() const
     {
         const auto now = MonotonicClock::now();
-        const auto since = [now](MonotonicTime then) { return std::chrono::duration_cast<std::chrono::milliseconds>(now - then); };
-        AnsweredRead it { m_sentKind, openTime(), std::nullopt, std::nullopt };
+        AnsweredRead it { m_sentKind, openTime(), std::nullopt, m_pacer.behindFor(now) };
         if (m_begunAt)
-            it.arriving = since(*m_begunAt);
-        if (m_behindSince)
-            it.behind = since(*m_behindSince);
+            it.arriving = std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_begunAt);
         return it;
     }
 
@@ -203,24 +197,11 @@
 private:
     static constexpr std::chrono::milliseconds s_retryBase { 200 };
     static constexpr std::chrono::milliseconds s_retryCap { 1'500 };
-    /// Bounds of the time between two answers with news, so that changes in quick succession are read together. Each node draws
-    /// its own time: then one of those that poll waits at the store again soon, and hands on what it reads. The time counts from
-    /// the moment an answer was made: one that took long on its way is that old already.
-    static constexpr std::chrono::milliseconds s_shortestNewsInterval { 100 };
-    static constexpr std::chrono::milliseconds s_newsInterval { 1'000 };
-    /// Leaves an instance with a busy link some time for calls before it reads what was not handed on.
-    static constexpr std::chrono::milliseconds s_shortestNewsPause { 300 };
-    /// Time within which another node hands on a record whose existence is known.
-    static constexpr std::chrono::milliseconds s_handOnTime { 120 };
-    /// Time within which a version that another node has handed on is in force.
-    static constexpr std::chrono::milliseconds s_activationTime { 800 };
     /// Listings of the nodes that notice a new era together are spread over this time.
     static constexpr std::chrono::milliseconds s_eraSpread { 500 };
 
     void read()
     {
-        m_pausedAt.reset();
-        m_isResting = false;
         auto handler = [self = this->shared_from_this(), number = ++m_readNumber](publication::KeyedResult result) {
             if (!self->m_stopped && number == self->m_readNumber)
                 self->onResult(std::move(result));
@@ -228,8 +209,8 @@
         m_sentAt = MonotonicClock::now();
         const bool isImmediate = m_follower.needsListing() || m_follower.isReadingOmitted();
         m_sentKind = isImmediate ? publication::ReadKind::Immediate : publication::ReadKind::LongPoll;
-        m_answerMadeAt = m_sentAt;
         m_begunAt.reset();
+        m_pacer.onReadSent(m_sentKind, m_sentAt);
         m_watchdog.onReadSent(m_sentKind, m_follower.position(), m_sentAt);
         if (m_follower.needsListing()) {
             m_store.listNewest(m_stream, std::move(handler));
@@ -247,8 +228,7 @@
     {
         m_watchdog.onAnswerBegun();
         m_begunAt = MonotonicClock::now();
-        if (m_sentKind == publication::ReadKind::LongPoll)
-            m_answerMadeAt = *m_begunAt;
+        m_pacer.onAnswerBegun(*m_begunAt);
     }
 
     void readAgain()
@@ -319,71 +299,35 @@
         if (m_stopped)
             return;
         if (!m_follower.shouldPause()) {
-            readOrRest();
+            readOrIdle();
             return;
         }
-        m_watchdog.onRecordsRead(MonotonicClock::now());
-        m_lastReadCost = readCost();
-        pause(newsPause());
+        const auto now = MonotonicClock::now();
+        m_watchdog.onRecordsRead(now);
+        pause(m_pacer.onNews(now));
     }
 
-    /// Waits before the next read. The pause ends early if records are known that no other node hands on.
     void pause(std::chrono::milliseconds time)
     {
-        m_pausedAt = MonotonicClock::now();
         m_retry.expires_after(time);
         m_retry.async_wait([self = this->shared_from_this()](boost::system::error_code ec) {
             if (!ec && !self->m_stopped)
-                self->readOrRest();
+                self->readOrIdle();
         });
     }
 
-    void readOrRest()
+    /// Reads, unless other nodes will tell of what is new.
+    void readOrIdle()
     {
-        const bool isBehind = m_watchdog.knownEnd() > m_follower.position();
-        if (m_isPolling || isBehind || m_follower.needsListing() || m_follower.isReadingOmitted()) {
+        if (m_isPolling || m_pacer.isBehind() || m_follower.needsListing() || m_follower.isReadingOmitted())
             read();
-            return;
-        }
-        m_isResting = true;
-        m_pausedAt = MonotonicClock::now();
-    }
-
-    /// \returns whether all that is known to be new has come from another node and is about to be in force.
-    bool isHandedOn(MonotonicTime now) const
-    {
-        const bool isBehind = m_watchdog.knownEnd() > m_follower.position();
-        return isBehind && m_watchdog.knownEnd() <= m_pendingEnd && now - m_pendingAt < s_activationTime;
-    }
-
-    /// \returns whether records are known that no other node has handed on, and the last read is long enough ago.
-    bool hasMissedNews(MonotonicTime now) const
-    {
-        const bool isBehind = m_watchdog.knownEnd() > m_follower.position();
-        return isBehind && now - m_watchdog.knownEndAt() >= s_handOnTime && now - *m_pausedAt >= shortestPause();
-    }
-
-    /// \returns a pause that leaves at least as much time for calls, and for other readers, as the last read took.
-    std::chrono::milliseconds shortestPause() const { return std::clamp(m_lastReadCost, s_shortestNewsPause, s_newsInterval); }
-
-    /// \returns the time from when the records that were read had to exist until now.
-    std::chrono::milliseconds readCost() const
-    {
-        const auto begunAt = m_sentKind == publication::ReadKind::LongPoll ? m_begunAt.value_or(m_sentAt) : m_sentAt;
-        return std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicClock::now() - begunAt);
-    }
-
-    std::chrono::milliseconds newsPause()
-    {
-        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicClock::now() - m_answerMadeAt);
-        std::uniform_int_distribution<std::int64_t> interval { s_shortestNewsInterval.count(), s_newsInterval.count() };
-        return std::max(s_shortestNewsInterval, std::chrono::milliseconds { interval(m_random) } - age);
+        else
+            m_pacer.onIdle(MonotonicClock::now());
     }
 
     void readAfter(std::chrono::milliseconds time)
     {
-        m_pausedAt.reset();
-        m_isResting = false;
+        m_pacer.onRetry();
         m_retry.expires_after(time);
         m_retry.async_wait([self = this->shared_from_this()](boost::system::error_code ec) {
             if (!ec && !self->m_stopped)
@@ -400,8 +344,7 @@
             if (!isUsed)
                 m_follower.onRefused(news);
         }
-        if (m_follower.position() >= m_watchdog.knownEnd())
-            m_behindSince.reset();
+        m_pacer.onPosition(m_follower.position(), MonotonicClock::now());
         m_hooks.stream.onPosition(m_follower.position());
         m_hooks.onEnd();
     }
@@ -422,6 +365,7 @@
     KeyedReaderHooks m_hooks;
     std::mt19937_64 m_random;
     publication::ReadWatchdog m_watchdog;
+    publication::ReadPacer m_pacer;
     /// An answer to any read but the last one is ignored.
     std::uint64_t m_readNumber = 0;
     boost::asio::steady_timer m_retry;
@@ -430,20 +374,8 @@
     /// When the answer to the last read began to arrive.
     std::optional<MonotonicTime> m_begunAt;
     publication::ReadKind m_sentKind = publication::ReadKind::Immediate;
-    /// When the store made the last answer, as far as it is known: an immediate read is answered as it is sent.
-    MonotonicTime m_answerMadeAt;
     std::optional<MonotonicTime> m_answeredAt;
-    /// When this node was told of records that it has not read; empty if it knows of none.
-    std::optional<MonotonicTime> m_behindSince;
-    /// When the pause after an answer with news began; empty if there is none.
-    std::optional<MonotonicTime> m_pausedAt;
     bool m_isPolling = true;
-    /// Neither a read nor a timer is pending: another node tells of what is new.
-    bool m_isResting = false;
-    /// The end of what other nodes have handed on, and when the last of it came.
-    publication::StreamPosition m_pendingEnd;
-    MonotonicTime m_pendingAt;
-    std::chrono::milliseconds m_lastReadCost {};
     bool m_available = true;
     bool m_stopped = false;
 };
--- a/packages/node/src/internal/NodeAssemblyHooks.cpp
+++ b/packages/node/src/internal/NodeAssemblyHooks.cpp
@@ -123,9 +123,13 @@
         if (m_fleet)
             m_fleet->onStreamAdvanced(reached);
     };
-    callbacks.onRecordsCovered = [this](const distribution::CoverRecords& it) {
+    callbacks.onRecordsForwarded = [this](const publication::RecordSpan& span) {
         if (m_fleet)
-            m_fleet->onRecordsCovered(it);
+            m_fleet->onRecordsForwarded(span);
+    };
+    callbacks.onRecordsAdopted = [this](const publication::RecordSpan& span) {
+        if (m_fleet)
+            m_fleet->onRecordsAdopted(span);
     };
     callbacks.onFetchEnded = [this](const peer::EndedFetch& it) {
         m_events.record(Event(event::stateFetched).with("peer", it.peer).with("succeeded", it.succeeded).with("openMs", it.took));
--- a/packages/node/tests/BusyInstance.h
+++ b/packages/node/tests/BusyInstance.h
@@ -35,7 +35,7 @@
     double carriedPart = 1;
     /// Downloads at a time; those beyond are refused.
     std::size_t mostDownloads = std::numeric_limits<std::size_t>::max();
-    /// Size of what a version changes, if it is handed on by another node; 0 if the whole set is read.
+    /// Size of what a version changes, if another node forwards it; 0 if the whole set is read.
     std::size_t changeBytes = 0;
 };
 
@@ -86,7 +86,7 @@
     static constexpr std::size_t s_messageBytes = 1'000;
     static constexpr Duration s_workOfMessage = 300us;
     static constexpr Duration s_workOfConfiguration = 25ms;
-    /// To apply what other nodes handed on, however many versions it leads over.
+    /// To apply what other nodes forwarded, however many versions it leads over.
     static constexpr Duration s_workOfChange = 10ms;
     static constexpr std::size_t s_neighbours = 5;
 
@@ -202,7 +202,7 @@
     void receiveChange(std::size_t version)
     {
         m_in.send(m_load.changeBytes, [this, version] {
-            m_thread.post(s_workOfMessage, [this, version] { m_handedOn = version; });
+            m_thread.post(s_workOfMessage, [this, version] { m_forwarded = version; });
             for (std::size_t i = 0; i < s_neighbours; ++i)
                 m_thread.post(s_workOfMessage, [this] { m_out.send(m_load.changeBytes, [] {}); });
         });
@@ -210,13 +210,13 @@
 
     void applyChanges()
     {
-        if (m_handedOn <= m_inForce || m_time.now < m_activationAt)
+        if (m_forwarded <= m_inForce || m_time.now < m_activationAt)
             return;
         m_activationAt = MonotonicTime::max();
-        m_thread.post(s_workOfChange, [this, version = m_handedOn, begunAt = m_time.now] {
+        m_thread.post(s_workOfChange, [this, version = m_forwarded, begunAt = m_time.now] {
             for (; m_inForce < version; ++m_inForce)
                 configurationAges.push_back(m_time.now - m_writtenAt[m_inForce]);
-            const auto wait = (m_time.now - begunAt) * distribution::GossipEngine::s_activationDivisor;
+            const auto wait = (m_time.now - begunAt) * distribution::GossipEngine::s_activationWaitFactor;
             m_activationAt = m_time.now + std::min<Duration>(wait, distribution::GossipEngine::s_longestActivationWait);
         });
     }
@@ -289,8 +289,8 @@
     std::map<capacity::LinkPacer::BodyId, Download> m_downloads;
     std::vector<MonotonicTime> m_writtenAt;
     std::size_t m_inForce = 0;
-    /// The newest version that another node has handed on.
-    std::size_t m_handedOn = 0;
+    /// The newest version that another node has forwarded.
+    std::size_t m_forwarded = 0;
     MonotonicTime m_activationAt;
     std::uint64_t m_readNumber = 0;
     std::size_t m_read = 0;
--- a/packages/node/tests/BusyInstanceTests.cpp
+++ b/packages/node/tests/BusyInstanceTests.cpp
@@ -55,7 +55,7 @@
 }
 
 // Guards against a series of versions that takes the thread and the link from calls, or is late behind them.
-BOOST_AUTO_TEST_CASE(A_series_of_versions_that_are_handed_on_is_in_force_in_half_of_its_bound_for_minutes)
+BOOST_AUTO_TEST_CASE(A_series_of_versions_that_are_forwarded_is_in_force_in_half_of_its_bound_for_minutes)
 {
     for (const Duration interval : { 170ms, 300ms, 1'000ms }) {
         BusyLoad load;
--- a/packages/node/tests/KeyedReaderTests.cpp
+++ b/packages/node/tests/KeyedReaderTests.cpp
@@ -304,23 +304,23 @@
     BOOST_TEST(availability.empty());
 }
 
-BOOST_AUTO_TEST_CASE(Records_that_a_peer_handed_on_are_neither_awaited_nor_listed)
+BOOST_AUTO_TEST_CASE(Records_that_are_skipped_are_neither_awaited_nor_listed)
 {
     store.append("second");
     reader->onEndKnown(store.end());
-    reader->onCovered("config", { {}, 1, 2 });
+    reader->skip("config", { {}, 1, 2 });
     tickAfter(10 * publication::ReadWatchdog::s_deliveryTimeout);
     BOOST_TEST(store.listings.size() == 1U);
     BOOST_TEST((reader->position() == StreamPosition { {}, 2 }));
 }
 
-BOOST_AUTO_TEST_CASE(After_a_pause_in_which_peers_handed_on_what_is_new_the_node_polls_from_there)
+BOOST_AUTO_TEST_CASE(After_a_pause_in_which_records_were_skipped_the_node_polls_from_there)
 {
     store.append("second");
     store.reads.front()(publication::KeyedBatch { 2, { store.records.back() } });
     store.append("third");
     reader->onEndKnown(store.end());
-    reader->onCovered("config", { {}, 1, 3 });
+    reader->skip("config", { {}, 1, 3 });
     tickAfter(900ms);
     BOOST_TEST(store.reads.size() == 1U);
     io.run_for(1'200ms);
@@ -329,7 +329,7 @@
     BOOST_TEST(store.listings.size() == 1U);
 }
 
-BOOST_AUTO_TEST_CASE(A_pause_ends_soon_if_what_is_known_to_be_new_is_not_handed_on)
+BOOST_AUTO_TEST_CASE(A_pause_ends_soon_if_what_is_known_to_be_new_is_not_forwarded)
 {
     store.append("second");
     store.reads.front()(publication::KeyedBatch { 2, { store.records.back() } });
@@ -341,18 +341,31 @@
     BOOST_TEST(store.reads.size() == 2U);
 }
 
-BOOST_AUTO_TEST_CASE(What_a_peer_handed_on_is_read_if_it_does_not_come_into_force)
+BOOST_AUTO_TEST_CASE(What_was_forwarded_is_read_if_it_does_not_come_into_force)
 {
     store.append("second");
     reader->onEndKnown(store.end());
-    reader->onCoverPending({ {}, 1, 2 });
+    reader->onForwarded({ {}, 1, 2 });
     tickAfter(500ms);
     BOOST_TEST(store.listings.size() == 1U);
     tickAfter(1'000ms);
     BOOST_TEST(store.listings.size() == 2U);
 }
 
-BOOST_AUTO_TEST_CASE(A_node_that_does_not_poll_rests_until_it_is_told_of_news_that_nobody_hands_on)
+// Guards against a node that waits for a version which was not forwarded for as long as later ones are.
+BOOST_AUTO_TEST_CASE(A_version_that_was_missed_in_a_series_is_read_while_later_ones_are_forwarded)
+{
+    for (Offset end = 3; end < 10; ++end) {
+        store.append("later");
+        reader->onEndKnown({ {}, end });
+        reader->onForwarded({ {}, end - 1, end });
+        std::this_thread::sleep_for(240ms);
+        reader->onTick(MonotonicClock::now());
+    }
+    BOOST_TEST(store.listings.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(A_node_that_does_not_poll_is_idle_until_it_is_told_of_news_that_nobody_forwards)
 {
     reader->setPolling(false);
     store.append("second");
@@ -367,7 +380,7 @@
     BOOST_TEST((delivered == std::vector<std::string> { "first", "second", "third" }));
 }
 
-BOOST_AUTO_TEST_CASE(A_node_that_rested_polls_as_soon_as_it_has_to)
+BOOST_AUTO_TEST_CASE(An_idle_node_polls_as_soon_as_it_has_to)
 {
     reader->setPolling(false);
     store.append("second");
--- a/packages/peer/include/carobpath/peer/ExchangeRunner.h
+++ b/packages/peer/include/carobpath/peer/ExchangeRunner.h
@@ -38,8 +38,10 @@
     std::function<void(bool)> onReady;
     /// A peer knows that a stream of the log reaches further than this node has read.
     std::function<void(const distribution::StreamEnd&)> onStreamAdvanced;
-    /// A peer has handed on what these records of the log, all configurations, led to.
-    std::function<void(const distribution::CoverRecords&)> onRecordsCovered;
+    /// A peer has forwarded what these records of the log, all configurations, changed; it will be in force soon.
+    std::function<void(const publication::RecordSpan&)> onRecordsForwarded;
+    /// What these records changed is adopted, so that they need not be read.
+    std::function<void(const publication::RecordSpan&)> onRecordsAdopted;
     /// A fetch of a peer's state has ended, well or not.
     std::function<void(const EndedFetch&)> onFetchEnded;
     /// Another node forwards a claim of an idempotency key; the reply may be given later.
--- a/packages/peer/src/ExchangeRunner.cpp
+++ b/packages/peer/src/ExchangeRunner.cpp
@@ -206,10 +206,16 @@
             callbacks.onStreamAdvanced(it.reached);
     }
 
-    void execute(const distribution::CoverRecords& it) const
+    void execute(const distribution::AwaitRecords& it) const
     {
-        if (callbacks.onRecordsCovered)
-            callbacks.onRecordsCovered(it);
+        if (callbacks.onRecordsForwarded)
+            callbacks.onRecordsForwarded(it.span);
+    }
+
+    void execute(const distribution::SkipRecords& it) const
+    {
+        if (callbacks.onRecordsAdopted)
+            callbacks.onRecordsAdopted(it.span);
     }
 
     void reportFetch(const Endpoint& peer, bool succeeded, MonotonicTime sentAt) const
--- a/packages/publication/include/carobpath/publication/KeyedFollower.h
+++ b/packages/publication/include/carobpath/publication/KeyedFollower.h
@@ -33,10 +33,9 @@
     /// \returns the known records up to the position that are all of this key; empty if the last one is of another key.
     std::optional<RecordSpan> spanOf(const std::string& key) const;
 
-    /// Must be called if another node has handed on what a span of records led to, all of which are of this key. The records
-    /// are not read any more if the span adjoins the position.
+    /// Skips records that are all of this key and whose outcome another node has forwarded, if they adjoin the position.
     /// \returns whether the position has moved.
-    bool onCovered(const std::string& key, const RecordSpan&);
+    bool skip(const std::string& key, const RecordSpan&);
 
     /// May be called while no request is pending and nothing known is left to read: the next request need not be a listing, even
     /// if a key changed fast.
@@ -59,7 +58,7 @@
     {
         m_needsListing = true;
         m_isRereading = false;
-        m_coveredEnd = 0;
+        m_skippedEnd = 0;
     }
 
     /// Must be called when a connection was lost; a listing provides the records written in the meantime.
@@ -96,8 +95,8 @@
     /// between does not contain them.
     bool m_isRereading = false;
     Offset m_nextRead = 0;
-    /// The end of the spans that were covered since the last answer; answers that were on their way do not lead back before it.
-    Offset m_coveredEnd = 0;
+    /// The end of the records that were skipped since the last answer; answers that were on their way do not lead back before it.
+    Offset m_skippedEnd = 0;
     std::optional<Run> m_run;
     bool m_needsListing = true;
     bool m_shouldPause = false;
--- a/packages/publication/include/carobpath/publication/ReadWatchdog.h
+++ b/packages/publication/include/carobpath/publication/ReadWatchdog.h
@@ -83,8 +83,8 @@
     /// Reports that a read delivered new records.
     void onRecordsRead(MonotonicTime now);
 
-    /// Reports that another node has handed on the records up to this position, which the pending read need not deliver.
-    void onCovered(StreamPosition);
+    /// Reports that the pending read need not deliver the records before this position.
+    void onSkippedTo(StreamPosition, MonotonicTime now);
 
     /// Reports that the stream is known to have reached this end. An end of a later era is further than any before it.
     void onEndKnown(StreamPosition, MonotonicTime now);
@@ -97,8 +97,6 @@
 
     /// \returns the furthest known end of the stream.
     StreamPosition knownEnd() const { return m_knownEnd; }
-    /// \returns when this end became known.
-    MonotonicTime knownEndAt() const { return m_knownEndAt; }
 
 private:
     struct Read {
@@ -120,7 +118,8 @@
     /// The pending read was sent before the store was found unresponsive.
     bool m_isReadSuspect = false;
     StreamPosition m_knownEnd;
-    MonotonicTime m_knownEndAt;
+    /// When an end beyond the pending read became known, or that read's records were last skipped in part.
+    MonotonicTime m_behindSince;
     /// The known end for which a read was repeated. It is not repeated for the same end again, but where the repeated read
     /// timed out: the store may have lost records, and a node that it refuses would call it on each tick.
     StreamPosition m_repeatedFor;
--- a/packages/publication/src/KeyedFollower.cpp
+++ b/packages/publication/src/KeyedFollower.cpp
@@ -13,13 +13,13 @@
     m_previousNextRead = wasListing && m_caughtUp ? std::optional { m_nextRead } : std::nullopt;
     auto updates = collectUpdates(batch);
     extendRun(batch, wasListing);
-    const Offset covered = std::exchange(m_coveredEnd, 0);
+    const Offset skippedEnd = std::exchange(m_skippedEnd, 0);
     if (!wasListing || !m_isRereading || hasSuccessor(updates))
-        m_nextRead = std::max(batch.next, covered);
+        m_nextRead = std::max(batch.next, skippedEnd);
     m_isRereading = m_isRereading && m_nextRead <= m_refused->offset;
     planNext(wasListing, updates);
-    // What was handed on in time of the answer was news too.
-    m_shouldPause = m_shouldPause || (covered > 0 && !m_isRereading);
+    // An answer that was made before its records were skipped held news too.
+    m_shouldPause = m_shouldPause || (skippedEnd > 0 && !m_isRereading);
     m_caughtUp = true;
     return updates;
 }
@@ -91,7 +91,7 @@
     return RecordSpan { m_era, m_run->since, m_nextRead };
 }
 
-bool KeyedFollower::onCovered(const std::string& key, const RecordSpan& span)
+bool KeyedFollower::skip(const std::string& key, const RecordSpan& span)
 {
     const bool adjoins = span.since <= m_nextRead && m_nextRead < span.end;
     if (!m_caughtUp || m_isRereading || span.era != m_era || !adjoins)
@@ -99,7 +99,7 @@
     const bool continuesRun = m_run && m_run->key == key;
     m_run = Run { key, continuesRun ? std::min(m_run->since, span.since) : span.since };
     m_nextRead = span.end;
-    m_coveredEnd = span.end;
+    m_skippedEnd = span.end;
     m_newest[key] = span.end - 1;
     return true;
 }
--- a/packages/publication/src/ReadWatchdog.cpp
+++ b/packages/publication/src/ReadWatchdog.cpp
@@ -57,18 +57,22 @@
         m_checkAt = now + m_checkSchedule->delay;
 }
 
-void ReadWatchdog::onCovered(StreamPosition position)
+void ReadWatchdog::onSkippedTo(StreamPosition position, MonotonicTime now)
 {
-    if (m_read)
-        m_read->from = std::max(m_read->from, position);
+    if (!m_read || position <= m_read->from)
+        return;
+    m_read->from = position;
+    m_behindSince = now;
 }
 
 void ReadWatchdog::onEndKnown(StreamPosition end, MonotonicTime now)
 {
     if (end <= m_knownEnd)
         return;
+    const bool wasBehind = m_read && m_knownEnd > m_read->from;
     m_knownEnd = end;
-    m_knownEndAt = now;
+    if (!wasBehind)
+        m_behindSince = now;
 }
 
 void ReadWatchdog::onCheckAnswered(StreamPosition end, MonotonicTime now)
@@ -112,7 +116,7 @@
     if (m_isReadSuspect && !m_read->hasFailed)
         return true;
     const bool isBehind = m_knownEnd > m_read->from && m_knownEnd > m_repeatedFor;
-    return isBehind && now - std::max(m_knownEndAt, m_read->sentAt) >= m_deliveryTimeout;
+    return isBehind && now - std::max(m_behindSince, m_read->sentAt) >= m_deliveryTimeout;
 }
 
 bool ReadWatchdog::isCheckDue(MonotonicTime now) const
--- a/packages/publication/tests/KeyedFollowerTests.cpp
+++ b/packages/publication/tests/KeyedFollowerTests.cpp
@@ -245,33 +245,33 @@
     BOOST_TEST(!follower.spanOf("a").has_value());
 }
 
-BOOST_AUTO_TEST_CASE(A_span_that_adjoins_the_position_is_not_read)
+BOOST_AUTO_TEST_CASE(Only_records_that_adjoin_the_position_are_skipped)
 {
     KeyedFollower follower;
     follower.onBatch({ 3, { record(2, "a", "1") } });
-    BOOST_TEST(!follower.onCovered("a", { {}, 4, 6 }));
-    BOOST_TEST(!follower.onCovered("a", { {}, 0, 3 }));
-    BOOST_TEST(!follower.onCovered("a", { StoreEra { 1 }, 0, 6 }));
-    BOOST_TEST(follower.onCovered("a", { {}, 1, 6 }));
+    BOOST_TEST(!follower.skip("a", { {}, 4, 6 }));
+    BOOST_TEST(!follower.skip("a", { {}, 0, 3 }));
+    BOOST_TEST(!follower.skip("a", { StoreEra { 1 }, 0, 6 }));
+    BOOST_TEST(follower.skip("a", { {}, 1, 6 }));
     BOOST_TEST(follower.nextRead() == 6);
     BOOST_TEST((follower.spanOf("a") == RecordSpan { {}, 0, 6 }));
 }
 
-BOOST_AUTO_TEST_CASE(An_answer_that_was_on_its_way_does_not_lead_back_before_a_covered_span)
+BOOST_AUTO_TEST_CASE(An_answer_that_was_on_its_way_does_not_lead_back_before_skipped_records)
 {
     KeyedFollower follower;
     follower.onBatch({ 3, { record(2, "a", "1") } });
-    follower.onCovered("a", { {}, 3, 6 });
+    follower.skip("a", { {}, 3, 6 });
     BOOST_TEST(follower.onBatch({ 4, { record(3, "a", "2") } }).empty());
     BOOST_TEST(follower.nextRead() == 6);
     BOOST_TEST(follower.shouldPause());
 }
 
-BOOST_AUTO_TEST_CASE(A_stream_that_was_recreated_is_read_from_its_start_after_a_covered_span)
+BOOST_AUTO_TEST_CASE(A_stream_that_was_recreated_is_read_from_its_start_after_skipped_records)
 {
     KeyedFollower follower;
     follower.onBatch({ 3, { record(2, "a", "1") } });
-    follower.onCovered("a", { {}, 3, 6 });
+    follower.skip("a", { {}, 3, 6 });
     follower.onTrimmed();
     follower.onBatch({ 2, { record(1, "b", "1") } });
     BOOST_TEST(follower.nextRead() == 2);
@@ -280,7 +280,7 @@
 BOOST_AUTO_TEST_CASE(A_node_that_has_listed_nothing_yet_skips_no_records)
 {
     KeyedFollower follower;
-    BOOST_TEST(!follower.onCovered("a", { {}, 0, 6 }));
+    BOOST_TEST(!follower.skip("a", { {}, 0, 6 }));
     BOOST_TEST(follower.needsListing());
 }
 
--- a/packages/publication/tests/ReadWatchdogTests.cpp
+++ b/packages/publication/tests/ReadWatchdogTests.cpp
@@ -223,6 +223,32 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(A_read_that_was_lost_is_repeated_while_further_ends_become_known_in_quick_succession)
+{
+    WatchedRead it;
+    it.send({ {}, 7 });
+    for (Offset end = 8; end < 20; ++end) {
+        it.end = { {}, end };
+        it.watchdog.onEndKnown(it.end, it.now);
+        it.run(tick);
+    }
+    BOOST_TEST(it.repeats > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(A_read_whose_records_were_skipped_in_part_has_its_time_for_the_others)
+{
+    WatchedRead it;
+    it.send({ {}, 7 });
+    it.watchdog.onEndKnown({ {}, 9 }, it.now);
+    it.run(tick);
+    it.watchdog.onSkippedTo({ {}, 8 }, it.now);
+    it.run(ReadWatchdog::s_deliveryTimeout);
+    BOOST_TEST(it.repeats == 0U);
+    it.watchdog.onSkippedTo({ {}, 9 }, it.now);
+    it.run(60s);
+    BOOST_TEST(it.repeats == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }
